Frame: build, schema, clock, events and the interfaces that the parts meet at

The parts meet at the schema, the paused clock, the HTTP and peer stream interfaces and the replicated log's interface, so these come before any of them.

--- /dev/null
+++ b/Source/Events/EventLog.h
@@ -0,0 +1,84 @@
+// Log of numbered events: one JSON object a line, each with a hybrid logical
+// clock stamp, so that the logs of all processes merge into one time line.
+// Shape of a line: {"hlc":"<ms>.<counter>","event":<number>,"name":"...",
+// "level":"...","process":"...","machine":"...","zone":"...", fields...}.
+#ifndef MANGOCART_EVENTS_EVENTLOG_H
+#define MANGOCART_EVENTS_EVENTLOG_H
+
+#include "Events/HybridClock.h"
+
+#include <cstdint>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace spdlog {
+class logger;
+} // namespace spdlog
+
+namespace mangocart {
+
+enum class EventLevel { Debug, Info, Warn, Error };
+
+enum class Event : std::uint16_t {
+#define MANGOCART_EVENT(Number, Name, Level, Summary) Name = Number,
+#include "Events/Catalogue.def"
+#undef MANGOCART_EVENT
+};
+
+// One named value of an event. The texts are read during the call only.
+struct EventField {
+  std::string_view m_Name;
+  std::variant<std::string_view, std::int64_t, std::uint64_t, double, bool>
+      m_Value;
+
+  EventField(std::string_view Name, std::string_view Value)
+      : m_Name(Name), m_Value(Value) {}
+  EventField(std::string_view Name, const char *Value)
+      : m_Name(Name), m_Value(std::string_view(Value)) {}
+  EventField(std::string_view Name, const std::string &Value)
+      : m_Name(Name), m_Value(std::string_view(Value)) {}
+  EventField(std::string_view Name, bool Value)
+      : m_Name(Name), m_Value(Value) {}
+  EventField(std::string_view Name, double Value)
+      : m_Name(Name), m_Value(Value) {}
+  template <class T>
+  requires(std::is_integral_v<T> &&std::is_signed_v<T>)
+      EventField(std::string_view Name, T Value)
+      : m_Name(Name), m_Value(static_cast<std::int64_t>(Value)) {}
+  template <class T>
+  requires(std::is_integral_v<T> &&std::is_unsigned_v<T> &&
+           !std::is_same_v<T, bool>) EventField(std::string_view Name, T Value)
+      : m_Name(Name), m_Value(static_cast<std::uint64_t>(Value)) {}
+};
+
+struct EventSource {
+  std::string m_Process;
+  std::string m_Machine;
+  std::string m_AvailabilityZone;
+};
+
+// Safe to call from any thread.
+class EventLog {
+public:
+  // Lines go to the file, or to standard error when the path is empty.
+  EventLog(EventSource Source, const std::string &File);
+  ~EventLog();
+  EventLog(const EventLog &) = delete;
+  EventLog &operator=(const EventLog &) = delete;
+
+  void write(Event What, std::initializer_list<EventField> Fields = {});
+
+  HybridClock &clock() { return m_Clock; }
+
+private:
+  EventSource m_Source;
+  HybridClock m_Clock;
+  std::shared_ptr<spdlog::logger> m_Logger;
+};
+
+} // namespace mangocart
+
+#endif
--- /dev/null
+++ b/Source/Http/HttpClient.h
@@ -0,0 +1,59 @@
+// HTTP/1.1 client that keeps connections open per worker and address. An answer
+// is handed over piece by piece.
+#ifndef MANGOCART_HTTP_HTTPCLIENT_H
+#define MANGOCART_HTTP_HTTPCLIENT_H
+
+#include "Http/HttpMessage.h"
+#include "Http/HttpServer.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace mangocart {
+
+struct HttpTarget {
+  std::string m_Address;
+  std::uint16_t m_Port = 0;
+
+  auto operator<=>(const HttpTarget &) const = default;
+};
+
+// Handlers run on the call's worker. After m_OnEnd or m_OnError none is called.
+struct HttpCallHandlers {
+  std::function<void(HttpHead)> m_OnHead;
+  std::function<void(std::string_view)> m_OnBody;
+  std::function<void()> m_OnEnd;
+  std::function<void(HttpError)> m_OnError;
+};
+
+class HttpCall {
+public:
+  virtual ~HttpCall() = default;
+  // Closes the connection; no handler is called any more.
+  virtual void cancel() = 0;
+  // Stops and resumes reading, so that a slow taker bounds what is held.
+  virtual void pauseReading() = 0;
+  virtual void resumeReading() = 0;
+};
+
+// One client belongs to one worker and is used on it only.
+class HttpClient {
+public:
+  explicit HttpClient(boost::asio::io_context &Worker);
+  ~HttpClient();
+  HttpClient(const HttpClient &) = delete;
+  HttpClient &operator=(const HttpClient &) = delete;
+
+  // Deadline is for the whole answer. A request is written once; nothing is
+  // retried here. A kept connection that the server closed before any byte was
+  // written is replaced silently.
+  std::shared_ptr<HttpCall> send(const HttpTarget &Target, HttpRequest Request,
+                                 Duration Deadline, HttpCallHandlers Handlers);
+
+private:
+  struct State;
+  std::shared_ptr<State> m_State;
+};
+
+} // namespace mangocart
+
+#endif
--- /dev/null
+++ b/Source/Http/HttpMessage.h
@@ -0,0 +1,51 @@
+// HTTP requests and responses as plain values, independent of the library that
+// reads and writes them.
+#ifndef MANGOCART_HTTP_HTTPMESSAGE_H
+#define MANGOCART_HTTP_HTTPMESSAGE_H
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mangocart {
+
+struct HttpHeader {
+  std::string m_Name;
+  std::string m_Value;
+
+  bool operator==(const HttpHeader &) const = default;
+};
+
+// Value of the first header of that name; names compare without case.
+std::optional<std::string_view>
+findHeader(const std::vector<HttpHeader> &Headers, std::string_view Name);
+
+struct HttpRequest {
+  std::string m_Method;
+  // Path and query as sent.
+  std::string m_Target;
+  std::vector<HttpHeader> m_Headers;
+  std::string m_Body;
+  std::string m_RemoteAddress;
+
+  bool operator==(const HttpRequest &) const = default;
+};
+
+struct HttpHead {
+  unsigned m_Status = 200;
+  std::vector<HttpHeader> m_Headers;
+
+  bool operator==(const HttpHead &) const = default;
+};
+
+struct HttpResponse {
+  HttpHead m_Head;
+  std::string m_Body;
+
+  bool operator==(const HttpResponse &) const = default;
+};
+
+} // namespace mangocart
+
+#endif
