Raft: a refused probe goes on below the first unconfirmed entries

Two causes in the leader: - a hint that skips a whole term may lie below the matching index and was taken for a late reply, so the probe never moved; - a probe carried no entries while the matching index was unknown and the log longer than the window, so catching up waited for heartbeats.

--- a/Source/Raft/RaftLeader.cpp
+++ b/Source/Raft/RaftLeader.cpp
@@ -11,10 +11,13 @@
 
 namespace {
 
-// Last index that may be sent before the member answers.
+// Last index that may be sent before the member answers. While the leader is
+// looking for the last common entry, m_Match says nothing yet.
 LogIndex lastAllowed(const RaftState &S, const Progress &P) {
+  const LogIndex Known =
+      P.m_Mode == ReplicationMode::Probe ? P.m_Next - 1 : P.m_Match;
   return std::min(S.m_Log.lastIndex(),
-                  P.m_Match + S.m_Config.m_Limits.m_MaxEntriesAhead);
+                  Known + S.m_Config.m_Limits.m_MaxEntriesAhead);
 }
 
 void sendChunk(StepContext &C, const MemberId &Id, Progress &P) {
@@ -239,8 +242,9 @@
 }
 
 void noteRefusal(Progress &P, LogIndex Hint) {
-  if (P.m_Mode == ReplicationMode::Snapshot || Hint <= P.m_Match)
+  if (P.m_Mode == ReplicationMode::Snapshot)
     return;
+  // The hint skips a whole term and may lie below what is known to match.
   P.m_Next = std::max(P.m_Match + 1, std::min(Hint, P.m_Next));
   P.m_Mode = ReplicationMode::Probe;
   P.m_ProbeSent = false;
--- a/Tests/Raft/RaftHarness.cpp
+++ b/Tests/Raft/RaftHarness.cpp
@@ -6,6 +6,7 @@
 #include "Raft/RaftMembership.h"
 
 #include <algorithm>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 
@@ -102,6 +103,10 @@
       for (const RaftMember &M : currentMembers(S))
         Out << ' ' << M.m_Id.m_Name << '/' << M.m_Id.m_StorageId
             << (M.m_Voter ? "" : "(learner)");
+      for (const auto &[Id, P] : S.m_Progress)
+        Out << " [" << Id.m_Name << " mode " << static_cast<int>(P.m_Mode)
+            << " match " << P.m_Match << " next " << P.m_Next << " offset "
+            << P.m_Offset << ']';
     }
     Out << '\n';
   }
@@ -322,7 +327,7 @@
 void RaftHarness::randomFault() {
   HarnessNode *L = leader();
   HarnessNode &N = L && chance(40) ? *L : randomNode();
-  switch (uniform(m_Random, 1, 12)) {
+  switch (uniform(m_Random, 1, 13)) {
   case 1:
     kill(N);
     break;
@@ -350,6 +355,11 @@
   case 8:
     m_Cut.clear();
     break;
+  case 13:
+    std::move(m_Delayed.begin(), m_Delayed.end(),
+              std::back_inserter(m_Undelivered));
+    m_Delayed.clear();
+    break;
   case 9:
     takeSnapshot(N);
     break;
@@ -381,8 +391,11 @@
   const RaftMessage M = m_Undelivered[I];
   if (!Faulty || !chance(5))
     m_Undelivered.erase(m_Undelivered.begin() + static_cast<std::ptrdiff_t>(I));
-  if (Faulty && chance(5))
+  if (Faulty && chance(5)) {
+    if (chance(50))
+      m_Delayed.push_back(M);
     return;
+  }
   std::vector<RaftEvent> Events = {Receive{M}};
   if (Faulty && chance(20))
     Events.emplace_back(Propose{{{m_NextProposal++, "batched"}}});
@@ -455,7 +468,8 @@
   for (const HarnessNode &N : m_Nodes)
     Wanted.push_back({{N.m_Name, N.m_Disk.m_StorageId}, true});
   const bool OnItsWay =
-      std::any_of(m_Undelivered.begin(), m_Undelivered.end(), bringsMembers);
+      std::any_of(m_Undelivered.begin(), m_Undelivered.end(), bringsMembers) ||
+      std::any_of(m_Delayed.begin(), m_Delayed.end(), bringsMembers);
   return !OnItsWay &&
          std::all_of(m_Nodes.begin(), m_Nodes.end(), [&](const HarnessNode &N) {
            return membersOnDisk(N.m_Disk) == Wanted &&
--- a/Tests/Raft/RaftHarness.h
+++ b/Tests/Raft/RaftHarness.h
@@ -109,6 +109,8 @@
   Random m_Random;
   std::vector<HarnessNode> m_Nodes;
   std::vector<RaftMessage> m_Undelivered;
+  // Held back until a fault lets them go.
+  std::vector<RaftMessage> m_Delayed;
   std::set<std::pair<std::string, std::string>> m_Cut;
   Duration m_Time{0};
   bool m_Faults = false;
--- a/Tests/Raft/testRaftNode.cpp
+++ b/Tests/Raft/testRaftNode.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::uint64_t FirstSeed = 1;
-constexpr std::uint64_t SeedCount = 4000;
+constexpr std::uint64_t SeedCount = 5000;
 constexpr int FaultySteps = 1000;
 
 // An empty text if all invariants held.
