--- /dev/null
+++ b/Source/Raft/FileSystem.cpp
@@ -0,0 +1,162 @@
+// File operations by the C library.
+#include "Raft/FileSystem.h"
+
+#include <cerrno>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <system_error>
+#include <utility>
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace mangocart {
+
+namespace {
+
+constexpr mode_t FolderMode = 0700;
+constexpr mode_t FileMode = 0600;
+
+FileError systemError(const char *Operation, const std::string &Path) {
+  return {Operation, Path, std::generic_category().message(errno)};
+}
+
+// An open file; -1: none.
+class Descriptor {
+public:
+  Descriptor() = default;
+  explicit Descriptor(int Number) : m_Number(Number) {}
+  ~Descriptor() {
+    if (isOpen())
+      ::close(m_Number);
+  }
+  Descriptor(Descriptor &&Other) noexcept
+      : m_Number(std::exchange(Other.m_Number, -1)) {}
+  Descriptor &operator=(Descriptor &&Other) noexcept {
+    std::swap(m_Number, Other.m_Number);
+    return *this;
+  }
+
+  bool isOpen() const { return m_Number >= 0; }
+  int number() const { return m_Number; }
+
+private:
+  int m_Number = -1;
+};
+
+class PosixFileSystem : public FileSystem {
+public:
+  Result<void, FileError> makeFolder(const std::string &Folder) override {
+    if (::mkdir(Folder.c_str(), FolderMode) != 0 && errno != EEXIST)
+      return systemError("make folder", Folder);
+    return success();
+  }
+
+  Result<void, FileError> lockFolder(const std::string &Folder) override {
+    const std::string Path = Folder + "/lock";
+    m_Lock = Descriptor(
+        ::open(Path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, FileMode));
+    if (!m_Lock.isOpen() || ::flock(m_Lock.number(), LOCK_EX | LOCK_NB) != 0)
+      return systemError("lock", Path);
+    return success();
+  }
+
+  Result<std::vector<std::string>, FileError>
+  list(const std::string &Folder) override {
+    std::error_code Error;
+    std::vector<std::string> Names;
+    for (const auto &Entry : std::filesystem::directory_iterator(Folder, Error))
+      Names.push_back(Entry.path().filename().string());
+    if (Error)
+      return FileError{"list", Folder, Error.message()};
+    return Names;
+  }
+
+  Result<std::string, FileError> read(const std::string &Path) override {
+    std::ifstream In(Path, std::ios::binary);
+    if (!In)
+      return systemError("read", Path);
+    std::string Bytes{std::istreambuf_iterator<char>(In),
+                      std::istreambuf_iterator<char>()};
+    if (In.bad())
+      return systemError("read", Path);
+    return Bytes;
+  }
+
+  Result<void, FileError> append(const std::string &Path,
+                                 std::string_view Bytes) override {
+    if (!openForAppend(Path))
+      return systemError("append", Path);
+    while (!Bytes.empty()) {
+      const ssize_t Written =
+          ::write(m_Appended.number(), Bytes.data(), Bytes.size());
+      if (Written < 0 && errno == EINTR)
+        continue;
+      if (Written < 0)
+        return systemError("append", Path);
+      Bytes.remove_prefix(static_cast<std::size_t>(Written));
+    }
+    return success();
+  }
+
+  Result<void, FileError> truncate(const std::string &Path,
+                                   std::uint64_t Size) override {
+    if (::truncate(Path.c_str(), static_cast<off_t>(Size)) != 0)
+      return systemError("truncate", Path);
+    return success();
+  }
+
+  Result<void, FileError> rename(const std::string &From,
+                                 const std::string &To) override {
+    m_AppendedPath.clear();
+    if (::rename(From.c_str(), To.c_str()) != 0)
+      return systemError("rename", From);
+    return success();
+  }
+
+  Result<void, FileError> remove(const std::string &Path) override {
+    if (::unlink(Path.c_str()) != 0)
+      return systemError("remove", Path);
+    return success();
+  }
+
+  Result<void, FileError> syncFile(const std::string &Path) override {
+    if (!openForAppend(Path) || ::fdatasync(m_Appended.number()) != 0)
+      return systemError("sync", Path);
+    return success();
+  }
+
+  Result<void, FileError> syncFolder(const std::string &Folder) override {
+    const Descriptor Opened(
+        ::open(Folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    if (!Opened.isOpen() || ::fsync(Opened.number()) != 0)
+      return systemError("sync folder", Folder);
+    return success();
+  }
+
+private:
+  bool openForAppend(const std::string &Path) {
+    if (m_Appended.isOpen() && m_AppendedPath == Path)
+      return true;
+    m_Appended = Descriptor(::open(
+        Path.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, FileMode));
+    m_AppendedPath = Path;
+    return m_Appended.isOpen();
+  }
+
+  Descriptor m_Lock;
+  // The file last written to stays open; its name is cleared by a rename.
+  Descriptor m_Appended;
+  std::string m_AppendedPath;
+};
+
+} // namespace
+
+std::unique_ptr<FileSystem> makePosixFileSystem() {
+  return std::make_unique<PosixFileSystem>();
+}
+
+} // namespace mangocart
--- a/Source/Raft/RaftFollower.cpp
+++ b/Source/Raft/RaftFollower.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace mangocart {
@@ -54,6 +55,11 @@
   }
 }
 
+EntryList entriesAfter(const RaftLog &Log, LogIndex Index) {
+  return Log.slice(Index + 1, Log.lastIndex(),
+                   std::numeric_limits<std::size_t>::max());
+}
+
 void install(StepContext &C, RaftSnapshot &&Received) {
   RaftState &S = C.m_State;
   auto Snapshot = std::make_shared<const RaftSnapshot>(std::move(Received));
@@ -70,7 +76,7 @@
   S.m_Members.insert(S.m_Members.begin(), {Last, Snapshot->m_Members});
   S.m_Snapshot = Snapshot;
   S.m_Commit = Last;
-  C.m_Save = SaveSnapshot{Snapshot, !GoesOn};
+  C.m_Save = SaveSnapshot{Snapshot, entriesAfter(S.m_Log, Last)};
   C.m_Restore = Snapshot;
 }
 
@@ -149,7 +155,7 @@
   S.m_Snapshot = std::make_shared<const RaftSnapshot>(std::move(Snapshot));
   const LogIndex Kept = S.m_Config.m_Limits.m_EntriesKept;
   S.m_Log.compactTo(E.m_Index > Kept ? E.m_Index - Kept : 0);
-  C.m_Save = SaveSnapshot{S.m_Snapshot, false};
+  C.m_Save = SaveSnapshot{S.m_Snapshot, entriesAfter(S.m_Log, E.m_Index)};
 }
 
 } // namespace mangocart
--- /dev/null
+++ b/Source/Raft/RaftStorage.cpp
@@ -0,0 +1,337 @@
+// Reading and writing the data folder.
+#include "Raft/RaftStorage.h"
+
+#include "Raft.pb.h"
+#include "Raft/FileSystem.h"
+#include "Raft/RaftCodec.h"
+#include "Raft/RecordFile.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <type_traits>
+#include <utility>
+
+namespace mangocart {
+
+namespace {
+
+constexpr std::string_view IdentityName = "identity";
+constexpr std::string_view SnapshotName = "snapshot";
+constexpr std::string_view LogPrefix = "log-";
+constexpr std::string_view TemporarySuffix = ".tmp";
+
+constexpr std::string_view Remedy =
+    "move the data folder away and start again: the machine then rejoins as a "
+    "learner and gets its vote back once it has caught up; do so for one "
+    "machine at a time";
+
+StorageError fromFile(const FileError &Error) {
+  const bool Locked = Error.m_Operation == "lock";
+  StorageError Out;
+  Out.m_Code = Locked ? StorageErrorCode::Locked : StorageErrorCode::Failed;
+  Out.m_File = Error.m_Path;
+  Out.m_Message = fmt::format(
+      "{}: {} failed: {}; {}", Error.m_Path, Error.m_Operation, Error.m_Detail,
+      Locked ? "stop the other process that uses the folder"
+             : "the process ends; free or repair the disk, then "
+               "start it again");
+  return Out;
+}
+
+StorageError damaged(std::string File, std::uint64_t Offset,
+                     std::string_view What) {
+  StorageError Out;
+  Out.m_Code = StorageErrorCode::Damaged;
+  Out.m_Message =
+      fmt::format("{} at offset {}: {}; {}", File, Offset, What, Remedy);
+  Out.m_File = std::move(File);
+  Out.m_Offset = Offset;
+  return Out;
+}
+
+template <class T>
+Result<T, StorageError> translate(Result<T, FileError> From) {
+  if (From.has_error())
+    return fromFile(From.error());
+  if constexpr (std::is_void_v<T>)
+    return success();
+  else
+    return std::move(From).value();
+}
+
+std::string logName(std::uint64_t Number) {
+  return std::string(LogPrefix) + std::to_string(Number);
+}
+
+// Nothing if the name isn't that of a log file.
+std::optional<std::uint64_t> logNumber(std::string_view Name) {
+  if (!Name.starts_with(LogPrefix))
+    return std::nullopt;
+  Name.remove_prefix(LogPrefix.size());
+  std::uint64_t Number = 0;
+  const auto Parsed =
+      std::from_chars(Name.data(), Name.data() + Name.size(), Number);
+  if (Parsed.ec != std::errc() || Parsed.ptr != Name.data() + Name.size())
+    return std::nullopt;
+  return Number;
+}
+
+std::string drawStorageId(Random &Generator) {
+  return fmt::format("{:016x}", Generator());
+}
+
+std::string encodeSnapshot(const RaftSnapshot &Snapshot) {
+  schema::StoredSnapshot Out;
+  Out.set_last_index(Snapshot.m_LastIndex);
+  Out.set_last_term(Snapshot.m_LastTerm);
+  Out.mutable_members()->ParseFromString(encodeMembers(Snapshot.m_Members));
+  Out.set_data(Snapshot.m_Data);
+  return Out.SerializeAsString();
+}
+
+bool parse(google::protobuf::MessageLite &Out, std::string_view Bytes) {
+  return Out.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size()));
+}
+
+} // namespace
+
+RaftStorage::RaftStorage(FileSystem &Files, std::string Folder)
+    : m_Files(Files), m_Folder(std::move(Folder)),
+      m_Batch(std::make_unique<schema::LogBatch>()) {}
+
+RaftStorage::~RaftStorage() = default;
+
+std::string RaftStorage::path(const std::string &Name) const {
+  return m_Folder + "/" + Name;
+}
+
+Result<std::unique_ptr<RaftStorage>, StorageError>
+RaftStorage::open(FileSystem &Files, const std::string &Folder,
+                  Random &Generator) {
+  std::unique_ptr<RaftStorage> Storage(new RaftStorage(Files, Folder));
+  BOOST_OUTCOME_TRYV(translate(Files.makeFolder(Folder)));
+  BOOST_OUTCOME_TRYV(translate(Files.lockFolder(Folder)));
+  BOOST_OUTCOME_TRYV(Storage->load(Generator));
+  return Storage;
+}
+
+// ---- Reading.
+
+Result<void, StorageError> RaftStorage::load(Random &Generator) {
+  BOOST_OUTCOME_TRY(const auto Names, translate(m_Files.list(m_Folder)));
+  const auto Has = [&](std::string_view Name) {
+    return std::find(Names.begin(), Names.end(), Name) != Names.end();
+  };
+  for (const std::string &Name : Names)
+    m_LogNumber = std::max(m_LogNumber, logNumber(Name).value_or(0));
+  if (!Has(IdentityName)) {
+    // The identity is the last file of a first start.
+    if (Has(SnapshotName) || m_LogNumber > 1)
+      return damaged(path(std::string(IdentityName)), 0, "the file is missing");
+    return create(Generator);
+  }
+  const std::string File = path(std::string(IdentityName));
+  BOOST_OUTCOME_TRY(const auto Bytes, translate(m_Files.read(File)));
+  const RecordScan Scan = scanRecords(Bytes);
+  schema::StorageIdentity Identity;
+  if (Scan.m_Payloads.size() != 1 || !parse(Identity, Scan.m_Payloads[0]) ||
+      Identity.storage_id().empty())
+    return damaged(File, 0, "the storage id can't be read");
+  m_StorageId = Identity.storage_id();
+  if (m_LogNumber == 0)
+    return damaged(path(logName(1)), 0, "the log is missing");
+  if (Has(SnapshotName)) {
+    BOOST_OUTCOME_TRYV(loadSnapshot());
+  }
+  BOOST_OUTCOME_TRYV(loadLog());
+  for (const std::string &Name : Names) {
+    if (logNumber(Name).value_or(m_LogNumber) < m_LogNumber) {
+      BOOST_OUTCOME_TRYV(translate(m_Files.remove(path(Name))));
+    }
+  }
+  return success();
+}
+
+Result<void, StorageError> RaftStorage::create(Random &Generator) {
+  if (m_LogNumber > 0) {
+    BOOST_OUTCOME_TRYV(translate(m_Files.remove(path(logName(m_LogNumber)))));
+  }
+  m_LogNumber = 0;
+  BOOST_OUTCOME_TRYV(startLog({}));
+  schema::StorageIdentity Identity;
+  Identity.set_storage_id(drawStorageId(Generator));
+  m_StorageId = Identity.storage_id();
+  return writeWhole(std::string(IdentityName), Identity.SerializeAsString());
+}
+
+Result<void, StorageError> RaftStorage::loadSnapshot() {
+  const std::string File = path(std::string(SnapshotName));
+  BOOST_OUTCOME_TRY(const auto Bytes, translate(m_Files.read(File)));
+  const RecordScan Scan = scanRecords(Bytes);
+  schema::StoredSnapshot Stored;
+  if (Scan.m_Payloads.size() != 1 || Scan.m_Torn ||
+      !parse(Stored, Scan.m_Payloads[0]))
+    return damaged(File, Scan.m_End, "the snapshot can't be read");
+  RaftSnapshot Snapshot;
+  Snapshot.m_LastIndex = Stored.last_index();
+  Snapshot.m_LastTerm = Stored.last_term();
+  Snapshot.m_Members = *decodeMembers(Stored.members().SerializeAsString());
+  Snapshot.m_Data = std::move(*Stored.mutable_data());
+  m_Recovered.m_Snapshot =
+      std::make_shared<const RaftSnapshot>(std::move(Snapshot));
+  return success();
+}
+
+Result<void, StorageError> RaftStorage::loadLog() {
+  const std::string File = path(logName(m_LogNumber));
+  BOOST_OUTCOME_TRY(const auto Bytes, translate(m_Files.read(File)));
+  const RecordScan Scan = scanRecords(Bytes);
+  if (Scan.m_Damaged || Scan.m_Payloads.empty())
+    return damaged(File, Scan.m_End,
+                   Scan.m_Damaged ? "the log is damaged before its end"
+                                  : "the log has no beginning");
+  for (const std::string_view Payload : Scan.m_Payloads) {
+    schema::LogBatch Batch;
+    if (!parse(Batch, Payload))
+      return damaged(File, 0, "the log holds an unknown record");
+    BOOST_OUTCOME_TRYV(takeBatch(Batch));
+  }
+  if (Scan.m_Torn) {
+    BOOST_OUTCOME_TRYV(translate(m_Files.truncate(File, Scan.m_End)));
+    BOOST_OUTCOME_TRYV(translate(m_Files.syncFile(File)));
+  }
+  m_LogBytes = Scan.m_End;
+  const LogIndex SnapshotIndex =
+      m_Recovered.m_Snapshot ? m_Recovered.m_Snapshot->m_LastIndex : 0;
+  if (m_BaseIndex > SnapshotIndex)
+    return damaged(path(std::string(SnapshotName)), 0,
+                   "the snapshot that the log goes on from is missing");
+  dropUnlinkedEntries();
+  m_Recovered.m_HardState = m_HardState;
+  return success();
+}
+
+Result<void, StorageError>
+RaftStorage::takeBatch(const schema::LogBatch &Batch) {
+  EntryList &Entries = m_Recovered.m_Entries;
+  for (const schema::LogRecord &Record : Batch.records()) {
+    if (Record.has_base()) {
+      m_BaseIndex = Record.base().index();
+      m_BaseTerm = Record.base().term();
+    } else if (Record.has_hard_state()) {
+      m_HardState = fromSchema(Record.hard_state());
+    } else if (Record.has_entry()) {
+      Entries.push_back(fromSchema(schema::LogEntry(Record.entry())));
+      if (Entries.back()->m_Index != m_BaseIndex + Entries.size())
+        return damaged(path(logName(m_LogNumber)), 0, "an entry is missing");
+    } else if (Record.truncate_from() > m_BaseIndex &&
+               Record.truncate_from() <= m_BaseIndex + Entries.size()) {
+      Entries.resize(Record.truncate_from() - m_BaseIndex - 1);
+    }
+  }
+  return success();
+}
+
+// After a kill between the two files of saveSnapshot() the log is older than
+// the snapshot; what follows the snapshot in it counts only if it goes on from
+// there.
+void RaftStorage::dropUnlinkedEntries() {
+  if (!m_Recovered.m_Snapshot)
+    return;
+  EntryList &Entries = m_Recovered.m_Entries;
+  const LogIndex Last = m_Recovered.m_Snapshot->m_LastIndex;
+  if (m_BaseIndex == Last)
+    return;
+  const std::size_t Covered = Last - m_BaseIndex;
+  const bool Linked =
+      Covered <= Entries.size() &&
+      Entries[Covered - 1]->m_Term == m_Recovered.m_Snapshot->m_LastTerm;
+  if (Linked)
+    Entries.erase(Entries.begin(),
+                  Entries.begin() + static_cast<std::ptrdiff_t>(Covered));
+  else
+    Entries.clear();
+}
+
+// ---- Writing.
+
+void RaftStorage::append(const PersistLog &Records) {
+  if (Records.m_HardState) {
+    m_HardState = *Records.m_HardState;
+    toSchema(m_HardState, *m_Batch->add_records()->mutable_hard_state());
+  }
+  if (Records.m_TruncateFrom != 0)
+    m_Batch->add_records()->set_truncate_from(Records.m_TruncateFrom);
+  for (const EntryPtr &Entry : Records.m_Entries)
+    toSchema(*Entry, *m_Batch->add_records()->mutable_entry());
+}
+
+Result<void, StorageError> RaftStorage::sync() {
+  if (m_Error)
+    return *m_Error;
+  if (m_Batch->records().empty())
+    return success();
+  const std::string Record = encodeRecord(m_Batch->SerializeAsString());
+  m_Batch->Clear();
+  const std::string File = path(logName(m_LogNumber));
+  Result<void, FileError> Done = m_Files.append(File, Record);
+  if (Done)
+    Done = m_Files.syncFile(File);
+  if (!Done) {
+    m_Error = fromFile(Done.error());
+    return *m_Error;
+  }
+  m_LogBytes += Record.size();
+  ++m_SyncCount;
+  return success();
+}
+
+Result<void, StorageError> RaftStorage::saveSnapshot(const SaveSnapshot &Save) {
+  BOOST_OUTCOME_TRYV(sync());
+  const std::uint64_t OldLog = m_LogNumber;
+  m_BaseIndex = Save.m_Snapshot->m_LastIndex;
+  m_BaseTerm = Save.m_Snapshot->m_LastTerm;
+  Result<void, StorageError> Done =
+      writeWhole(std::string(SnapshotName), encodeSnapshot(*Save.m_Snapshot));
+  if (Done)
+    Done = startLog(Save.m_Entries);
+  if (Done)
+    Done = translate(m_Files.remove(path(logName(OldLog))));
+  if (!Done)
+    m_Error = Done.error();
+  return Done;
+}
+
+// Whole under its name, or not there at all.
+Result<void, StorageError> RaftStorage::writeWhole(const std::string &Name,
+                                                   std::string_view Payload) {
+  const std::string Temporary = path(Name) + std::string(TemporarySuffix);
+  // One from an earlier start may lie there.
+  (void)m_Files.remove(Temporary);
+  BOOST_OUTCOME_TRYV(
+      translate(m_Files.append(Temporary, encodeRecord(Payload))));
+  BOOST_OUTCOME_TRYV(translate(m_Files.syncFile(Temporary)));
+  BOOST_OUTCOME_TRYV(translate(m_Files.rename(Temporary, path(Name))));
+  BOOST_OUTCOME_TRYV(translate(m_Files.syncFolder(m_Folder)));
+  ++m_SyncCount;
+  return success();
+}
+
+Result<void, StorageError> RaftStorage::startLog(const EntryList &Entries) {
+  schema::LogBatch Batch;
+  auto &Base = *Batch.add_records()->mutable_base();
+  Base.set_index(m_BaseIndex);
+  Base.set_term(m_BaseTerm);
+  toSchema(m_HardState, *Batch.add_records()->mutable_hard_state());
+  for (const EntryPtr &Entry : Entries)
+    toSchema(*Entry, *Batch.add_records()->mutable_entry());
+  const std::string Payload = Batch.SerializeAsString();
+  BOOST_OUTCOME_TRYV(writeWhole(logName(m_LogNumber + 1), Payload));
+  ++m_LogNumber;
+  m_LogBytes = encodeRecord(Payload).size();
+  return success();
+}
+
+} // namespace mangocart
--- a/Source/Raft/RaftTypes.h
+++ b/Source/Raft/RaftTypes.h
@@ -203,8 +203,8 @@
 
 struct SaveSnapshot {
   SnapshotPtr m_Snapshot;
-  // The log does not go on from the snapshot: all its entries are void.
-  bool m_DiscardLog = false;
+  // All entries that the log holds after the snapshot.
+  EntryList m_Entries;
 };
 
 struct Send {
--- /dev/null
+++ b/Source/Raft/RecordFile.cpp
@@ -0,0 +1,74 @@
+// Framing and checking of records.
+#include "Raft/RecordFile.h"
+
+#include <boost/crc.hpp>
+#include <boost/endian/conversion.hpp>
+
+namespace mangocart {
+
+namespace {
+
+constexpr std::size_t WordBytes = 4;
+constexpr std::size_t HeadBytes = 2 * WordBytes;
+
+std::uint32_t crcOf(std::string_view Bytes) {
+  boost::crc_32_type Crc;
+  Crc.process_bytes(Bytes.data(), Bytes.size());
+  return Crc.checksum();
+}
+
+void putWord(std::string &Out, std::uint32_t Word) {
+  unsigned char Bytes[WordBytes];
+  boost::endian::store_little_u32(Bytes, Word);
+  Out.append(reinterpret_cast<const char *>(Bytes), WordBytes);
+}
+
+std::uint32_t wordAt(std::string_view Bytes, std::size_t Offset) {
+  return boost::endian::load_little_u32(
+      reinterpret_cast<const unsigned char *>(Bytes.data() + Offset));
+}
+
+// The payload of the record that begins at the offset, if it is whole.
+std::optional<std::string_view> recordAt(std::string_view Bytes,
+                                         std::size_t Offset) {
+  if (Bytes.size() - Offset < HeadBytes)
+    return std::nullopt;
+  const std::size_t Length = wordAt(Bytes, Offset);
+  if (Length == 0 || Length > Bytes.size() - Offset - HeadBytes)
+    return std::nullopt;
+  const std::string_view Payload = Bytes.substr(Offset + HeadBytes, Length);
+  if (crcOf(Payload) != wordAt(Bytes, Offset + WordBytes))
+    return std::nullopt;
+  return Payload;
+}
+
+bool anyRecordAfter(std::string_view Bytes, std::size_t Offset) {
+  for (std::size_t I = Offset + 1; I + HeadBytes < Bytes.size(); ++I)
+    if (recordAt(Bytes, I))
+      return true;
+  return false;
+}
+
+} // namespace
+
+std::string encodeRecord(std::string_view Payload) {
+  std::string Out;
+  Out.reserve(HeadBytes + Payload.size());
+  putWord(Out, static_cast<std::uint32_t>(Payload.size()));
+  putWord(Out, crcOf(Payload));
+  Out += Payload;
+  return Out;
+}
+
+RecordScan scanRecords(std::string_view Bytes) {
+  RecordScan Scan;
+  while (const auto Payload = recordAt(Bytes, Scan.m_End)) {
+    Scan.m_Payloads.push_back(*Payload);
+    Scan.m_End += HeadBytes + Payload->size();
+  }
+  Scan.m_Torn = Scan.m_End < Bytes.size();
+  Scan.m_Damaged = Scan.m_Torn && anyRecordAfter(Bytes, Scan.m_End);
+  return Scan;
+}
+
+} // namespace mangocart
--- a/Tests/Raft/RaftHarness.cpp
+++ b/Tests/Raft/RaftHarness.cpp
@@ -164,13 +164,8 @@
 }
 
 void RaftHarness::save(HarnessNode &N, const SaveSnapshot &S) {
-  RecoveredState &Disk = N.m_Disk.m_State;
-  if (S.m_DiscardLog)
-    Disk.m_Entries.clear();
-  std::erase_if(Disk.m_Entries, [&](const EntryPtr &E) {
-    return E->m_Index <= S.m_Snapshot->m_LastIndex;
-  });
-  Disk.m_Snapshot = S.m_Snapshot;
+  N.m_Disk.m_State.m_Entries = S.m_Entries;
+  N.m_Disk.m_State.m_Snapshot = S.m_Snapshot;
 }
 
 // ---- Steps and effects.
