--- a/Source/Net/PeerStream.h
+++ b/Source/Net/PeerStream.h
@@ -26,6 +26,7 @@
   ConnectFailed,
   ConnectionLost,
   StreamReset,
+  TimedOut,
   Malformed,
   ListenFailed,
   UnknownMethod
