--- /dev/null
+++ b/Source/Entry/CallAttempt.cpp
@@ -0,0 +1,124 @@
+// Follows one answer from an agent and verifies its end.
+#include "Entry/CallAttempt.h"
+
+#include "Core/Hash.h"
+
+#include <boost/asio/dispatch.hpp>
+
+namespace mangocart {
+
+namespace {
+constexpr const char *CallMethod = "/agent/call";
+} // namespace
+
+CallAttempt::CallAttempt(boost::asio::any_io_executor Executor,
+                         CallHandlers Handlers)
+    : m_Executor(std::move(Executor)), m_Handlers(std::move(Handlers)) {}
+
+std::shared_ptr<CallAttempt>
+CallAttempt::start(PeerClient &Peers, const PeerEndpoint &Agent,
+                   const schema::CallRequest &Request,
+                   boost::asio::any_io_executor Executor,
+                   CallHandlers Handlers) {
+  const std::shared_ptr<CallAttempt> Self(
+      new CallAttempt(std::move(Executor), std::move(Handlers)));
+  PeerStreamHandlers Events;
+  Events.m_OnMessage = [Self](std::string_view Bytes) {
+    schema::CallReply Reply;
+    if (Reply.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+      Self->push(std::move(Reply));
+    else
+      Self->push(
+          PeerError{PeerErrorCode::Malformed, "unreadable reply", false});
+  };
+  Events.m_OnEnd = [Self] {
+    Self->push(PeerError{PeerErrorCode::Malformed,
+                         "the answer ended without its end message", false});
+  };
+  Events.m_OnError = [Self](PeerError Error) { Self->push(std::move(Error)); };
+  Self->m_Stream = Peers.open(Agent, CallMethod, std::move(Events));
+  Self->m_Stream->send(Request.SerializeAsString());
+  Self->m_Stream->finish();
+  return Self;
+}
+
+void CallAttempt::cancel() {
+  if (m_Over)
+    return;
+  m_Over = true;
+  m_Handlers = {};
+  m_Stream->reset();
+}
+
+void CallAttempt::push(Item Next) {
+  {
+    const std::lock_guard Lock(m_Mutex);
+    m_Waiting.push_back(std::move(Next));
+    if (m_DrainPosted)
+      return;
+    m_DrainPosted = true;
+  }
+  boost::asio::dispatch(m_Executor,
+                        [Self = shared_from_this()] { Self->drain(); });
+}
+
+void CallAttempt::drain() {
+  std::vector<Item> Taken;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    Taken.swap(m_Waiting);
+    m_DrainPosted = false;
+  }
+  for (Item &Next : Taken)
+    if (!m_Over)
+      handle(std::move(Next));
+}
+
+void CallAttempt::handle(Item Next) {
+  if (auto *Reply = std::get_if<schema::CallReply>(&Next))
+    return handleReply(std::move(*Reply));
+  const PeerError &Error = std::get<PeerError>(Next);
+  broken(Error.m_Detail, Error.m_NothingSent);
+}
+
+void CallAttempt::handleReply(schema::CallReply Reply) {
+  switch (Reply.kind_case()) {
+  case schema::CallReply::kHead:
+    m_HeadSeen = true;
+    return m_Handlers.m_OnHead(std::move(*Reply.mutable_head()));
+  case schema::CallReply::kBody:
+    m_ByteCount += Reply.body().size();
+    m_Checksum = hash64(Reply.body(), m_Checksum);
+    return m_Handlers.m_OnBody(std::move(*Reply.mutable_body()));
+  case schema::CallReply::kEnd:
+    return handleEnd(Reply.end());
+  case schema::CallReply::kRefusal: {
+    m_Over = true;
+    const auto Handler = std::move(m_Handlers.m_OnRefusal);
+    m_Handlers = {};
+    return Handler(std::move(*Reply.mutable_refusal()));
+  }
+  case schema::CallReply::KIND_NOT_SET:
+    return broken("reply of an unknown kind", false);
+  }
+}
+
+void CallAttempt::handleEnd(const schema::CallEnd &End) {
+  if (!m_HeadSeen || End.byte_count() != m_ByteCount ||
+      End.checksum() != m_Checksum)
+    return broken("the end message does not fit the answer", false);
+  m_Over = true;
+  const auto Handler = std::move(m_Handlers.m_OnEnd);
+  m_Handlers = {};
+  Handler();
+}
+
+void CallAttempt::broken(std::string Detail, bool NothingSent) {
+  m_Over = true;
+  m_Stream->reset();
+  const auto Handler = std::move(m_Handlers.m_OnBroken);
+  m_Handlers = {};
+  Handler({std::move(Detail), NothingSent});
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Entry/CallAttempt.h
@@ -0,0 +1,77 @@
+// One call to one agent: opens the stream, sends the request, checks that the
+// answer is whole, and hands it over on the caller's worker.
+#ifndef MANGOCART_ENTRY_CALLATTEMPT_H
+#define MANGOCART_ENTRY_CALLATTEMPT_H
+
+#include "Net/PeerStream.h"
+#include "Peer.pb.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace mangocart {
+
+// The answer ended without its end message, or the end message did not fit.
+struct CallBroken {
+  std::string m_Detail;
+  // True when the agent can't have received any of the request.
+  bool m_NothingSent = false;
+};
+
+// Handlers run on the executor given to start(), in the order of the answer.
+// Exactly one of m_OnEnd, m_OnRefusal and m_OnBroken is called, and it is last.
+struct CallHandlers {
+  std::function<void(schema::CallHead)> m_OnHead;
+  std::function<void(std::string)> m_OnBody;
+  std::function<void()> m_OnEnd;
+  std::function<void(schema::CallRefusal)> m_OnRefusal;
+  std::function<void(CallBroken)> m_OnBroken;
+};
+
+class CallAttempt : public std::enable_shared_from_this<CallAttempt> {
+public:
+  static std::shared_ptr<CallAttempt>
+  start(PeerClient &Peers, const PeerEndpoint &Agent,
+        const schema::CallRequest &Request,
+        boost::asio::any_io_executor Executor, CallHandlers Handlers);
+
+  // Resets the stream; no handler is called any more. On the executor.
+  void cancel();
+  void pauseReading() { m_Stream->pauseReading(); }
+  void resumeReading() { m_Stream->resumeReading(); }
+
+private:
+  using Item = std::variant<schema::CallReply, PeerError>;
+
+  CallAttempt(boost::asio::any_io_executor Executor, CallHandlers Handlers);
+  void push(Item Next);
+  void drain();
+  void handle(Item Next);
+  void handleReply(schema::CallReply Reply);
+  void handleEnd(const schema::CallEnd &End);
+  void broken(std::string Detail, bool NothingSent);
+
+  const boost::asio::any_io_executor m_Executor;
+  std::shared_ptr<PeerStream> m_Stream;
+
+  std::mutex m_Mutex;
+  // Replies that wait for the executor; guarded by m_Mutex.
+  std::vector<Item> m_Waiting;
+  bool m_DrainPosted = false;
+
+  // Below: only on the executor.
+  CallHandlers m_Handlers;
+  std::uint64_t m_ByteCount = 0;
+  // Hash of each body message, chained; the agent computes the same.
+  std::uint64_t m_Checksum = 0;
+  bool m_HeadSeen = false;
+  bool m_Over = false;
+};
+
+} // namespace mangocart
+
+#endif
