--- /dev/null
+++ b/Source/Agent/BackendProbe.h
@@ -0,0 +1,48 @@
+// Asks the backend server at intervals whether it is healthy and how loaded it
+// is; the announcements carry the result.
+#ifndef MANGOCART_AGENT_BACKENDPROBE_H
+#define MANGOCART_AGENT_BACKENDPROBE_H
+
+#include "Core/Timer.h"
+#include "Http/HttpMessage.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+namespace mangocart {
+
+struct AgentContext;
+
+struct BackendReport {
+  bool m_Available = false;
+  // Outstanding work as the backend server reports it; 0 when it doesn't.
+  double m_Load = 0;
+  TimePoint m_MeasuredAt;
+};
+
+class BackendProbe : public std::enable_shared_from_this<BackendProbe> {
+public:
+  // OnChange is called when the availability changes, on worker 0.
+  BackendProbe(AgentContext &Context, std::function<void()> OnChange);
+  void start();
+  BackendReport report() const;
+
+private:
+  void tick();
+  void ask();
+  void done(bool Healthy, const std::string &Body);
+
+  AgentContext &m_Context;
+  const std::function<void()> m_OnChange;
+  Timer m_Timer;
+  int m_FailuresInRow = 0;
+  mutable std::mutex m_Mutex;
+  // Guarded by m_Mutex.
+  BackendReport m_Report;
+};
+
+} // namespace mangocart
+
+#endif
--- /dev/null
+++ b/Source/Entry/CallRequests.cpp
@@ -0,0 +1,77 @@
+// Builds calls from callers' requests and heads from agents' replies.
+#include "Entry/CallRequests.h"
+
+#include "Core/Hash.h"
+#include "Entry/OwnAnswer.h"
+
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace mangocart {
+
+namespace {
+
+// Prompts are grouped by this many leading bytes.
+constexpr std::size_t PrefixBytes = 256;
+
+constexpr std::array<std::string_view, 9> ConnectionHeaders = {
+    "Connection",        "Keep-Alive", "Proxy-Authenticate", "TE",    "Trailer",
+    "Transfer-Encoding", "Upgrade",    "Content-Length",     "Expect"};
+
+bool belongsToConnection(std::string_view Name) {
+  return std::any_of(
+      ConnectionHeaders.begin(), ConnectionHeaders.end(),
+      [&](std::string_view Each) { return boost::beast::iequals(Each, Name); });
+}
+
+} // namespace
+
+schema::CallRequest toCallRequest(const HttpRequest &Request,
+                                  std::string_view RequestId,
+                                  std::string_view Service) {
+  schema::CallRequest Call;
+  Call.set_request_id(std::string(RequestId));
+  Call.set_service(std::string(Service));
+  Call.set_method(Request.m_Method);
+  Call.set_target(Request.m_Target);
+  Call.set_body(Request.m_Body);
+  for (const HttpHeader &Header : Request.m_Headers) {
+    const bool Replaced = boost::beast::iequals(Header.m_Name, RequestHeader) ||
+                          boost::beast::iequals(Header.m_Name, "Host");
+    if (Replaced || belongsToConnection(Header.m_Name))
+      continue;
+    schema::Header *Copy = Call.add_headers();
+    Copy->set_name(Header.m_Name);
+    Copy->set_value(Header.m_Value);
+  }
+  if (const auto Customer = findHeader(Request.m_Headers, CustomerHeader))
+    Call.set_customer(std::string(*Customer));
+  return Call;
+}
+
+HttpHead toHttpHead(const schema::CallHead &Head, std::string_view RequestId) {
+  HttpHead Result;
+  Result.m_Status = Head.status();
+  for (const schema::Header &Header : Head.headers())
+    if (!belongsToConnection(Header.name()))
+      Result.m_Headers.push_back({Header.name(), Header.value()});
+  Result.m_Headers.push_back(
+      {std::string(RequestHeader), std::string(RequestId)});
+  Result.m_Headers.push_back({std::string(OutcomeHeader), "ran"});
+  return Result;
+}
+
+std::uint64_t digestOf(const HttpRequest &Request) {
+  const std::uint64_t Method = hash64(Request.m_Method);
+  return hash64(Request.m_Body, hash64(Request.m_Target, Method));
+}
+
+std::uint64_t prefixHashOf(const HttpRequest &Request) {
+  if (Request.m_Body.empty())
+    return 0;
+  return hash64(std::string_view(Request.m_Body).substr(0, PrefixBytes));
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Entry/EntryContext.h
@@ -0,0 +1,45 @@
+// What the requests of an entry share. Outlives every request.
+#ifndef MANGOCART_ENTRY_ENTRYCONTEXT_H
+#define MANGOCART_ENTRY_ENTRYCONTEXT_H
+
+#include "Core/Random.h"
+#include "Settings.pb.h"
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+namespace mangocart {
+
+class BackendDirectory;
+class ConfigurationHolder;
+class EventLog;
+class PeerClient;
+class ReplicatedLog;
+class WorkerPool;
+
+// Counters behind the metrics page.
+struct EntryCounters {
+  std::atomic<std::uint64_t> m_Requests{0};
+  std::atomic<std::uint64_t> m_Answered{0};
+  std::atomic<std::uint64_t> m_Refused{0};
+  std::atomic<std::uint64_t> m_Broken{0};
+  std::atomic<std::uint64_t> m_Attempts{0};
+  std::atomic<std::uint64_t> m_HungUp{0};
+};
+
+struct EntryContext {
+  const schema::EntrySettings &m_Settings;
+  WorkerPool &m_Workers;
+  EventLog &m_Events;
+  PeerClient &m_Peers;
+  ConfigurationHolder &m_Configuration;
+  BackendDirectory &m_Directory;
+  ReplicatedLog &m_Log;
+  EntryCounters &m_Counters;
+};
+
+} // namespace mangocart
+
+#endif
--- /dev/null
+++ b/Source/Entry/MembershipDirectory.h
@@ -0,0 +1,64 @@
+// The membership table behind a lock, with this entry's own calls in flight:
+// answers which backend server a request goes to.
+#ifndef MANGOCART_ENTRY_MEMBERSHIPDIRECTORY_H
+#define MANGOCART_ENTRY_MEMBERSHIPDIRECTORY_H
+
+#include "Core/Random.h"
+#include "Entry/BackendDirectory.h"
+#include "Membership/MembershipTable.h"
+
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace mangocart::schema {
+class MemberRecord;
+} // namespace mangocart::schema
+
+namespace mangocart {
+
+class EventLog;
+
+// What `status` shows of one backend server.
+struct MemberView {
+  Member m_Member;
+  MemberHealth m_Health = MemberHealth::Healthy;
+  std::uint32_t m_OwnOutstanding = 0;
+};
+
+class MembershipDirectory : public BackendDirectory {
+public:
+  MembershipDirectory(EventLog &Events, std::uint64_t Seed);
+
+  std::optional<BackendTarget> choose(const ChoiceRequest &Request) override;
+  void callStarted(const BackendTarget &Target,
+                   std::uint64_t PrefixHash) override;
+  void callEnded(const BackendTarget &Target, CallResult Result,
+                 Duration FirstByte) override;
+
+  // A heartbeat from an agent itself. Returns the highest incarnation known.
+  std::uint64_t announced(const schema::Announcement &Message);
+  // A record passed on by another entry.
+  void heard(const schema::MemberRecord &Record);
+  DifferenceBatch differences(std::uint64_t Since, std::size_t MaxRecords);
+  // Reports members that became suspect, lost or healthy.
+  void sweepMembers();
+  std::vector<MemberView> members() const;
+  // The agent of a backend server, if it is known.
+  std::optional<BackendTarget> locate(std::string_view BackendServer) const;
+
+private:
+  void mergeRecord(const Member &Record, Duration HeardAgo);
+  std::vector<Candidate> usable(const ChoiceRequest &Request) const;
+
+  EventLog &m_Events;
+  mutable std::mutex m_Mutex;
+  // All below guarded by m_Mutex, which is taken after no other lock.
+  MembershipTable m_Table;
+  std::map<std::string, std::uint32_t, std::less<>> m_OwnOutstanding;
+  Random m_Random;
+};
+
+} // namespace mangocart
+
+#endif
