--- /dev/null
+++ b/Source/Settings/SettingsChecks.h
@@ -0,0 +1,22 @@
+// Checks across the fields of one process's settings: addresses that contradict
+// each other, this process's place among the entry VMs, the voters.
+#ifndef MANGOCART_SETTINGS_SETTINGSCHECKS_H
+#define MANGOCART_SETTINGS_SETTINGSCHECKS_H
+
+#include "Settings/SettingsError.h"
+
+namespace mangocart {
+
+namespace schema {
+class AgentSettings;
+class EntrySettings;
+} // namespace schema
+
+SettingsErrors checkEntrySettings(const schema::EntrySettings &Settings,
+                                  const KeyLines &Lines);
+SettingsErrors checkAgentSettings(const schema::AgentSettings &Settings,
+                                  const KeyLines &Lines);
+
+} // namespace mangocart
+
+#endif
