State, Membership: first version of the table of backend servers, the deployment's state and the agent's guard

Cause: the daemons need these decisions to be written against. Change: MembershipTable (order of records, health, observer in doubt, bounded differences), DeploymentState with configuration register, ledger, expert maps and fencing numbers, DeploymentMachine behind the log's interface, AgentGuard. The schema gets the number and time of a claim, so that a settlement, a call and a revocation name one claim and no other. Not yet: tests, settlement, draining.

--- /dev/null
+++ b/Source/Membership/MembershipTable.cpp
@@ -0,0 +1,325 @@
+// Merging, health and differences of the table of backend servers.
+#include "Membership/MembershipTable.h"
+
+#include "Peer.pb.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace mangocart {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Stages of an incarnation; it never goes back to an earlier one.
+int stageOf(MemberState State) {
+  switch (State) {
+  case MemberState::Serving:
+  case MemberState::Unavailable:
+    return 0;
+  case MemberState::Leaving:
+    return 1;
+  case MemberState::Left:
+    return 2;
+  }
+  return 0;
+}
+
+auto orderOf(const Member &Record) {
+  return std::make_tuple(Record.m_Incarnation, stageOf(Record.m_State),
+                         Record.m_Counter);
+}
+
+MemberState stateFromSchema(schema::Announcement::State State) {
+  switch (State) {
+  case schema::Announcement::SERVING:
+    return MemberState::Serving;
+  case schema::Announcement::LEAVING:
+    return MemberState::Leaving;
+  case schema::Announcement::LEFT:
+    return MemberState::Left;
+  default:
+    return MemberState::Unavailable;
+  }
+}
+
+schema::Announcement::State stateToSchema(MemberState State) {
+  switch (State) {
+  case MemberState::Serving:
+    return schema::Announcement::SERVING;
+  case MemberState::Unavailable:
+    return schema::Announcement::UNAVAILABLE;
+  case MemberState::Leaving:
+    return schema::Announcement::LEAVING;
+  case MemberState::Left:
+    return schema::Announcement::LEFT;
+  }
+  return schema::Announcement::STATE_UNSPECIFIED;
+}
+
+Duration silence(const TableEntry &Entry, TimePoint Now) {
+  return std::max(Duration::zero(), Now - Entry.m_HeardAt);
+}
+
+MemberHealth heartbeatHealth(const MembershipLimits &Limits, Duration Silence) {
+  if (Silence >= Limits.m_LostAfter)
+    return MemberHealth::Lost;
+  if (Silence >= Limits.m_SuspectAfter)
+    return MemberHealth::Suspect;
+  return MemberHealth::Healthy;
+}
+
+void markChanged(MembershipTable &Table, TableEntry &Entry, TimePoint Now) {
+  Entry.m_ChangeNumber = ++Table.m_LastChange;
+  Entry.m_ChangedAt = Now;
+}
+
+// A refresh is worth passing on when the last one that was is old enough, or
+// when it carries more than a counter and a load.
+bool refreshIsNews(const MembershipTable &Table, const TableEntry &Entry,
+                   const Member &Record, TimePoint Now) {
+  if (Now - Entry.m_ChangedAt >= Table.m_Limits.m_RefreshInterval)
+    return true;
+  const Member &Known = Entry.m_Member;
+  return Known.m_ConfigurationVersion != Record.m_ConfigurationVersion ||
+         Known.m_Address != Record.m_Address ||
+         Known.m_PeerPort != Record.m_PeerPort;
+}
+
+MergeResult insertNew(MembershipTable &Table, const Member &Record,
+                      TimePoint HeardAt, TimePoint Now) {
+  TableEntry Entry;
+  Entry.m_Member = Record;
+  Entry.m_HeardAt = HeardAt;
+  markChanged(Table, Entry, Now);
+  Table.m_Entries.insert_or_assign(Record.m_BackendServer, std::move(Entry));
+  return MergeResult::Joined;
+}
+
+bool isTombstoneExpired(const MembershipLimits &Limits, const TableEntry &Entry,
+                        TimePoint Now) {
+  return silence(Entry, Now) >=
+         Limits.m_LostAfter + Limits.m_TombstoneRetention;
+}
+
+TableEntry *findIncarnation(MembershipTable &Table,
+                            std::string_view BackendServer,
+                            std::uint64_t Incarnation) {
+  const auto Found = Table.m_Entries.find(BackendServer);
+  if (Found == Table.m_Entries.end() ||
+      Found->second.m_Member.m_Incarnation != Incarnation)
+    return nullptr;
+  return &Found->second;
+}
+
+bool isAvoided(const MembershipTable &Table, const TableEntry &Entry,
+               bool ObserverInDoubt, TimePoint Now) {
+  if (Entry.m_AvoidedUntil > Now)
+    return true;
+  const MemberHealth ByHeartbeat =
+      heartbeatHealth(Table.m_Limits, silence(Entry, Now));
+  return ByHeartbeat != MemberHealth::Healthy && !ObserverInDoubt;
+}
+
+} // namespace
+
+MergeResult merge(MembershipTable &Table, const Member &Record,
+                  Duration HeardAgo, TimePoint Now) {
+  const TimePoint HeardAt = Now - std::max(Duration::zero(), HeardAgo);
+  const auto Found = Table.m_Entries.find(Record.m_BackendServer);
+  if (Found == Table.m_Entries.end()) {
+    // A server that others lost long ago is not news.
+    if (HeardAgo >= Table.m_Limits.m_LostAfter)
+      return MergeResult::Stale;
+    return insertNew(Table, Record, HeardAt, Now);
+  }
+  TableEntry &Entry = Found->second;
+  if (orderOf(Record) <= orderOf(Entry.m_Member))
+    return MergeResult::Stale;
+  if (Record.m_Incarnation > Entry.m_Member.m_Incarnation)
+    return insertNew(Table, Record, HeardAt, Now);
+
+  const bool StateChanged = Record.m_State != Entry.m_Member.m_State;
+  if (StateChanged || refreshIsNews(Table, Entry, Record, Now))
+    markChanged(Table, Entry, Now);
+  Entry.m_Member = Record;
+  Entry.m_HeardAt = std::max(Entry.m_HeardAt, HeardAt);
+  return StateChanged ? MergeResult::StateChanged : MergeResult::Refreshed;
+}
+
+void noteCallFailed(MembershipTable &Table, std::string_view BackendServer,
+                    std::uint64_t Incarnation, TimePoint Now) {
+  TableEntry *Entry = findIncarnation(Table, BackendServer, Incarnation);
+  if (!Entry)
+    return;
+  Duration Avoidance = Table.m_Limits.m_FailedCallAvoidance;
+  for (std::uint32_t I = 0; I < Entry->m_FailedCallsInRow &&
+                            Avoidance < Table.m_Limits.m_MaxAvoidance;
+       ++I)
+    Avoidance *= 2;
+  ++Entry->m_FailedCallsInRow;
+  Avoidance = std::min(Avoidance, Table.m_Limits.m_MaxAvoidance);
+  Entry->m_AvoidedUntil = std::max(Entry->m_AvoidedUntil, Now + Avoidance);
+}
+
+void noteCallSucceeded(MembershipTable &Table, std::string_view BackendServer,
+                       std::uint64_t Incarnation) {
+  TableEntry *Entry = findIncarnation(Table, BackendServer, Incarnation);
+  if (!Entry)
+    return;
+  Entry->m_FailedCallsInRow = 0;
+  Entry->m_AvoidedUntil = TimePoint();
+}
+
+MemberHealth health(const MembershipTable &Table, const TableEntry &Entry,
+                    TimePoint Now) {
+  const MemberHealth ByHeartbeat =
+      heartbeatHealth(Table.m_Limits, silence(Entry, Now));
+  if (ByHeartbeat == MemberHealth::Healthy && Entry.m_AvoidedUntil > Now)
+    return MemberHealth::Suspect;
+  return ByHeartbeat;
+}
+
+bool observerInDoubt(const MembershipTable &Table,
+                     std::string_view AvailabilityZone, TimePoint Now) {
+  std::size_t Counted = 0;
+  std::size_t Silent = 0;
+  for (const auto &[Name, Entry] : Table.m_Entries) {
+    if (Entry.m_Member.m_AvailabilityZone != AvailabilityZone ||
+        Entry.m_Member.m_State != MemberState::Serving)
+      continue;
+    const Duration Age = silence(Entry, Now);
+    if (Age >= Table.m_Limits.m_ObserverDoubtWindow)
+      continue;
+    ++Counted;
+    if (Age >= Table.m_Limits.m_SuspectAfter)
+      ++Silent;
+  }
+  return Silent * 2 > Counted;
+}
+
+std::vector<Candidate> eligible(const MembershipTable &Table,
+                                std::string_view Service, TimePoint Now) {
+  std::vector<Candidate> Candidates;
+  std::vector<Candidate> LostOnes;
+  std::map<std::string_view, bool> DoubtByZone;
+  for (const auto &[Name, Entry] : Table.m_Entries) {
+    const Member &Record = Entry.m_Member;
+    if (Record.m_Service != Service || Record.m_State != MemberState::Serving)
+      continue;
+    const auto [Zone, IsNew] =
+        DoubtByZone.try_emplace(Record.m_AvailabilityZone, false);
+    if (IsNew)
+      Zone->second = observerInDoubt(Table, Record.m_AvailabilityZone, Now);
+    const bool Doubt = Zone->second;
+    const bool Lost = health(Table, Entry, Now) == MemberHealth::Lost;
+    if (Lost &&
+        !(Doubt && silence(Entry, Now) < Table.m_Limits.m_ObserverDoubtWindow))
+      LostOnes.push_back({Record, true});
+    else
+      Candidates.push_back({Record, isAvoided(Table, Entry, Doubt, Now)});
+  }
+  return Candidates.empty() ? LostOnes : Candidates;
+}
+
+const TableEntry *find(const MembershipTable &Table,
+                       std::string_view BackendServer) {
+  const auto Found = Table.m_Entries.find(BackendServer);
+  return Found == Table.m_Entries.end() ? nullptr : &Found->second;
+}
+
+std::vector<HealthChange> sweep(MembershipTable &Table, TimePoint Now) {
+  std::vector<HealthChange> Changes;
+  for (auto It = Table.m_Entries.begin(); It != Table.m_Entries.end();) {
+    TableEntry &Entry = It->second;
+    if (isTombstoneExpired(Table.m_Limits, Entry, Now)) {
+      It = Table.m_Entries.erase(It);
+      continue;
+    }
+    const MemberHealth Seen = health(Table, Entry, Now);
+    if (Seen != Entry.m_ReportedHealth) {
+      Changes.push_back({It->first, Entry.m_Member.m_Incarnation,
+                         Entry.m_ReportedHealth, Seen});
+      Entry.m_ReportedHealth = Seen;
+    }
+    ++It;
+  }
+  return Changes;
+}
+
+DifferenceBatch differencesSince(const MembershipTable &Table,
+                                 std::uint64_t Since, std::size_t MaxRecords,
+                                 TimePoint Now) {
+  std::vector<const TableEntry *> Changed;
+  for (const auto &[Name, Entry] : Table.m_Entries)
+    if (Entry.m_ChangeNumber > Since)
+      Changed.push_back(&Entry);
+  std::sort(Changed.begin(), Changed.end(),
+            [](const TableEntry *A, const TableEntry *B) {
+              return A->m_ChangeNumber < B->m_ChangeNumber;
+            });
+
+  DifferenceBatch Batch;
+  Batch.m_Next = Since;
+  for (const TableEntry *Entry : Changed) {
+    if (Batch.m_Differences.size() == MaxRecords) {
+      Batch.m_More = true;
+      return Batch;
+    }
+    Batch.m_Next = Entry->m_ChangeNumber;
+    const Duration Age = silence(*Entry, Now);
+    if (Age < Table.m_Limits.m_LostAfter)
+      Batch.m_Differences.push_back({Entry->m_Member, Age});
+  }
+  Batch.m_Next = std::max(Batch.m_Next, Table.m_LastChange);
+  return Batch;
+}
+
+Member memberFromSchema(const schema::Announcement &Message, Duration HeardAgo,
+                        TimePoint Now) {
+  Member Record;
+  Record.m_BackendServer = Message.backend_server();
+  Record.m_Service = Message.service();
+  Record.m_AvailabilityZone = Message.availability_zone();
+  Record.m_Address = Message.address();
+  Record.m_PeerPort = static_cast<std::uint16_t>(Message.peer_port());
+  Record.m_State = stateFromSchema(Message.state());
+  Record.m_Outstanding = Message.outstanding();
+  Record.m_Incarnation = Message.incarnation();
+  Record.m_Counter = Message.counter();
+  Record.m_ConfigurationVersion = Message.configuration_version();
+  Record.m_ReportedLoad = Message.reported_load();
+  Record.m_LoadMeasuredAt =
+      Now - HeardAgo - milliseconds(Message.report_age_ms());
+  return Record;
+}
+
+void memberToSchema(const Member &Record, TimePoint Now,
+                    schema::Announcement &Message) {
+  Message.set_backend_server(Record.m_BackendServer);
+  Message.set_service(Record.m_Service);
+  Message.set_availability_zone(Record.m_AvailabilityZone);
+  Message.set_address(Record.m_Address);
+  Message.set_peer_port(Record.m_PeerPort);
+  Message.set_state(stateToSchema(Record.m_State));
+  Message.set_outstanding(Record.m_Outstanding);
+  Message.set_incarnation(Record.m_Incarnation);
+  Message.set_counter(Record.m_Counter);
+  Message.set_configuration_version(Record.m_ConfigurationVersion);
+  Message.set_reported_load(Record.m_ReportedLoad);
+  const auto Age = duration_cast<milliseconds>(
+      std::max(Duration::zero(), Now - Record.m_LoadMeasuredAt));
+  Message.set_report_age_ms(static_cast<std::uint32_t>(Age.count()));
+}
+
+void differenceToSchema(const Difference &Change, TimePoint Now,
+                        schema::MemberRecord &Message) {
+  memberToSchema(Change.m_Member, Now - Change.m_HeardAgo,
+                 *Message.mutable_announcement());
+  const auto Age = duration_cast<milliseconds>(Change.m_HeardAgo);
+  Message.set_heard_ms_ago(static_cast<std::uint32_t>(Age.count()));
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/State/DeploymentMachine.cpp
@@ -0,0 +1,116 @@
+// Serialization and locking around the deployment's state.
+#include "State/DeploymentMachine.h"
+
+#include <stdexcept>
+
+namespace mangocart {
+
+void DeploymentMachine::onConfiguration(ConfigurationHandler Handler) {
+  m_OnConfiguration = std::move(Handler);
+}
+
+std::string DeploymentMachine::apply(std::uint64_t Index,
+                                     std::string_view Command) {
+  schema::Command Parsed;
+  if (!Parsed.ParseFromArray(Command.data(), static_cast<int>(Command.size())))
+    return {};
+  schema::CommandReply Reply;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    Reply = mangocart::apply(m_State, Index, Parsed);
+  }
+  if (Parsed.has_accept())
+    reportConfiguration();
+  return Reply.SerializeAsString();
+}
+
+std::string DeploymentMachine::snapshot() const {
+  schema::StateSnapshot Snapshot;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    Snapshot = mangocart::snapshot(m_State);
+  }
+  return Snapshot.SerializeAsString();
+}
+
+void DeploymentMachine::restore(std::string_view Bytes) {
+  schema::StateSnapshot Snapshot;
+  if (!Snapshot.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    throw std::invalid_argument("the snapshot of the deployment's state can't "
+                                "be parsed");
+  DeploymentState Restored = mangocart::restore(Snapshot);
+  {
+    const std::lock_guard Lock(m_Mutex);
+    m_State = std::move(Restored);
+  }
+  reportConfiguration();
+}
+
+void DeploymentMachine::reportConfiguration() {
+  const schema::Configuration Current = configuration();
+  if (Current.version() <= m_ReportedVersion)
+    return;
+  m_ReportedVersion = Current.version();
+  if (m_OnConfiguration)
+    m_OnConfiguration(Current);
+}
+
+schema::Configuration DeploymentMachine::configuration() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_State.m_Configuration.m_Configuration;
+}
+
+std::uint64_t DeploymentMachine::configurationVersion() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_State.m_Configuration.m_Configuration.version();
+}
+
+std::uint64_t DeploymentMachine::lastFencingNumber() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_State.m_LastFencingNumber;
+}
+
+std::uint64_t DeploymentMachine::timeMs() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_State.m_TimeMs;
+}
+
+schema::ExpertMapRecord
+DeploymentMachine::expertMap(const std::string &Group) const {
+  const std::lock_guard Lock(m_Mutex);
+  const auto Found = m_State.m_ExpertMaps.m_Maps.find(Group);
+  return Found == m_State.m_ExpertMaps.m_Maps.end() ? schema::ExpertMapRecord()
+                                                    : Found->second;
+}
+
+std::vector<schema::ExpertMapRecord> DeploymentMachine::expertMaps() const {
+  const std::lock_guard Lock(m_Mutex);
+  std::vector<schema::ExpertMapRecord> Maps;
+  for (const auto &[Group, Record] : m_State.m_ExpertMaps.m_Maps)
+    Maps.push_back(Record);
+  return Maps;
+}
+
+std::vector<OpenClaim> DeploymentMachine::overdue(std::uint64_t TimeMs,
+                                                  std::uint64_t GraceMs,
+                                                  std::size_t MaxCount) const {
+  const std::lock_guard Lock(m_Mutex);
+  return overdueClaims(m_State.m_Ledger, TimeMs, GraceMs, MaxCount);
+}
+
+std::size_t DeploymentMachine::ledgerRecords() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_State.m_Ledger.m_Table.size();
+}
+
+std::size_t DeploymentMachine::ledgerBytes() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_State.m_Ledger.m_Bytes;
+}
+
+std::size_t DeploymentMachine::claimsInProgress() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_State.m_Ledger.m_Open.size();
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/State/DeploymentState.cpp
@@ -0,0 +1,84 @@
+// Dispatch of commands to the parts of the state, and its snapshot.
+#include "State/DeploymentState.h"
+
+#include <algorithm>
+
+namespace mangocart {
+
+namespace {
+
+constexpr std::uint64_t MillisecondsPerSecond = 1000;
+
+std::uint64_t retentionMs(const DeploymentState &State) {
+  return State.m_Configuration.m_Configuration.outcome_retention_s() *
+         MillisecondsPerSecond;
+}
+
+} // namespace
+
+schema::CommandReply apply(DeploymentState &State, std::uint64_t Index,
+                           const schema::Command &Command) {
+  State.m_TimeMs = std::max(State.m_TimeMs, Command.leader_time_ms());
+  expire(State.m_Ledger, State.m_TimeMs, retentionMs(State));
+
+  schema::CommandReply Reply;
+  switch (Command.kind_case()) {
+  case schema::Command::kAccept:
+    *Reply.mutable_accept() =
+        accept(State.m_Configuration, Command.accept(), State.m_TimeMs);
+    break;
+  case schema::Command::kClaim:
+    *Reply.mutable_claim() =
+        claim(State.m_Ledger, Command.claim(), Index, State.m_TimeMs);
+    break;
+  case schema::Command::kSettle:
+    *Reply.mutable_settle() =
+        settle(State.m_Ledger, Command.settle(), State.m_TimeMs);
+    break;
+  case schema::Command::kActivate:
+    *Reply.mutable_activate() =
+        activate(State.m_ExpertMaps, Command.activate());
+    break;
+  case schema::Command::kFenceFor:
+    State.m_LastFencingNumber = Index;
+    Reply.set_fencing_number(Index);
+    break;
+  case schema::Command::KIND_NOT_SET:
+    break;
+  }
+  return Reply;
+}
+
+schema::StateSnapshot snapshot(const DeploymentState &State) {
+  schema::StateSnapshot Snapshot;
+  saveConfiguration(State.m_Configuration, Snapshot);
+  saveLedger(State.m_Ledger, Snapshot);
+  saveExpertMaps(State.m_ExpertMaps, Snapshot);
+  Snapshot.set_last_fencing_number(State.m_LastFencingNumber);
+  Snapshot.set_leader_time_ms(State.m_TimeMs);
+  return Snapshot;
+}
+
+DeploymentState restore(const schema::StateSnapshot &Snapshot,
+                        const LedgerLimits &Limits) {
+  DeploymentState State;
+  State.m_Configuration = restoreConfiguration(Snapshot);
+  State.m_Ledger = restoreLedger(Snapshot, Limits);
+  State.m_ExpertMaps = restoreExpertMaps(Snapshot);
+  State.m_LastFencingNumber = Snapshot.last_fencing_number();
+  State.m_TimeMs = Snapshot.leader_time_ms();
+  return State;
+}
+
+LeaderClock startLeaderClock(std::uint64_t StateTimeMs, std::uint64_t WallMs,
+                             TimePoint Now) {
+  return {StateTimeMs == 0 ? WallMs : StateTimeMs, Now};
+}
+
+std::uint64_t leaderTimeMs(const LeaderClock &Clock, TimePoint Now) {
+  const auto Passed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(Duration::zero(), Now - Clock.m_StartedAt));
+  return Clock.m_TimeMsAtStart + static_cast<std::uint64_t>(Passed.count());
+}
+
+} // namespace mangocart
