Http: server and client over Beast's parsers, with bounds on all that a client sends

The server reads with basic_parser straight into the plain request, so that a request costs one read and one write. A read stays outstanding while a request is worked on, so that a client that goes away is noticed. The client keeps connections by target, looks for a closed one before it writes, and refuses an answer that only the end of the connection would end, since a cut one looks the same.

--- /dev/null
+++ b/Source/Http/HttpClient.cpp
@@ -0,0 +1,82 @@
+// Pool of kept connections, by target.
+#include "Http/HttpClient.h"
+
+#include "Http/HttpClientConnection.h"
+
+#include <map>
+
+namespace mangocart {
+
+namespace {
+
+constexpr std::size_t MaxKeptPerTarget = 256;
+
+} // namespace
+
+struct HttpClient::State : HttpConnectionKeeper,
+                           std::enable_shared_from_this<HttpClient::State> {
+  explicit State(boost::asio::io_context &Context) : m_Worker(Context) {}
+
+  void keep(std::shared_ptr<HttpClientConnection> Connection) override;
+  void forget(HttpClientConnection &Connection) override;
+  void start(const HttpTarget &Target,
+             const std::shared_ptr<HttpClientCall> &Call);
+
+  boost::asio::io_context &m_Worker;
+  // The connection used last comes first, so that a pool shrinks when it can.
+  std::map<HttpTarget, std::vector<std::shared_ptr<HttpClientConnection>>>
+      m_Kept;
+};
+
+void HttpClient::State::keep(std::shared_ptr<HttpClientConnection> Connection) {
+  auto &Kept = m_Kept[Connection->target()];
+  if (Kept.size() >= MaxKeptPerTarget)
+    return Connection->close();
+  Kept.push_back(std::move(Connection));
+}
+
+void HttpClient::State::forget(HttpClientConnection &Connection) {
+  const auto Found = m_Kept.find(Connection.target());
+  if (Found == m_Kept.end())
+    return;
+  std::erase_if(Found->second,
+                [&](const auto &Each) { return Each.get() == &Connection; });
+  if (Found->second.empty())
+    m_Kept.erase(Found);
+}
+
+void HttpClient::State::start(const HttpTarget &Target,
+                              const std::shared_ptr<HttpClientCall> &Call) {
+  const auto Found = m_Kept.find(Target);
+  while (Found != m_Kept.end() && !Found->second.empty()) {
+    const auto Connection = std::move(Found->second.back());
+    Found->second.pop_back();
+    if (Connection->reuseFor(Call))
+      return;
+    Connection->close();
+  }
+  std::make_shared<HttpClientConnection>(m_Worker, Target, weak_from_this())
+      ->connectFor(Call);
+}
+
+HttpClient::HttpClient(boost::asio::io_context &Worker)
+    : m_State(std::make_shared<State>(Worker)) {}
+
+HttpClient::~HttpClient() {
+  for (auto &[Target, Kept] : m_State->m_Kept)
+    for (const auto &Connection : Kept)
+      Connection->close();
+}
+
+std::shared_ptr<HttpCall> HttpClient::send(const HttpTarget &Target,
+                                           HttpRequest Request,
+                                           Duration Deadline,
+                                           HttpCallHandlers Handlers) {
+  auto Call = std::make_shared<HttpClientCall>(
+      m_State->m_Worker, Target, std::move(Request), std::move(Handlers));
+  Call->startDeadline(Deadline);
+  m_State->start(Target, Call);
+  return Call;
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Http/HttpClientConnection.h
@@ -0,0 +1,122 @@
+// One connection of the HTTP client and the call that uses it. Internal to
+// Http/.
+#ifndef MANGOCART_HTTP_HTTPCLIENTCONNECTION_H
+#define MANGOCART_HTTP_HTTPCLIENTCONNECTION_H
+
+#include "Core/Timer.h"
+#include "Http/HttpClient.h"
+#include "Http/HttpResponseParser.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <optional>
+
+namespace mangocart {
+
+class HttpClientCall;
+class HttpClientConnection;
+
+// Keeps connections that have answered a call and can take another one.
+class HttpConnectionKeeper {
+public:
+  virtual ~HttpConnectionKeeper() = default;
+  virtual void keep(std::shared_ptr<HttpClientConnection> Connection) = 0;
+  // A kept connection was closed by the server.
+  virtual void forget(HttpClientConnection &Connection) = 0;
+};
+
+class HttpClientConnection
+    : public std::enable_shared_from_this<HttpClientConnection> {
+public:
+  HttpClientConnection(boost::asio::io_context &Worker, HttpTarget Target,
+                       std::weak_ptr<HttpConnectionKeeper> Keeper);
+
+  const HttpTarget &target() const { return m_Target; }
+
+  // Connects, then writes the call's request.
+  void connectFor(std::shared_ptr<HttpClientCall> Call);
+  // Writes the call's request on a kept connection. False when the connection
+  // was found closed before any byte was written; the call is untouched then.
+  bool reuseFor(const std::shared_ptr<HttpClientCall> &Call);
+  void close();
+  void pauseReading() { m_Paused = true; }
+  void resumeReading();
+
+private:
+  static constexpr std::size_t ReadAreaBytes = 16 * 1024;
+
+  // Result of the first, immediate write.
+  enum class FirstWrite { Taken, NothingTaken };
+
+  bool isOpenAtPeer();
+  FirstWrite writeFirst();
+  void writeRest();
+  void read();
+  void onRead(std::size_t Bytes);
+  void feed(std::string_view Bytes);
+  void finishCall(bool Keep);
+  void fail(HttpErrorCode Code, std::string Detail);
+
+  boost::asio::ip::tcp::socket m_Socket;
+  HttpTarget m_Target;
+  std::weak_ptr<HttpConnectionKeeper> m_Keeper;
+  // Empty while the connection is kept for the next call.
+  std::shared_ptr<HttpClientCall> m_Call;
+  std::optional<HttpResponseParser> m_Parser;
+  std::array<char, ReadAreaBytes> m_ReadArea;
+  // Bytes of an unfinished head or chunk head.
+  std::string m_Pending;
+  // Bytes in m_ReadArea that arrived while reading was paused.
+  std::size_t m_HeldBytes = 0;
+  std::size_t m_Written = 0;
+  bool m_Reading = false;
+  bool m_Paused = false;
+  bool m_Closed = false;
+};
+
+class HttpClientCall : public HttpCall,
+                       public HttpResponseSink,
+                       public std::enable_shared_from_this<HttpClientCall> {
+public:
+  HttpClientCall(boost::asio::io_context &Worker, const HttpTarget &Target,
+                 HttpRequest Request, HttpCallHandlers Handlers);
+
+  void startDeadline(Duration Deadline);
+  void attach(std::shared_ptr<HttpClientConnection> Connection) {
+    m_Connection = std::move(Connection);
+  }
+
+  void cancel() override;
+  void pauseReading() override;
+  void resumeReading() override;
+
+  bool takeHead(HttpHead Head) override;
+  bool takeBody(std::string_view Piece) override;
+  void end();
+  void fail(HttpError Error);
+
+  bool finished() const { return m_Finished; }
+  bool isHead() const { return m_IsHead; }
+  const std::string &headText() const { return m_HeadText; }
+  const std::string &body() const { return m_Body; }
+  // Set once any byte of the request has been handed to the system.
+  void markSent() { m_AnySent = true; }
+  bool anySent() const { return m_AnySent; }
+
+private:
+  void finish();
+
+  HttpCallHandlers m_Handlers;
+  std::string m_HeadText;
+  std::string m_Body;
+  Timer m_Deadline;
+  std::shared_ptr<HttpClientConnection> m_Connection;
+  bool m_IsHead;
+  bool m_AnySent = false;
+  bool m_Finished = false;
+};
+
+} // namespace mangocart
+
+#endif
--- /dev/null
+++ b/Source/Http/HttpConnection.h
@@ -0,0 +1,168 @@
+// One caller's connection to the HTTP server: reads requests one after another,
+// hands each to the server's handler and writes its answer. Internal to Http/.
+#ifndef MANGOCART_HTTP_HTTPCONNECTION_H
+#define MANGOCART_HTTP_HTTPCONNECTION_H
+
+#include "Core/Timer.h"
+#include "Http/HttpRequestParser.h"
+#include "Http/HttpWire.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <atomic>
+#include <optional>
+#include <unordered_set>
+
+namespace mangocart {
+
+class HttpConnection;
+class HttpServerExchange;
+
+// What all connections of a server share. The sets are touched on their own
+// worker only.
+struct HttpServerShared {
+  HttpLimits m_Limits;
+  HttpServer::Handler m_OnRequest;
+  std::atomic<std::size_t> m_ConnectionCount{0};
+  std::atomic<std::size_t> m_ExchangeCount{0};
+  std::atomic<bool> m_Closing{false};
+  // By worker.
+  std::vector<std::unordered_set<HttpConnection *>> m_Open;
+};
+
+// All functions run on the connection's worker.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+public:
+  HttpConnection(boost::asio::ip::tcp::socket Socket,
+                 std::shared_ptr<HttpServerShared> Shared, std::size_t Worker);
+  ~HttpConnection();
+  HttpConnection(const HttpConnection &) = delete;
+  HttpConnection &operator=(const HttpConnection &) = delete;
+
+  void start();
+  // Answers with an error before any request has been read, then closes.
+  void startRefused(const HttpRefusal &Refusal);
+  // Closes now if no request is in progress, else after its answer.
+  void closeWhenIdle();
+
+  boost::asio::any_io_executor executor() { return m_Socket.get_executor(); }
+
+  // For the exchange in progress.
+  void respond(HttpServerExchange &Exchange, HttpResponse Response);
+  void startStream(const HttpHead &Head);
+  void writeChunk(std::string_view Data);
+  void finishStream(HttpServerExchange &Exchange);
+  void abort(HttpServerExchange &Exchange);
+  // The handler let go of the exchange without completing it.
+  void onExchangeDropped(bool Unanswered);
+  std::size_t queuedBytes() const {
+    return m_Queued.size() + m_Writing.size() - m_Written;
+  }
+
+private:
+  static constexpr std::size_t ReadAreaBytes = 8 * 1024;
+
+  void read();
+  void onRead(std::size_t Bytes);
+  void onPeerGone();
+  void process();
+  void takeBytes(std::string_view Bytes);
+  void startExchange();
+  // The answer has been queued whole: goes on with the next request or closes.
+  void endExchange(HttpServerExchange &Exchange);
+  void refuse(const HttpRefusal &Refusal);
+  void scheduleFlush();
+  void flush();
+  void writeRest();
+  void onDrained();
+  // Sends the end of the connection and discards what still arrives, so that
+  // the client reads the last answer before it sees the connection closed.
+  void lingerThenClose();
+  void close();
+  void setReadDeadline(Duration FromNow);
+  void armTimer();
+  void onTimer();
+
+  boost::asio::ip::tcp::socket m_Socket;
+  std::shared_ptr<HttpServerShared> m_Shared;
+  std::size_t m_Worker;
+  std::string m_RemoteAddress;
+
+  std::array<char, ReadAreaBytes> m_ReadArea;
+  // Bytes that arrived and aren't parsed yet. Bounded by the head's limit plus
+  // one read, since reading stops above the limit.
+  std::string m_Pending;
+  bool m_Reading = false;
+  std::optional<HttpRequestParser> m_Parser;
+
+  // The exchange in progress; empty between requests.
+  std::weak_ptr<HttpServerExchange> m_Exchange;
+  bool m_InExchange = false;
+  bool m_InProcess = false;
+  HttpFraming m_Framing = HttpFraming::None;
+  bool m_HeadOnly = false;
+  bool m_KeepAlive = true;
+  bool m_IsVersion10 = false;
+  bool m_AnyRequestDone = false;
+
+  // Output: m_Writing is being sent, from m_Written on; m_Queued follows it.
+  std::string m_Queued;
+  std::string m_Writing;
+  std::size_t m_Written = 0;
+  bool m_WriteInProgress = false;
+  bool m_FlushScheduled = false;
+  bool m_CloseAfterWrite = false;
+  bool m_Lingering = false;
+  bool m_Closed = false;
+
+  Timer m_Timer;
+  std::optional<TimePoint> m_TimerDue;
+  std::optional<TimePoint> m_ReadDeadline;
+  std::optional<TimePoint> m_WriteDeadline;
+};
+
+// The handler's side of one request. Outlives neither the worker pool nor
+// blocks the connection: dropped without an answer, it answers 500.
+class HttpServerExchange : public HttpExchange {
+public:
+  HttpServerExchange(std::shared_ptr<HttpConnection> Connection,
+                     std::shared_ptr<HttpServerShared> Shared,
+                     HttpRequest Request);
+  ~HttpServerExchange() override;
+  HttpServerExchange(const HttpServerExchange &) = delete;
+  HttpServerExchange &operator=(const HttpServerExchange &) = delete;
+
+  const HttpRequest &request() const override { return m_Request; }
+  boost::asio::any_io_executor executor() override {
+    return m_Connection->executor();
+  }
+  void respond(HttpResponse Response) override;
+  void startStream(HttpHead Head) override;
+  void writeChunk(std::string Data) override;
+  void finishStream() override;
+  void abort() override;
+  std::size_t queuedBytes() const override;
+  void onDrained(std::function<void()> Handler) override;
+  void onClosed(std::function<void()> Handler) override;
+
+  // Called by the connection.
+  void drained();
+  void closed();
+  // No function has an effect any more.
+  void complete();
+
+private:
+  enum class Phase { Waiting, Streaming, Complete };
+
+  std::shared_ptr<HttpConnection> m_Connection;
+  std::shared_ptr<HttpServerShared> m_Shared;
+  HttpRequest m_Request;
+  Phase m_Phase = Phase::Waiting;
+  std::function<void()> m_OnDrained;
+  std::function<void()> m_OnClosed;
+};
+
+} // namespace mangocart
+
+#endif
--- /dev/null
+++ b/Source/Http/HttpResponseParser.cpp
@@ -0,0 +1,96 @@
+// Answer parsing by Beast's basic_parser. An answer that only the end of the
+// connection would end is refused, because a cut one looks the same.
+#include "Http/HttpResponseParser.h"
+
+namespace mangocart {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
+constexpr int SwitchingProtocols = 101;
+constexpr int FirstFinalStatus = 200;
+
+} // namespace
+
+HttpResponseParser::HttpResponseParser(HttpResponseSink &Sink,
+                                       bool IsAnswerToHead)
+    : m_Sink(Sink) {
+  eager(true);
+  header_limit(MaxHeadBytes);
+  body_limit(boost::none);
+  skip(IsAnswerToHead);
+}
+
+HttpResponseParser::Progress HttpResponseParser::take(std::string_view &Bytes) {
+  while (!Bytes.empty()) {
+    ErrorCode Error;
+    const std::size_t Used =
+        put(boost::asio::const_buffer(Bytes.data(), Bytes.size()), Error);
+    Bytes.remove_prefix(Used);
+    if (m_Stopped)
+      return Progress::Stopped;
+    if (Error && Error != http::error::need_more) {
+      if (m_Detail.empty())
+        m_Detail = "malformed answer: " + Error.message();
+      return Progress::Malformed;
+    }
+    if (is_done())
+      return Progress::Done;
+    if (Bytes.size() > MaxHeadBytes) {
+      m_Detail = "malformed answer: a head or chunk head is too large";
+      return Progress::Malformed;
+    }
+    if (Error)
+      break;
+  }
+  return Progress::NeedMore;
+}
+
+void HttpResponseParser::on_response_impl(int Code, StringView, int,
+                                          ErrorCode &Error) {
+  m_Head.m_Status = static_cast<unsigned>(Code);
+  m_Interim = Code < FirstFinalStatus;
+  if (Code == SwitchingProtocols) {
+    m_Detail = "malformed answer: a change of protocol was not asked for";
+    Error = http::error::bad_status;
+  }
+}
+
+void HttpResponseParser::on_field_impl(http::field, StringView Name,
+                                       StringView Value, ErrorCode &) {
+  if (!m_HeadDone)
+    m_Head.m_Headers.push_back({std::string(Name.data(), Name.size()),
+                                std::string(Value.data(), Value.size())});
+}
+
+void HttpResponseParser::on_header_impl(ErrorCode &Error) {
+  m_HeadDone = true;
+  if (m_Interim)
+    return;
+  if (need_eof()) {
+    m_Detail = "malformed answer: neither Content-Length nor chunked coding";
+    Error = http::error::bad_content_length;
+    return;
+  }
+  m_Stopped = !m_Sink.takeHead(std::move(m_Head));
+  if (m_Stopped)
+    Error = http::error::end_of_stream;
+}
+
+std::size_t HttpResponseParser::on_body_impl(StringView Body,
+                                             ErrorCode &Error) {
+  m_Stopped = !m_Sink.takeBody({Body.data(), Body.size()});
+  if (m_Stopped)
+    Error = http::error::end_of_stream;
+  return Body.size();
+}
+
+std::size_t HttpResponseParser::on_chunk_body_impl(std::uint64_t,
+                                                   StringView Body,
+                                                   ErrorCode &Error) {
+  return Body.empty() ? 0 : on_body_impl(Body, Error);
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Http/HttpResponseParser.h
@@ -0,0 +1,63 @@
+// Reads one HTTP/1.1 answer piece by piece as its bytes arrive. Internal to
+// Http/: it brings Beast with it.
+#ifndef MANGOCART_HTTP_HTTPRESPONSEPARSER_H
+#define MANGOCART_HTTP_HTTPRESPONSEPARSER_H
+
+#include "Http/HttpMessage.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace mangocart {
+
+// Takes the pieces of an answer. Both functions return false to stop parsing.
+class HttpResponseSink {
+public:
+  virtual ~HttpResponseSink() = default;
+  virtual bool takeHead(HttpHead Head) = 0;
+  virtual bool takeBody(std::string_view Piece) = 0;
+};
+
+class HttpResponseParser : private boost::beast::http::basic_parser<false> {
+public:
+  // An answer to HEAD has no body whatever its headers say.
+  HttpResponseParser(HttpResponseSink &Sink, bool IsAnswerToHead);
+
+  enum class Progress { NeedMore, Done, Malformed, Stopped };
+
+  // Takes bytes from the front of Bytes and removes them from it.
+  Progress take(std::string_view &Bytes);
+
+  // True for an answer before the answer (100, 103): another one follows.
+  bool isInterim() const { return m_Interim; }
+  bool keepAlive() const { return keep_alive(); }
+  const std::string &detail() const { return m_Detail; }
+
+private:
+  using ErrorCode = boost::beast::error_code;
+  using StringView = boost::beast::string_view;
+
+  void on_request_impl(boost::beast::http::verb, StringView, StringView, int,
+                       ErrorCode &) override {}
+  void on_response_impl(int Code, StringView, int, ErrorCode &) override;
+  void on_field_impl(boost::beast::http::field, StringView Name,
+                     StringView Value, ErrorCode &) override;
+  void on_header_impl(ErrorCode &Error) override;
+  void on_body_init_impl(const boost::optional<std::uint64_t> &,
+                         ErrorCode &) override {}
+  std::size_t on_body_impl(StringView Body, ErrorCode &Error) override;
+  void on_chunk_header_impl(std::uint64_t, StringView, ErrorCode &) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, StringView Body,
+                                 ErrorCode &Error) override;
+  void on_finish_impl(ErrorCode &) override {}
+
+  HttpResponseSink &m_Sink;
+  HttpHead m_Head;
+  std::string m_Detail;
+  bool m_HeadDone = false;
+  bool m_Interim = false;
+  bool m_Stopped = false;
+};
+
+} // namespace mangocart
+
+#endif
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -83,6 +83,9 @@
   bool operator==(const HttpError &) const = default;
 };
 
+// The pool must outlive the server. Once the server is destroyed, idle
+// connections close; stop the workers first if the handler must not be called
+// again.
 class HttpServer {
 public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
@@ -94,6 +97,8 @@
 
   Result<void, HttpError> listen(const std::string &Address,
                                  std::uint16_t Port);
+  // The port in use; useful after listen() with port 0.
+  std::uint16_t port() const;
   // Takes no new connection; open ones finish their request, then close.
   void closeListener();
 
