--- a/Source/Events/EventLog.cpp
+++ b/Source/Events/EventLog.cpp
@@ -1,6 +1,8 @@
 // Writes events as JSON lines through spdlog.
 #include "Events/EventLog.h"
 
+#include "Events/LogFlusher.h"
+
 #include <boost/json.hpp>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -10,36 +12,6 @@
 
 namespace {
 
-struct EventEntry {
-  std::string_view m_Name;
-  EventLevel m_Level;
-};
-
-EventEntry describe(Event What) {
-  switch (What) {
-#define MANGOCART_EVENT(Number, Name, Level, Summary)                          \
-  case Event::Name:                                                            \
-    return {#Name, EventLevel::Level};
-#include "Events/Catalogue.def"
-#undef MANGOCART_EVENT
-  }
-  return {"Unnumbered", EventLevel::Error};
-}
-
-std::string_view toText(EventLevel Level) {
-  switch (Level) {
-  case EventLevel::Debug:
-    return "debug";
-  case EventLevel::Info:
-    return "info";
-  case EventLevel::Warn:
-    return "warn";
-  case EventLevel::Error:
-    return "error";
-  }
-  return "error";
-}
-
 spdlog::level::level_enum toSpdlog(EventLevel Level) {
   switch (Level) {
   case EventLevel::Debug:
@@ -62,35 +34,45 @@
     Sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(File);
   auto Logger = std::make_shared<spdlog::logger>("events", std::move(Sink));
   Logger->set_pattern("%v");
-  Logger->set_level(spdlog::level::info);
-  Logger->flush_on(spdlog::level::info);
+  // Levels are checked before a line is made.
+  Logger->set_level(spdlog::level::trace);
+  Logger->flush_on(spdlog::level::warn);
   return Logger;
 }
 
 } // namespace
 
-EventLog::EventLog(EventSource Source, const std::string &File)
-    : m_Source(std::move(Source)), m_Logger(makeLogger(File)) {}
+EventLog::EventLog(EventSource Source, const std::string &File,
+                   EventLevel LeastLevel)
+    : m_Source(std::move(Source)), m_LeastLevel(LeastLevel),
+      m_Logger(makeLogger(File)) {
+  if (!File.empty())
+    m_Flusher = std::make_unique<LogFlusher>([this] { m_Logger->flush(); });
+}
+
+EventLog::~EventLog() {
+  m_Flusher.reset();
+  m_Logger->flush();
+}
 
-EventLog::~EventLog() { m_Logger->flush(); }
+void EventLog::flush() { m_Logger->flush(); }
 
-void EventLog::write(Event What, std::initializer_list<EventField> Fields) {
-  const EventEntry Entry = describe(What);
-  const spdlog::level::level_enum Level = toSpdlog(Entry.m_Level);
-  if (!m_Logger->should_log(Level))
-    return;
+void EventLog::writeLine(Event What, std::initializer_list<EventField> Fields) {
+  const EventLevel Level = levelOf(What);
   boost::json::object Line;
   Line["hlc"] = toString(m_Clock.now());
   Line["event"] = static_cast<std::uint16_t>(What);
-  Line["name"] = Entry.m_Name;
-  Line["level"] = toText(Entry.m_Level);
+  Line["name"] = nameOf(What);
+  Line["level"] = toText(Level);
   Line["process"] = m_Source.m_Process;
   Line["machine"] = m_Source.m_Machine;
   Line["zone"] = m_Source.m_AvailabilityZone;
   for (const EventField &Field : Fields)
     std::visit([&](const auto &Value) { Line[Field.m_Name] = Value; },
                Field.m_Value);
-  m_Logger->log(Level, "{}", boost::json::serialize(Line));
+  m_Logger->log(toSpdlog(Level), "{}", boost::json::serialize(Line));
+  if (m_Flusher)
+    m_Flusher->markDirty();
 }
 
 } // namespace mangocart
--- a/Source/Events/EventLog.h
+++ b/Source/Events/EventLog.h
@@ -5,6 +5,7 @@
 #ifndef MANGOCART_EVENTS_EVENTLOG_H
 #define MANGOCART_EVENTS_EVENTLOG_H
 
+#include "Events/EventCatalogue.h"
 #include "Events/HybridClock.h"
 
 #include <cstdint>
@@ -12,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <variant>
 
 namespace spdlog {
@@ -20,13 +22,7 @@
 
 namespace mangocart {
 
-enum class EventLevel { Debug, Info, Warn, Error };
-
-enum class Event : std::uint16_t {
-#define MANGOCART_EVENT(Number, Name, Level, Summary) Name = Number,
-#include "Events/Catalogue.def"
-#undef MANGOCART_EVENT
-};
+class LogFlusher;
 
 // One named value of an event. The texts are read during the call only.
 struct EventField {
@@ -60,23 +56,48 @@
   std::string m_AvailabilityZone;
 };
 
-// Safe to call from any thread.
+// Names of the fields that tools look for.
+struct EventFieldName {
+  // Id of the caller's request that the event belongs to.
+  static constexpr std::string_view Request = "request";
+};
+
+// Safe to call from any thread. Warnings and errors are flushed at once, the
+// rest within a second (LogFlusher::Interval); a process that is killed may
+// lose what it logged in that time.
 class EventLog {
 public:
-  // Lines go to the file, or to standard error when the path is empty.
-  EventLog(EventSource Source, const std::string &File);
+  // Lines go to the file, or to standard error when the path is empty. Events
+  // below the least level are dropped.
+  EventLog(EventSource Source, const std::string &File,
+           EventLevel LeastLevel = EventLevel::Info);
   ~EventLog();
   EventLog(const EventLog &) = delete;
   EventLog &operator=(const EventLog &) = delete;
 
-  void write(Event What, std::initializer_list<EventField> Fields = {});
+  // Whether the event would be written; guards fields that are costly to make.
+  bool enabled(Event What) const { return levelOf(What) >= m_LeastLevel; }
+
+  void write(Event What, std::initializer_list<EventField> Fields = {}) {
+    if (enabled(What))
+      writeLine(What, Fields);
+  }
+
+  // Writes out what is buffered.
+  void flush();
 
   HybridClock &clock() { return m_Clock; }
 
 private:
+  void writeLine(Event What, std::initializer_list<EventField> Fields);
+
   EventSource m_Source;
+  EventLevel m_LeastLevel;
   HybridClock m_Clock;
   std::shared_ptr<spdlog::logger> m_Logger;
+  // Absent on standard error, which isn't buffered. After m_Logger: its thread
+  // ends first.
+  std::unique_ptr<LogFlusher> m_Flusher;
 };
 
 } // namespace mangocart
