Agent: carries calls to the backend server, guards keys, announces, drains

The answer of a non-idempotent call is kept for the settler even when the entry that asked for it is gone; an idempotent call is cancelled with its stream.

--- /dev/null
+++ b/Source/Agent/AgentDaemon.h
@@ -0,0 +1,62 @@
+// The agent process: wires the calls, the announcements, the probe of the
+// backend server and the drain.
+#ifndef MANGOCART_AGENT_AGENTDAEMON_H
+#define MANGOCART_AGENT_AGENTDAEMON_H
+
+#include "Agent/AgentContext.h"
+#include "Agent/Announcer.h"
+#include "Agent/BackendProbe.h"
+#include "Agent/CallGuard.h"
+#include "Configuration/ConfigurationHolder.h"
+#include "Core/WorkerPool.h"
+#include "Daemon/ExitGate.h"
+#include "Events/EventLog.h"
+#include "Http/HttpServer.h"
+#include "Net/PeerStream.h"
+
+namespace mangocart {
+
+class AgentDaemon {
+public:
+  AgentDaemon(schema::AgentSettings Settings, std::uint64_t Incarnation);
+  ~AgentDaemon();
+
+  // Serves until a signal asks it to stop; returns the exit code.
+  int run();
+
+private:
+  bool listen();
+  AnnouncedLoad load() const;
+  void addMethods();
+  void answerAdmin(HttpExchange &Exchange) const;
+  std::string metricsPage() const;
+  void startLeaving();
+  void waitUntilIdle();
+  void stop();
+
+  const schema::AgentSettings m_Settings;
+  WorkerPool m_Workers;
+  EventLog m_Events;
+  ConfigurationHolder m_Configuration;
+  CallGuard m_Guard;
+  AgentCounters m_Counters;
+  BackendClients m_Clients;
+  AgentContext m_Context;
+  PeerClient m_Peers;
+  PeerServer m_Server;
+  HttpServer m_Admin;
+  std::shared_ptr<BackendProbe> m_Probe;
+  std::shared_ptr<Announcer> m_Announcer;
+  Timer m_DrainTimer;
+  TimePoint m_DrainStarted;
+  std::atomic<schema::Announcement::State> m_State{
+      schema::Announcement::SERVING};
+  ExitGate m_Exit;
+};
+
+// The whole program: command line, settings, daemon.
+int runAgent(int Argc, const char *const *Argv);
+
+} // namespace mangocart
+
+#endif
--- /dev/null
+++ b/Source/Agent/AgentProgram.cpp
@@ -0,0 +1,22 @@
+// Command line and settings of mangocart-agent.
+#include "Agent/AgentDaemon.h"
+#include "Daemon/DaemonCommandLine.h"
+#include "Daemon/SettingsOrExit.h"
+#include "Settings/SettingsReader.h"
+
+namespace mangocart {
+
+int runAgent(int Argc, const char *const *Argv) {
+  const DaemonCommandLine Line = parseDaemonCommandLine(
+      Argc, Argv, "announces a backend server and carries every call to it");
+  if (!Line.m_Arguments)
+    return Line.m_ExitCode;
+  auto Settings =
+      settingsOrReport(readAgentSettings, Line.m_Arguments->m_SettingsFile);
+  if (!Settings)
+    return ExitUsage;
+  AgentDaemon Daemon(std::move(*Settings), RuntimeClock::wallMilliseconds());
+  return Daemon.run();
+}
+
+} // namespace mangocart
--- a/Source/Agent/BackendProbe.cpp
+++ b/Source/Agent/BackendProbe.cpp
@@ -22,7 +22,8 @@
   const boost::json::value Parsed = boost::json::parse(Body, Error);
   if (Error || !Parsed.is_object())
     return 0;
-  const boost::json::value *Load = Parsed.as_object().if_contains("outstanding");
+  const boost::json::value *Load =
+      Parsed.as_object().if_contains("outstanding");
   if (!Load || !Load->is_number())
     return 0;
   return Load->to_number<double>();
@@ -89,9 +90,9 @@
   bool Changed = false;
   {
     const std::lock_guard Lock(m_Mutex);
-    const bool Available = Healthy || (m_Report.m_Available &&
-                                       m_FailuresInRow <
-                                           FailuresUntilUnavailable);
+    const bool Available =
+        Healthy ||
+        (m_Report.m_Available && m_FailuresInRow < FailuresUntilUnavailable);
     Changed = Available != m_Report.m_Available;
     m_Report.m_Available = Available;
     if (Healthy) {
--- /dev/null
+++ b/Source/Agent/CallGuard.h
@@ -0,0 +1,40 @@
+// The agent's guard behind a lock, translated from and to the schema.
+#ifndef MANGOCART_AGENT_CALLGUARD_H
+#define MANGOCART_AGENT_CALLGUARD_H
+
+#include "Peer.pb.h"
+#include "State/AgentGuard.h"
+
+#include <cstdint>
+#include <mutex>
+
+namespace mangocart {
+
+ClaimTicket toTicket(const schema::CallRequest &Request);
+ClaimTicket toTicket(const schema::RevokeRequest &Request);
+// The refusal that a verdict other than Start means to the entry.
+schema::CallRefusal toRefusal(BeginVerdict Verdict);
+
+// Safe to use from any thread. The mutex is a leaf of the lock order.
+class CallGuard {
+public:
+  CallGuard(std::uint64_t Incarnation, const GuardLimits &Limits);
+
+  // A call without a key is idempotent.
+  BeginVerdict begin(const schema::CallRequest &Request);
+  void finish(const schema::CallRequest &Request, FinishKind Kind,
+              std::string Answer);
+  schema::RevokeReply revoke(const schema::RevokeRequest &Request);
+  void raiseIncarnation(std::uint64_t Incarnation);
+  void startLeaving();
+  std::size_t outstanding() const;
+
+private:
+  mutable std::mutex m_Mutex;
+  // Guarded by m_Mutex.
+  AgentGuard m_Guard;
+};
+
+} // namespace mangocart
+
+#endif
--- /dev/null
+++ b/Source/Daemon/SettingsOrExit.h
@@ -0,0 +1,33 @@
+// Reads the settings of a daemon and reports what is wrong with them.
+#ifndef MANGOCART_DAEMON_SETTINGSOREXIT_H
+#define MANGOCART_DAEMON_SETTINGSOREXIT_H
+
+#include "Core/Result.h"
+#include "Settings/SettingsError.h"
+
+#include <iostream>
+#include <optional>
+#include <string>
+
+namespace mangocart {
+
+// Absent after all errors were printed; nothing should be started then.
+template <class Settings>
+std::optional<Settings>
+settingsOrReport(Result<Settings, SettingsErrors> (*Read)(const std::string &,
+                                                          SettingsWarnings &),
+                 const std::string &File) {
+  SettingsWarnings Warnings;
+  Result<Settings, SettingsErrors> Found = Read(File, Warnings);
+  for (const SettingsWarning &Warning : Warnings)
+    std::cerr << toText(Warning) << '\n';
+  if (Found)
+    return std::move(Found).value();
+  for (const SettingsError &Error : Found.error())
+    std::cerr << toText(Error) << '\n';
+  return std::nullopt;
+}
+
+} // namespace mangocart
+
+#endif
