--- a/Source/Daemon/SettingsOrExit.h
+++ b/Source/Daemon/SettingsOrExit.h
@@ -20,11 +20,10 @@
   SettingsWarnings Warnings;
   Result<Settings, SettingsErrors> Found = Read(File, Warnings);
   for (const SettingsWarning &Warning : Warnings)
-    std::cerr << toText(Warning) << '\n';
+    std::cerr << toString(Warning) << '\n';
   if (Found)
     return std::move(Found).value();
-  for (const SettingsError &Error : Found.error())
-    std::cerr << toText(Error) << '\n';
+  std::cerr << toString(Found.error());
   return std::nullopt;
 }
 
--- /dev/null
+++ b/Source/Entry/ClaimedRequest.cpp
@@ -0,0 +1,128 @@
+// From a caller's request to a settlement, and from its answer to HTTP.
+#include "Entry/ClaimedRequest.h"
+
+#include "Entry/CallRequests.h"
+#include "Entry/EntryContext.h"
+#include "Entry/OwnAnswer.h"
+#include "Entry/SettlementDriver.h"
+
+namespace mangocart {
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusConflict = 409;
+constexpr unsigned StatusUnprocessable = 422;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusGatewayTimeout = 504;
+// Keys are stored for as long as the outcome; this bounds each.
+constexpr std::size_t MaxKeyBytes = 255;
+
+OwnAnswer describe(AnswerReason Reason) {
+  switch (Reason) {
+  case AnswerReason::Answered:
+    return {StatusOk, "answer-not-kept",
+            "the request ran; its answer was not kept"};
+  case AnswerReason::DigestDiffers:
+    return {StatusUnprocessable, "key-reused",
+            "the idempotency key belongs to a request with other content; use "
+            "a new key"};
+  case AnswerReason::InProgress:
+    return {StatusConflict, "in-progress",
+            "a request with this idempotency key is in progress"};
+  case AnswerReason::NoQuorum:
+    return {StatusUnavailable, "no-quorum",
+            "no majority of the voters can be reached"};
+  case AnswerReason::LedgerFull:
+    return {StatusUnavailable, "ledger-full",
+            "no further non-idempotent request can be registered now"};
+  case AnswerReason::NoBackendServer:
+    return {StatusUnavailable, "no-backend-server",
+            "no backend server of the service can take the request now"};
+  case AnswerReason::DeadlinePassed:
+    return {StatusGatewayTimeout, "deadline-passed",
+            "the request was not answered within the route's deadline"};
+  case AnswerReason::InDoubt:
+    return {StatusGatewayTimeout, "in-doubt",
+            "it is not known whether the request ran; ask again with the same "
+            "idempotency key"};
+  }
+  return {};
+}
+
+HttpResponse fromStored(const std::string &Bytes,
+                        const std::string &RequestId) {
+  schema::StoredAnswer Stored;
+  Stored.ParseFromString(Bytes);
+  schema::CallHead Head;
+  Head.set_status(Stored.status());
+  *Head.mutable_headers() = Stored.headers();
+  HttpResponse Response;
+  Response.m_Head = toHttpHead(Head, RequestId);
+  Response.m_Body = std::move(*Stored.mutable_body());
+  return Response;
+}
+
+} // namespace
+
+HttpResponse toResponse(const AnswerCaller &Answer,
+                        const std::string &RequestId, const std::string &Key) {
+  HttpResponse Response;
+  if (Answer.m_Reason == AnswerReason::Answered && !Answer.m_Answer.empty()) {
+    Response = fromStored(Answer.m_Answer, RequestId);
+  } else {
+    OwnAnswer Own = describe(Answer.m_Reason);
+    Own.m_Outcome = Answer.m_Outcome;
+    if (Answer.m_RetryAfterMs > 0)
+      Own.m_RetryAfter = std::chrono::milliseconds(Answer.m_RetryAfterMs);
+    Response = toResponse(Own, RequestId);
+  }
+  Response.m_Head.m_Headers.push_back({std::string(IdempotencyKeyHeader), Key});
+  return Response;
+}
+
+void ClaimedRequest::start(EntryContext &Context,
+                           const std::shared_ptr<HttpExchange> &Exchange,
+                           const RouteMatch &Match,
+                           const std::string &RequestId) {
+  const HttpRequest &Request = Exchange->request();
+  const auto Given = findHeader(Request.m_Headers, IdempotencyKeyHeader);
+  if (Given && (Given->empty() || Given->size() > MaxKeyBytes)) {
+    ++Context.m_Counters.m_Refused;
+    return Exchange->respond(
+        toResponse(OwnAnswer{StatusBadRequest, "bad-key",
+                             "Idempotency-Key must have 1 to 255 bytes",
+                             schema::NOT_RUN, std::nullopt},
+                   RequestId));
+  }
+  SettlementRequest Settled;
+  Settled.m_Customer =
+      std::string(*findHeader(Request.m_Headers, CustomerHeader));
+  Settled.m_IdempotencyKey = Given ? std::string(*Given) : RequestId;
+  Settled.m_IsFreshKey = !Given;
+  Settled.m_Digest = digestOf(Request);
+  Settled.m_Entry = Context.m_Settings.name();
+  Settled.m_RequestId = RequestId;
+  Settled.m_Deadline = RuntimeClock::now() +
+                       std::chrono::milliseconds(Match.m_Route->deadline_ms());
+  SettlementCall Call;
+  Call.m_Service = Match.m_Service->name();
+  Call.m_Policy = Match.m_Service->routing_policy();
+  Call.m_MaxOutstanding = Match.m_Service->max_outstanding_per_backend_server();
+  Call.m_Request = toCallRequest(Request, RequestId, Call.m_Service);
+  const auto Driver = SettlementDriver::startRequest(
+      Context, Exchange->executor(), Settled, std::move(Call),
+      [&Counters = Context.m_Counters, Exchange, RequestId,
+       Key = Settled.m_IdempotencyKey](const AnswerCaller &Answer) {
+        const bool Answered = Answer.m_Reason == AnswerReason::Answered;
+        ++(Answered ? Counters.m_Answered : Counters.m_Refused);
+        Exchange->respond(toResponse(Answer, RequestId, Key));
+      });
+  Exchange->onClosed([Weak = std::weak_ptr<SettlementDriver>(Driver)] {
+    if (const auto Alive = Weak.lock())
+      Alive->callerGone();
+  });
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Entry/ClaimedRequest.h
@@ -0,0 +1,31 @@
+// A non-idempotent request on its way: it is claimed in the replicated log
+// before it is sent, and settled there afterwards.
+#ifndef MANGOCART_ENTRY_CLAIMEDREQUEST_H
+#define MANGOCART_ENTRY_CLAIMEDREQUEST_H
+
+#include "Entry/RouteTable.h"
+#include "Http/HttpServer.h"
+#include "State/Settlement.h"
+
+#include <memory>
+#include <string>
+
+namespace mangocart {
+
+struct EntryContext;
+
+class ClaimedRequest {
+public:
+  static void start(EntryContext &Context,
+                    const std::shared_ptr<HttpExchange> &Exchange,
+                    const RouteMatch &Match, const std::string &RequestId);
+};
+
+// What the caller is told for each way in which a settlement answers. Key is
+// the request's idempotency key.
+HttpResponse toResponse(const AnswerCaller &Answer,
+                        const std::string &RequestId, const std::string &Key);
+
+} // namespace mangocart
+
+#endif
--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -12,9 +12,9 @@
 
 namespace mangocart {
 
-class BackendDirectory;
 class ConfigurationHolder;
 class EventLog;
+class MembershipDirectory;
 class PeerClient;
 class ReplicatedLog;
 class WorkerPool;
@@ -35,7 +35,7 @@
   EventLog &m_Events;
   PeerClient &m_Peers;
   ConfigurationHolder &m_Configuration;
-  BackendDirectory &m_Directory;
+  MembershipDirectory &m_Directory;
   ReplicatedLog &m_Log;
   EntryCounters &m_Counters;
 };
--- a/Source/Entry/ForwardedRequest.cpp
+++ b/Source/Entry/ForwardedRequest.cpp
@@ -4,6 +4,7 @@
 #include "Core/WorkerPool.h"
 #include "Entry/CallRequests.h"
 #include "Entry/EntryContext.h"
+#include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
 
 #include <algorithm>
