--- a/Source/State/Ledger.cpp
+++ b/Source/State/Ledger.cpp
@@ -78,6 +78,7 @@
   Reply.set_attempt(Open.m_Attempt);
   Reply.set_claim_number(Open.m_ClaimNumber);
   Reply.set_claimed_ms(Open.m_ClaimedMs);
+  Reply.set_deadline_ms(Open.m_DeadlineMs);
 }
 
 bool hasRoom(const Ledger &Book, std::size_t Bytes) {
