Standin: model engine and booking service with faults that are set over HTTP

Tokens depend on the prompt and the index only, so that any replica can resume a stream and a caller can tell its own answer from another's.

--- /dev/null
+++ b/Source/Standin/DraftTokens.cpp
@@ -0,0 +1,22 @@
+// Tokens by hash.
+#include "Standin/DraftTokens.h"
+
+#include "Core/Hash.h"
+
+#include <fmt/format.h>
+
+namespace mangocart {
+
+namespace {
+constexpr std::uint64_t TokenValues = 100000;
+} // namespace
+
+std::string draftToken(std::string_view Prompt, std::uint64_t Index) {
+  return fmt::format("t{}", hash64(Prompt, Index) % TokenValues);
+}
+
+std::string checksumText(std::string_view Body) {
+  return fmt::format("{:016x}", hash64(Body));
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Standin/StandinOptions.cpp
@@ -0,0 +1,84 @@
+// The stand-in's command line by TCLAP.
+#include "Standin/StandinOptions.h"
+
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+
+namespace mangocart {
+
+namespace {
+
+constexpr int UsageError = 2;
+constexpr std::uint64_t MaxPort = 65535;
+
+using Number = TCLAP::ValueArg<std::uint64_t>;
+using Text = TCLAP::ValueArg<std::string>;
+
+StandinOptions parse(int ArgumentCount, const char *const *Arguments) {
+  const StandinOptions Defaults;
+  TCLAP::CmdLine Line("Plays a model engine or a plain booking service, with "
+                      "faults that can be switched on over HTTP. "
+                      "See docs/STANDIN.md.",
+                      ' ', MANGOCART_VERSION);
+  Line.setExceptionHandling(false);
+  std::vector<std::string> Kinds{"engine", "plain"};
+  TCLAP::ValuesConstraint<std::string> KindNames(Kinds);
+  Text Address("", "address", "IP number to listen on", false,
+               Defaults.m_Address, "IP", Line);
+  Number Port("", "port", "TCP port to listen on, 0 for any free one", false,
+              Defaults.m_Port, "0..65535", Line);
+  Text Kind("", "kind", "what to play", false, "engine", &KindNames, Line);
+  Text Name("", "name", "name in answers", false, Defaults.m_Name, "NAME",
+            Line);
+  Number Seed("", "seed", "seed of random choices", false, Defaults.m_Seed, "N",
+              Line);
+  Number Service("", "service-time-ms",
+                 "time until the first token, or of one booking", false, 0,
+                 "MS", Line);
+  Number Interval("", "token-interval-ms", "time between tokens", false, 0,
+                  "MS", Line);
+  Number Slots("", "slots", "requests worked on at once; more wait", false,
+               Defaults.m_Slots, "N", Line);
+  Number Lag("", "load-lag-ms", "how old the figures of GET /load may be",
+             false, 200, "MS", Line);
+  Text RunLog("", "log", "file to which each run of a booking is appended",
+              false, "", "FILE", Line);
+  Line.parse(ArgumentCount, Arguments);
+  if (Port.getValue() > MaxPort)
+    throw TCLAP::CmdLineParseException("expected at most 65535", "--port");
+  if (Slots.getValue() == 0)
+    throw TCLAP::CmdLineParseException("expected at least 1", "--slots");
+
+  using std::chrono::milliseconds;
+  StandinOptions Options;
+  Options.m_Address = Address.getValue();
+  Options.m_Port = static_cast<std::uint16_t>(Port.getValue());
+  Options.m_Kind =
+      Kind.getValue() == "plain" ? StandinKind::Plain : StandinKind::Engine;
+  Options.m_Name = Name.getValue();
+  Options.m_Seed = Seed.getValue();
+  Options.m_ServiceTime = milliseconds(Service.getValue());
+  Options.m_TokenInterval = milliseconds(Interval.getValue());
+  Options.m_Slots = Slots.getValue();
+  Options.m_LoadLag = milliseconds(Lag.getValue());
+  Options.m_RunLog = RunLog.getValue();
+  return Options;
+}
+
+} // namespace
+
+std::variant<StandinOptions, ExitStatus>
+parseStandinOptions(int ArgumentCount, const char *const *Arguments) {
+  try {
+    return parse(ArgumentCount, Arguments);
+  } catch (const TCLAP::ArgException &Error) {
+    std::cerr << "mangocart-standin: " << Error.argId() << ": " << Error.error()
+              << " (see --help)\n";
+    return ExitStatus{UsageError};
+  } catch (const TCLAP::ExitException &Exit) {
+    return ExitStatus{Exit.getExitStatus()};
+  }
+}
+
+} // namespace mangocart
