--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -2,6 +2,7 @@
 #include "Agent/AgentDaemon.h"
 
 #include "Agent/CallCarrier.h"
+#include "Daemon/DaemonCommandLine.h"
 #include "Daemon/StopSignals.h"
 #include "Net/UnaryMethod.h"
 
@@ -14,10 +15,7 @@
 
 constexpr const char *CallMethod = "/agent/call";
 constexpr const char *RevokeMethod = "/agent/revoke";
-constexpr Duration DrainLookInterval = std::chrono::milliseconds(50);
-// Entries learn of the leaving from the next announcement; calls that they sent
-// before are refused with proof, so this is only to spare them a try.
-constexpr Duration MinimumDrain = std::chrono::milliseconds(1500);
+constexpr const char *DrainMethod = "/agent/drain";
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
@@ -42,7 +40,15 @@
               [this](const std::shared_ptr<HttpExchange> &Exchange) {
                 answerAdmin(*Exchange);
               }),
-      m_DrainTimer(m_Workers.worker(0)) {
+      m_Drain(
+          m_Workers.worker(0),
+          [this] {
+            DrainLimits Limits;
+            Limits.m_Maximum =
+                std::chrono::milliseconds(m_Settings.drain_max_ms());
+            return Limits;
+          }(),
+          drainActions()) {
   m_Announcer = std::make_shared<Announcer>(
       m_Settings, m_Workers, m_Peers, m_Configuration, Incarnation,
       [this] { return load(); },
@@ -56,10 +62,10 @@
 int AgentDaemon::run() {
   addMethods();
   if (!listen())
-    return 1;
+    return ExitFailed;
   StopSignals Signals(
-      m_Workers.worker(0), [this] { startLeaving(); },
-      [this] { m_Exit.open(1); });
+      m_Workers.worker(0), [this] { m_Drain.request(); },
+      [this] { m_Exit.open(ExitFailed); });
   m_Probe->start();
   m_Announcer->start();
   m_Workers.start();
@@ -95,6 +101,11 @@
       m_Server, RevokeMethod, [this](const schema::RevokeRequest &Request) {
         return m_Guard.revoke(Request);
       });
+  addUnaryMethod<schema::DrainRequest>(m_Server, DrainMethod,
+                                       [this](const schema::DrainRequest &) {
+                                         m_Drain.request();
+                                         return schema::DrainReply();
+                                       });
 }
 
 AnnouncedLoad AgentDaemon::load() const {
@@ -150,40 +161,26 @@
                      Traffic.m_BytesReceived);
 }
 
-void AgentDaemon::startLeaving() {
-  m_Events.write(Event::ProcessStopping,
-                 {{"outstanding", m_Guard.outstanding()}});
-  m_State = schema::Announcement::LEAVING;
-  m_Guard.startLeaving();
-  m_Announcer->announceNow();
-  m_DrainStarted = RuntimeClock::now();
-  waitUntilIdle();
-}
-
-void AgentDaemon::waitUntilIdle() {
-  m_DrainTimer.expires_after(DrainLookInterval);
-  m_DrainTimer.async_wait([this](boost::system::error_code Error) {
-    if (Error)
-      return;
-    const Duration Spent = RuntimeClock::now() - m_DrainStarted;
-    const bool Idle = m_Guard.outstanding() == 0 && Spent >= MinimumDrain;
-    const Duration Longest =
-        std::chrono::milliseconds(m_Settings.drain_max_ms());
-    if (Idle || Spent >= Longest)
-      return stop();
-    waitUntilIdle();
-  });
-}
-
-void AgentDaemon::stop() {
-  const bool Clean = m_Guard.outstanding() == 0;
-  m_State = schema::Announcement::LEFT;
-  m_Announcer->announceNow();
-  // Time for the last announcement and the last answers to leave the sockets.
-  constexpr Duration LastWords = std::chrono::milliseconds(200);
-  m_DrainTimer.expires_after(LastWords);
-  m_DrainTimer.async_wait(
-      [this, Clean](boost::system::error_code) { m_Exit.open(Clean ? 0 : 1); });
+DrainActions AgentDaemon::drainActions() {
+  DrainActions Actions;
+  Actions.m_Outstanding = [this] { return m_Guard.outstanding(); };
+  Actions.m_AnnounceLeaving = [this] {
+    m_Events.write(Event::ProcessStopping,
+                   {{"outstanding", m_Guard.outstanding()}});
+    m_State = schema::Announcement::LEAVING;
+    m_Guard.startLeaving();
+    m_Announcer->announceNow();
+  };
+  // Entries that have not heard yet are refused with proof, not disconnected.
+  Actions.m_CloseListener = [] {};
+  Actions.m_AnnounceLeft = [this] {
+    m_State = schema::Announcement::LEFT;
+    m_Announcer->announceNow();
+  };
+  Actions.m_Exit = [this](std::size_t CutOff) {
+    m_Exit.open(CutOff == 0 ? ExitOk : ExitFailed);
+  };
+  return Actions;
 }
 
 } // namespace mangocart
--- a/Source/Agent/AgentDaemon.h
+++ b/Source/Agent/AgentDaemon.h
@@ -9,6 +9,7 @@
 #include "Agent/CallGuard.h"
 #include "Configuration/ConfigurationHolder.h"
 #include "Core/WorkerPool.h"
+#include "Daemon/DrainController.h"
 #include "Daemon/ExitGate.h"
 #include "Events/EventLog.h"
 #include "Http/HttpServer.h"
@@ -30,9 +31,7 @@
   void addMethods();
   void answerAdmin(HttpExchange &Exchange) const;
   std::string metricsPage() const;
-  void startLeaving();
-  void waitUntilIdle();
-  void stop();
+  DrainActions drainActions();
 
   const schema::AgentSettings m_Settings;
   WorkerPool m_Workers;
@@ -47,10 +46,9 @@
   HttpServer m_Admin;
   std::shared_ptr<BackendProbe> m_Probe;
   std::shared_ptr<Announcer> m_Announcer;
-  Timer m_DrainTimer;
-  TimePoint m_DrainStarted;
   std::atomic<schema::Announcement::State> m_State{
       schema::Announcement::SERVING};
+  DrainController m_Drain;
   ExitGate m_Exit;
 };
 
--- /dev/null
+++ b/Source/Entry/AdminFront.cpp
@@ -0,0 +1,173 @@
+// Pages of the administration API.
+#include "Entry/AdminFront.h"
+
+#include "Configuration/ConfigurationHolder.h"
+#include "Entry/EntryContext.h"
+#include "Entry/MembershipDirectory.h"
+#include "Events/EventLog.h"
+#include "Http/BearerToken.h"
+#include "Planning/AdminMessages.h"
+#include "Raft/ReplicatedLog.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace mangocart {
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusAccepted = 202;
+constexpr unsigned StatusUnauthorized = 401;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusMethodNotAllowed = 405;
+constexpr unsigned StatusUnavailable = 503;
+constexpr Duration AcceptTimeout = std::chrono::seconds(5);
+constexpr Duration DrainTimeout = std::chrono::seconds(2);
+constexpr std::chrono::seconds RetryAfterNoQuorum{1};
+
+HttpResponse textResponse(unsigned Status, std::string Text) {
+  HttpResponse Response;
+  Response.m_Head.m_Status = Status;
+  Response.m_Head.m_Headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+  Response.m_Body = std::move(Text);
+  return Response;
+}
+
+std::string_view pathOf(const HttpRequest &Request) {
+  const std::string_view Target = Request.m_Target;
+  return Target.substr(0, Target.find('?'));
+}
+
+} // namespace
+
+struct AdminFront::Page {
+  std::string_view m_Method;
+  std::string_view m_Path;
+  bool m_ChangesState;
+  Answer m_Answer;
+};
+
+AdminFront::AdminFront(EntryContext &Context, AdminSources Sources)
+    : m_Context(Context), m_Sources(std::move(Sources)) {}
+
+void AdminFront::handle(const std::shared_ptr<HttpExchange> &Exchange) {
+  static constexpr std::array<Page, 7> Pages = {
+      {{"GET", "/health", false, &AdminFront::health},
+       {"GET", "/metrics", false, &AdminFront::metrics},
+       {"GET", "/v1/status", false, &AdminFront::status},
+       {"GET", "/v1/configuration", false, &AdminFront::configuration},
+       {"POST", "/v1/plan", false, &AdminFront::plan},
+       {"POST", "/v1/accept", true, &AdminFront::accept},
+       {"POST", "/v1/drain", true, &AdminFront::drain}}};
+  const HttpRequest &Request = Exchange->request();
+  const auto Found =
+      std::find_if(Pages.begin(), Pages.end(), [&](const Page &Each) {
+        return Each.m_Path == pathOf(Request);
+      });
+  if (Found == Pages.end())
+    return Exchange->respond(errorResponse(StatusNotFound, "no such page"));
+  if (Found->m_Method != Request.m_Method)
+    return Exchange->respond(
+        errorResponse(StatusMethodNotAllowed, "the page takes another method"));
+  if (Found->m_ChangesState && !allowed(Request)) {
+    m_Context.m_Events.write(
+        Event::AdminRefused,
+        {{"path", Request.m_Target}, {"address", Request.m_RemoteAddress}});
+    return Exchange->respond(errorResponse(
+        StatusUnauthorized, "a valid bearer token is needed: see the setting "
+                            "admin_token_file"));
+  }
+  (this->*Found->m_Answer)(Exchange);
+}
+
+bool AdminFront::allowed(const HttpRequest &Request) const {
+  const auto Given = findHeader(Request.m_Headers, "Authorization");
+  return Given && tokenMatches(bearerToken(*Given), m_Sources.m_Token);
+}
+
+void AdminFront::health(const std::shared_ptr<HttpExchange> &Exchange) {
+  const bool Serving = m_Sources.m_Serving();
+  Exchange->respond(textResponse(Serving ? StatusOk : StatusUnavailable,
+                                 Serving ? "serving\n" : "not serving\n"));
+}
+
+void AdminFront::metrics(const std::shared_ptr<HttpExchange> &Exchange) {
+  Exchange->respond(textResponse(StatusOk, m_Sources.m_Metrics()));
+}
+
+void AdminFront::status(const std::shared_ptr<HttpExchange> &Exchange) {
+  Exchange->respond(jsonResponse(StatusOk, m_Sources.m_Status()));
+}
+
+void AdminFront::configuration(const std::shared_ptr<HttpExchange> &Exchange) {
+  Exchange->respond(
+      configurationResponse(*m_Context.m_Configuration.current()));
+}
+
+void AdminFront::plan(const std::shared_ptr<HttpExchange> &Exchange) {
+  Exchange->respond(planResponse(Exchange->request().m_Body,
+                                 *m_Context.m_Configuration.current()));
+}
+
+void AdminFront::accept(const std::shared_ptr<HttpExchange> &Exchange) {
+  auto Parsed = parseAccept(Exchange->request().m_Body);
+  if (!Parsed)
+    return Exchange->respond(Parsed.error());
+  schema::Command Command;
+  *Command.mutable_accept() = std::move(Parsed).value();
+  m_Context.m_Log.propose(
+      std::move(Command), AcceptTimeout,
+      [Exchange](const Result<schema::CommandReply, ProposeError> &Reply) {
+        HttpResponse Response =
+            Reply ? acceptResponse(Reply.value().accept())
+                  : unavailableResponse(Reply.error().m_Detail,
+                                        RetryAfterNoQuorum);
+        boost::asio::post(Exchange->executor(),
+                          [Exchange, Response = std::move(Response)]() mutable {
+                            Exchange->respond(std::move(Response));
+                          });
+      });
+}
+
+void AdminFront::drain(const std::shared_ptr<HttpExchange> &Exchange) {
+  const auto Process = parseDrain(Exchange->request().m_Body);
+  if (!Process)
+    return Exchange->respond(Process.error());
+  if (Process.value() != m_Context.m_Settings.name())
+    return drainOther(Exchange, Process.value());
+  m_Sources.m_DrainSelf();
+  Exchange->respond(jsonResponse(StatusAccepted, R"({"draining":true})"));
+}
+
+void AdminFront::drainOther(const std::shared_ptr<HttpExchange> &Exchange,
+                            const std::string &Process) {
+  PeerEndpoint To;
+  std::string Method = "/entry/drain";
+  for (const schema::PeerAddress &Entry : m_Context.m_Settings.entries())
+    if (Entry.name() == Process)
+      To = {Entry.address(), static_cast<std::uint16_t>(Entry.peer_port())};
+  if (const auto Agent = m_Context.m_Directory.locate(Process)) {
+    To = Agent->m_Agent;
+    Method = "/agent/drain";
+  }
+  if (To.m_Port == 0)
+    return Exchange->respond(
+        errorResponse(StatusNotFound, "no process of that name is known"));
+  m_Context.m_Peers.call(
+      To, Method, schema::DrainRequest().SerializeAsString(), DrainTimeout,
+      [Exchange](const Result<std::string, PeerError> &Reply) {
+        HttpResponse Response =
+            Reply ? jsonResponse(StatusAccepted, R"({"draining":true})")
+                  : unavailableResponse(Reply.error().m_Detail,
+                                        RetryAfterNoQuorum);
+        boost::asio::post(Exchange->executor(),
+                          [Exchange, Response = std::move(Response)]() mutable {
+                            Exchange->respond(std::move(Response));
+                          });
+      });
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Entry/EntryDaemon.cpp
@@ -0,0 +1,213 @@
+// Start, service and drain of an entry.
+#include "Entry/EntryDaemon.h"
+
+#include "Daemon/DaemonCommandLine.h"
+#include "Daemon/StopSignals.h"
+#include "Entry/SoleLog.h"
+#include "Entry/StatusPage.h"
+#include "Net/UnaryMethod.h"
+
+#include <fmt/format.h>
+
+namespace mangocart {
+
+namespace {
+
+HttpLimits callerLimits(const schema::EntrySettings &Settings) {
+  HttpLimits Limits;
+  Limits.m_MaxConnections = Settings.max_connections();
+  Limits.m_MaxHeaderBytes = Settings.max_header_bytes();
+  Limits.m_MaxBodyBytes = Settings.max_body_bytes();
+  Limits.m_ReadTimeout =
+      std::chrono::milliseconds(Settings.request_read_timeout_ms());
+  return Limits;
+}
+
+DrainLimits drainLimits(const schema::EntrySettings &Settings) {
+  DrainLimits Limits;
+  Limits.m_KeepListening =
+      std::chrono::milliseconds(Settings.drain_accept_ms());
+  Limits.m_Maximum = std::chrono::milliseconds(Settings.drain_max_ms());
+  return Limits;
+}
+
+} // namespace
+
+EntryDaemon::EntryDaemon(schema::EntrySettings Settings,
+                         std::uint64_t Incarnation, std::string AdminToken)
+    : m_Settings(std::move(Settings)), m_Workers(m_Settings.workers()),
+      m_Events({"entry", m_Settings.name(), m_Settings.availability_zone()},
+               m_Settings.log_file()),
+      m_Directory(m_Events, Incarnation), m_Peers(m_Workers),
+      m_Server(m_Workers), m_Log(std::make_unique<SoleLog>(
+                               m_Settings, m_Peers, m_Server, m_Machine)),
+      m_Context{m_Settings,      m_Workers,   m_Events, m_Peers,
+                m_Configuration, m_Directory, *m_Log,   m_Counters},
+      m_Callers(m_Context, Incarnation),
+      m_Admin(m_Context, adminSources(std::move(AdminToken))),
+      m_CallerServer(m_Workers, callerLimits(m_Settings),
+                     [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                       m_Callers.handle(Exchange);
+                     }),
+      m_AdminServer(m_Workers, HttpLimits{},
+                    [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                      m_Admin.handle(Exchange);
+                    }),
+      m_Gossip(std::make_shared<GossipService>(m_Settings, m_Workers, m_Peers,
+                                               m_Configuration, m_Directory,
+                                               Incarnation)),
+      m_Drain(m_Workers.worker(0), drainLimits(m_Settings), drainActions()) {
+  m_Machine.onConfiguration([this](const schema::Configuration &Applied) {
+    m_Configuration.offer(Applied);
+  });
+  m_Configuration.onChange([this](const ConfigurationPtr &InForce) {
+    configurationChanged(*InForce);
+  });
+}
+
+EntryDaemon::~EntryDaemon() { m_Workers.stop(); }
+
+int EntryDaemon::run() {
+  addMethods();
+  if (!listen())
+    return ExitFailed;
+  StopSignals Signals(
+      m_Workers.worker(0), [this] { m_Drain.request(); },
+      [this] { m_Exit.open(ExitFailed); });
+  m_Gossip->start();
+  m_Workers.start();
+  m_Events.write(Event::ProcessStarted,
+                 {{"address", m_Settings.address()},
+                  {"caller_port", m_Settings.caller_port()},
+                  {"admin_port", m_Settings.admin_port()},
+                  {"peer_port", m_Settings.peer_port()}});
+  const int ExitCode = m_Exit.wait();
+  m_Events.write(Event::ProcessStopped, {{"exit_code", ExitCode}});
+  m_Workers.stop();
+  return ExitCode;
+}
+
+bool EntryDaemon::listen() {
+  const auto Report = [this](const std::string &Detail) {
+    m_Events.write(Event::ListenFailed, {{"detail", Detail}});
+    return false;
+  };
+  const std::string &Address = m_Settings.address();
+  const auto Port = [](std::uint32_t Number) {
+    return static_cast<std::uint16_t>(Number);
+  };
+  if (const auto Peers = m_Server.listen(Address, Port(m_Settings.peer_port()));
+      !Peers)
+    return Report(Peers.error().m_Detail);
+  if (const auto Admin =
+          m_AdminServer.listen(Address, Port(m_Settings.admin_port()));
+      !Admin)
+    return Report(Admin.error().m_Detail);
+  if (const auto Callers =
+          m_CallerServer.listen(Address, Port(m_Settings.caller_port()));
+      !Callers)
+    return Report(Callers.error().m_Detail);
+  return true;
+}
+
+void EntryDaemon::addMethods() {
+  addUnaryMethod<schema::Announcement>(
+      m_Server, "/entry/announce", [this](const schema::Announcement &Message) {
+        return announced(Message);
+      });
+  addUnaryMethod<schema::GossipMessage>(
+      m_Server, "/entry/gossip", [this](const schema::GossipMessage &Message) {
+        return m_Gossip->receive(Message);
+      });
+  addUnaryMethod<schema::DrainRequest>(m_Server, "/entry/drain",
+                                       [this](const schema::DrainRequest &) {
+                                         m_Drain.request();
+                                         return schema::DrainReply();
+                                       });
+}
+
+void EntryDaemon::configurationChanged(
+    const schema::Configuration &Configuration) {
+  m_Events.write(Event::ConfigurationInForce,
+                 {{"version", Configuration.version()}});
+  m_Gossip->spreadConfiguration();
+}
+
+schema::AnnounceReply
+EntryDaemon::announced(const schema::Announcement &Message) {
+  schema::AnnounceReply Reply;
+  Reply.set_known_incarnation(m_Directory.announced(Message));
+  Reply.set_fencing_number(m_Machine.lastFencingNumber());
+  const ConfigurationPtr InForce = m_Configuration.current();
+  if (InForce->version() > Message.configuration_version())
+    *Reply.mutable_configuration() = *InForce;
+  return Reply;
+}
+
+AdminSources EntryDaemon::adminSources(std::string Token) {
+  AdminSources Sources;
+  Sources.m_Serving = [this] {
+    return !m_Leaving && m_Configuration.version() > 0;
+  };
+  Sources.m_Status = [this] { return statusPage(); };
+  Sources.m_Metrics = [this] { return metricsPage(); };
+  Sources.m_DrainSelf = [this] { m_Drain.request(); };
+  Sources.m_Token = std::move(Token);
+  return Sources;
+}
+
+DrainActions EntryDaemon::drainActions() {
+  DrainActions Actions;
+  Actions.m_Outstanding = [this] { return m_CallerServer.exchangeCount(); };
+  Actions.m_AnnounceLeaving = [this] {
+    m_Events.write(Event::ProcessStopping,
+                   {{"outstanding", m_CallerServer.exchangeCount()}});
+    m_Leaving = true;
+    m_Callers.startLeaving();
+  };
+  Actions.m_CloseListener = [this] { m_CallerServer.closeListener(); };
+  Actions.m_AnnounceLeft = [] {};
+  Actions.m_Exit = [this](std::size_t CutOff) {
+    m_Exit.open(CutOff == 0 ? ExitOk : ExitFailed);
+  };
+  return Actions;
+}
+
+std::string EntryDaemon::statusPage() const {
+  StatusView Status;
+  Status.m_Entry = m_Settings.name();
+  Status.m_ConfigurationVersion = m_Configuration.version();
+  Status.m_Versions = m_Gossip->versions();
+  Status.m_Members = m_Directory.members();
+  Status.m_Log.m_Leader = m_Log->leader();
+  Status.m_Log.m_LedgerRecords = m_Machine.ledgerRecords();
+  Status.m_Log.m_LedgerBytes = m_Machine.ledgerBytes();
+  return toJson(Status);
+}
+
+std::string EntryDaemon::metricsPage() const {
+  const PeerClient::Traffic Traffic = m_Peers.traffic();
+  std::string Page;
+  const auto Add = [&](std::string_view Name, std::string_view Type,
+                       std::uint64_t Value) {
+    Page += fmt::format("# TYPE {0} {1}\n{0} {2}\n", Name, Type, Value);
+  };
+  Add("mangocart_requests_total", "counter", m_Counters.m_Requests);
+  Add("mangocart_answered_total", "counter", m_Counters.m_Answered);
+  Add("mangocart_refused_total", "counter", m_Counters.m_Refused);
+  Add("mangocart_broken_total", "counter", m_Counters.m_Broken);
+  Add("mangocart_attempts_total", "counter", m_Counters.m_Attempts);
+  Add("mangocart_hung_up_total", "counter", m_Counters.m_HungUp);
+  Add("mangocart_in_flight", "gauge", m_CallerServer.exchangeCount());
+  Add("mangocart_caller_connections", "gauge",
+      m_CallerServer.connectionCount());
+  Add("mangocart_configuration_version", "gauge", m_Configuration.version());
+  Add("mangocart_ledger_records", "gauge", m_Machine.ledgerRecords());
+  Add("mangocart_ledger_bytes", "gauge", m_Machine.ledgerBytes());
+  Add("mangocart_peer_bytes_sent_total", "counter", Traffic.m_BytesSent);
+  Add("mangocart_peer_bytes_received_total", "counter",
+      Traffic.m_BytesReceived);
+  return Page;
+}
+
+} // namespace mangocart
