--- /dev/null
+++ b/Source/Programs/mangocart-load.cpp
@@ -0,0 +1,6 @@
+// Main of mangocart-load; the work is in Source/Load.
+#include "Load/LoadProgram.h"
+
+int main(int ArgumentCount, char **Arguments) {
+  return mangocart::runLoadProgram(ArgumentCount, Arguments);
+}
--- a/Source/Standin/DraftStream.cpp
+++ b/Source/Standin/DraftStream.cpp
@@ -100,7 +100,7 @@
 }
 
 void DraftStream::end() {
-  if (!sendPiece(event("[DONE]")))
+  if (!sendPiece(event(DraftDoneData)))
     return;
   ++shared().m_Counts.m_Completed;
   exchange().finishStream();
@@ -118,8 +118,7 @@
 }
 
 std::string DraftStream::tokenEvent(std::uint64_t Index) const {
-  return event(fmt::format(R"({{"index":{},"token":"{}"}})", Index,
-                           draftToken(m_Request.m_Prompt, Index)));
+  return event(draftTokenData(m_Request.m_Prompt, Index));
 }
 
 } // namespace mangocart
--- a/Source/Standin/DraftTokens.cpp
+++ b/Source/Standin/DraftTokens.cpp
@@ -15,6 +15,11 @@
   return fmt::format("t{}", hash64(Prompt, Index) % TokenValues);
 }
 
+std::string draftTokenData(std::string_view Prompt, std::uint64_t Index) {
+  return fmt::format(R"({{"index":{},"token":"{}"}})", Index,
+                     draftToken(Prompt, Index));
+}
+
 std::string checksumText(std::string_view Body) {
   return fmt::format("{:016x}", hash64(Body));
 }
--- a/Source/Standin/DraftTokens.h
+++ b/Source/Standin/DraftTokens.h
@@ -12,6 +12,11 @@
 
 std::string draftToken(std::string_view Prompt, std::uint64_t Index);
 
+// The data of the event that carries a token.
+std::string draftTokenData(std::string_view Prompt, std::uint64_t Index);
+// The data of the event that ends a draft.
+inline constexpr std::string_view DraftDoneData = "[DONE]";
+
 // Checksum of a body as 16 hexadecimal digits.
 std::string checksumText(std::string_view Body);
 
