--- /dev/null
+++ b/Source/Routing/ReplicaChoice.cpp
@@ -0,0 +1,172 @@
+// The routing policies.
+#include "Routing/ReplicaChoice.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+namespace mangocart {
+
+namespace {
+
+constexpr std::array<std::pair<RoutingPolicy, std::string_view>, 4> PolicyNames{
+    {{RoutingPolicy::Score, "score"},
+     {RoutingPolicy::RoundRobin, "round-robin"},
+     {RoutingPolicy::LeastOutstanding, "least-outstanding"},
+     {RoutingPolicy::Random, "random"}}};
+
+using Indices = std::vector<std::size_t>;
+
+// Keeps the indices for which the test holds, unless none would be left.
+template <class Test> void prefer(Indices &Usable, Test &&Holds) {
+  Indices Kept;
+  Kept.reserve(Usable.size());
+  std::copy_if(Usable.begin(), Usable.end(), std::back_inserter(Kept), Holds);
+  if (!Kept.empty())
+    Usable = std::move(Kept);
+}
+
+Indices usable(std::span<const ReplicaCandidate> Candidates,
+               const RoutedRequest &Request) {
+  Indices Usable(Candidates.size());
+  for (std::size_t Index = 0; Index < Usable.size(); ++Index)
+    Usable[Index] = Index;
+  prefer(Usable, [&](std::size_t Index) {
+    return !Candidates[Index].m_Ejected && !Candidates[Index].m_Suspect;
+  });
+  if (Request.m_AvoidBackendServer)
+    prefer(Usable, [&](std::size_t Index) {
+      return Candidates[Index].m_BackendServer != *Request.m_AvoidBackendServer;
+    });
+  if (Request.m_AvoidZone)
+    prefer(Usable, [&](std::size_t Index) {
+      return Candidates[Index].m_AvailabilityZone != *Request.m_AvoidZone;
+    });
+  return Usable;
+}
+
+// Finalizer of splitmix64: mixes prefix and server into one weight.
+std::uint64_t rendezvousWeight(std::uint64_t Prefix, std::uint64_t Server) {
+  std::uint64_t Mixed = Prefix ^ (Server * 0x9e3779b97f4a7c15ULL);
+  Mixed = (Mixed ^ (Mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  Mixed = (Mixed ^ (Mixed >> 27)) * 0x94d049bb133111ebULL;
+  return Mixed ^ (Mixed >> 31);
+}
+
+// Expected work until the request is done, in generated tokens; the lowest
+// wins.
+double score(const ReplicaCandidate &Candidate, const RoutedRequest &Request,
+             const ReplicaChoiceOptions &Options, bool Home) {
+  double Cached = static_cast<double>(Candidate.m_CachedTokens);
+  const auto Prefix = static_cast<double>(Request.m_PrefixTokens);
+  if (Home)
+    Cached = std::max(Cached, Options.m_HomeCacheShare * Prefix);
+  double Cost = expectedLoad(Candidate, Options);
+  Cost += static_cast<double>(Request.m_EstimatedTokens);
+  Cost -= Options.m_CachedTokenWeight * std::min(Cached, Prefix);
+  if (Candidate.m_AvailabilityZone != Request.m_AvailabilityZone)
+    Cost += Options.m_OtherZoneTokens;
+  return Cost / std::max(Candidate.m_Share, 0.01);
+}
+
+std::size_t chooseByScore(std::span<const ReplicaCandidate> Candidates,
+                          const Indices &Usable, const RoutedRequest &Request,
+                          const ReplicaChoiceOptions &Options,
+                          Random &Generator) {
+  std::optional<std::size_t> Home;
+  if (Request.m_PrefixHash != 0)
+    Home = affinityReplica(Candidates, Usable, Request, Options);
+  std::optional<std::size_t> Best = Home;
+  double BestScore =
+      Home ? score(Candidates[*Home], Request, Options, true) : 0.0;
+  for (std::size_t Draw = 0; Draw < std::max<std::size_t>(Options.m_Draws, 1);
+       ++Draw) {
+    const std::size_t Index = Usable[uniform(Generator, 0, Usable.size() - 1)];
+    const double Own =
+        score(Candidates[Index], Request, Options, Home == Index);
+    if (!Best || Own < BestScore) {
+      Best = Index;
+      BestScore = Own;
+    }
+  }
+  return *Best;
+}
+
+} // namespace
+
+std::optional<RoutingPolicy> parseRoutingPolicy(std::string_view Name) {
+  for (const auto &[Policy, Text] : PolicyNames)
+    if (Text == Name)
+      return Policy;
+  return std::nullopt;
+}
+
+std::string_view toString(RoutingPolicy Policy) {
+  for (const auto &[Each, Text] : PolicyNames)
+    if (Each == Policy)
+      return Text;
+  return "unknown";
+}
+
+double expectedLoad(const ReplicaCandidate &Candidate,
+                    const ReplicaChoiceOptions &Options) {
+  const auto Own = static_cast<double>(Candidate.m_OutstandingTokens);
+  const double Others = std::max(0.0, Candidate.m_ReportedTokens - Own);
+  const double HalfLives =
+      std::chrono::duration<double>(Candidate.m_ReportAge) /
+      std::chrono::duration<double>(Options.m_ReportHalfLife);
+  return Own + Others * std::exp2(-std::max(HalfLives, 0.0));
+}
+
+std::optional<std::size_t>
+affinityReplica(std::span<const ReplicaCandidate> Candidates,
+                std::span<const std::size_t> Usable,
+                const RoutedRequest &Request,
+                const ReplicaChoiceOptions &Options) {
+  double Total = static_cast<double>(Request.m_EstimatedTokens);
+  for (const std::size_t Index : Usable)
+    Total += expectedLoad(Candidates[Index], Options);
+  const double Bound =
+      Options.m_LoadBound * Total / static_cast<double>(Usable.size());
+  std::optional<std::size_t> Best;
+  std::uint64_t BestWeight = 0;
+  for (const std::size_t Index : Usable) {
+    if (expectedLoad(Candidates[Index], Options) > Bound)
+      continue;
+    const std::uint64_t Weight = rendezvousWeight(
+        Request.m_PrefixHash, Candidates[Index].m_BackendServer);
+    if (!Best || Weight > BestWeight) {
+      Best = Index;
+      BestWeight = Weight;
+    }
+  }
+  return Best;
+}
+
+std::optional<std::size_t>
+chooseReplica(std::span<const ReplicaCandidate> Candidates,
+              const RoutedRequest &Request, const ReplicaChoiceOptions &Options,
+              ReplicaChoiceState &State, Random &Generator) {
+  if (Candidates.empty())
+    return std::nullopt;
+  const Indices Usable = usable(Candidates, Request);
+  switch (Options.m_Policy) {
+  case RoutingPolicy::Score:
+    return chooseByScore(Candidates, Usable, Request, Options, Generator);
+  case RoutingPolicy::RoundRobin:
+    return Usable[State.m_Turn++ % Usable.size()];
+  case RoutingPolicy::LeastOutstanding:
+    return *std::min_element(Usable.begin(), Usable.end(),
+                             [&](std::size_t Left, std::size_t Right) {
+                               return Candidates[Left].m_OutstandingRequests <
+                                      Candidates[Right].m_OutstandingRequests;
+                             });
+  case RoutingPolicy::Random:
+    return Usable[uniform(Generator, 0, Usable.size() - 1)];
+  }
+  return std::nullopt;
+}
+
+} // namespace mangocart
