--- /dev/null
+++ b/Source/Routing/Admission.cpp
@@ -0,0 +1,117 @@
+// Admission by limit, queue and deadline.
+#include "Routing/Admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mangocart {
+
+namespace {
+
+constexpr std::uint16_t TooManyRequests = 429;
+constexpr std::uint16_t ServiceUnavailable = 503;
+
+std::uint16_t statusOf(AdmissionReason Reason) {
+  switch (Reason) {
+  case AdmissionReason::Admitted:
+    return 0;
+  case AdmissionReason::CustomerLimit:
+  case AdmissionReason::CustomerQueueFull:
+    return TooManyRequests;
+  case AdmissionReason::QueueFull:
+  case AdmissionReason::DeadlineTooClose:
+    return ServiceUnavailable;
+  }
+  return ServiceUnavailable;
+}
+
+Duration toDuration(double Seconds) {
+  constexpr double Longest = 86400.0;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(Seconds, Longest)));
+}
+
+} // namespace
+
+std::string_view toString(AdmissionReason Reason) {
+  switch (Reason) {
+  case AdmissionReason::Admitted:
+    return "admitted";
+  case AdmissionReason::CustomerLimit:
+    return "customer-limit";
+  case AdmissionReason::CustomerQueueFull:
+    return "customer-queue-full";
+  case AdmissionReason::QueueFull:
+    return "queue-full";
+  case AdmissionReason::DeadlineTooClose:
+    return "deadline-too-close";
+  }
+  return "unknown";
+}
+
+Duration expectedWait(const FairQueue &Queue, const AdmissionRequest &Arrival,
+                      double TokensPerSecond) {
+  if (Queue.m_Requests.empty())
+    return Duration::zero();
+  if (TokensPerSecond <= 0.0)
+    return Duration::max() / 4;
+  const double WholeQueue =
+      static_cast<double>(Queue.m_WaitingTokens) / TokensPerSecond;
+  const auto Found = Queue.m_Customers.find(Arrival.m_Request.m_Customer);
+  const bool Active =
+      Found != Queue.m_Customers.end() && !Found->second.m_Waiting.empty();
+  const double Weights =
+      Queue.m_ActiveWeight + (Active ? 0.0 : Arrival.m_Weight);
+  double Ahead =
+      Active ? static_cast<double>(Found->second.m_WaitingTokens) : 0.0;
+  // What the customer took beyond its share holds its next request back.
+  if (Found != Queue.m_Customers.end()) {
+    const double Start =
+        Active ? Found->second.m_Start : Found->second.m_Finish;
+    Ahead += std::max(0.0, Start - Queue.m_VirtualTime) * Arrival.m_Weight;
+  }
+  const double OwnShare =
+      Ahead * Weights / (Arrival.m_Weight * TokensPerSecond);
+  return toDuration(std::min(WholeQueue, OwnShare));
+}
+
+AdmissionVerdict refuseWaiting(AdmissionReason Reason, Duration Wait,
+                               const AdmissionOptions &Options,
+                               Random &Generator) {
+  const double Spread = 1.0 + Options.m_RetrySpread * uniformReal(Generator);
+  const double Least =
+      std::chrono::duration<double>(Options.m_LeastRetryAfter).count();
+  const double Base =
+      std::max(std::chrono::duration<double>(Wait).count(), Least);
+  const double Longest =
+      std::chrono::duration<double>(Options.m_LongestRetryAfter).count();
+  // The cap is spread too, or all callers would return at it together.
+  const double Seconds = std::min(Base, Longest / (1 + Options.m_RetrySpread));
+  return {Reason, statusOf(Reason),
+          std::chrono::seconds(std::lround(std::ceil(Seconds * Spread)))};
+}
+
+AdmissionVerdict admit(const FairQueue &Queue, const AdmissionRequest &Arrival,
+                       double TokensPerSecond, const AdmissionOptions &Options,
+                       TimePoint Now, Random &Generator) {
+  const auto Refuse = [&](AdmissionReason Reason, Duration Wait) {
+    return refuseWaiting(Reason, Wait, Options, Generator);
+  };
+  if (Arrival.m_LimitWait > Duration::zero())
+    return Refuse(AdmissionReason::CustomerLimit, Arrival.m_LimitWait);
+  const Duration Wait = expectedWait(Queue, Arrival, TokensPerSecond);
+  const auto Found = Queue.m_Customers.find(Arrival.m_Request.m_Customer);
+  const std::size_t Waiting =
+      Found == Queue.m_Customers.end() ? 0 : Found->second.m_Waiting.size();
+  if (Waiting >= Queue.m_Limits.m_PerCustomer)
+    return Refuse(AdmissionReason::CustomerQueueFull, Wait);
+  const auto Left = std::chrono::duration<double>(
+      Arrival.m_Request.m_Deadline - Now - Arrival.m_ExpectedService);
+  const auto Usable =
+      std::chrono::duration_cast<Duration>(Left * Options.m_DeadlineShare);
+  if (Usable <= Duration::zero() || Wait > Usable)
+    return Refuse(AdmissionReason::DeadlineTooClose, Wait - Usable);
+  return {};
+}
+
+} // namespace mangocart
