--- /dev/null
+++ b/Tests/Membership/testMembershipTable.cpp
@@ -0,0 +1,283 @@
+// The order of records, health, and what is passed on.
+#include "Membership/MembershipTable.h"
+
+#include "Core/Random.h"
+#include "Peer.pb.h"
+
+#include <catch2/catch.hpp>
+#include <malloc.h>
+
+#include <algorithm>
+#include <functional>
+#include <iostream>
+
+using namespace mangocart;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Begin(1000s);
+
+Member member(const std::string &Name, std::uint64_t Incarnation = 1,
+              std::uint64_t Counter = 1,
+              MemberState State = MemberState::Serving) {
+  Member Record;
+  Record.m_BackendServer = Name;
+  Record.m_Service = "booking";
+  Record.m_AvailabilityZone = "zone-" + Name.substr(0, 1);
+  Record.m_Incarnation = Incarnation;
+  Record.m_Counter = Counter;
+  Record.m_State = State;
+  return Record;
+}
+
+void hear(MembershipTable &Table, const std::string &Name, TimePoint Now) {
+  const TableEntry *Known = find(Table, Name);
+  const std::uint64_t Counter = Known ? Known->m_Member.m_Counter + 1 : 1;
+  merge(Table, member(Name, 1, Counter), 0s, Now);
+}
+
+// Names of the candidates; those to avoid with a question mark.
+std::string candidates(const MembershipTable &Table, TimePoint Now) {
+  std::string Names;
+  for (const Candidate &Each : eligible(Table, "booking", Now))
+    Names += (Names.empty() ? "" : " ") + Each.m_Member.m_BackendServer +
+             (Each.m_Avoided ? "?" : "");
+  return Names;
+}
+
+} // namespace
+
+TEST_CASE("a record is merged by incarnation, stage and counter") {
+  using State = MemberState;
+  struct Row {
+    Member m_Known;
+    Member m_New;
+    MergeResult m_Result;
+  };
+  const Row Rows[] = {
+      {member("a", 1, 5), member("a", 1, 6), MergeResult::Refreshed},
+      {member("a", 1, 5), member("a", 1, 5), MergeResult::Stale},
+      {member("a", 1, 5), member("a", 1, 4), MergeResult::Stale},
+      {member("a", 1, 5), member("a", 2, 1), MergeResult::Joined},
+      {member("a", 2, 1), member("a", 1, 9), MergeResult::Stale},
+      {member("a", 1, 5), member("a", 1, 4, State::Leaving),
+       MergeResult::StateChanged},
+      {member("a", 1, 5, State::Leaving), member("a", 1, 6),
+       MergeResult::Stale},
+      {member("a", 1, 5, State::Left), member("a", 1, 6, State::Leaving),
+       MergeResult::Stale},
+      {member("a", 1, 5, State::Leaving), member("a", 1, 1, State::Left),
+       MergeResult::StateChanged},
+      {member("a", 1, 5, State::Left), member("a", 2, 1), MergeResult::Joined},
+      {member("a", 1, 5), member("a", 1, 6, State::Unavailable),
+       MergeResult::StateChanged},
+      {member("a", 1, 6, State::Unavailable), member("a", 1, 7),
+       MergeResult::StateChanged},
+      {member("a", 1, 6, State::Unavailable), member("a", 1, 5),
+       MergeResult::Stale},
+  };
+  for (const Row &Each : Rows) {
+    CAPTURE(Each.m_Known.m_Incarnation, Each.m_Known.m_Counter,
+            Each.m_New.m_Incarnation, Each.m_New.m_Counter);
+    MembershipTable Table;
+    merge(Table, Each.m_Known, 0s, Begin);
+    CHECK(merge(Table, Each.m_New, 0s, Begin + 1s) == Each.m_Result);
+    const bool IsTaken = Each.m_Result != MergeResult::Stale;
+    CHECK(find(Table, "a")->m_Member == (IsTaken ? Each.m_New : Each.m_Known));
+    CHECK(find(Table, "a")->m_HeardAt == (IsTaken ? Begin + 1s : Begin));
+  }
+}
+
+TEST_CASE("any order of late and doubled messages gives the same members") {
+  std::vector<Member> Messages;
+  for (std::uint64_t Incarnation = 1; Incarnation <= 3; ++Incarnation)
+    for (std::uint64_t Counter = 1; Counter <= 6; ++Counter)
+      Messages.push_back(member("a", Incarnation, Counter,
+                                Counter > 4   ? MemberState::Left
+                                : Counter > 3 ? MemberState::Leaving
+                                              : MemberState::Serving));
+  for (std::uint64_t Seed = 1; Seed <= 500; ++Seed) {
+    CAPTURE(Seed);
+    Random Generator(Seed);
+    MembershipTable Table;
+    std::uint64_t LeftOf = 0;
+    std::vector<Member> Order = Messages;
+    Order.insert(Order.end(), Messages.begin(), Messages.end());
+    for (std::size_t I = 0; I < Order.size(); ++I) {
+      std::swap(Order[I], Order[uniform(Generator, I, Order.size() - 1)]);
+      merge(Table, Order[I], 0s, Begin + Duration(I));
+      if (Order[I].m_State != MemberState::Serving)
+        LeftOf = std::max(LeftOf, Order[I].m_Incarnation);
+      for (const Candidate &Each : eligible(Table, "booking", Begin))
+        REQUIRE(Each.m_Member.m_Incarnation > LeftOf);
+    }
+    CHECK(find(Table, "a")->m_Member == member("a", 3, 6, MemberState::Left));
+  }
+}
+
+TEST_CASE("candidates by heartbeats and failed calls") {
+  struct Row {
+    const char *m_Name;
+    std::function<void(MembershipTable &)> m_Change;
+    Duration m_After;
+    std::string m_Candidates;
+  };
+  // Zone a has three servers and zone b one; all were heard at the beginning.
+  const auto Hear = [](const std::vector<std::string> &Names, Duration At) {
+    return [=](MembershipTable &Table) {
+      for (const std::string &Name : Names)
+        hear(Table, Name, Begin + At);
+    };
+  };
+  const auto Fail = [](int Times, std::uint64_t Incarnation) {
+    return [=](MembershipTable &Table) {
+      for (int I = 0; I < Times; ++I)
+        noteCallFailed(Table, "a1", Incarnation, Begin);
+    };
+  };
+  const Row Rows[] = {
+      {"all heard", Hear({}, 0s), 1s, "a1 a2 a3 b1"},
+      {"one silent is avoided", Hear({"a2", "a3", "b1"}, 1s), 2s,
+       "a1? a2 a3 b1"},
+      {"one silent for long is lost", Hear({"a2", "a3", "b1"}, 4s), 5s,
+       "a2 a3 b1"},
+      {"most of a zone silent: the observer is suspected",
+       Hear({"a3", "b1"}, 4s), 5s, "a1 a2 a3 b1"},
+      {"all silent: the observer is suspected", Hear({}, 0s), 30s,
+       "a1 a2 a3 b1"},
+      {"zone silent past the doubt: others go on", Hear({"b1"}, 60s), 61s,
+       "b1"},
+      {"nothing else left", Hear({}, 0s), 61s, "a1? a2? a3? b1?"},
+      {"lost one by one: no doubt", Hear({"a3", "b1"}, 60s), 61s, "a3 b1"},
+      {"failed call", Fail(1, 1), 499ms, "a1? a2 a3 b1"},
+      {"failed call, time served", Fail(1, 1), 500ms, "a1 a2 a3 b1"},
+      {"failed twice", Fail(2, 1), 999ms, "a1? a2 a3 b1"},
+      {"failed often, bounded", Fail(40, 1), 8s, "a1 a2 a3 b1"},
+      {"an older incarnation's failure", Fail(1, 0), 1ms, "a1 a2 a3 b1"},
+      {"failed call in a silent zone", Fail(5, 1), 5s, "a1? a2 a3 b1"},
+      {"success clears",
+       [&](MembershipTable &Table) {
+         Fail(5, 1)(Table);
+         noteCallSucceeded(Table, "a1", 1);
+       },
+       1ms, "a1 a2 a3 b1"},
+      {"leaving at once",
+       [](MembershipTable &Table) {
+         merge(Table, member("a1", 1, 2, MemberState::Leaving), 0s, Begin);
+       },
+       0s, "a2 a3 b1"},
+      {"backend server doesn't answer its agent",
+       [](MembershipTable &Table) {
+         merge(Table, member("a1", 1, 2, MemberState::Unavailable), 0s, Begin);
+       },
+       0s, "a2 a3 b1"},
+  };
+  for (const Row &Each : Rows) {
+    INFO(Each.m_Name);
+    MembershipTable Table;
+    for (const char *Name : {"a1", "a2", "a3", "b1"})
+      hear(Table, Name, Begin);
+    Each.m_Change(Table);
+    CHECK(candidates(Table, Begin + Each.m_After) == Each.m_Candidates);
+    CHECK(eligible(Table, "assistant", Begin).empty());
+  }
+}
+
+TEST_CASE("a tombstone outlives late messages and is then forgotten") {
+  MembershipTable Table;
+  merge(Table, member("a1", 1, 9, MemberState::Left), 0s, Begin);
+  CHECK(merge(Table, member("a1", 1, 10), 0s, Begin + 9min) ==
+        MergeResult::Stale);
+  sweep(Table, Begin + 10min);
+  CHECK(Table.m_Entries.size() == 1);
+  sweep(Table, Begin + 10min + 5s);
+  CHECK(Table.m_Entries.empty());
+  // What others heard of long ago doesn't bring it back.
+  CHECK(merge(Table, member("a1", 1, 10), 5s, Begin + 11min) ==
+        MergeResult::Stale);
+  CHECK(Table.m_Entries.empty());
+}
+
+TEST_CASE("the sweep reports each change of health once") {
+  using Health = MemberHealth;
+  MembershipTable Table;
+  hear(Table, "a1", Begin);
+  CHECK(sweep(Table, Begin + 1s).empty());
+  CHECK(sweep(Table, Begin + 2s) ==
+        std::vector<HealthChange>{{"a1", 1, Health::Healthy, Health::Suspect}});
+  CHECK(sweep(Table, Begin + 3s).empty());
+  CHECK(sweep(Table, Begin + 6s) ==
+        std::vector<HealthChange>{{"a1", 1, Health::Suspect, Health::Lost}});
+  hear(Table, "a1", Begin + 7s);
+  CHECK(sweep(Table, Begin + 7s) ==
+        std::vector<HealthChange>{{"a1", 1, Health::Lost, Health::Healthy}});
+}
+
+TEST_CASE("differences are bounded, and heartbeats are thinned out") {
+  MembershipTable Table;
+  for (int I = 0; I < 5; ++I)
+    hear(Table, "a" + std::to_string(I), Begin);
+  DifferenceBatch Batch = differencesSince(Table, 0, 3, Begin);
+  CHECK(Batch.m_Differences.size() == 3);
+  CHECK(Batch.m_More);
+  Batch = differencesSince(Table, Batch.m_Next, 3, Begin);
+  CHECK(Batch.m_Differences.size() == 2);
+  CHECK(!Batch.m_More);
+  const std::uint64_t Since = Batch.m_Next;
+  hear(Table, "a1", Begin + 1s);
+  CHECK(differencesSince(Table, Since, 9, Begin + 1s).m_Differences.empty());
+  hear(Table, "a1", Begin + 2s);
+  Batch = differencesSince(Table, Since, 9, Begin + 3s);
+  REQUIRE(Batch.m_Differences.size() == 1);
+  CHECK(Batch.m_Differences[0].m_HeardAgo == Duration(1s));
+  merge(Table, member("a2", 1, 2, MemberState::Leaving), 0s, Begin + 3s);
+  Batch = differencesSince(Table, Batch.m_Next, 9, Begin + 3s);
+  REQUIRE(Batch.m_Differences.size() == 1);
+  CHECK(Batch.m_Differences[0].m_Member.m_State == MemberState::Leaving);
+}
+
+TEST_CASE("a record keeps its content over the wire") {
+  for (const MemberState State :
+       {MemberState::Serving, MemberState::Leaving, MemberState::Left,
+        MemberState::Unavailable}) {
+    Member Sent = member("a1", 4, 9, State);
+    Sent.m_Address = "127.0.0.1";
+    Sent.m_PeerPort = 8082;
+    Sent.m_Outstanding = 3;
+    Sent.m_ReportedLoad = 0.5;
+    Sent.m_ConfigurationVersion = 12;
+    Sent.m_LoadMeasuredAt = Begin - 300ms;
+    schema::MemberRecord Message;
+    differenceToSchema({Sent, Duration(100ms)}, Begin, Message);
+    CHECK(Message.heard_ms_ago() == 100);
+    CHECK(memberFromSchema(Message.announcement(), 100ms, Begin) == Sent);
+  }
+}
+
+TEST_CASE("what a member costs", "[.bench]") {
+  for (const std::size_t Count : {600, 6'000, 60'000}) {
+    malloc_trim(0);
+    const std::size_t Before = mallinfo2().uordblks;
+    MembershipTable Table;
+    for (std::size_t I = 0; I < Count; ++I) {
+      Member Record = member("backend-server-" + std::to_string(I));
+      Record.m_Service = "assistant-service";
+      Record.m_AvailabilityZone = "zone-" + std::to_string(I % 12);
+      merge(Table, Record, 0s, Begin);
+    }
+    schema::MemberRecord Message;
+    const DifferenceBatch Batch = differencesSince(Table, 0, 1, Begin);
+    differenceToSchema(Batch.m_Differences.at(0), Begin, Message);
+    const std::size_t Used = mallinfo2().uordblks - Before;
+    const auto Start = std::chrono::steady_clock::now();
+    const std::size_t Found =
+        eligible(Table, "assistant-service", Begin).size();
+    const std::chrono::duration<double, std::micro> Passed =
+        std::chrono::steady_clock::now() - Start;
+    std::cout << Count << " members: " << Used / Count
+              << " B a member in memory, " << Message.ByteSizeLong()
+              << " B a record in gossip, " << Found << " candidates in "
+              << Passed.count() << " us\n";
+  }
+}
--- /dev/null
+++ b/Tests/State/testConfigurationRegister.cpp
@@ -0,0 +1,64 @@
+// Two operators, resends, and the bounded memory of operations.
+#include "State/ConfigurationRegister.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mangocart;
+
+namespace {
+
+schema::AcceptConfiguration command(const std::string &OperationId,
+                                    std::uint64_t PlannedAgainst,
+                                    const std::string &Deployment = "d") {
+  schema::AcceptConfiguration Command;
+  Command.set_operation_id(OperationId);
+  Command.set_operator_name("of " + OperationId);
+  Command.set_planned_against(PlannedAgainst);
+  Command.mutable_configuration()->set_deployment(Deployment);
+  return Command;
+}
+
+} // namespace
+
+TEST_CASE("acceptances one after the other") {
+  struct Row {
+    const char *m_Name;
+    schema::AcceptConfiguration m_Command;
+    bool m_IsAccepted;
+    std::uint64_t m_Version;
+    std::string m_Winner;
+  };
+  const Row Rows[] = {
+      {"first", command("a", 0), true, 1, "a"},
+      {"same number: the winner is shown", command("b", 0), false, 1, "a"},
+      {"resent: the first reply", command("a", 0), true, 1, "a"},
+      {"planned anew", command("c", 1), true, 2, "c"},
+      {"resent after another was accepted", command("a", 0), true, 1, "a"},
+      {"resent conflict: the first reply", command("b", 0), false, 1, "a"},
+      {"used id with other content", command("a", 2, "other"), false, 2, "c"},
+      {"planned against a version to come", command("e", 7), false, 2, "c"},
+      {"without an id", command("", 2), true, 3, ""},
+  };
+  ConfigurationRegister Register;
+  for (const Row &Each : Rows) {
+    INFO(Each.m_Name);
+    const schema::AcceptReply Reply = accept(Register, Each.m_Command, 1);
+    CHECK((Reply.verdict() == schema::AcceptReply::ACCEPTED) ==
+          Each.m_IsAccepted);
+    CHECK(Reply.version() == Each.m_Version);
+    CHECK(Reply.winner_operation_id() == Each.m_Winner);
+    schema::StateSnapshot Snapshot;
+    saveConfiguration(Register, Snapshot);
+    Register = restoreConfiguration(Snapshot);
+  }
+}
+
+TEST_CASE("an operation that was forgotten isn't accepted again") {
+  ConfigurationRegister Register;
+  for (std::uint64_t I = 0; I <= MaxOperations; ++I)
+    accept(Register, command(std::to_string(I), I), 1);
+  CHECK(Register.m_Operations.size() == MaxOperations);
+  const schema::AcceptReply Late = accept(Register, command("0", 0), 1);
+  CHECK(Late.verdict() == schema::AcceptReply::CONFLICT);
+  CHECK(Register.m_Configuration.version() == MaxOperations + 1);
+}
