Command: mangocart with its subcommands as a registry, a file each

Cause: operators steer a deployment by answers and acceptance only, and scripts need exit codes and JSON. Change: subcommands are data (options) and a function; command line (TCLAP), help and reference are made from the same table. validate, init, plan, accept, status, drain, metrics, timeline, reference. accept prints its operation id before it sends, so that a lost reply can be repeated under the same id. A mistyped option that TCLAP hands to a positional is refused as usage error. Shown by: testCommand (tables of command lines; the API mocked; one call over a socket).

--- /dev/null
+++ b/Source/Command/AdminClient.h
@@ -0,0 +1,50 @@
+// One call to the administration API, waited for.
+#ifndef MANGOCART_COMMAND_ADMINCLIENT_H
+#define MANGOCART_COMMAND_ADMINCLIENT_H
+
+#include "Core/Result.h"
+#include "Core/RuntimeClock.h"
+#include "Http/HttpClient.h"
+#include "Http/HttpMessage.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mangocart {
+
+struct AdminRequest {
+  HttpTarget m_Target;
+  std::string m_Method = "GET";
+  std::string m_Path;
+  std::string m_ContentType;
+  std::string m_Body;
+  // Empty: no Authorization header.
+  std::string m_Token;
+  Duration m_Deadline = std::chrono::seconds(10);
+};
+
+struct AdminError {
+  std::string m_Detail;
+  // The request can't have reached the other side.
+  bool m_NothingSent = false;
+
+  bool operator==(const AdminError &) const = default;
+};
+
+using AdminAnswer = Result<HttpResponse, AdminError>;
+using AdminCall = std::function<AdminAnswer(const AdminRequest &)>;
+
+// Sends the request once and waits on a context of its own. An answer larger
+// than MaxAdminAnswerBytes is an error.
+AdminAnswer callAdmin(const AdminRequest &Request);
+
+constexpr std::size_t MaxAdminAnswerBytes = 64 * 1024 * 1024;
+
+// "127.0.1.1:8081" or "[::1]:8081"; absent for anything else.
+std::optional<HttpTarget> parseTarget(std::string_view Text);
+
+} // namespace mangocart
+
+#endif
--- /dev/null
+++ b/Source/Command/Commands.h
@@ -0,0 +1,21 @@
+// The declaration of each subcommand; its own file defines it.
+#ifndef MANGOCART_COMMAND_COMMANDS_H
+#define MANGOCART_COMMAND_COMMANDS_H
+
+namespace mangocart {
+
+struct Command;
+
+Command validateCommand();
+Command initCommand();
+Command planCommand();
+Command acceptCommand();
+Command statusCommand();
+Command drainCommand();
+Command metricsCommand();
+Command timelineCommand();
+Command referenceCommand();
+
+} // namespace mangocart
+
+#endif
--- /dev/null
+++ b/Source/Command/InitCommand.cpp
@@ -0,0 +1,134 @@
+// mangocart init: writes the settings files of a new deployment.
+#include "Command/Commands.h"
+#include "Command/CommonOptions.h"
+#include "Command/TextFile.h"
+#include "Planning/DeploymentFiles.h"
+#include "Planning/PlanJson.h"
+#include "Questionnaire.pb.h"
+#include "Settings/SettingsReader.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+
+#include <filesystem>
+#include <ostream>
+
+namespace mangocart {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string absolute(const std::string &Path) {
+  return fs::absolute(Path).lexically_normal().string();
+}
+
+DeploymentFolders folders(const CommandValues &Values) {
+  return {absolute(Values.text("data-root")), absolute(Values.text("log-root")),
+          absolute(Values.text("admin-token-file"))};
+}
+
+// The first file that is there already; empty for none.
+std::string firstExisting(const std::vector<DeploymentFile> &Files,
+                          const fs::path &Folder) {
+  for (const DeploymentFile &File : Files)
+    if (fs::exists(Folder / File.m_Name))
+      return (Folder / File.m_Name).string();
+  return {};
+}
+
+CommandExit writeAll(const std::vector<DeploymentFile> &Files,
+                     const fs::path &Folder, bool Json,
+                     CommandContext &Context) {
+  boost::json::array Written;
+  for (const DeploymentFile &File : Files) {
+    const fs::path Path = Folder / File.m_Name;
+    std::error_code Ignored; // Writing fails, with its reason, if this does.
+    fs::create_directories(Path.parent_path(), Ignored);
+    const std::string Fault = writeTextFile(Path.string(), File.m_Text);
+    if (!Fault.empty())
+      return report(Context, CommandExit::Failed, Fault);
+    Written.emplace_back(Path.string());
+    if (!Json)
+      Context.m_Out << "wrote " << Path.string() << "\n";
+  }
+  if (Json)
+    Context.m_Out << boost::json::serialize(
+                         boost::json::object{{"written", Written}})
+                  << "\n";
+  return CommandExit::Ok;
+}
+
+CommandExit run(const CommandValues &Values, CommandContext &Context) {
+  SettingsWarnings Warnings;
+  const auto Answers = readQuestionnaire(Values.text("answers"), Warnings);
+  for (const SettingsWarning &Warning : Warnings)
+    Context.m_Err << toString(Warning) << "\n";
+  if (!Answers) {
+    Context.m_Err << toString(Answers.error());
+    return CommandExit::Failed;
+  }
+  const auto Files = deploymentFiles(Answers.value(), folders(Values));
+  const fs::path Folder = Values.text("out");
+  const std::string Existing = firstExisting(Files, Folder);
+  if (!Existing.empty() && !Values.given("force"))
+    return report(Context, CommandExit::Failed,
+                  fmt::format("{}: the file exists; nothing was written; use "
+                              "another folder, or --force to overwrite",
+                              Existing));
+  return writeAll(Files, Folder, wantsJson(Values), Context);
+}
+
+} // namespace
+
+Command initCommand() {
+  return {"init",
+          "Write settings files for a new deployment from its questionnaire.",
+          {{OptionKind::Value,
+            "answers",
+            "FILE",
+            "",
+            true,
+            {},
+            "Questionnaire with its answers, in TOML."},
+           {OptionKind::Value,
+            "out",
+            "FOLDER",
+            "",
+            true,
+            {},
+            "Folder to write into; made when absent."},
+           {OptionKind::Value,
+            "data-root",
+            "FOLDER",
+            "/var/lib/mangocart",
+            false,
+            {},
+            "Folder on the VMs that holds the data folders."},
+           {OptionKind::Value,
+            "log-root",
+            "FOLDER",
+            "/var/log/mangocart",
+            false,
+            {},
+            "Folder on the VMs that holds the event logs."},
+           {OptionKind::Value,
+            "admin-token-file",
+            "FILE",
+            "/etc/mangocart/admin.token",
+            false,
+            {},
+            "File on the VMs that holds the administration token."},
+           {OptionKind::Switch,
+            "force",
+            "",
+            "",
+            false,
+            {},
+            "Overwrite files that exist."},
+           outputOption()},
+          run};
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Command/TextFile.cpp
@@ -0,0 +1,24 @@
+// A new file beside the old one, then a rename, so that nobody reads half.
+#include "Command/TextFile.h"
+
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+
+namespace mangocart {
+
+std::string writeTextFile(const std::string &File, const std::string &Text) {
+  const std::string Fresh = File + ".new";
+  errno = 0;
+  std::ofstream Stream(Fresh, std::ios::binary | std::ios::trunc);
+  Stream << Text;
+  Stream.close();
+  if (!Stream)
+    return File + ": can't write: " + std::strerror(errno);
+  if (std::rename(Fresh.c_str(), File.c_str()) != 0)
+    return File + ": can't replace: " + std::strerror(errno);
+  return {};
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Command/TimelineCommand.cpp
@@ -0,0 +1,62 @@
+// mangocart timeline: the event logs of several processes in one order.
+#include "Command/Commands.h"
+#include "Command/CommonOptions.h"
+#include "Events/Timeline.h"
+
+#include <fmt/format.h>
+
+#include <ostream>
+
+namespace mangocart {
+
+namespace {
+
+void reportFaults(const TimelineReport &Report, CommandContext &Context) {
+  for (const TimelineFault &Fault : Report.m_Faults)
+    Context.m_Err << toString(Fault) << "\n";
+  if (Report.m_FaultCount > Report.m_Faults.size())
+    Context.m_Err << fmt::format("and {} more lines left out\n",
+                                 Report.m_FaultCount - Report.m_Faults.size());
+  if (Report.m_Late != 0)
+    Context.m_Err << fmt::format(
+        "{} events stand later than their stamps say\n", Report.m_Late);
+}
+
+CommandExit run(const CommandValues &Values, CommandContext &Context) {
+  TimelineOptions Options;
+  Options.m_Request = Values.text("request");
+  Options.m_Format =
+      wantsJson(Values) ? TimelineFormat::Json : TimelineFormat::Text;
+  const auto Report = mergeTimeline(Values.list("LOG"), Options, Context.m_Out);
+  if (!Report)
+    return report(
+        Context, CommandExit::Failed,
+        fmt::format("{}: {}", Report.error().m_File, Report.error().m_Message));
+  reportFaults(Report.value(), Context);
+  return CommandExit::Ok;
+}
+
+} // namespace
+
+Command timelineCommand() {
+  return {"timeline",
+          "Merge event logs of several processes into one time line.",
+          {{OptionKind::Value,
+            "request",
+            "ID",
+            "",
+            false,
+            {},
+            "Only events of this request."},
+           outputOption(),
+           {OptionKind::PositionalList,
+            "LOG",
+            "",
+            "",
+            true,
+            {},
+            "Event log of a process."}},
+          run};
+}
+
+} // namespace mangocart
--- a/Source/Planning/ConfigurationChange.cpp
+++ b/Source/Planning/ConfigurationChange.cpp
@@ -42,8 +42,10 @@
   return List.name();
 }
 
-bool isMessage(const FieldDescriptor &Field) {
-  return Field.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE;
+// The schema's configuration has lists of messages and plain values only.
+bool isList(const FieldDescriptor &Field) {
+  return Field.is_repeated() &&
+         Field.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE;
 }
 
 std::string scalarText(const Message &From, const FieldDescriptor &Field) {
@@ -98,6 +100,10 @@
   return Text;
 }
 
+std::string orNone(const std::string &Value) {
+  return Value.empty() ? "none" : Value;
+}
+
 class Comparison {
 public:
   explicit Comparison(std::vector<ConfigurationChange> &Changes)
@@ -106,13 +112,12 @@
   void compare(const std::string &Subject, const Message &Before,
                const Message &After) {
     const auto &Type = *Before.GetDescriptor();
-    for (int I = 0; I < Type.field_count(); ++I) {
-      const FieldDescriptor &Field = *Type.field(I);
-      if (Field.is_repeated() && isMessage(Field))
-        compareLists(Subject, Field, Before, After);
-      else if (Field.name() != VersionField)
-        compareScalars(Subject, Field, Before, After);
-    }
+    for (int I = 0; I < Type.field_count(); ++I)
+      if (!isList(*Type.field(I)) && Type.field(I)->name() != VersionField)
+        compareScalars(Subject, *Type.field(I), Before, After);
+    for (int I = 0; I < Type.field_count(); ++I)
+      if (isList(*Type.field(I)))
+        compareLists(Subject, *Type.field(I), Before, After);
   }
 
 private:
@@ -148,7 +153,7 @@
         {ChangeKind::Added, Subject, "", "", describe(Element)});
     const auto &Type = *Element.GetDescriptor();
     for (int I = 0; I < Type.field_count(); ++I)
-      if (Type.field(I)->is_repeated() && isMessage(*Type.field(I)))
+      if (isList(*Type.field(I)))
         for (const auto &[Key, Inner] : elements(Element, *Type.field(I)))
           add(subject(Subject, *Type.field(I), Key), *Inner);
   }
@@ -179,10 +184,10 @@
 
 std::string toString(const ConfigurationChange &Change) {
   if (Change.m_Kind == ChangeKind::Changed)
-    return fmt::format("{}: {} {} -> {}",
-                       Change.m_Subject.empty() ? "deployment"
-                                                : Change.m_Subject,
-                       Change.m_Field, Change.m_Before, Change.m_After);
+    return fmt::format(
+        "{}: {} {} -> {}",
+        Change.m_Subject.empty() ? "deployment" : Change.m_Subject,
+        Change.m_Field, orNone(Change.m_Before), orNone(Change.m_After));
   const std::string &Detail =
       Change.m_Kind == ChangeKind::Added ? Change.m_After : Change.m_Before;
   return fmt::format("{}: {}{}", Change.m_Subject, toString(Change.m_Kind),
--- a/Source/Settings/MessageReader.cpp
+++ b/Source/Settings/MessageReader.cpp
@@ -459,6 +459,19 @@
   return Findings;
 }
 
+std::size_t countKnownKeys(std::string_view Text, const Descriptor &Type) {
+  std::size_t Known = 0;
+  try {
+    const toml::table Table = toml::parse(Text);
+    for (const auto &[Key, Node] : Table)
+      if (Type.FindFieldByName(std::string(Key.str())) != nullptr)
+        ++Known;
+  } catch (const toml::parse_error &) {
+    return 0;
+  }
+  return Known;
+}
+
 const schema::FieldRule &ruleOf(const FieldDescriptor &Field) {
   return Field.options().GetExtension(schema::rule);
 }
--- a/Source/Settings/MessageReader.h
+++ b/Source/Settings/MessageReader.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 namespace google::protobuf {
+class Descriptor;
 class FieldDescriptor;
 class Message;
 } // namespace google::protobuf
@@ -31,6 +32,11 @@
 ReadFindings readMessage(const std::string &File, std::string_view Text,
                          google::protobuf::Message &Into);
 
+// How many of the text's top-level keys the message type has; 0 when the text
+// isn't TOML.
+std::size_t countKnownKeys(std::string_view Text,
+                           const google::protobuf::Descriptor &Type);
+
 // The rule on a field; an empty one when the schema states none.
 const schema::FieldRule &ruleOf(const google::protobuf::FieldDescriptor &Field);
 
--- /dev/null
+++ b/Tests/Command/testCommandRegistry.cpp
@@ -0,0 +1,322 @@
+// Tables of command lines: exit code, what is printed and where; and what the
+// commands send to the administration API and make of its answers.
+#include "Command/CommandRegistry.h"
+
+#include "Command/AdminClient.h"
+#include "Core/WorkerPool.h"
+#include "Http/HttpServer.h"
+#include "Log.pb.h"
+#include "Planning/AdminMessages.h"
+#include "Planning/Plan.h"
+#include "Planning/PlanJson.h"
+#include "Settings/SettingsReader.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+using namespace mangocart;
+
+namespace fs = std::filesystem;
+
+namespace {
+
+const std::string Answers =
+    std::string(MANGOCART_SOURCE_ROOT) + "/Examples/los-ceibos/answers.toml";
+
+// A folder that goes away with the test.
+struct Folder {
+  fs::path m_Path = fs::temp_directory_path() /
+                    ("mangocart-command-" + std::to_string(::getpid()));
+  Folder() { fs::create_directories(m_Path); }
+  ~Folder() { fs::remove_all(m_Path); }
+  std::string file(const std::string &Name, const std::string &Text) const {
+    std::ofstream(m_Path / Name) << Text;
+    fs::permissions(m_Path / Name,
+                    fs::perms::owner_read | fs::perms::owner_write);
+    return (m_Path / Name).string();
+  }
+};
+
+struct AdminApi {
+  MAKE_MOCK1(call, AdminAnswer(const AdminRequest &));
+};
+
+struct Ran {
+  CommandExit m_Exit;
+  std::string m_Out;
+  std::string m_Err;
+};
+
+Ran run(const std::vector<std::string> &Arguments, AdminApi &Api) {
+  std::ostringstream Out;
+  std::ostringstream Err;
+  CommandContext Context{
+      Out, Err, [&](const AdminRequest &Request) { return Api.call(Request); },
+      [] { return std::string("made-id"); }};
+  const CommandExit Exit = runCommand(Arguments, Context);
+  return {Exit, Out.str(), Err.str()};
+}
+
+struct UsageCase {
+  std::vector<std::string> m_Arguments;
+  CommandExit m_Exit;
+  // Parts of standard output and standard error; empty: nothing is printed.
+  std::string m_Out;
+  std::string m_Err;
+};
+
+constexpr auto Ok = CommandExit::Ok;
+constexpr auto Failed = CommandExit::Failed;
+constexpr auto Usage = CommandExit::Usage;
+
+const UsageCase UsageCases[] = {
+    {{}, Usage, "", "Usage: mangocart COMMAND"},
+    {{"--help"}, Ok, "Usage: mangocart COMMAND", ""},
+    {{"--version"}, Ok, "mangocart 0.", ""},
+    {{"validat"},
+     Usage,
+     "",
+     "found \"validat\"; expected a command, perhaps validate"},
+    {{"zzzzzzzz"}, Usage, "", "expected one of validate, init, plan"},
+    {{"plan", "--help"}, Ok, "--answers FILE", ""},
+    {{"plan", "--version"}, Ok, "mangocart 0.", ""},
+    {{"plan"}, Usage, "", "answers"},
+    {{"plan", "--answers"}, Usage, "", "mangocart plan: "},
+    {{"plan", "--colour", "red"}, Usage, "", "--colour"},
+    {{"plan", "--answers", Answers},
+     Usage,
+     "",
+     "either --admin HOST:PORT or --offline"},
+    {{"plan", "--answers", Answers, "--admin", "localhost:1"},
+     Usage,
+     "",
+     "--admin: found \"localhost:1\""},
+    {{"plan", "--answers", "/nowhere", "--offline"},
+     Failed,
+     "",
+     "/nowhere: found No such file"},
+    {{"validate"}, Usage, "", "FILE"},
+    {{"validate", "--kin", Answers},
+     Usage,
+     "",
+     "found --kin; expected an option"},
+    {{"validate", "--kind", "agnet", Answers},
+     Usage,
+     "",
+     "--kind KIND: found \"agnet\"; expected one of guess"},
+    {{"validate", Answers}, Ok, "the file is in order", ""},
+    {{"validate", "--kind", "agent", Answers},
+     Failed,
+     "",
+     "answers.toml:3: policy_version: found an unknown key"},
+    {{"validate", "--output", "json", "/nowhere"},
+     Failed,
+     "{\"errors\":[{\"file\":\"/nowhere\"",
+     ""},
+    {{"validate", Answers, "/nowhere"},
+     Failed,
+     "",
+     "/nowhere: found No such file"},
+    {{"status", "--admin", "127.24.0.1"},
+     Usage,
+     "",
+     "expected an IP number and a port"},
+    {{"status", "--admin", "127.24.0.1:1", "--timeout-s", "0"},
+     Usage,
+     "",
+     "--timeout-s: found \"0\"; expected a whole number from 1 to 3600"},
+    {{"drain", "a", "--admin", "127.24.0.1:1", "--token-file", "/nowhere"},
+     Failed,
+     "",
+     "/nowhere: can't read the token"},
+    {{"drain", "a", "--admin", "127.24.0.1:1"}, Usage, "", "token-file"},
+    {{"accept", Answers, "--admin", "127.24.0.1:1", "--token-file", "/x"},
+     Failed,
+     "",
+     "expected a file that plan wrote"},
+    {{"timeline", "/nowhere"}, Failed, "", "/nowhere: cannot be opened"},
+    {{"reference", "colours"}, Usage, "", "expected one of settings, commands"},
+};
+
+void checkPart(const std::string &Whole, const std::string &Part) {
+  if (Part.empty())
+    CHECK(Whole.empty());
+  else
+    CHECK_THAT(Whole, Catch::Contains(Part));
+}
+
+struct AcceptCase {
+  AdminAnswer m_Answer;
+  CommandExit m_Exit;
+  std::string m_Out;
+  std::string m_Err;
+};
+
+} // namespace
+
+TEST_CASE("command lines end with their exit code and message") {
+  for (const UsageCase &Row : UsageCases) {
+    AdminApi Api;
+    const Ran Done = run(Row.m_Arguments, Api);
+    INFO((Row.m_Arguments.empty() ? "" : Row.m_Arguments.front()));
+    INFO(Row.m_Err << Row.m_Out);
+    CHECK(Done.m_Exit == Row.m_Exit);
+    checkPart(Done.m_Out, Row.m_Out);
+    checkPart(Done.m_Err, Row.m_Err);
+  }
+}
+
+TEST_CASE("init writes once and overwrites only when forced") {
+  const Folder Scratch;
+  AdminApi Api;
+  std::vector<std::string> Line{"init", "--answers", Answers, "--out",
+                                Scratch.m_Path / "new"};
+  CHECK(run(Line, Api).m_Exit == Ok);
+  CHECK(fs::exists(Scratch.m_Path / "new/entries/entry-c2.toml"));
+  CHECK(fs::exists(Scratch.m_Path / "new/agents/canelones-a.toml"));
+  const Ran Again = run(Line, Api);
+  CHECK(Again.m_Exit == Failed);
+  CHECK_THAT(Again.m_Err, Catch::Contains("entry-a.toml: the file exists; "
+                                          "nothing was written"));
+  Line.emplace_back("--force");
+  CHECK(run(Line, Api).m_Exit == Ok);
+}
+
+TEST_CASE("plan asks for the configuration in force") {
+  const Folder Scratch;
+  AdminApi Api;
+  schema::Configuration InForce;
+  InForce.set_version(41);
+  REQUIRE_CALL(Api, call(trompeloeil::_))
+      .WITH(_1.m_Path == "/v1/configuration" && _1.m_Token.empty())
+      .RETURN(configurationResponse(InForce));
+  const std::string Out = Scratch.m_Path / "plan.json";
+  const Ran Done = run({"plan", "--answers", Answers, "--admin",
+                        "127.24.0.1:8081", "--out", Out},
+                       Api);
+  CHECK(Done.m_Exit == Ok);
+  CHECK_THAT(Done.m_Out, Catch::Contains("planned against version 41"));
+  const Plan Written = parsePlan(readTextFile(Out).value()).value();
+  CHECK(Written.m_PlannedAgainst == 41);
+  CHECK(Written.m_Configuration.version() == 42);
+}
+
+TEST_CASE("accept prints its operation id first and says what became of it") {
+  const Folder Scratch;
+  const Plan Made = planText("a", readTextFile(Answers).value(), {}).value();
+  const std::string File = Scratch.file("plan.json", planJson(Made));
+  const std::string Token = Scratch.file("token", "0123456789abcdef");
+  const std::string Winner = R"({"verdict":"CONFLICT","version":7,)"
+                             R"("winner_operation_id":"op-2",)"
+                             R"("winner_operator_name":"luz"})";
+  const AcceptCase Cases[] = {
+      {jsonResponse(200, R"({"verdict":"ACCEPTED","version":1})"), Ok,
+       "accepted: version 1", "operation id: made-id\n"},
+      {jsonResponse(409, Winner), Failed, "",
+       "operation id: made-id\nconflict: version 7 is in force, accepted by "
+       "luz with operation id op-2; nothing was changed; plan again\n"},
+      {unavailableResponse("no majority", std::chrono::seconds(3)), Failed, "",
+       "status 503: no majority; try again in 3 s; a repetition must use "
+       "--operation-id made-id"},
+      {errorResponse(401, "wrong token"), Failed, "", "check --token-file"},
+      {AdminError{"no connection", true}, Failed, "",
+       "no connection; nothing was sent; run it again with --operation-id "
+       "made-id"},
+      {AdminError{"the connection was lost", false}, Failed, "",
+       "it is not known whether the configuration was accepted; run it again "
+       "with --operation-id made-id"},
+  };
+  for (const AcceptCase &Row : Cases) {
+    AdminApi Api;
+    AdminRequest Sent;
+    REQUIRE_CALL(Api, call(trompeloeil::_))
+        .LR_SIDE_EFFECT(Sent = _1)
+        .LR_RETURN(Row.m_Answer);
+    const Ran Done = run({"accept", File, "--admin", "127.24.0.1:8081",
+                          "--token-file", Token, "--operator", "ana"},
+                         Api);
+    INFO(Row.m_Err);
+    CHECK(Done.m_Exit == Row.m_Exit);
+    checkPart(Done.m_Out, Row.m_Out);
+    CHECK_THAT(Done.m_Err, Catch::Contains(Row.m_Err));
+    CHECK(Sent.m_Token == "0123456789abcdef");
+    const auto Order = parseAccept(Sent.m_Body);
+    REQUIRE(Order);
+    CHECK(Order.value().operation_id() == "made-id");
+    CHECK(Order.value().operator_name() == "ana");
+  }
+}
+
+TEST_CASE("a repeated accept uses the id that it is given") {
+  const Folder Scratch;
+  const std::string File = Scratch.file(
+      "plan.json",
+      planJson(planText("a", readTextFile(Answers).value(), {}).value()));
+  const std::string Token = Scratch.file("token", "0123456789abcdef");
+  AdminApi Api;
+  REQUIRE_CALL(Api, call(trompeloeil::_))
+      .WITH(parseAccept(_1.m_Body).value().operation_id() == "earlier")
+      .RETURN(jsonResponse(200, R"({"verdict":"ACCEPTED","version":1})"));
+  const Ran Done =
+      run({"accept", File, "--admin", "127.24.0.1:8081", "--token-file", Token,
+           "--operation-id", "earlier", "--output", "json"},
+          Api);
+  CHECK(Done.m_Out == "{\"verdict\":\"ACCEPTED\",\"version\":1,"
+                      "\"operation_id\":\"earlier\"}\n");
+}
+
+TEST_CASE("status shows the answer as lines or as it came") {
+  const std::string Body = R"({"version":3,"members":[{"name":"a","up":true}],)"
+                           R"("raft":{"leader":"entry-a"}})";
+  AdminApi Api;
+  ALLOW_CALL(Api, call(trompeloeil::_)).RETURN(jsonResponse(200, Body));
+  CHECK(run({"status", "--admin", "127.24.0.1:1"}, Api).m_Out ==
+        "version: 3\nmembers:\n  name a, up true\nraft:\n  leader: entry-a\n");
+  CHECK(run({"status", "--admin", "127.24.0.1:1", "--output", "json"}, Api)
+            .m_Out == Body + "\n");
+}
+
+TEST_CASE("targets of the administration API") {
+  CHECK(parseTarget("127.0.1.1:8081") == HttpTarget{"127.0.1.1", 8081});
+  CHECK(parseTarget("[::1]:8081") == HttpTarget{"::1", 8081});
+  for (const char *Wrong :
+       {"", ":1", "127.0.1.1", "127.0.1.1:", "::1:80", "127.0.1.1:0",
+        "127.0.1.1:70000", "127.0.1.1:8x", "[127.0.1.1]:80", "host:80"})
+    CHECK_FALSE(parseTarget(Wrong));
+}
+
+TEST_CASE("a call over a socket carries token and body and brings the answer") {
+  WorkerPool Workers(1);
+  HttpServer Server(Workers, {}, [](std::shared_ptr<HttpExchange> Exchange) {
+    const HttpRequest &Got = Exchange->request();
+    Exchange->respond(
+        {{201, {{"Retry-After", "5"}}},
+         Got.m_Method + " " + Got.m_Target + " " +
+             std::string(
+                 findHeader(Got.m_Headers, "Authorization").value_or("none")) +
+             " " + Got.m_Body});
+  });
+  REQUIRE(Server.listen("127.24.0.1", 18081));
+  Workers.start();
+  AdminRequest Request;
+  Request.m_Target = {"127.24.0.1", 18081};
+  Request.m_Method = "POST";
+  Request.m_Path = "/v1/drain";
+  Request.m_Token = "secret";
+  Request.m_Body = "{}";
+  const auto Answer = callAdmin(Request);
+  REQUIRE(Answer);
+  CHECK(Answer.value().m_Head.m_Status == 201);
+  CHECK(Answer.value().m_Body == "POST /v1/drain Bearer secret {}");
+  Server.closeListener();
+  Workers.stop();
+  Request.m_Target.m_Port = 18082;
+  const auto Refused = callAdmin(Request);
+  REQUIRE_FALSE(Refused);
+  CHECK(Refused.error().m_NothingSent);
+}
