Utilities: the linter looks again only at files whose own headers changed

One header changed made it read all files again, half a minute of ten cores each time. The build's record of included headers now decides; MANGOCART_JOBS bounds the files at a time.

--- a/Utilities/check-lint.sh
+++ b/Utilities/check-lint.sh
@@ -1,26 +1,42 @@
 #!/usr/bin/env bash
-# clang-tidy must be clean. A file whose text, headers and checks are the same
-# as at its last clean run is passed over; the stamps live in the build folder.
+# clang-tidy must be clean. A file is passed over when it, the project's headers
+# that it includes and the checks are the same as at its last clean run; the
+# stamps live in the build folder. MANGOCART_JOBS bounds the files at a time.
 set -euo pipefail
 BuildDir=${1:?build folder}
 cd "$(dirname "$0")/.."
+Root=$PWD
 Stamps="$BuildDir/lint"
 mkdir -p "$Stamps"
 # The linter can't read the compiler's precompiled headers: without them, each
 # file must also name every header that it uses.
 sed -E 's/-Winvalid-pch -include [^ ]+cmake_pch\.hxx//' \
   "$BuildDir/compile_commands.json" >"$Stamps/compile_commands.json"
-# The headers of the whole tree are one key: any change of a header checks all.
-HeaderKey=$({ cat .clang-tidy; git ls-files 'Source/*.h' 'Tests/*.h' 'Source/Schema/*.proto' | xargs cat; } | sha256sum | cut -c1-16)
+# One line a source: its path, then the project's headers that it includes, as
+# the build recorded them.
+ninja -C "$BuildDir" -t deps 2>/dev/null | awk -v root="$Root/" '
+  /^[^ ].*: #deps/ { if (line) print line; line = "" }
+  /^    / {
+    path = $1
+    if (path !~ /^\//) next
+    if (index(path, root) != 1 || path ~ /cmake_pch/ || path ~ /\/build\//) next
+    line = line (line ? " " : "") substr(path, length(root) + 1)
+  }
+  END { if (line) print line }' >"$Stamps/dependencies"
 lintOne() {
-  local File=$1 Key Stamp
-  Key=$({ echo "$HeaderKey"; cat "$File"; } | sha256sum | cut -c1-24)
+  local File=$1 Headers Key Stamp
+  Headers=$(grep -m1 "^$File\( \|\$\)" "$Stamps/dependencies" || true)
+  if [ -z "$Headers" ]; then
+    Headers="$File $(git ls-files 'Source/*.h' 'Tests/*.h')"
+  fi
+  # shellcheck disable=SC2086
+  Key=$(cat .clang-tidy $Headers 2>/dev/null | sha256sum | cut -c1-24)
   Stamp="$Stamps/${File//\//_}.$Key"
   [ -e "$Stamp" ] && return 0
   clang-tidy --quiet -p "$Stamps" "$File" 2>/dev/null || { echo "lint: $File"; return 1; }
   touch "$Stamp"
 }
 export -f lintOne
-export HeaderKey Stamps BuildDir
+export Stamps
 git ls-files 'Source/*.cpp' 'Tests/*.cpp' | grep -v '/Generated/' |
-  xargs -P "$(nproc)" -I{} bash -c 'lintOne {}'
+  xargs -P "${MANGOCART_JOBS:-$(nproc)}" -I{} bash -c 'lintOne {}'
