Entry: routing by score, ejection and retry budgets in the request's path

The decisions of Source/Routing now choose the replica; a call's progress and end feed them. A failed attempt is made again only when the service's budget pays for it.

--- a/Source/Entry/BackendDirectory.h
+++ b/Source/Entry/BackendDirectory.h
@@ -16,6 +16,7 @@
 
 struct BackendTarget {
   std::string m_Name;
+  std::string m_Service;
   std::string m_AvailabilityZone;
   PeerEndpoint m_Agent;
   std::uint64_t m_Incarnation = 0;
@@ -23,13 +24,23 @@
   bool operator==(const BackendTarget &) const = default;
 };
 
+// How large a request is, as far as can be told before it runs.
+struct CallSize {
+  // Hash of the prompt's beginning, 0 for none.
+  std::uint64_t m_PrefixHash = 0;
+  std::uint64_t m_PromptTokens = 0;
+  // Tokens of work in all, at least 1.
+  std::uint64_t m_Tokens = 1;
+
+  bool operator==(const CallSize &) const = default;
+};
+
 struct ChoiceRequest {
   std::string_view m_Service;
   std::string_view m_Policy;
   // Own calls in flight that one server may have; 0 for no bound.
   std::uint32_t m_MaxOutstanding = 0;
-  // Hash of the prompt's beginning, 0 for none.
-  std::uint64_t m_PrefixHash = 0;
+  CallSize m_Size;
   // Names of servers that this request has tried.
   const std::vector<std::string> *m_Tried = nullptr;
   // Availability zone of the last failed try, empty for none.
@@ -38,6 +49,14 @@
 
 enum class CallResult { Answered, Refused, Broken, Cancelled };
 
+struct CallReport {
+  CallResult m_Result = CallResult::Cancelled;
+  // From the sending to the end of the answer.
+  Duration m_Time{0};
+
+  bool operator==(const CallReport &) const = default;
+};
+
 // Safe to use from any thread.
 class BackendDirectory {
 public:
@@ -45,10 +64,11 @@
 
   virtual std::optional<BackendTarget> choose(const ChoiceRequest &Request) = 0;
   virtual void callStarted(const BackendTarget &Target,
-                           std::uint64_t PrefixHash) = 0;
-  // FirstByte is the time to the head of the answer, zero when none came.
-  virtual void callEnded(const BackendTarget &Target, CallResult Result,
-                         Duration FirstByte) = 0;
+                           const CallSize &Size) = 0;
+  // Some of the answer has arrived.
+  virtual void callProgressed(const BackendTarget &Target) = 0;
+  virtual void callEnded(const BackendTarget &Target, const CallSize &Size,
+                         const CallReport &Report) = 0;
 };
 
 } // namespace mangocart
--- a/Source/Entry/CallRequests.cpp
+++ b/Source/Entry/CallRequests.cpp
@@ -5,6 +5,7 @@
 #include "Entry/OwnAnswer.h"
 
 #include <boost/beast/core/string.hpp>
+#include <boost/json.hpp>
 
 #include <algorithm>
 #include <array>
@@ -15,6 +16,20 @@
 
 // Prompts are grouped by this many leading bytes.
 constexpr std::size_t PrefixBytes = 256;
+// Usual length of a token in prompts.
+constexpr std::size_t BytesPerToken = 4;
+
+// Tokens that the request asks to be generated; 0 when it doesn't say.
+std::uint64_t requestedTokens(const HttpRequest &Request) {
+  boost::system::error_code Error;
+  const boost::json::value Body = boost::json::parse(Request.m_Body, Error);
+  if (Error || !Body.is_object())
+    return 0;
+  const boost::json::value *Tokens = Body.as_object().if_contains("max_tokens");
+  return Tokens && Tokens->is_int64() && Tokens->as_int64() > 0
+             ? static_cast<std::uint64_t>(Tokens->as_int64())
+             : 0;
+}
 
 constexpr std::array<std::string_view, 9> ConnectionHeaders = {
     "Connection",        "Keep-Alive", "Proxy-Authenticate", "TE",    "Trailer",
@@ -68,10 +83,16 @@
   return hash64(Request.m_Body, hash64(Request.m_Target, Method));
 }
 
-std::uint64_t prefixHashOf(const HttpRequest &Request) {
+CallSize sizeOf(const HttpRequest &Request) {
+  CallSize Size;
   if (Request.m_Body.empty())
-    return 0;
-  return hash64(std::string_view(Request.m_Body).substr(0, PrefixBytes));
+    return Size;
+  Size.m_PrefixHash =
+      hash64(std::string_view(Request.m_Body).substr(0, PrefixBytes));
+  Size.m_PromptTokens = Request.m_Body.size() / BytesPerToken;
+  Size.m_Tokens = std::max<std::uint64_t>(1, Size.m_PromptTokens +
+                                                 requestedTokens(Request));
+  return Size;
 }
 
 } // namespace mangocart
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -38,9 +38,10 @@
     : m_Settings(std::move(Settings)), m_Workers(m_Settings.workers()),
       m_Events({"entry", m_Settings.name(), m_Settings.availability_zone()},
                m_Settings.log_file()),
-      m_Directory(m_Events, Incarnation), m_Peers(m_Workers),
-      m_Server(m_Workers), m_Log(std::make_unique<SoleLog>(
-                               m_Settings, m_Peers, m_Server, m_Machine)),
+      m_Directory(m_Events, m_Settings.availability_zone(), Incarnation),
+      m_Peers(m_Workers), m_Server(m_Workers),
+      m_Log(
+          std::make_unique<SoleLog>(m_Settings, m_Peers, m_Server, m_Machine)),
       m_Context{m_Settings,      m_Workers,   m_Events, m_Peers,
                 m_Configuration, m_Directory, *m_Log,   m_Counters},
       m_Callers(m_Context, Incarnation),
--- a/Source/Entry/ForwardedRequest.cpp
+++ b/Source/Entry/ForwardedRequest.cpp
@@ -15,7 +15,7 @@
 
 // A caller that takes its answer slowly stops the reading from the agent here.
 constexpr std::size_t MaxQueuedBytes = 256 * 1024;
-constexpr std::size_t MaxTries = 3;
+constexpr Duration ProgressInterval = std::chrono::milliseconds(200);
 constexpr Duration RetryAfterNoServer = std::chrono::seconds(1);
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
@@ -38,8 +38,9 @@
       m_Match(std::move(Match)), m_RequestId(std::move(RequestId)),
       m_Deadline(RuntimeClock::now() +
                  std::chrono::milliseconds(m_Match.m_Route->deadline_ms())),
-      m_PrefixHash(prefixHashOf(m_Exchange->request())),
-      m_DeadlineTimer(m_Exchange->executor()) {}
+      m_Size(sizeOf(m_Exchange->request())),
+      m_DeadlineTimer(m_Exchange->executor()),
+      m_RetryTimer(m_Exchange->executor()) {}
 
 void ForwardedRequest::begin() {
   m_Request = toCallRequest(m_Exchange->request(), m_RequestId,
@@ -60,6 +61,7 @@
       Self->m_Call->resumeReading();
   });
   armDeadline();
+  m_Context.m_Directory.earnRetry(m_Match.m_Service->name());
   attempt();
 }
 
@@ -82,13 +84,14 @@
 }
 
 void ForwardedRequest::attempt() {
-  const ChoiceRequest Choice{
-      m_Match.m_Service->name(),
-      m_Match.m_Service->routing_policy(),
-      m_Match.m_Service->max_outstanding_per_backend_server(),
-      m_PrefixHash,
-      &m_Tried,
-      m_FailedZone};
+  const schema::Service &Service = *m_Match.m_Service;
+  ChoiceRequest Choice;
+  Choice.m_Service = Service.name();
+  Choice.m_Policy = Service.routing_policy();
+  Choice.m_MaxOutstanding = Service.max_outstanding_per_backend_server();
+  Choice.m_Size = m_Size;
+  Choice.m_Tried = &m_Tried;
+  Choice.m_FailedZone = m_FailedZone;
   m_Target = m_Context.m_Directory.choose(Choice);
   if (!m_Target)
     return refuse({StatusUnavailable, "no-backend-server",
@@ -97,13 +100,12 @@
                    RetryAfterNoServer});
   m_Tried.push_back(m_Target->m_Name);
   m_CallStarted = RuntimeClock::now();
-  m_FirstByte = Duration::zero();
   m_Whole = {};
   m_Request.set_deadline_ms(static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft())
           .count()));
   ++m_Context.m_Counters.m_Attempts;
-  m_Context.m_Directory.callStarted(*m_Target, m_PrefixHash);
+  m_Context.m_Directory.callStarted(*m_Target, m_Size);
   m_Call = CallAttempt::start(m_Context.m_Peers, m_Target->m_Agent, m_Request,
                               m_Exchange->executor(), handlers());
 }
@@ -128,7 +130,6 @@
 }
 
 void ForwardedRequest::takeHead(schema::CallHead Head) {
-  m_FirstByte = RuntimeClock::now() - m_CallStarted;
   HttpHead Converted = toHttpHead(Head, m_RequestId);
   if (!m_Match.m_Route->streamed()) {
     m_Whole.m_Head = std::move(Converted);
@@ -139,6 +140,7 @@
 }
 
 void ForwardedRequest::takeBody(std::string Data) {
+  noteProgress();
   if (!m_Streaming) {
     m_Whole.m_Body.append(Data);
     return;
@@ -148,6 +150,15 @@
     m_Call->pauseReading();
 }
 
+// Telling the directory of every piece would cost a lock each.
+void ForwardedRequest::noteProgress() {
+  const TimePoint Now = RuntimeClock::now();
+  if (Now - m_ProgressNoted < ProgressInterval)
+    return;
+  m_ProgressNoted = Now;
+  m_Context.m_Directory.callProgressed(*m_Target);
+}
+
 void ForwardedRequest::takeEnd() {
   endCall(CallResult::Answered);
   ++m_Context.m_Counters.m_Answered;
@@ -160,8 +171,8 @@
 
 void ForwardedRequest::takeRefusal(const schema::CallRefusal &Refusal) {
   endCall(CallResult::Refused);
-  if (mayRetry())
-    return attempt();
+  if (retry(Refusal.outcome() == schema::NOT_RUN))
+    return;
   refuse({StatusUnavailable, "refused",
           "the backend servers that were tried refused the request",
           Refusal.outcome(),
@@ -178,8 +189,8 @@
   endCall(CallResult::Broken);
   if (m_Streaming)
     return breakOff();
-  if (mayRetry())
-    return attempt();
+  if (retry(Broken.m_NothingSent))
+    return;
   refuse({StatusBadGateway, "answer-lost",
           "the backend servers that were tried did not answer whole",
           schema::UNKNOWN, RetryAfterNoServer});
@@ -188,14 +199,30 @@
 void ForwardedRequest::endCall(CallResult Result) {
   if (!m_Target)
     return;
-  m_Context.m_Directory.callEnded(*m_Target, Result, m_FirstByte);
+  m_Context.m_Directory.callEnded(
+      *m_Target, m_Size, {Result, RuntimeClock::now() - m_CallStarted});
   m_Target.reset();
   m_Call.reset();
 }
 
-bool ForwardedRequest::mayRetry() const {
-  return !m_Streaming && m_Tried.size() < MaxTries &&
-         timeLeft() > Duration::zero();
+bool ForwardedRequest::retry(bool ProvenNotRun) {
+  FailedAttempt Failed;
+  Failed.m_Attempt = static_cast<std::uint32_t>(m_Tried.size());
+  Failed.m_Idempotent = true;
+  Failed.m_ProvenNotRun = ProvenNotRun;
+  Failed.m_AnswerBegun = m_Streaming;
+  Failed.m_Deadline = m_Deadline;
+  const RetryDecision Decision =
+      m_Context.m_Directory.judgeRetry(m_Match.m_Service->name(), Failed);
+  if (Decision.m_Verdict != RetryVerdict::Retry)
+    return false;
+  m_RetryTimer.expires_after(Decision.m_Delay);
+  m_RetryTimer.async_wait(
+      [Self = shared_from_this()](boost::system::error_code Error) {
+        if (!Error && !Self->m_Over)
+          Self->attempt();
+      });
+  return true;
 }
 
 void ForwardedRequest::refuse(OwnAnswer Answer) {
@@ -215,6 +242,7 @@
 void ForwardedRequest::finish() {
   m_Over = true;
   m_DeadlineTimer.cancel();
+  m_RetryTimer.cancel();
   if (m_Call)
     m_Call->cancel();
   endCall(CallResult::Cancelled);
--- a/Source/Entry/ForwardedRequest.h
+++ b/Source/Entry/ForwardedRequest.h
@@ -34,7 +34,9 @@
   void takeRefusal(const schema::CallRefusal &Refusal);
   void takeBreak(const CallBroken &Broken);
   void endCall(CallResult Result);
-  bool mayRetry() const;
+  // True when another attempt has been arranged.
+  bool retry(bool ProvenNotRun);
+  void noteProgress();
   void refuse(OwnAnswer Answer);
   void breakOff();
   void finish();
@@ -45,15 +47,17 @@
   const RouteMatch m_Match;
   const std::string m_RequestId;
   const TimePoint m_Deadline;
-  const std::uint64_t m_PrefixHash;
+  const CallSize m_Size;
   Timer m_DeadlineTimer;
+  // Waits between a failed attempt and the next one.
+  Timer m_RetryTimer;
   schema::CallRequest m_Request;
 
   std::shared_ptr<CallAttempt> m_Call;
   // Set while a call is under way.
   std::optional<BackendTarget> m_Target;
   TimePoint m_CallStarted;
-  Duration m_FirstByte{0};
+  TimePoint m_ProgressNoted;
   std::vector<std::string> m_Tried;
   std::string m_FailedZone;
   // Head and body of an answer that goes out whole.
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -12,6 +12,7 @@
 
 BackendTarget toTarget(const Member &Record) {
   return {Record.m_BackendServer,
+          Record.m_Service,
           Record.m_AvailabilityZone,
           {Record.m_Address, Record.m_PeerPort},
           Record.m_Incarnation};
@@ -29,17 +30,15 @@
   return "lost";
 }
 
-// Drops the candidates that the predicate marks, unless it marks all.
-template <class Predicate>
-void dropUnlessAll(std::vector<Candidate> &Candidates, Predicate Unwanted) {
-  if (!std::all_of(Candidates.begin(), Candidates.end(), Unwanted))
-    std::erase_if(Candidates, Unwanted);
-}
-
 } // namespace
 
-MembershipDirectory::MembershipDirectory(EventLog &Events, std::uint64_t Seed)
-    : m_Events(Events), m_Random(Seed) {}
+MembershipDirectory::MembershipDirectory(EventLog &Events,
+                                         std::string AvailabilityZone,
+                                         std::uint64_t Seed)
+    : m_Events(Events) {
+  m_Routing.m_AvailabilityZone = std::move(AvailabilityZone);
+  m_Routing.m_Random.seed(Seed);
+}
 
 std::vector<Candidate>
 MembershipDirectory::usable(const ChoiceRequest &Request) const {
@@ -51,14 +50,8 @@
         std::find(Request.m_Tried->begin(), Request.m_Tried->end(), Name) !=
             Request.m_Tried->end())
       return true;
-    const auto Own = m_OwnOutstanding.find(Name);
-    return Request.m_MaxOutstanding > 0 && Own != m_OwnOutstanding.end() &&
-           Own->second >= Request.m_MaxOutstanding;
-  });
-  dropUnlessAll(Candidates,
-                [](const Candidate &Each) { return Each.m_Avoided; });
-  dropUnlessAll(Candidates, [&](const Candidate &Each) {
-    return Each.m_Member.m_AvailabilityZone == Request.m_FailedZone;
+    return Request.m_MaxOutstanding > 0 &&
+           ownRequests(m_Routing, Name) >= Request.m_MaxOutstanding;
   });
   return Candidates;
 }
@@ -67,38 +60,48 @@
 MembershipDirectory::choose(const ChoiceRequest &Request) {
   const std::lock_guard Lock(m_Mutex);
   const std::vector<Candidate> Candidates = usable(Request);
-  if (Candidates.empty())
+  const auto Chosen =
+      chooseCandidate(m_Routing, Candidates, Request, RuntimeClock::now());
+  if (!Chosen)
     return std::nullopt;
-  const auto Load = [&](const Candidate &Each) {
-    const auto Own = m_OwnOutstanding.find(Each.m_Member.m_BackendServer);
-    return Own == m_OwnOutstanding.end() ? 0U : Own->second;
-  };
-  const Candidate &First =
-      Candidates[uniform(m_Random, 0, Candidates.size() - 1)];
-  const Candidate &Second =
-      Candidates[uniform(m_Random, 0, Candidates.size() - 1)];
-  return toTarget((Load(Second) < Load(First) ? Second : First).m_Member);
+  return toTarget(Candidates[*Chosen].m_Member);
 }
 
 void MembershipDirectory::callStarted(const BackendTarget &Target,
-                                      std::uint64_t /*PrefixHash*/) {
+                                      const CallSize &Size) {
+  const std::lock_guard Lock(m_Mutex);
+  noteCallStarted(m_Routing, Target, Size, RuntimeClock::now());
+}
+
+void MembershipDirectory::callProgressed(const BackendTarget &Target) {
   const std::lock_guard Lock(m_Mutex);
-  ++m_OwnOutstanding[Target.m_Name];
+  noteCallProgress(m_Routing, Target, RuntimeClock::now());
 }
 
 void MembershipDirectory::callEnded(const BackendTarget &Target,
-                                    CallResult Result, Duration /*FirstByte*/) {
+                                    const CallSize &Size,
+                                    const CallReport &Report) {
+  const TimePoint Now = RuntimeClock::now();
   const std::lock_guard Lock(m_Mutex);
-  const auto Own = m_OwnOutstanding.find(Target.m_Name);
-  if (Own != m_OwnOutstanding.end() && --Own->second == 0)
-    m_OwnOutstanding.erase(Own);
-  if (Result == CallResult::Broken)
-    noteCallFailed(m_Table, Target.m_Name, Target.m_Incarnation,
-                   RuntimeClock::now());
-  else if (Result == CallResult::Answered)
+  noteCallEnded(m_Routing, Target, Size, Report, Now);
+  if (Report.m_Result == CallResult::Broken)
+    noteCallFailed(m_Table, Target.m_Name, Target.m_Incarnation, Now);
+  else if (Report.m_Result == CallResult::Answered)
     noteCallSucceeded(m_Table, Target.m_Name, Target.m_Incarnation);
 }
 
+void MembershipDirectory::earnRetry(std::string_view Service) {
+  const std::lock_guard Lock(m_Mutex);
+  earnRetries(m_Routing.m_Services[std::string(Service)].m_Retries, {});
+}
+
+RetryDecision MembershipDirectory::judgeRetry(std::string_view Service,
+                                              const FailedAttempt &Failed) {
+  const std::lock_guard Lock(m_Mutex);
+  return decideRetry(m_Routing.m_Services[std::string(Service)].m_Retries,
+                     Failed, {}, RuntimeClock::now(), m_Routing.m_Random);
+}
+
 std::uint64_t
 MembershipDirectory::announced(const schema::Announcement &Message) {
   const TimePoint Now = RuntimeClock::now();
@@ -142,10 +145,17 @@
 
 void MembershipDirectory::sweepMembers() {
   std::vector<HealthChange> Changes;
+  std::vector<EjectionReport> Ejections;
   {
     const std::lock_guard Lock(m_Mutex);
     Changes = sweep(m_Table, RuntimeClock::now());
+    Ejections = judgeServers(m_Routing, RuntimeClock::now());
   }
+  for (const EjectionReport &Report : Ejections)
+    m_Events.write(Event::BackendServerEjected,
+                   {{"service", Report.m_Service},
+                    {"server_hash", Report.m_Change.m_BackendServer},
+                    {"cause", toString(Report.m_Change.m_Cause)}});
   for (const HealthChange &Change : Changes)
     m_Events.write(Event::BackendServerHealth,
                    {{"backend_server", Change.m_BackendServer},
@@ -158,9 +168,8 @@
   const std::lock_guard Lock(m_Mutex);
   std::vector<MemberView> Views;
   for (const auto &[Name, Entry] : m_Table.m_Entries) {
-    const auto Own = m_OwnOutstanding.find(Name);
     Views.push_back({Entry.m_Member, health(m_Table, Entry, Now),
-                     Own == m_OwnOutstanding.end() ? 0U : Own->second});
+                     ownRequests(m_Routing, Name)});
   }
   return Views;
 }
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -3,11 +3,10 @@
 #ifndef MANGOCART_ENTRY_MEMBERSHIPDIRECTORY_H
 #define MANGOCART_ENTRY_MEMBERSHIPDIRECTORY_H
 
-#include "Core/Random.h"
 #include "Entry/BackendDirectory.h"
+#include "Entry/RoutingTable.h"
 #include "Membership/MembershipTable.h"
 
-#include <map>
 #include <mutex>
 #include <vector>
 
@@ -28,20 +27,27 @@
 
 class MembershipDirectory : public BackendDirectory {
 public:
-  MembershipDirectory(EventLog &Events, std::uint64_t Seed);
+  MembershipDirectory(EventLog &Events, std::string AvailabilityZone,
+                      std::uint64_t Seed);
 
   std::optional<BackendTarget> choose(const ChoiceRequest &Request) override;
-  void callStarted(const BackendTarget &Target,
-                   std::uint64_t PrefixHash) override;
-  void callEnded(const BackendTarget &Target, CallResult Result,
-                 Duration FirstByte) override;
+  void callStarted(const BackendTarget &Target, const CallSize &Size) override;
+  void callProgressed(const BackendTarget &Target) override;
+  void callEnded(const BackendTarget &Target, const CallSize &Size,
+                 const CallReport &Report) override;
+
+  // Counts a first attempt of the service, and judges a failed one.
+  void earnRetry(std::string_view Service);
+  RetryDecision judgeRetry(std::string_view Service,
+                           const FailedAttempt &Failed);
 
   // A heartbeat from an agent itself. Returns the highest incarnation known.
   std::uint64_t announced(const schema::Announcement &Message);
   // A record passed on by another entry.
   void heard(const schema::MemberRecord &Record);
   DifferenceBatch differences(std::uint64_t Since, std::size_t MaxRecords);
-  // Reports members that became suspect, lost or healthy.
+  // Reports members that became suspect, lost or healthy, and servers that were
+  // ejected or came back.
   void sweepMembers();
   std::vector<MemberView> members() const;
   // The agent of a backend server, if it is known.
@@ -55,8 +61,7 @@
   mutable std::mutex m_Mutex;
   // All below guarded by m_Mutex, which is taken after no other lock.
   MembershipTable m_Table;
-  std::map<std::string, std::uint32_t, std::less<>> m_OwnOutstanding;
-  Random m_Random;
+  RoutingTable m_Routing;
 };
 
 } // namespace mangocart
--- a/Source/Entry/SettlementDriver.cpp
+++ b/Source/Entry/SettlementDriver.cpp
@@ -142,7 +142,7 @@
   m_Answer.Clear();
   m_Counted = Target;
   ++m_Context.m_Counters.m_Attempts;
-  m_Context.m_Directory.callStarted(Target, 0);
+  m_Context.m_Directory.callStarted(Target, {});
   m_Attempt = CallAttempt::start(
       m_Context.m_Peers, Target.m_Agent, m_Call.m_Request, m_Executor,
       callHandlers(Effect.m_Ticket.m_ClaimNumber, Target));
@@ -152,10 +152,12 @@
                                             const BackendTarget &Target) {
   CallHandlers Handlers;
   const auto Self = shared_from_this();
-  const auto Ended = [Self, Target](CallResult Result) {
+  const auto Ended = [Self, Target,
+                      Started = RuntimeClock::now()](CallResult Result) {
     Self->m_Attempt.reset();
     Self->m_Counted.reset();
-    Self->m_Context.m_Directory.callEnded(Target, Result, Duration::zero());
+    Self->m_Context.m_Directory.callEnded(
+        Target, {}, {Result, RuntimeClock::now() - Started});
   };
   Handlers.m_OnHead = [Self](const schema::CallHead &Head) {
     Self->m_Answer.set_status(Head.status());
