--- a/Source/Http/HttpClientConnection.h
+++ b/Source/Http/HttpClientConnection.h
@@ -44,7 +44,7 @@
   void resumeReading();
 
 private:
-  static constexpr std::size_t ReadAreaBytes = 16 * 1024;
+  static constexpr std::size_t ReadAreaBytes = std::size_t{16} * 1024;
 
   // Result of the first, immediate write.
   enum class FirstWrite { Taken, NothingTaken };
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -32,11 +32,12 @@
 
 } // namespace
 
-HttpConnection::HttpConnection(asio::ip::tcp::socket Socket,
+HttpConnection::HttpConnection(asio::io_context &Context,
+                               asio::ip::tcp::socket Socket,
                                std::shared_ptr<HttpServerShared> Shared,
                                std::size_t Worker)
-    : m_Socket(std::move(Socket)), m_Shared(std::move(Shared)),
-      m_Worker(Worker), m_Timer(m_Socket.get_executor()) {}
+    : m_Context(Context), m_Socket(std::move(Socket)),
+      m_Shared(std::move(Shared)), m_Worker(Worker), m_Timer(Context) {}
 
 HttpConnection::~HttpConnection() {
   if (!m_Closed)
@@ -163,7 +164,7 @@
 }
 
 void HttpConnection::respond(HttpServerExchange &Exchange,
-                             HttpResponse Response) {
+                             const HttpResponse &Response) {
   const HttpHead &Head = Response.m_Head;
   m_KeepAlive =
       m_KeepAlive && !m_Shared->m_Closing && !wantsClose(Head.m_Headers);
@@ -261,7 +262,7 @@
     return;
   m_FlushScheduled = true;
   // Pieces that a handler writes in one go leave in one write.
-  asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
+  asio::post(m_Context, [Self = shared_from_this()] {
     Self->m_FlushScheduled = false;
     Self->flush();
   });
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -7,6 +7,7 @@
 #include "Http/HttpRequestParser.h"
 #include "Http/HttpWire.h"
 
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <array>
@@ -34,7 +35,8 @@
 // All functions run on the connection's worker.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
-  HttpConnection(boost::asio::ip::tcp::socket Socket,
+  HttpConnection(boost::asio::io_context &Context,
+                 boost::asio::ip::tcp::socket Socket,
                  std::shared_ptr<HttpServerShared> Shared, std::size_t Worker);
   ~HttpConnection();
   HttpConnection(const HttpConnection &) = delete;
@@ -46,10 +48,10 @@
   // Closes now if no request is in progress, else after its answer.
   void closeWhenIdle();
 
-  boost::asio::any_io_executor executor() { return m_Socket.get_executor(); }
+  boost::asio::io_context &context() { return m_Context; }
 
   // For the exchange in progress.
-  void respond(HttpServerExchange &Exchange, HttpResponse Response);
+  void respond(HttpServerExchange &Exchange, const HttpResponse &Response);
   void startStream(const HttpHead &Head);
   void writeChunk(std::string_view Data);
   void finishStream(HttpServerExchange &Exchange);
@@ -61,7 +63,7 @@
   }
 
 private:
-  static constexpr std::size_t ReadAreaBytes = 8 * 1024;
+  static constexpr std::size_t ReadAreaBytes = std::size_t{8} * 1024;
 
   void read();
   void onRead(std::size_t Bytes);
@@ -84,6 +86,7 @@
   void armTimer();
   void onTimer();
 
+  boost::asio::io_context &m_Context;
   boost::asio::ip::tcp::socket m_Socket;
   std::shared_ptr<HttpServerShared> m_Shared;
   std::size_t m_Worker;
@@ -135,7 +138,7 @@
 
   const HttpRequest &request() const override { return m_Request; }
   boost::asio::any_io_executor executor() override {
-    return m_Connection->executor();
+    return m_Connection->context().get_executor();
   }
   void respond(HttpResponse Response) override;
   void startStream(HttpHead Head) override;
--- a/Source/Http/HttpRequestParser.cpp
+++ b/Source/Http/HttpRequestParser.cpp
@@ -12,7 +12,7 @@
 
 // Memory set aside at once for a body whose length was announced. More comes
 // only with the bytes themselves.
-constexpr std::size_t MaxBodyReserve = 64 * 1024;
+constexpr std::size_t MaxBodyReserve = std::size_t{64} * 1024;
 
 constexpr int Version10 = 10;
 constexpr int Version11 = 11;
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -102,9 +102,10 @@
   }
   asio::post(m_Workers.worker(Worker),
              [Shared = m_Shared, Worker, Refused = Count > Limit,
+              &Context = m_Workers.worker(Worker),
               Accepted = std::move(Socket)]() mutable {
                const auto Connection = std::make_shared<HttpConnection>(
-                   std::move(Accepted), Shared, Worker);
+                   Context, std::move(Accepted), Shared, Worker);
                if (Refused)
                  Connection->startRefused({503, "too many connections"});
                else
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -22,9 +22,9 @@
 
 struct HttpLimits {
   std::size_t m_MaxConnections = 4096;
-  std::size_t m_MaxHeaderBytes = 16 * 1024;
+  std::size_t m_MaxHeaderBytes = std::size_t{16} * 1024;
   std::size_t m_MaxHeaders = 100;
-  std::size_t m_MaxBodyBytes = 1024 * 1024;
+  std::size_t m_MaxBodyBytes = std::size_t{1024} * 1024;
   // For a request to arrive whole once its first byte has come, and for a
   // first request on a new connection.
   Duration m_ReadTimeout = std::chrono::seconds(10);
--- a/Source/Http/HttpServerExchange.cpp
+++ b/Source/Http/HttpServerExchange.cpp
@@ -20,9 +20,8 @@
   --m_Shared->m_ExchangeCount;
   // Handlers that a stopped worker still holds are dropped with it; there is
   // nobody left to answer.
-  const boost::asio::any_io_executor Worker = m_Connection->executor();
-  auto &Context = static_cast<boost::asio::io_context &>(Worker.context());
-  if (!Context.stopped())
+  boost::asio::io_context &Worker = m_Connection->context();
+  if (!Worker.stopped())
     boost::asio::post(Worker, [Connection = m_Connection,
                                Unanswered = m_Phase == Phase::Waiting] {
       Connection->onExchangeDropped(Unanswered);
@@ -31,7 +30,7 @@
 
 void HttpServerExchange::respond(HttpResponse Response) {
   if (m_Phase == Phase::Waiting)
-    m_Connection->respond(*this, std::move(Response));
+    m_Connection->respond(*this, Response);
 }
 
 void HttpServerExchange::startStream(HttpHead Head) {
--- a/Source/Standin/DraftStream.cpp
+++ b/Source/Standin/DraftStream.cpp
@@ -14,8 +14,8 @@
 
 constexpr std::uint64_t MaxTokensLimit = 1000000;
 // Bytes of one write, and bytes that may wait for a slow client.
-constexpr std::size_t PieceBytes = 16 * 1024;
-constexpr std::size_t MaxQueuedBytes = 64 * 1024;
+constexpr std::size_t PieceBytes = std::size_t{16} * 1024;
+constexpr std::size_t MaxQueuedBytes = std::size_t{64} * 1024;
 
 std::string event(std::string_view Data) {
   return fmt::format("data: {}\n\n", Data);
