--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -271,8 +271,12 @@
 void HttpConnection::flush() {
   if (m_WriteInProgress || m_Closed)
     return;
-  if (m_Queued.empty())
+  if (m_Queued.empty()) {
+    // The last bytes of the answer may have left before it was ended.
+    if (m_CloseAfterWrite && !m_Lingering)
+      lingerThenClose();
     return;
+  }
   m_Writing.swap(m_Queued);
   m_Queued.clear();
   m_Written = 0;
--- a/Tests/Http/HttpTesting.h
+++ b/Tests/Http/HttpTesting.h
@@ -3,6 +3,7 @@
 #ifndef MANGOCART_TESTS_HTTP_HTTPTESTING_H
 #define MANGOCART_TESTS_HTTP_HTTPTESTING_H
 
+#include "Core/RuntimeClock.h"
 #include "Core/WorkerPool.h"
 #include "Http/HttpServer.h"
 
@@ -11,6 +12,7 @@
 #include <boost/asio/write.hpp>
 
 #include <string>
+#include <thread>
 
 namespace mangocart::testing {
 
@@ -47,6 +49,7 @@
 public:
   explicit RawSocket(std::uint16_t Port) : m_Socket(m_Context) {
     m_Socket.connect({boost::asio::ip::make_address(TestAddress), Port});
+    m_Socket.set_option(boost::asio::ip::tcp::no_delay(true));
   }
 
   void write(std::string_view Bytes) {
@@ -79,6 +82,39 @@
   boost::system::error_code m_LastError;
 };
 
+// Moves the paused clock on until Condition holds; false if it never does.
+// The verdict doesn't depend on how fast the server is.
+template <class Predicate> bool advanceUntil(Predicate Condition) {
+  constexpr int MaxSteps = 5000;
+  constexpr auto Pause = std::chrono::milliseconds(1);
+  for (int Step = 0; Step < MaxSteps; ++Step) {
+    if (Condition())
+      return true;
+    RuntimeClock::advance(std::chrono::milliseconds(500));
+    std::this_thread::sleep_for(Pause);
+  }
+  return false;
+}
+
+// Waits in real time until Condition holds; false if it never does.
+template <class Predicate> bool waitUntil(Predicate Condition) {
+  constexpr int MaxLooks = 20000;
+  for (int Look = 0; Look < MaxLooks; ++Look) {
+    if (Condition())
+      return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return false;
+}
+
+// Holds the clock still while it lives.
+struct PausedClock {
+  PausedClock() { RuntimeClock::pause(); }
+  ~PausedClock() { RuntimeClock::resume(); }
+  PausedClock(const PausedClock &) = delete;
+  PausedClock &operator=(const PausedClock &) = delete;
+};
+
 inline std::string statusLine(const std::string &Answer) {
   return Answer.substr(0, Answer.find("\r\n"));
 }
--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -4,6 +4,7 @@
 #include "Http/HttpTesting.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -59,6 +60,39 @@
   HttpClient m_Client;
 };
 
+// Accepts connections one by one, reads a request's head and answers each with
+// the next of the given texts, then closes.
+class ScriptedServer {
+public:
+  explicit ScriptedServer(std::vector<std::string> Answers)
+      : m_Acceptor(m_Context, {boost::asio::ip::make_address(TestAddress), 0}),
+        m_Port(m_Acceptor.local_endpoint().port()),
+        m_Thread([this, Texts = std::move(Answers)] { serve(Texts); }) {}
+  ~ScriptedServer() { m_Thread.join(); }
+  ScriptedServer(const ScriptedServer &) = delete;
+  ScriptedServer &operator=(const ScriptedServer &) = delete;
+
+  std::uint16_t port() const { return m_Port; }
+
+private:
+  void serve(const std::vector<std::string> &Answers) {
+    for (const std::string &Answer : Answers) {
+      boost::system::error_code Ignored;
+      auto Socket = m_Acceptor.accept();
+      std::string Head;
+      boost::asio::read_until(Socket, boost::asio::dynamic_buffer(Head),
+                              "\r\n\r\n", Ignored);
+      boost::asio::write(Socket, boost::asio::buffer(Answer), Ignored);
+    }
+    m_Acceptor.close();
+  }
+
+  boost::asio::io_context m_Context;
+  boost::asio::ip::tcp::acceptor m_Acceptor;
+  std::uint16_t m_Port;
+  std::thread m_Thread;
+};
+
 } // namespace
 
 TEST_CASE("a call gets its whole answer, again and again") {
@@ -73,3 +107,122 @@
   }
   CHECK(Server.server().connectionCount() == 1);
 }
+
+TEST_CASE("an answer that isn't whole never ends as complete") {
+  struct Row {
+    const char *m_Name;
+    std::string m_Answer;
+    std::optional<HttpErrorCode> m_Error;
+    std::string m_Body;
+  };
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
+  constexpr auto Lost = HttpErrorCode::ConnectionLost;
+  constexpr auto Malformed = HttpErrorCode::Malformed;
+  const std::vector<Row> Rows{
+      {"whole by length", Ok + "Content-Length: 2\r\n\r\nhi", {}, "hi"},
+      {"whole by chunks", Chunked + "2\r\nhi\r\n0\r\n\r\n", {}, "hi"},
+      {"after an interim answer",
+       "HTTP/1.1 100 Continue\r\n\r\n" + Ok + "Content-Length: 1\r\n\r\nx",
+       {},
+       "x"},
+      {"without a body", "HTTP/1.1 204 No Content\r\n\r\n", {}, ""},
+      {"nothing", "", Lost, ""},
+      {"half a head", "HTTP/1.1 200 OK\r\nConte", Lost, ""},
+      {"short of its length", Ok + "Content-Length: 9\r\n\r\nhi", Lost, "hi"},
+      {"half a chunk", Chunked + "5\r\nhi", Lost, "hi"},
+      {"no final chunk", Chunked + "2\r\nhi\r\n", Lost, "hi"},
+      {"half a final chunk", Chunked + "2\r\nhi\r\n0\r\n", Lost, "hi"},
+      {"only an interim answer", "HTTP/1.1 100 Continue\r\n\r\n", Lost, ""},
+      {"ended by closing", Ok + "\r\nhi", Malformed, ""},
+      {"bad chunk", Chunked + "zz\r\n", Malformed, ""},
+      {"no HTTP", "hello\r\n\r\n", Malformed, ""},
+      {"change of protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+       Malformed, ""}};
+  ClientFixture Client;
+  for (const Row &Row : Rows) {
+    INFO(Row.m_Name);
+    ScriptedServer Server({Row.m_Answer});
+    const Outcome Result = Client.call(Server.port(), {"GET", "/"});
+    CHECK(Result.m_Ended == !Row.m_Error.has_value());
+    CHECK(Result.m_Body == Row.m_Body);
+    CHECK(Result.m_Error.has_value() == Row.m_Error.has_value());
+    if (Result.m_Error && Row.m_Error) {
+      CHECK(Result.m_Error->m_Code == *Row.m_Error);
+      CHECK_FALSE(Result.m_Error->m_NothingSent);
+    }
+  }
+}
+
+TEST_CASE("a kept connection that the server closed is replaced silently") {
+  const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  ScriptedServer Server({Answer, Answer, Answer});
+  ClientFixture Client;
+  for (int I = 0; I < 3; ++I)
+    CHECK(Client.call(Server.port(), {"POST", "/"}).m_Ended);
+}
+
+TEST_CASE("an error says whether a byte of the request can have left") {
+  ClientFixture Client;
+  std::uint16_t ClosedPort = 0;
+  {
+    ServerFixture Server(echo);
+    ClosedPort = Server.port();
+  }
+  const Outcome Refused = Client.call(ClosedPort, {"GET", "/"});
+  REQUIRE(Refused.m_Error);
+  CHECK(Refused.m_Error->m_Code == HttpErrorCode::ConnectFailed);
+  CHECK(Refused.m_Error->m_NothingSent);
+
+  PausedClock Clock;
+  std::vector<std::shared_ptr<HttpExchange>> Held;
+  ServerFixture Server(
+      [&](std::shared_ptr<HttpExchange> Exchange) {
+        Held.push_back(std::move(Exchange));
+      },
+      {}, 1);
+  auto Late = std::async([&] {
+    return Client.call(Server.port(), {"GET", "/"}, 5s);
+  });
+  REQUIRE(waitUntil([&] { return Server.server().exchangeCount() == 1; }));
+  REQUIRE(advanceUntil(
+      [&] { return Late.wait_for(0s) == std::future_status::ready; }));
+  const Outcome TimedOut = Late.get();
+  REQUIRE(TimedOut.m_Error);
+  CHECK(TimedOut.m_Error->m_Code == HttpErrorCode::TimedOut);
+  CHECK_FALSE(TimedOut.m_Error->m_NothingSent);
+  // The server sees the connection closed.
+  CHECK(waitUntil([&] { return Server.server().exchangeCount() == 0; }));
+}
+
+TEST_CASE("a taker that pauses holds the sender back and loses nothing") {
+  constexpr std::size_t AnswerBytes = 32UL * 1024 * 1024;
+  std::atomic<std::size_t> Queued{0};
+  ServerFixture Server([&](const std::shared_ptr<HttpExchange> &Exchange) {
+    Exchange->startStream({200, {}});
+    Exchange->writeChunk(std::string(AnswerBytes, 'x'));
+    boost::asio::post(Exchange->executor(), [Exchange, &Queued] {
+      Queued = Exchange->queuedBytes();
+      Exchange->finishStream();
+    });
+  });
+  WorkerPool Workers(1);
+  HttpClient Client(Workers.worker(0));
+  std::shared_ptr<HttpCall> Call;
+  std::atomic<std::size_t> Taken{0};
+  std::promise<bool> Ended;
+  boost::asio::post(Workers.worker(0), [&] {
+    Call = Client.send({TestAddress, Server.port()}, {"GET", "/"}, 60s,
+                       {[&](HttpHead) { Call->pauseReading(); },
+                        [&](std::string_view Piece) { Taken += Piece.size(); },
+                        [&] { Ended.set_value(true); },
+                        [&](HttpError) { Ended.set_value(false); }});
+  });
+  Workers.start();
+  REQUIRE(waitUntil([&] { return Queued > 0; }));
+  CHECK(Taken < AnswerBytes - Queued);
+  boost::asio::post(Workers.worker(0), [&] { Call->resumeReading(); });
+  CHECK(Ended.get_future().get());
+  CHECK(Taken == AnswerBytes);
+  Workers.stop();
+}
--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -1,8 +1,13 @@
 // What a caller can send to the server, good and bad, over real sockets.
 #include "Http/HttpTesting.h"
 
+#include <boost/asio/post.hpp>
+
 #include <catch2/catch.hpp>
 
+#include <future>
+#include <mutex>
+
 using namespace mangocart;
 using namespace mangocart::testing;
 using namespace std::chrono_literals;
@@ -138,3 +143,262 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nPOST:2"
         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\n");
 }
+
+TEST_CASE("a client that is too slow is told so and let go") {
+  struct Row {
+    const char *m_Name;
+    std::string m_Bytes;
+    std::string m_Expected;
+  };
+  const std::string Slow = "HTTP/1.1 408 Request Timeout";
+  const std::string Whole = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::string Answered = "HTTP/1.1 200 OK";
+  const std::vector<Row> Rows{
+      {"sends nothing", "", Slow},
+      {"half a head", "GET / HTTP/1.1\r\nHo", Slow},
+      {"half a body",
+       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx", Slow},
+      {"half a second request", Whole + "GET / HT", Answered},
+      {"no second request", Whole, Answered}};
+  PausedClock Clock;
+  ServerFixture Server(echo, smallLimits());
+  for (const Row &Row : Rows) {
+    INFO(Row.m_Name);
+    RawSocket Socket(Server.port());
+    Socket.write(Row.m_Bytes);
+    auto Answer = std::async([&] { return Socket.readToEnd(); });
+    REQUIRE(advanceUntil(
+        [&] { return Answer.wait_for(0s) == std::future_status::ready; }));
+    const std::string Text = Answer.get();
+    CHECK(statusLine(Text) == Row.m_Expected);
+    const bool TellsLate = Text.find(Slow) != std::string::npos;
+    CHECK(TellsLate == (std::string(Row.m_Name) != "no second request"));
+    CHECK(Socket.ended());
+  }
+}
+
+TEST_CASE("a request that arrives just in time is answered") {
+  PausedClock Clock;
+  ServerFixture Server(echo);
+  RawSocket Socket(Server.port());
+  Socket.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+               "Expect: 100-continue\r\n\r\n");
+  const std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+  CHECK(Socket.readBytes(Continue.size()) == Continue);
+  RuntimeClock::advance(HttpLimits{}.m_ReadTimeout - 1ms);
+  std::this_thread::sleep_for(20ms);
+  Socket.write("x");
+  const std::string Expected =
+      "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nPOST:x";
+  CHECK(Socket.readBytes(Expected.size()) == Expected);
+}
+
+TEST_CASE("a client that takes no byte of its answer is let go") {
+  constexpr std::size_t AnswerBytes = 64UL * 1024 * 1024;
+  PausedClock Clock;
+  ServerFixture Server([](const std::shared_ptr<HttpExchange> &Exchange) {
+    Exchange->respond({{200, {}}, std::string(AnswerBytes, 'x')});
+  });
+  RawSocket Socket(Server.port());
+  Socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  Socket.readBytes(1);
+  CHECK(advanceUntil([&] { return Server.server().connectionCount() == 0; }));
+}
+
+TEST_CASE("connections above the limit are refused, the others go on") {
+  HttpLimits Limits;
+  Limits.m_MaxConnections = 2;
+  ServerFixture Server(echo, Limits);
+  const std::string Get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::string Ok = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nGET:";
+  RawSocket First(Server.port());
+  RawSocket Second(Server.port());
+  for (RawSocket *Each : {&First, &Second}) {
+    Each->write(Get);
+    CHECK(Each->readBytes(Ok.size()) == Ok);
+  }
+  RawSocket Third(Server.port());
+  Third.write(Get);
+  CHECK_THAT(Third.readToEnd(),
+             Catch::StartsWith("HTTP/1.1 503 Service Unavailable") &&
+                 Catch::Contains("Retry-After: ") &&
+                 Catch::Contains("Mangocart-Outcome: not-run"));
+  Third.close();
+  First.close();
+  REQUIRE(waitUntil([&] { return Server.server().connectionCount() == 1; }));
+  RawSocket Fourth(Server.port());
+  for (RawSocket *Each : {&Second, &Fourth}) {
+    Each->write(Get);
+    CHECK(Each->readBytes(Ok.size()) == Ok);
+  }
+}
+
+namespace {
+
+// Keeps exchanges for the test to answer, each on its own worker.
+class HeldExchanges {
+public:
+  HttpServer::Handler handler() {
+    return [this](std::shared_ptr<HttpExchange> Exchange) {
+      Exchange->onClosed([this] { ++m_Closed; });
+      const std::lock_guard Lock(m_Mutex);
+      m_Held.push_back(std::move(Exchange));
+    };
+  }
+  std::shared_ptr<HttpExchange> wait() {
+    std::shared_ptr<HttpExchange> Exchange;
+    waitUntil([&] {
+      const std::lock_guard Lock(m_Mutex);
+      if (m_Held.empty())
+        return false;
+      Exchange = std::move(m_Held.front());
+      m_Held.erase(m_Held.begin());
+      return true;
+    });
+    return Exchange;
+  }
+  // Runs on the exchange's worker and waits for its end.
+  static void on(const std::shared_ptr<HttpExchange> &Exchange,
+                 const std::function<void(HttpExchange &)> &Step) {
+    std::promise<void> Done;
+    boost::asio::post(Exchange->executor(), [&] {
+      Step(*Exchange);
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+  int closed() const { return m_Closed; }
+
+private:
+  std::mutex m_Mutex;
+  std::vector<std::shared_ptr<HttpExchange>> m_Held;
+  std::atomic<int> m_Closed{0};
+};
+
+const std::string GetRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+const std::string GetRequest10 = "GET / HTTP/1.0\r\n\r\n";
+const std::string FinalChunk = "\r\n0\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("a stream ends whole only when it is finished") {
+  struct Row {
+    const char *m_Name;
+    std::string m_Request;
+    bool m_Finish;
+    bool m_FinalChunk;
+    bool m_EndsClean;
+  };
+  const std::vector<Row> Rows{
+      {"finished", GetRequest, true, true, false},
+      {"aborted", GetRequest, false, false, true},
+      {"finished for HTTP/1.0", GetRequest10, true, false, true},
+      {"aborted for HTTP/1.0", GetRequest10, false, false, false}};
+  HeldExchanges Held;
+  ServerFixture Server(Held.handler());
+  for (const Row &Row : Rows) {
+    INFO(Row.m_Name);
+    RawSocket Socket(Server.port());
+    Socket.write(Row.m_Request);
+    const auto Exchange = Held.wait();
+    REQUIRE(Exchange);
+    HeldExchanges::on(Exchange, [](HttpExchange &E) {
+      E.startStream({200, {}});
+      E.writeChunk("piece");
+      E.writeChunk("");
+    });
+    std::string Text;
+    while (Text.find("piece") == std::string::npos)
+      Text += Socket.readBytes(1);
+    HeldExchanges::on(Exchange, [&](HttpExchange &E) {
+      Row.m_Finish ? E.finishStream() : E.abort();
+      E.writeChunk("late");
+    });
+    if (Row.m_FinalChunk) {
+      CHECK(Socket.readBytes(FinalChunk.size()) == FinalChunk);
+      continue;
+    }
+    Text = Socket.readToEnd();
+    CHECK(Text.find("0\r\n\r\n") == std::string::npos);
+    CHECK(Socket.ended() == Row.m_EndsClean);
+  }
+  CHECK(Server.server().exchangeCount() == 0);
+}
+
+TEST_CASE("a client that goes away while its request is worked on is noticed") {
+  HeldExchanges Held;
+  ServerFixture Server(Held.handler());
+  RawSocket Socket(Server.port());
+  Socket.write(GetRequest);
+  const auto Exchange = Held.wait();
+  REQUIRE(Exchange);
+  CHECK(Server.server().exchangeCount() == 1);
+  Socket.close();
+  CHECK(waitUntil([&] { return Held.closed() == 1; }));
+  HeldExchanges::on(Exchange, [](HttpExchange &E) { E.respond({}); });
+  CHECK(Server.server().exchangeCount() == 0);
+  CHECK(Server.server().connectionCount() == 0);
+}
+
+TEST_CASE("an exchange that is dropped without an answer gives status 500") {
+  ServerFixture Server([](const std::shared_ptr<HttpExchange> &) {});
+  RawSocket Socket(Server.port());
+  Socket.write(GetRequest);
+  CHECK_THAT(Socket.readToEnd(),
+             Catch::StartsWith("HTTP/1.1 500") &&
+                 Catch::Contains("Mangocart-Outcome: unknown"));
+}
+
+TEST_CASE("bytes that the client hasn't taken are visible until it has") {
+  constexpr std::size_t PieceBytes = 1024 * 1024;
+  HeldExchanges Held;
+  ServerFixture Server(Held.handler());
+  RawSocket Socket(Server.port());
+  Socket.write(GetRequest);
+  const auto Exchange = Held.wait();
+  REQUIRE(Exchange);
+  std::atomic<int> Drained{0};
+  std::size_t Sent = 0;
+  HeldExchanges::on(Exchange, [&](HttpExchange &E) {
+    E.startStream({200, {}});
+    E.onDrained([&] { ++Drained; });
+  });
+  REQUIRE(waitUntil([&] { return Drained == 1; }));
+  std::size_t Queued = 0;
+  while (Queued == 0) {
+    HeldExchanges::on(Exchange, [&](HttpExchange &E) {
+      E.writeChunk(std::string(PieceBytes, 'x'));
+    });
+    Sent += PieceBytes;
+    HeldExchanges::on(Exchange,
+                      [&](HttpExchange &E) { Queued = E.queuedBytes(); });
+  }
+  const int Before = Drained;
+  Socket.readBytes(Sent);
+  CHECK(waitUntil([&] { return Drained == Before + 1; }));
+  HeldExchanges::on(Exchange,
+                    [&](HttpExchange &E) { Queued = E.queuedBytes(); });
+  CHECK(Queued == 0);
+}
+
+TEST_CASE("closing the listener cuts off no request") {
+  HeldExchanges Held;
+  ServerFixture Server(Held.handler());
+  RawSocket Idle(Server.port());
+  RawSocket Busy(Server.port());
+  Idle.write(GetRequest);
+  HeldExchanges::on(Held.wait(), [](HttpExchange &E) { E.respond({}); });
+  const std::string Empty = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  CHECK(Idle.readBytes(Empty.size()) == Empty);
+  Busy.write(GetRequest);
+  const auto Exchange = Held.wait();
+  REQUIRE(Exchange);
+  Server.server().closeListener();
+  CHECK(Idle.readToEnd().empty());
+  HeldExchanges::on(Exchange, [](HttpExchange &E) {
+    E.respond({{200, {}}, "whole"});
+  });
+  CHECK(Busy.readToEnd() == "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                            "Connection: close\r\n\r\nwhole");
+  CHECK_THROWS(RawSocket(Server.port()));
+}
