--- /dev/null
+++ b/Tests/Processes/ChildProcess.cpp
@@ -0,0 +1,68 @@
+// Starts, signals and awaits child processes.
+#include "Processes/ChildProcess.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace mangocart::test {
+
+namespace {
+constexpr std::chrono::milliseconds PollInterval{20};
+constexpr int SignalExitBase = 128;
+constexpr int FileMode = 0644;
+} // namespace
+
+ChildProcess::ChildProcess(const std::string &Program,
+                           const std::vector<std::string> &Arguments,
+                           const std::string &OutputFile) {
+  std::vector<char *> Argv = {const_cast<char *>(Program.c_str())};
+  for (const std::string &Argument : Arguments)
+    Argv.push_back(const_cast<char *>(Argument.c_str()));
+  Argv.push_back(nullptr);
+  posix_spawn_file_actions_t Actions;
+  posix_spawn_file_actions_init(&Actions);
+  posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, OutputFile.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, FileMode);
+  posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
+  const int Failed = posix_spawn(&m_Pid, Program.c_str(), &Actions, nullptr,
+                                 Argv.data(), environ);
+  posix_spawn_file_actions_destroy(&Actions);
+  if (Failed)
+    throw std::runtime_error("cannot start " + Program);
+}
+
+ChildProcess::~ChildProcess() {
+  if (!running())
+    return;
+  signal(SIGKILL);
+  wait(std::chrono::seconds(5));
+}
+
+void ChildProcess::signal(int Number) const {
+  if (!m_ExitCode)
+    ::kill(m_Pid, Number);
+}
+
+std::optional<int> ChildProcess::poll() {
+  int Status = 0;
+  if (!m_ExitCode && ::waitpid(m_Pid, &Status, WNOHANG) == m_Pid)
+    m_ExitCode = WIFEXITED(Status) ? WEXITSTATUS(Status)
+                                   : SignalExitBase + WTERMSIG(Status);
+  return m_ExitCode;
+}
+
+std::optional<int> ChildProcess::wait(std::chrono::seconds Longest) {
+  const auto GiveUp = std::chrono::steady_clock::now() + Longest;
+  while (!poll() && std::chrono::steady_clock::now() < GiveUp)
+    std::this_thread::sleep_for(PollInterval);
+  return m_ExitCode;
+}
+
+bool ChildProcess::running() { return !poll(); }
+
+} // namespace mangocart::test
