--- a/Source/Command/AdminClient.h
+++ b/Source/Command/AdminClient.h
@@ -7,6 +7,7 @@
 #include "Http/HttpClient.h"
 #include "Http/HttpMessage.h"
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -40,7 +41,7 @@
 // than MaxAdminAnswerBytes is an error.
 AdminAnswer callAdmin(const AdminRequest &Request);
 
-constexpr std::size_t MaxAdminAnswerBytes = 64 * 1024 * 1024;
+constexpr std::size_t MaxAdminAnswerBytes = std::size_t{64} << 20;
 
 // "127.0.1.1:8081" or "[::1]:8081"; absent for anything else.
 std::optional<HttpTarget> parseTarget(std::string_view Text);
--- a/Source/Command/CommonOptions.cpp
+++ b/Source/Command/CommonOptions.cpp
@@ -13,7 +13,9 @@
 
 namespace {
 
-constexpr unsigned Ok = 200;
+// Statuses from FirstSuccess up to, not including, PastSuccess.
+constexpr unsigned FirstSuccess = 200;
+constexpr unsigned PastSuccess = 300;
 constexpr unsigned Unauthorized = 401;
 constexpr unsigned MaxTimeoutSeconds = 3600;
 
@@ -138,14 +140,15 @@
   return Text;
 }
 
-std::optional<HttpResponse> callForOk(const AdminRequest &Request,
-                                      CommandContext &Context) {
+std::optional<HttpResponse> callForSuccess(const AdminRequest &Request,
+                                           CommandContext &Context) {
   auto Answer = Context.m_CallAdmin(Request);
   if (!Answer) {
     report(Context, CommandExit::Failed, failureText(Request, Answer.error()));
     return std::nullopt;
   }
-  if (Answer.value().m_Head.m_Status != Ok) {
+  const unsigned Status = Answer.value().m_Head.m_Status;
+  if (Status < FirstSuccess || Status >= PastSuccess) {
     report(Context, CommandExit::Failed, failureText(Request, Answer.value()));
     return std::nullopt;
   }
--- a/Source/Command/CommonOptions.h
+++ b/Source/Command/CommonOptions.h
@@ -30,10 +30,10 @@
 CommandExit report(CommandContext &Context, CommandExit Exit,
                    const std::string &Text);
 
-// Makes the call and hands back its answer when it has the status 200; else
-// reports the failure.
-std::optional<HttpResponse> callForOk(const AdminRequest &Request,
-                                      CommandContext &Context);
+// Makes the call and hands back its answer when its status says success (an
+// order that is only begun has 202); else reports the failure.
+std::optional<HttpResponse> callForSuccess(const AdminRequest &Request,
+                                           CommandContext &Context);
 
 // One line on what the answer says went wrong.
 std::string failureText(const AdminRequest &Request,
--- a/Source/Command/DrainCommand.cpp
+++ b/Source/Command/DrainCommand.cpp
@@ -24,7 +24,7 @@
   Request->m_ContentType = "application/json";
   Request->m_Body =
       boost::json::serialize(boost::json::object{{"process", Process}});
-  const auto Answer = callForOk(*Request, Context);
+  const auto Answer = callForSuccess(*Request, Context);
   if (!Answer)
     return CommandExit::Failed;
   if (wantsJson(Values))
--- a/Source/Command/MetricsCommand.cpp
+++ b/Source/Command/MetricsCommand.cpp
@@ -13,7 +13,7 @@
   if (!Request)
     return CommandExit::Usage;
   Request->m_Path = "/metrics";
-  const auto Answer = callForOk(*Request, Context);
+  const auto Answer = callForSuccess(*Request, Context);
   if (!Answer)
     return CommandExit::Failed;
   Context.m_Out << Answer->m_Body;
--- a/Source/Command/PlanCommand.cpp
+++ b/Source/Command/PlanCommand.cpp
@@ -24,7 +24,7 @@
     return std::nullopt;
   Exit = CommandExit::Failed;
   Request->m_Path = "/v1/configuration";
-  const auto Answer = callForOk(*Request, Context);
+  const auto Answer = callForSuccess(*Request, Context);
   if (!Answer)
     return std::nullopt;
   auto Present = parseConfiguration(Answer->m_Body);
--- a/Source/Command/StatusCommand.cpp
+++ b/Source/Command/StatusCommand.cpp
@@ -14,7 +14,7 @@
   if (!Request)
     return CommandExit::Usage;
   Request->m_Path = "/v1/status";
-  const auto Answer = callForOk(*Request, Context);
+  const auto Answer = callForSuccess(*Request, Context);
   if (!Answer)
     return CommandExit::Failed;
   if (wantsJson(Values)) {
--- a/Tests/Command/testCommandRegistry.cpp
+++ b/Tests/Command/testCommandRegistry.cpp
@@ -270,6 +270,21 @@
                       "\"operation_id\":\"earlier\"}\n");
 }
 
+TEST_CASE("drain names the process and takes an order that is only begun") {
+  const Folder Scratch;
+  const std::string Token = Scratch.file("token", "0123456789abcdef");
+  AdminApi Api;
+  REQUIRE_CALL(Api, call(trompeloeil::_))
+      .WITH(_1.m_Path == "/v1/drain" && _1.m_Token == "0123456789abcdef" &&
+            parseDrain(_1.m_Body).value() == "entry-a")
+      .RETURN(jsonResponse(202, "{\"draining\":true}"));
+  const Ran Done = run(
+      {"drain", "entry-a", "--admin", "127.24.0.1:8081", "--token-file", Token},
+      Api);
+  CHECK(Done.m_Exit == Ok);
+  CHECK(Done.m_Out == "entry-a drains\n");
+}
+
 TEST_CASE("status shows the answer as lines or as it came") {
   const std::string Body = R"({"version":3,"members":[{"name":"a","up":true}],)"
                            R"("raft":{"leader":"entry-a"}})";
