Raft: tests count a leader from its first message

The check now stands at each message that only a leader sends and at the role change that follows the sync, so it sees every leader that anyone else can see.

--- a/Tests/Raft/RaftHarness.cpp
+++ b/Tests/Raft/RaftHarness.cpp
@@ -212,6 +212,9 @@
     send(N, M->m_Message);
   } else if (const auto *A = std::get_if<Apply>(&Effect)) {
     apply(N, *A);
+  } else if (const auto *L = std::get_if<RoleChanged>(&Effect)) {
+    if (L->m_Role == RaftRole::Leader)
+      noteLeader({N.m_Name, N.m_Disk.m_StorageId}, L->m_Term);
   } else if (const auto *R = std::get_if<Restore>(&Effect)) {
     N.m_Applied = R->m_Snapshot->m_LastIndex;
     N.m_Digest = digestOf(R->m_Snapshot->m_Data);
@@ -244,6 +247,9 @@
     if (Vote->m_PreVote && Known.second)
       m_Votes.erase(Known.first);
   }
+  if (std::holds_alternative<AppendRequest>(M.m_Body) ||
+      std::holds_alternative<SnapshotChunk>(M.m_Body))
+    noteLeader(M.m_From, M.m_Term);
   if (m_Cut.contains({M.m_From.m_Name, M.m_To.m_Name}))
     return;
   m_Undelivered.push_back(M);
@@ -281,14 +287,19 @@
 void RaftHarness::checkLeader(const HarnessNode &N) {
   const RaftState &S = *N.m_State;
   ++m_Counts.m_Elections;
-  const auto Known =
-      m_Leaders.try_emplace(S.m_HardState.m_Term, S.m_Config.m_Self);
-  require(Known.first->second == S.m_Config.m_Self, "two leaders in a term");
   for (const auto &[Index, Mark] : m_Committed)
     require(Index < S.m_Log.baseIndex() || S.m_Log.termAt(Index) == Mark.m_Term,
             "leader lacks a committed entry");
 }
 
+// A leader counts from its first message or from the moment that its process
+// learns of it, both after the sync: a kill before that leaves no leader
+// behind.
+void RaftHarness::noteLeader(const MemberId &Id, Term OfTerm) {
+  const auto Known = m_Leaders.try_emplace(OfTerm, Id);
+  require(Known.first->second == Id, "two leaders in a term");
+}
+
 void RaftHarness::checkLeases() const {
   const auto Holders =
       std::count_if(m_Nodes.begin(), m_Nodes.end(), [&](const HarnessNode &N) {
--- a/Tests/Raft/RaftHarness.h
+++ b/Tests/Raft/RaftHarness.h
@@ -104,6 +104,7 @@
   void checkStep(HarnessNode &N, const std::vector<RaftEffect> &Effects);
   void checkEntries(const HarnessNode &N, const EntryList &Entries);
   void checkLeader(const HarnessNode &N);
+  void noteLeader(const MemberId &Id, Term OfTerm);
   void checkLeases() const;
 
   Random m_Random;
