--- a/Source/Raft/RaftNode.cpp
+++ b/Source/Raft/RaftNode.cpp
@@ -227,11 +227,18 @@
   return Effects;
 }
 
-bool leaseHeld(const RaftState &S, TimePoint Now) {
+std::optional<TimePoint> leaseEnd(const RaftState &S, TimePoint Now) {
   if (S.m_Role != RaftRole::Leader)
-    return false;
+    return std::nullopt;
   const std::optional<TimePoint> Round = quorumRound(S, currentMembers(S), Now);
-  return Round && Now < *Round + S.m_Config.m_Timing.m_LeaseDuration;
+  if (!Round)
+    return std::nullopt;
+  return *Round + S.m_Config.m_Timing.m_LeaseDuration;
+}
+
+bool leaseHeld(const RaftState &S, TimePoint Now) {
+  const std::optional<TimePoint> End = leaseEnd(S, Now);
+  return End && Now < *End;
 }
 
 bool mayRead(const RaftState &S, TimePoint Now) {
--- a/Source/Raft/RaftNode.h
+++ b/Source/Raft/RaftNode.h
@@ -100,6 +100,10 @@
 // that one sync covers them. Nothing is sent earlier than before.
 std::vector<RaftEffect> orderForOneSync(std::vector<RaftEffect> Effects);
 
+// Until when no other member can be elected, as far as this leader knows now;
+// nothing for others.
+std::optional<TimePoint> leaseEnd(const RaftState &S, TimePoint Now);
+
 // Whether this member is the leader and no other one can be elected at this
 // moment. To be asked at the moment of each answer, never remembered.
 bool leaseHeld(const RaftState &S, TimePoint Now);
--- /dev/null
+++ b/Source/Raft/RaftTransport.cpp
@@ -0,0 +1,83 @@
+// Streams between members.
+#include "Raft/RaftTransport.h"
+
+#include "Raft/RaftCodec.h"
+
+#include <mutex>
+
+namespace mangocart {
+
+namespace {
+
+constexpr const char *RaftMethod = "/entry/raft";
+// A stream that was lost is not opened again sooner.
+constexpr Duration ReopenInterval = std::chrono::milliseconds(100);
+// Above this the other side doesn't read; more would only age in the queue.
+constexpr std::size_t MaxQueuedBytes = std::size_t{8} * 1024 * 1024;
+
+} // namespace
+
+struct RaftTransport::Receiver {
+  std::mutex m_Mutex;
+  // Guarded by m_Mutex.
+  MessageHandler m_Handler;
+
+  void receive(std::string_view Bytes) {
+    std::optional<RaftMessage> Message = decodeMessage(Bytes);
+    const std::lock_guard Lock(m_Mutex);
+    if (Message && m_Handler)
+      m_Handler(std::move(*Message));
+  }
+};
+
+RaftTransport::RaftTransport(PeerClient &Client, PeerServer &Server,
+                             std::map<std::string, PeerEndpoint> Endpoints)
+    : m_Client(Client), m_Endpoints(std::move(Endpoints)),
+      m_Receiver(std::make_shared<Receiver>()) {
+  Server.addMethod(RaftMethod, [Receiver = m_Receiver](
+                                   const std::shared_ptr<PeerStream> &Stream) {
+    PeerStreamHandlers Handlers;
+    Handlers.m_OnMessage = [Receiver, Stream](std::string_view Bytes) {
+      Receiver->receive(Bytes);
+    };
+    Handlers.m_OnEnd = [Stream] { Stream->finish(); };
+    Stream->setHandlers(std::move(Handlers));
+  });
+}
+
+void RaftTransport::onMessage(MessageHandler Handler) {
+  const std::lock_guard Lock(m_Receiver->m_Mutex);
+  m_Receiver->m_Handler = std::move(Handler);
+}
+
+void RaftTransport::open(Link &To, const PeerEndpoint &Endpoint,
+                         TimePoint Now) {
+  auto Lost = std::make_shared<std::atomic<bool>>(false);
+  PeerStreamHandlers Handlers;
+  Handlers.m_OnMessage = [](std::string_view) {};
+  Handlers.m_OnEnd = [Lost] { *Lost = true; };
+  Handlers.m_OnError = [Lost](const PeerError &) { *Lost = true; };
+  To.m_Lost = std::move(Lost);
+  To.m_Opened = Now;
+  To.m_Stream = m_Client.open(Endpoint, RaftMethod, std::move(Handlers));
+}
+
+void RaftTransport::send(const RaftMessage &Message, TimePoint Now) {
+  const auto Endpoint = m_Endpoints.find(Message.m_To.m_Name);
+  if (Endpoint == m_Endpoints.end())
+    return;
+  Link &To = m_Links[Message.m_To.m_Name];
+  const bool Usable = To.m_Stream && !*To.m_Lost;
+  if (!Usable && To.m_Stream && Now - To.m_Opened < ReopenInterval)
+    return;
+  if (!Usable)
+    open(To, Endpoint->second, Now);
+  if (To.m_Stream->queuedBytes() > MaxQueuedBytes)
+    return;
+  std::string Bytes = encodeMessage(Message);
+  ++m_Messages;
+  m_Bytes += Bytes.size();
+  To.m_Stream->send(std::move(Bytes));
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Tests/Raft/testRaftRunner.cpp
@@ -0,0 +1,103 @@
+// Three members and a process without a disk, over sockets and real folders.
+#include "Raft/RunnerCluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace mangocart;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool sameState(RunnerCluster &C, const std::string &Expected) {
+  return RunnerCluster::eventually([&] {
+    for (std::size_t I = 0; I < RunnerCluster::VoterCount; ++I)
+      if (C.runs(I) && C.at(I).m_Machine.state() != Expected)
+        return false;
+    return true;
+  });
+}
+
+std::size_t otherThan(std::size_t Machine) {
+  return (Machine + 1) % RunnerCluster::VoterCount;
+}
+
+} // namespace
+
+TEST_CASE("commands from every machine are committed once and in one order") {
+  RunnerCluster C(7321);
+  REQUIRE(C.allVote());
+  std::string Expected;
+  std::uint64_t Last = 0;
+  for (std::size_t I = 0; I < 40; ++I) {
+    const std::string Name = "c" + std::to_string(I);
+    const auto Reply = C.propose(I % RunnerCluster::MachineCount, Name);
+    REQUIRE(Reply.has_value());
+    CHECK(Reply.value().fencing_number() > Last);
+    Last = Reply.value().fencing_number();
+    Expected += Name + ";";
+  }
+  CHECK(sameState(C, Expected));
+}
+
+TEST_CASE("another member leads after the leader's end, and a member that "
+          "missed 500 commands catches up by snapshot") {
+  RunnerCluster C(7322, 100);
+  REQUIRE(C.allVote());
+  const std::size_t First = C.leader();
+  REQUIRE(C.propose(First, "before").has_value());
+  std::string Expected = "before;";
+  C.stop(First);
+  for (int I = 0; I < 500; ++I) {
+    const std::string Name = "c" + std::to_string(I);
+    REQUIRE(C.propose(otherThan(First), Name).has_value());
+    Expected += Name + ";";
+  }
+  CHECK(C.leader() != First);
+  C.start(First);
+  CHECK(sameState(C, Expected));
+  CHECK(C.at(First).m_Machine.restored() >= 1);
+}
+
+TEST_CASE("a member that lost its disk votes again under a new storage id") {
+  RunnerCluster C(7323);
+  REQUIRE(C.allVote());
+  REQUIRE(C.propose(0, "kept").has_value());
+  const std::size_t Lost = C.leader();
+  const MemberId Old = C.at(Lost).m_Runner->status().m_Self;
+  C.stop(Lost);
+  std::filesystem::remove_all(C.folder(Lost));
+  C.start(Lost);
+  const MemberId New = C.at(Lost).m_Runner->status().m_Self;
+  CHECK(New.m_StorageId != Old.m_StorageId);
+  CHECK(RunnerCluster::eventually([&] {
+    const RaftMembers Members = C.at(Lost).m_Runner->status().m_Members;
+    return std::find(Members.begin(), Members.end(), RaftMember{New, true}) !=
+           Members.end();
+  }));
+  // A second failure right after it.
+  const std::size_t Second = C.leader();
+  C.stop(Second);
+  const auto Reply = C.propose(Lost, "after");
+  CHECK(Reply.has_value());
+  CHECK(sameState(C, "kept;after;"));
+}
+
+TEST_CASE("without a majority a command is refused and never runs") {
+  RunnerCluster C(7324);
+  REQUIRE(C.allVote());
+  const std::size_t Left = otherThan(C.leader());
+  for (std::size_t I = 0; I < RunnerCluster::VoterCount; ++I)
+    if (I != Left)
+      C.stop(I);
+  const auto Refused = C.propose(Left, "refused");
+  REQUIRE(Refused.has_error());
+  CHECK(Refused.error().m_Code == ProposeErrorCode::NoQuorum);
+  CHECK_FALSE(C.at(Left).m_Runner->leaseHeld());
+  for (std::size_t I = 0; I < RunnerCluster::VoterCount; ++I)
+    if (I != Left)
+      C.start(I);
+  REQUIRE(C.propose(Left, "taken").has_value());
+  CHECK(sameState(C, "taken;"));
+}
