Entry: replicated log, settler and the gate of fair queues in the request's path

The log in memory is gone. Requests pass a gate: bounded queues per service, fair among customers by weight and estimated tokens, refusal at once when the wait would be too long.

--- a/Source/Entry/CallerFront.cpp
+++ b/Source/Entry/CallerFront.cpp
@@ -1,12 +1,14 @@
 // The first steps of each caller's request.
 #include "Entry/CallerFront.h"
 
+#include "Entry/CallRequests.h"
 #include "Entry/ClaimedRequest.h"
 #include "Entry/EntryContext.h"
 #include "Entry/ForwardedRequest.h"
 #include "Entry/OwnAnswer.h"
 #include "Entry/RouteTable.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <fmt/format.h>
 
 namespace mangocart {
@@ -46,6 +48,12 @@
           std::nullopt};
 }
 
+OwnAnswer refusedByGate(const AdmissionVerdict &Verdict) {
+  return {Verdict.m_Status, std::string(toString(Verdict.m_Reason)),
+          "the request can't be served in time; come back after Retry-After",
+          schema::NOT_RUN, Verdict.m_RetryAfter};
+}
+
 } // namespace
 
 CallerFront::CallerFront(EntryContext &Context, std::uint64_t Incarnation)
@@ -81,16 +89,51 @@
   const auto Customer = findHeader(Request.m_Headers, CustomerHeader);
   if (!Customer)
     return Refuse(noCustomer());
-  if (!findCustomer(*Configuration, *Customer))
+  const schema::Customer *Known = findCustomer(*Configuration, *Customer);
+  if (!Known)
     return Refuse(unknownCustomer());
   auto Match = findRoute(Configuration, Request.m_Target);
   if (!Match)
     return Refuse(unknownRoute());
-  if (Match->m_Route->idempotent())
-    return ForwardedRequest::start(m_Context, Exchange, std::move(*Match),
-                                   std::move(RequestId));
-  ClaimedRequest::start(m_Context, Exchange, std::move(*Match),
-                        std::move(RequestId));
+  enterGate(Exchange, *Known, std::move(*Match), std::move(RequestId));
+}
+
+void CallerFront::enterGate(const std::shared_ptr<HttpExchange> &Exchange,
+                            const schema::Customer &Customer, RouteMatch Match,
+                            std::string RequestId) {
+  GateRequest Entering;
+  Entering.m_Service = Match.m_Service->name();
+  Entering.m_Customer = Customer.name();
+  Entering.m_Weight = Customer.share();
+  Entering.m_Limit = Customer.max_tokens_per_second();
+  Entering.m_Tokens = sizeOf(Exchange->request()).m_Tokens;
+  Entering.m_Deadline = RuntimeClock::now() +
+                        std::chrono::milliseconds(Match.m_Route->deadline_ms());
+  const std::uint64_t Waiting = m_Context.m_Gate.enter(
+      Entering, [this, Exchange, Match = std::move(Match),
+                 RequestId = std::move(RequestId)](
+                    GatePass Pass, const AdmissionVerdict &Verdict) {
+        boost::asio::dispatch(
+            Exchange->executor(), [this, Exchange, Match, RequestId,
+                                   Pass = std::move(Pass), Verdict]() mutable {
+              if (Verdict.m_Reason == AdmissionReason::Admitted)
+                return goOn(Exchange, std::move(Match), std::move(RequestId),
+                            std::move(Pass));
+              ++m_Context.m_Counters.m_Refused;
+              Exchange->respond(toResponse(refusedByGate(Verdict), RequestId));
+            });
+      });
+  if (Waiting != 0)
+    Exchange->onClosed([&Gate = m_Context.m_Gate, Service = Entering.m_Service,
+                        Waiting] { Gate.cancel(Service, Waiting); });
+}
+
+void CallerFront::goOn(const std::shared_ptr<HttpExchange> &Exchange,
+                       RouteMatch Match, std::string RequestId, GatePass Pass) {
+  if (Match.m_Route->idempotent())
+    return ForwardedRequest::start(m_Context, Exchange, std::move(Match),
+                                   std::move(RequestId), std::move(Pass));
+  ClaimedRequest::start(m_Context, Exchange, Match, RequestId, std::move(Pass));
 }
 
 } // namespace mangocart
--- a/Source/Entry/CallerFront.h
+++ b/Source/Entry/CallerFront.h
@@ -3,6 +3,8 @@
 #ifndef MANGOCART_ENTRY_CALLERFRONT_H
 #define MANGOCART_ENTRY_CALLERFRONT_H
 
+#include "Entry/RequestGate.h"
+#include "Entry/RouteTable.h"
 #include "Http/HttpServer.h"
 
 #include <atomic>
@@ -26,6 +28,11 @@
 
 private:
   std::string makeRequestId();
+  void enterGate(const std::shared_ptr<HttpExchange> &Exchange,
+                 const schema::Customer &Customer, RouteMatch Match,
+                 std::string RequestId);
+  void goOn(const std::shared_ptr<HttpExchange> &Exchange, RouteMatch Match,
+            std::string RequestId, GatePass Pass);
   void answerHealth(HttpExchange &Exchange) const;
 
   EntryContext &m_Context;
--- a/Source/Entry/ClaimedRequest.cpp
+++ b/Source/Entry/ClaimedRequest.cpp
@@ -85,7 +85,7 @@
 void ClaimedRequest::start(EntryContext &Context,
                            const std::shared_ptr<HttpExchange> &Exchange,
                            const RouteMatch &Match,
-                           const std::string &RequestId) {
+                           const std::string &RequestId, GatePass Pass) {
   const HttpRequest &Request = Exchange->request();
   const auto Given = findHeader(Request.m_Headers, IdempotencyKeyHeader);
   if (Given && (Given->empty() || Given->size() > MaxKeyBytes)) {
@@ -114,6 +114,7 @@
   const auto Driver = SettlementDriver::startRequest(
       Context, Exchange->executor(), Settled, std::move(Call),
       [&Counters = Context.m_Counters, Exchange, RequestId,
+       Pass = std::move(Pass),
        Key = Settled.m_IdempotencyKey](const AnswerCaller &Answer) {
         const bool Answered = Answer.m_Reason == AnswerReason::Answered;
         ++(Answered ? Counters.m_Answered : Counters.m_Refused);
--- a/Source/Entry/ClaimedRequest.h
+++ b/Source/Entry/ClaimedRequest.h
@@ -3,6 +3,7 @@
 #ifndef MANGOCART_ENTRY_CLAIMEDREQUEST_H
 #define MANGOCART_ENTRY_CLAIMEDREQUEST_H
 
+#include "Entry/RequestGate.h"
 #include "Entry/RouteTable.h"
 #include "Http/HttpServer.h"
 #include "State/Settlement.h"
@@ -18,7 +19,8 @@
 public:
   static void start(EntryContext &Context,
                     const std::shared_ptr<HttpExchange> &Exchange,
-                    const RouteMatch &Match, const std::string &RequestId);
+                    const RouteMatch &Match, const std::string &RequestId,
+                    GatePass Pass);
 };
 
 // What the caller is told for each way in which a settlement answers. Key is
--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -17,6 +17,7 @@
 class MembershipDirectory;
 class PeerClient;
 class ReplicatedLog;
+class RequestGate;
 class WorkerPool;
 
 // Counters behind the metrics page.
@@ -37,6 +38,7 @@
   ConfigurationHolder &m_Configuration;
   MembershipDirectory &m_Directory;
   ReplicatedLog &m_Log;
+  RequestGate &m_Gate;
   EntryCounters &m_Counters;
 };
 
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -3,16 +3,21 @@
 
 #include "Daemon/DaemonCommandLine.h"
 #include "Daemon/StopSignals.h"
-#include "Entry/SoleLog.h"
+#include "Entry/OrphanSettler.h"
 #include "Entry/StatusPage.h"
 #include "Net/UnaryMethod.h"
+#include "Raft/RaftRunner.h"
 
 #include <fmt/format.h>
 
+#include <limits>
+
 namespace mangocart {
 
 namespace {
 
+constexpr Duration GateInterval = std::chrono::milliseconds(100);
+
 HttpLimits callerLimits(const schema::EntrySettings &Settings) {
   HttpLimits Limits;
   Limits.m_MaxConnections = Settings.max_connections();
@@ -23,6 +28,15 @@
   return Limits;
 }
 
+// Place of this entry among all, for the shares of limits.
+std::uint32_t entryNumber(const schema::EntrySettings &Settings) {
+  std::uint32_t Number = 0;
+  for (const schema::PeerAddress &Entry : Settings.entries())
+    if (Entry.name() < Settings.name())
+      ++Number;
+  return Number;
+}
+
 DrainLimits drainLimits(const schema::EntrySettings &Settings) {
   DrainLimits Limits;
   Limits.m_KeepListening =
@@ -40,10 +54,9 @@
                m_Settings.log_file()),
       m_Directory(m_Events, m_Settings.availability_zone(), Incarnation),
       m_Peers(m_Workers), m_Server(m_Workers),
-      m_Log(
-          std::make_unique<SoleLog>(m_Settings, m_Peers, m_Server, m_Machine)),
-      m_Context{m_Settings,      m_Workers,   m_Events, m_Peers,
-                m_Configuration, m_Directory, *m_Log,   m_Counters},
+      m_Log(openLog()), m_Context{m_Settings, m_Workers,       m_Events,
+                                  m_Peers,    m_Configuration, m_Directory,
+                                  *m_Log,     *m_Gate,         m_Counters},
       m_Callers(m_Context, Incarnation),
       m_Admin(m_Context, adminSources(std::move(AdminToken))),
       m_CallerServer(m_Workers, callerLimits(m_Settings),
@@ -54,13 +67,12 @@
                     [this](const std::shared_ptr<HttpExchange> &Exchange) {
                       m_Admin.handle(Exchange);
                     }),
+      m_GateTimer(m_Workers.worker(0)),
       m_Gossip(std::make_shared<GossipService>(m_Settings, m_Workers, m_Peers,
                                                m_Configuration, m_Directory,
                                                Incarnation)),
+      m_Settler(std::make_shared<OrphanSettler>(m_Context, *m_Log, m_Machine)),
       m_Drain(m_Workers.worker(0), drainLimits(m_Settings), drainActions()) {
-  m_Machine.onConfiguration([this](const schema::Configuration &Applied) {
-    m_Configuration.offer(Applied);
-  });
   m_Configuration.onChange([this](const ConfigurationPtr &InForce) {
     configurationChanged(*InForce);
   });
@@ -68,6 +80,27 @@
 
 EntryDaemon::~EntryDaemon() { m_Workers.stop(); }
 
+std::unique_ptr<RaftRunner> EntryDaemon::openLog() {
+  // Set first: opening the folder may restore a configuration.
+  m_Machine.onConfiguration([this](const schema::Configuration &Applied) {
+    m_Configuration.offer(Applied);
+  });
+  RaftRunnerOptions Options;
+  Options.m_Name = m_Settings.name();
+  Options.m_DataFolder = m_Settings.data_folder();
+  for (const schema::PeerAddress &Entry : m_Settings.entries())
+    Options.m_Peers.push_back(
+        {Entry.name(),
+         {Entry.address(), static_cast<std::uint16_t>(Entry.peer_port())},
+         Entry.voter()});
+  auto Runner = RaftRunner::start(
+      std::move(Options), m_Machine, m_Workers, m_Peers, m_Server,
+      [this](const StorageError &) { m_Exit.open(ExitFailed); }, &m_Events);
+  if (!Runner)
+    throw StartFailure(Runner.error().m_Message);
+  return std::move(Runner).value();
+}
+
 int EntryDaemon::run() {
   addMethods();
   if (!listen())
@@ -76,6 +109,8 @@
       m_Workers.worker(0), [this] { m_Drain.request(); },
       [this] { m_Exit.open(ExitFailed); });
   m_Gossip->start();
+  m_Settler->start();
+  tendGate();
   m_Workers.start();
   m_Events.write(Event::ProcessStarted,
                  {{"address", m_Settings.address()},
@@ -111,6 +146,24 @@
   return true;
 }
 
+void EntryDaemon::tendGate() {
+  const ConfigurationPtr InForce = m_Configuration.current();
+  for (const schema::Service &Service : InForce->services()) {
+    const std::size_t Servers = m_Directory.eligibleCount(Service.name());
+    // Without servers a request is refused at once, not kept waiting.
+    m_Gate->setCapacity(
+        Service.name(),
+        Servers == 0 ? std::numeric_limits<std::size_t>::max()
+                     : Servers * Service.max_outstanding_per_backend_server());
+  }
+  m_Gate->tick();
+  m_GateTimer.expires_after(GateInterval);
+  m_GateTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      tendGate();
+  });
+}
+
 void EntryDaemon::addMethods() {
   addUnaryMethod<schema::Announcement>(
       m_Server, "/entry/announce", [this](const schema::Announcement &Message) {
@@ -180,7 +233,12 @@
   Status.m_ConfigurationVersion = m_Configuration.version();
   Status.m_Versions = m_Gossip->versions();
   Status.m_Members = m_Directory.members();
+  const RaftStatus Log = m_Log->status();
   Status.m_Log.m_Leader = m_Log->leader();
+  Status.m_Log.m_Term = Log.m_Term;
+  Status.m_Log.m_LastApplied = Log.m_LastApplied;
+  for (const RaftMember &Member : Log.m_Members)
+    Status.m_Log.m_Members.push_back({Member.m_Id.m_Name, Member.m_Voter});
   Status.m_Log.m_LedgerRecords = m_Machine.ledgerRecords();
   Status.m_Log.m_LedgerBytes = m_Machine.ledgerBytes();
   return toJson(Status);
@@ -205,6 +263,12 @@
   Add("mangocart_configuration_version", "gauge", m_Configuration.version());
   Add("mangocart_ledger_records", "gauge", m_Machine.ledgerRecords());
   Add("mangocart_ledger_bytes", "gauge", m_Machine.ledgerBytes());
+  const RaftCounters Log = m_Log->counters();
+  Add("mangocart_log_proposals_total", "counter", Log.m_Proposals);
+  Add("mangocart_log_batches_total", "counter", Log.m_Batches);
+  Add("mangocart_log_syncs_total", "counter", Log.m_Syncs);
+  Add("mangocart_log_messages_total", "counter", Log.m_Messages);
+  Add("mangocart_log_bytes_total", "counter", Log.m_Bytes);
   Add("mangocart_peer_bytes_sent_total", "counter", Traffic.m_BytesSent);
   Add("mangocart_peer_bytes_received_total", "counter",
       Traffic.m_BytesReceived);
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -18,13 +18,21 @@
 #include "State/DeploymentMachine.h"
 
 #include <memory>
+#include <stdexcept>
 
 namespace mangocart {
 
-class ReplicatedLog;
+class OrphanSettler;
+class RaftRunner;
+
+// Says why an entry can't start, for the operator.
+struct StartFailure : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
 
 class EntryDaemon {
 public:
+  // Opens the data folder; throws StartFailure when it can't be used.
   EntryDaemon(schema::EntrySettings Settings, std::uint64_t Incarnation,
               std::string AdminToken);
   ~EntryDaemon();
@@ -33,8 +41,11 @@
   int run();
 
 private:
+  std::unique_ptr<RaftRunner> openLog();
   bool listen();
   void addMethods();
+  // Tells the gate what the backend servers offer, again and again.
+  void tendGate();
   void configurationChanged(const schema::Configuration &Configuration);
   schema::AnnounceReply announced(const schema::Announcement &Message);
   AdminSources adminSources(std::string Token);
@@ -50,14 +61,17 @@
   DeploymentMachine m_Machine;
   PeerClient m_Peers;
   PeerServer m_Server;
-  std::unique_ptr<ReplicatedLog> m_Log;
+  std::unique_ptr<RaftRunner> m_Log;
+  std::shared_ptr<RequestGate> m_Gate;
   EntryCounters m_Counters;
   EntryContext m_Context;
   CallerFront m_Callers;
   AdminFront m_Admin;
   HttpServer m_CallerServer;
   HttpServer m_AdminServer;
+  Timer m_GateTimer;
   std::shared_ptr<GossipService> m_Gossip;
+  std::shared_ptr<OrphanSettler> m_Settler;
   DrainController m_Drain;
   std::atomic<bool> m_Leaving{false};
   ExitGate m_Exit;
--- a/Source/Entry/EntryProgram.cpp
+++ b/Source/Entry/EntryProgram.cpp
@@ -39,9 +39,14 @@
   auto Token = readToken(Settings->admin_token_file());
   if (!Token)
     return ExitUsage;
-  EntryDaemon Daemon(std::move(*Settings), RuntimeClock::wallMilliseconds(),
-                     std::move(*Token));
-  return Daemon.run();
+  try {
+    EntryDaemon Daemon(std::move(*Settings), RuntimeClock::wallMilliseconds(),
+                       std::move(*Token));
+    return Daemon.run();
+  } catch (const StartFailure &Failure) {
+    std::cerr << Failure.what() << '\n';
+    return ExitFailed;
+  }
 }
 
 } // namespace mangocart
--- a/Source/Entry/ForwardedRequest.cpp
+++ b/Source/Entry/ForwardedRequest.cpp
@@ -25,17 +25,21 @@
 
 void ForwardedRequest::start(EntryContext &Context,
                              std::shared_ptr<HttpExchange> Exchange,
-                             RouteMatch Match, std::string RequestId) {
-  const std::shared_ptr<ForwardedRequest> Self(new ForwardedRequest(
-      Context, std::move(Exchange), std::move(Match), std::move(RequestId)));
+                             RouteMatch Match, std::string RequestId,
+                             GatePass Pass) {
+  const std::shared_ptr<ForwardedRequest> Self(
+      new ForwardedRequest(Context, std::move(Exchange), std::move(Match),
+                           std::move(RequestId), std::move(Pass)));
   Self->begin();
 }
 
 ForwardedRequest::ForwardedRequest(EntryContext &Context,
                                    std::shared_ptr<HttpExchange> Exchange,
-                                   RouteMatch Match, std::string RequestId)
+                                   RouteMatch Match, std::string RequestId,
+                                   GatePass Pass)
     : m_Context(Context), m_Exchange(std::move(Exchange)),
       m_Match(std::move(Match)), m_RequestId(std::move(RequestId)),
+      m_Pass(std::move(Pass)),
       m_Deadline(RuntimeClock::now() +
                  std::chrono::milliseconds(m_Match.m_Route->deadline_ms())),
       m_Size(sizeOf(m_Exchange->request())),
@@ -241,6 +245,7 @@
 
 void ForwardedRequest::finish() {
   m_Over = true;
+  m_Pass.reset();
   m_DeadlineTimer.cancel();
   m_RetryTimer.cancel();
   if (m_Call)
--- a/Source/Entry/ForwardedRequest.h
+++ b/Source/Entry/ForwardedRequest.h
@@ -7,6 +7,7 @@
 #include "Entry/BackendDirectory.h"
 #include "Entry/CallAttempt.h"
 #include "Entry/OwnAnswer.h"
+#include "Entry/RequestGate.h"
 #include "Entry/RouteTable.h"
 #include "Http/HttpServer.h"
 
@@ -18,12 +19,12 @@
 public:
   static void start(EntryContext &Context,
                     std::shared_ptr<HttpExchange> Exchange, RouteMatch Match,
-                    std::string RequestId);
+                    std::string RequestId, GatePass Pass);
 
 private:
   ForwardedRequest(EntryContext &Context,
                    std::shared_ptr<HttpExchange> Exchange, RouteMatch Match,
-                   std::string RequestId);
+                   std::string RequestId, GatePass Pass);
   void begin();
   void armDeadline();
   void attempt();
@@ -46,6 +47,8 @@
   std::shared_ptr<HttpExchange> m_Exchange;
   const RouteMatch m_Match;
   const std::string m_RequestId;
+  // Given back when the request is over.
+  GatePass m_Pass;
   const TimePoint m_Deadline;
   const CallSize m_Size;
   Timer m_DeadlineTimer;
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -174,6 +174,11 @@
   return Views;
 }
 
+std::size_t MembershipDirectory::eligibleCount(std::string_view Service) const {
+  const std::lock_guard Lock(m_Mutex);
+  return eligible(m_Table, Service, RuntimeClock::now()).size();
+}
+
 std::optional<BackendTarget>
 MembershipDirectory::locate(std::string_view BackendServer) const {
   const std::lock_guard Lock(m_Mutex);
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -50,6 +50,8 @@
   // ejected or came back.
   void sweepMembers();
   std::vector<MemberView> members() const;
+  // Backend servers of the service that new work may go to.
+  std::size_t eligibleCount(std::string_view Service) const;
   // The agent of a backend server, if it is known.
   std::optional<BackendTarget> locate(std::string_view BackendServer) const;
 
--- /dev/null
+++ b/Source/Entry/OrphanSettler.h
@@ -0,0 +1,37 @@
+// Runs the leader's settler at an entry: looks for overdue claims at intervals
+// while this process leads, and carries out their settlements. All on worker 0.
+#ifndef MANGOCART_ENTRY_ORPHANSETTLER_H
+#define MANGOCART_ENTRY_ORPHANSETTLER_H
+
+#include "Core/Timer.h"
+#include "State/Settler.h"
+
+#include <memory>
+
+namespace mangocart {
+
+struct EntryContext;
+class DeploymentMachine;
+class RaftRunner;
+
+class OrphanSettler : public std::enable_shared_from_this<OrphanSettler> {
+public:
+  OrphanSettler(EntryContext &Context, const RaftRunner &Log,
+                const DeploymentMachine &Machine);
+  void start();
+
+private:
+  void tick();
+  void look();
+  void take(const SettlerWork &Work);
+
+  EntryContext &m_Context;
+  const RaftRunner &m_Log;
+  const DeploymentMachine &m_Machine;
+  Timer m_Timer;
+  Settler m_Settler;
+};
+
+} // namespace mangocart
+
+#endif
--- a/Source/Entry/SettlementDriver.cpp
+++ b/Source/Entry/SettlementDriver.cpp
@@ -69,26 +69,29 @@
   Self->m_Call = std::move(Call);
   Self->m_OnAnswer = std::move(OnAnswer);
   SettlementEffects Effects;
-  Self->m_State = startSettlement(Request, {}, RuntimeClock::now(), Effects);
+  Self->m_Own = startSettlement(Request, {}, RuntimeClock::now(), Effects);
+  // The driver outlives these calls: whoever feeds an event holds it.
+  Self->m_Step = [Raw = Self.get()](const SettlementEvent &Event) {
+    return step(Raw->m_Own, Event, RuntimeClock::now());
+  };
+  Self->m_Look = [Raw = Self.get()] { return &Raw->m_Own; };
   Self->carryOutAll(Effects);
   return Self;
 }
 
-void SettlementDriver::startOrphan(EntryContext &Context,
-                                   boost::asio::any_io_executor Executor,
-                                   const OpenClaim &Open,
-                                   std::function<void()> OnFinished) {
+void SettlementDriver::drive(EntryContext &Context,
+                             boost::asio::any_io_executor Executor,
+                             StepFunction Step, LookFunction Look,
+                             const SettlementEffects &First) {
   const std::shared_ptr<SettlementDriver> Self(
       new SettlementDriver(Context, std::move(Executor)));
-  Self->m_OnFinished = std::move(OnFinished);
-  SettlementEffects Effects;
-  Self->m_State =
-      mangocart::startOrphan(Open, {}, RuntimeClock::now(), Effects);
-  Self->carryOutAll(Effects);
+  Self->m_Step = std::move(Step);
+  Self->m_Look = std::move(Look);
+  Self->carryOutAll(First);
 }
 
 void SettlementDriver::feed(const SettlementEvent &Event) {
-  carryOutAll(step(m_State, Event, RuntimeClock::now()));
+  carryOutAll(m_Step(Event));
 }
 
 void SettlementDriver::post(SettlementEvent Event) {
@@ -134,13 +137,12 @@
 void SettlementDriver::carryOut(const Dispatch &Effect) {
   const BackendTarget &Target = m_Targets.at(Effect.m_BackendServer);
   addTicket(Effect.m_Ticket, m_Call.m_Request);
-  const Duration Left = m_State.m_Request.m_Deadline - RuntimeClock::now();
+  const Duration Left = m_Own.m_Request.m_Deadline - RuntimeClock::now();
   m_Call.m_Request.set_deadline_ms(
       static_cast<std::uint32_t>(std::max<std::int64_t>(
           1, std::chrono::duration_cast<std::chrono::milliseconds>(Left)
                  .count())));
   m_Answer.Clear();
-  m_Counted = Target;
   ++m_Context.m_Counters.m_Attempts;
   m_Context.m_Directory.callStarted(Target, {});
   m_Attempt = CallAttempt::start(
@@ -155,7 +157,6 @@
   const auto Ended = [Self, Target,
                       Started = RuntimeClock::now()](CallResult Result) {
     Self->m_Attempt.reset();
-    Self->m_Counted.reset();
     Self->m_Context.m_Directory.callEnded(
         Target, {}, {Result, RuntimeClock::now() - Started});
   };
@@ -240,18 +241,15 @@
 
 // An agent that was replaced can't say any more what it ran.
 void SettlementDriver::noticeReplacement() {
-  if (m_State.m_Phase != SettlementPhase::Revoking)
+  const Settlement *State = m_Look();
+  if (!State || State->m_Phase != SettlementPhase::Revoking)
     return;
   const auto Now =
-      m_Context.m_Directory.locate(m_State.m_Target.m_BackendServer);
-  if (Now && Now->m_Incarnation > m_State.m_Target.m_Incarnation)
+      m_Context.m_Directory.locate(State->m_Target.m_BackendServer);
+  if (Now && Now->m_Incarnation > State->m_Target.m_Incarnation)
     feed(AgentReplaced{});
 }
 
-void SettlementDriver::carryOut(const Finished &) {
-  m_Timer.cancel();
-  if (m_OnFinished)
-    std::exchange(m_OnFinished, nullptr)();
-}
+void SettlementDriver::carryOut(const Finished &) { m_Timer.cancel(); }
 
 } // namespace mangocart
--- a/Source/Entry/SettlementDriver.h
+++ b/Source/Entry/SettlementDriver.h
@@ -1,6 +1,6 @@
 // Carries out the effects of one settlement: proposes to the log, calls agents,
 // revokes, keeps the timer. One driver serves one non-idempotent request, or
-// one claim that a dead entry left behind.
+// one claim that the leader's settler has taken up.
 #ifndef MANGOCART_ENTRY_SETTLEMENTDRIVER_H
 #define MANGOCART_ENTRY_SETTLEMENTDRIVER_H
 
@@ -32,11 +32,14 @@
   startRequest(EntryContext &Context, boost::asio::any_io_executor Executor,
                const SettlementRequest &Request, SettlementCall Call,
                AnswerHandler OnAnswer);
-  // OnFinished runs on the executor, once.
-  static void startOrphan(EntryContext &Context,
-                          boost::asio::any_io_executor Executor,
-                          const OpenClaim &Open,
-                          std::function<void()> OnFinished);
+  // Carries out a settlement whose state someone else holds. Step takes each
+  // event; Look gives the state, null once it is done.
+  using StepFunction =
+      std::function<SettlementEffects(const SettlementEvent &)>;
+  using LookFunction = std::function<const Settlement *()>;
+  static void drive(EntryContext &Context,
+                    boost::asio::any_io_executor Executor, StepFunction Step,
+                    LookFunction Look, const SettlementEffects &First);
 
   // On the executor.
   void callerGone() { feed(CallerGone{}); }
@@ -44,7 +47,6 @@
 private:
   SettlementDriver(EntryContext &Context,
                    boost::asio::any_io_executor Executor);
-  void begin(const SettlementEffects &Effects);
   void feed(const SettlementEvent &Event);
   // Feeds the event in a later turn, from any thread.
   void post(SettlementEvent Event);
@@ -66,13 +68,13 @@
   EntryContext &m_Context;
   const boost::asio::any_io_executor m_Executor;
   Timer m_Timer;
-  Settlement m_State;
+  // Used by startRequest() only.
+  Settlement m_Own;
+  StepFunction m_Step;
+  LookFunction m_Look;
   SettlementCall m_Call;
   AnswerHandler m_OnAnswer;
-  std::function<void()> m_OnFinished;
   std::shared_ptr<CallAttempt> m_Attempt;
-  // Set while a call is counted at the directory.
-  std::optional<BackendTarget> m_Counted;
   // Agents by the name of their backend server, as last chosen.
   std::map<std::string, BackendTarget> m_Targets;
   schema::StoredAnswer m_Answer;
--- a/Source/Entry/StatusPage.cpp
+++ b/Source/Entry/StatusPage.cpp
@@ -60,7 +60,10 @@
 boost::json::object toJson(const LogView &View) {
   boost::json::object Json;
   Json["leader"] = View.m_Leader;
-  Json["voter"] = View.m_Voter;
+  boost::json::array Members;
+  for (const LogMemberView &Member : View.m_Members)
+    Members.push_back({{"name", Member.m_Name}, {"voter", Member.m_Voter}});
+  Json["members"] = std::move(Members);
   Json["term"] = View.m_Term;
   Json["last_applied"] = View.m_LastApplied;
   Json["ledger_records"] = View.m_LedgerRecords;
--- a/Source/Entry/StatusPage.h
+++ b/Source/Entry/StatusPage.h
@@ -11,9 +11,15 @@
 
 namespace mangocart {
 
+struct LogMemberView {
+  std::string m_Name;
+  bool m_Voter = false;
+};
+
 struct LogView {
   std::string m_Leader;
-  bool m_Voter = false;
+  // Empty at an entry that is no member.
+  std::vector<LogMemberView> m_Members;
   std::uint64_t m_Term = 0;
   std::uint64_t m_LastApplied = 0;
   std::size_t m_LedgerRecords = 0;
