--- a/Source/Raft/ProposalQueue.h
+++ b/Source/Raft/ProposalQueue.h
@@ -18,6 +18,8 @@
   ReplicatedLog::ProposeHandler m_Done;
   // Came from another process: only tried here, and only once.
   bool m_Forwarded = false;
+  // The machine that it was last forwarded to.
+  std::string m_Target;
 };
 
 // Only used on the control thread.
--- a/Source/Raft/RaftRunner.cpp
+++ b/Source/Raft/RaftRunner.cpp
@@ -202,19 +202,19 @@
         Proposal.m_Command = std::move(*Request.mutable_command());
         Proposal.m_Forwarded = true;
         Proposal.m_Done = [Answer, Self](const Reply &Outcome) {
+          const auto Here = Self.lock();
+          const std::string Leader = Here ? Here->leader() : std::string();
+          const bool Leads = Here && Leader == Here->m_Options.m_Name;
           schema::ProposeReply Out;
+          Out.set_leader(Leader);
           if (Outcome) {
             Out.set_status(schema::ProposeReply::COMMITTED);
             *Out.mutable_reply() = Outcome.value();
           } else if (Outcome.error().m_Code == ProposeErrorCode::InDoubt) {
             Out.set_status(schema::ProposeReply::IN_DOUBT);
           } else {
-            const auto Here = Self.lock();
-            const std::string Leader = Here ? Here->leader() : std::string();
-            const bool Leads = Here && Leader == Here->m_Options.m_Name;
             Out.set_status(Leads ? schema::ProposeReply::NO_QUORUM
                                  : schema::ProposeReply::NOT_LEADER);
-            Out.set_leader(Leader);
           }
           Answer(Out.SerializeAsString());
         };
@@ -280,6 +280,7 @@
   Config.m_Voters = m_Voters;
   Config.m_Bootstrap = m_Voters.empty() ? std::string() : m_Voters.front();
   Config.m_Timing = m_Options.m_Timing;
+  Config.m_Limits = m_Options.m_Limits;
   const RecoveredState &Recovered = m_Storage->recovered();
   if (Recovered.m_Snapshot) {
     m_Machine.restore(Recovered.m_Snapshot->m_Data);
@@ -399,6 +400,7 @@
     retryLater(std::move(Proposal));
     return;
   }
+  Proposal.m_Target = Target->first;
   schema::ProposeRequest Request;
   *Request.mutable_command() = Proposal.m_Command;
   Request.set_timeout_ms(static_cast<std::uint32_t>(
@@ -434,7 +436,11 @@
                             : "the leader's answer was lost"));
     return;
   }
-  const TimePoint Again = RuntimeClock::now() + RetryInterval;
+  // At once if the answer names another machine.
+  const bool Redirected =
+      Answered && !Got.leader().empty() && Got.leader() != Proposal.m_Target;
+  const TimePoint Again =
+      RuntimeClock::now() + (Redirected ? Duration::zero() : RetryInterval);
   if (Again >= Proposal.m_Deadline) {
     answer(std::move(Proposal), noQuorum("no leader took the command in time"));
     return;
@@ -618,8 +624,11 @@
 
 void RaftRunner::propose(schema::Command Command, Duration Timeout,
                          ProposeHandler Done) {
-  m_Core->submit({std::move(Command), RuntimeClock::now() + Timeout,
-                  std::move(Done), false});
+  m_Core->submit({std::move(Command),
+                  RuntimeClock::now() + Timeout,
+                  std::move(Done),
+                  false,
+                  {}});
 }
 
 std::string RaftRunner::leader() const { return m_Core->leader(); }
--- a/Source/Raft/RaftRunner.h
+++ b/Source/Raft/RaftRunner.h
@@ -38,6 +38,7 @@
   // the log, once the folders of all voters are known to be empty.
   std::vector<RaftPeer> m_Peers;
   RaftTiming m_Timing;
+  RaftLimits m_Limits;
   // A snapshot is taken after so many applied entries or bytes of log.
   LogIndex m_SnapshotEntries = 10000;
   std::uint64_t m_SnapshotLogBytes = std::uint64_t{32} * 1024 * 1024;
--- a/Source/Raft/RaftTypes.h
+++ b/Source/Raft/RaftTypes.h
@@ -247,13 +247,13 @@
 
 // ---- Settings of a member.
 struct RaftTiming {
-  Duration m_HeartbeatInterval = std::chrono::milliseconds(250);
+  Duration m_HeartbeatInterval = std::chrono::milliseconds(200);
   // A follower that heard a leader grants no vote for the shortest timeout.
-  Duration m_ElectionTimeoutMin = std::chrono::milliseconds(700);
-  Duration m_ElectionTimeoutMax = std::chrono::milliseconds(1300);
+  Duration m_ElectionTimeoutMin = std::chrono::milliseconds(550);
+  Duration m_ElectionTimeoutMax = std::chrono::milliseconds(1000);
   // Shorter than m_ElectionTimeoutMin by more than the clocks of two machines
   // can drift apart within it.
-  Duration m_LeaseDuration = std::chrono::milliseconds(600);
+  Duration m_LeaseDuration = std::chrono::milliseconds(460);
 };
 
 struct RaftLimits {
--- a/Tests/Raft/RaftHarness.cpp
+++ b/Tests/Raft/RaftHarness.cpp
@@ -52,8 +52,9 @@
 
 } // namespace
 
-RaftHarness::RaftHarness(std::uint64_t Seed, std::size_t NodeCount)
-    : m_Random(Seed) {
+RaftHarness::RaftHarness(std::uint64_t Seed, std::size_t NodeCount,
+                         const RaftLimits &Limits)
+    : m_Random(Seed), m_Limits(Limits) {
   for (std::size_t I = 0; I < NodeCount; ++I) {
     HarnessNode N;
     N.m_Name = std::string(1, static_cast<char>('a' + I));
@@ -133,10 +134,7 @@
   for (const HarnessNode &Other : m_Nodes)
     Config.m_Voters.push_back(Other.m_Name);
   Config.m_Bootstrap = "a";
-  Config.m_Limits.m_MaxEntriesAhead = 6;
-  Config.m_Limits.m_MaxAppendBytes = 40;
-  Config.m_Limits.m_SnapshotChunkBytes = 10;
-  Config.m_Limits.m_EntriesKept = 2;
+  Config.m_Limits = m_Limits;
   N.m_State = makeRaftState(Config, N.m_Disk.m_State, now(N), m_Random);
   N.m_Applied = 0;
   N.m_Digest = 0;
--- a/Tests/Raft/RaftHarness.h
+++ b/Tests/Raft/RaftHarness.h
@@ -48,7 +48,8 @@
 
 class RaftHarness {
 public:
-  RaftHarness(std::uint64_t Seed, std::size_t NodeCount);
+  RaftHarness(std::uint64_t Seed, std::size_t NodeCount,
+              const RaftLimits &Limits);
 
   // Random operations and faults.
   void runFaults(int Steps);
@@ -108,6 +109,7 @@
   void checkLeases() const;
 
   Random m_Random;
+  RaftLimits m_Limits;
   std::vector<HarnessNode> m_Nodes;
   std::vector<RaftMessage> m_Undelivered;
   // Held back until a fault lets them go.
--- a/Tests/Raft/RunnerCluster.h
+++ b/Tests/Raft/RunnerCluster.h
@@ -81,6 +81,7 @@
         m_Processes(MachineCount) {
     std::filesystem::create_directories(m_Root);
     m_Options.m_SnapshotEntries = SnapshotEntries;
+    m_Options.m_Limits.m_EntriesKept = 10;
     for (std::size_t I = 0; I < MachineCount; ++I)
       m_Options.m_Peers.push_back({"m" + std::to_string(I),
                                    {"127.21.0." + std::to_string(I + 1), Port},
@@ -146,6 +147,20 @@
     });
     return Found;
   }
+  // Waits until all running members know the one that holds the lease: a
+  // command forwarded to a leader that is gone would be in doubt.
+  std::size_t agreedLeader() {
+    std::size_t Found = MachineCount;
+    eventually([&] {
+      Found = leader();
+      for (std::size_t I = 0; I < VoterCount; ++I)
+        if (runs(I) &&
+            at(I).m_Runner->leader() != m_Options.m_Peers[Found].m_Name)
+          return false;
+      return true;
+    });
+    return Found;
+  }
   bool allVote() {
     return eventually([&] {
       const RaftStatus Status = at(leader()).m_Runner->status();
--- a/Tests/Raft/testRaftNode.cpp
+++ b/Tests/Raft/testRaftNode.cpp
@@ -13,12 +13,17 @@
 
 constexpr std::uint64_t FirstSeed = 1;
 constexpr std::uint64_t SeedCount = 5000;
+// Small, so that short runs reach them.
+constexpr RaftLimits SmallLimits{.m_MaxAppendBytes = 40,
+                                 .m_MaxEntriesAhead = 6,
+                                 .m_SnapshotChunkBytes = 10,
+                                 .m_EntriesKept = 2};
 constexpr int FaultySteps = 1000;
 
 // An empty text if all invariants held.
 std::string runSeed(std::uint64_t Seed, HarnessCounts &Total) {
   try {
-    RaftHarness H(Seed, Seed % 5 == 0 ? 5 : 3);
+    RaftHarness H(Seed, Seed % 5 == 0 ? 5 : 3, SmallLimits);
     if (Seed % 4 != 0 && !H.recover())
       return "no start without faults";
     H.runFaults(FaultySteps);
--- a/Tests/Raft/testRaftRunner.cpp
+++ b/Tests/Raft/testRaftRunner.cpp
@@ -49,12 +49,12 @@
   REQUIRE(C.propose(First, "before").has_value());
   std::string Expected = "before;";
   C.stop(First);
+  CHECK(C.agreedLeader() != First);
   for (int I = 0; I < 500; ++I) {
     const std::string Name = "c" + std::to_string(I);
     REQUIRE(C.propose(otherThan(First), Name).has_value());
     Expected += Name + ";";
   }
-  CHECK(C.leader() != First);
   C.start(First);
   CHECK(sameState(C, Expected));
   CHECK(C.at(First).m_Machine.restored() >= 1);
@@ -79,6 +79,7 @@
   // A second failure right after it.
   const std::size_t Second = C.leader();
   C.stop(Second);
+  REQUIRE(C.agreedLeader() != Second);
   const auto Reply = C.propose(Lost, "after");
   CHECK(Reply.has_value());
   CHECK(sameState(C, "kept;after;"));
@@ -91,6 +92,8 @@
   for (std::size_t I = 0; I < RunnerCluster::VoterCount; ++I)
     if (I != Left)
       C.stop(I);
+  REQUIRE(RunnerCluster::eventually(
+      [&] { return C.at(Left).m_Runner->leader().empty(); }));
   const auto Refused = C.propose(Left, "refused");
   REQUIRE(Refused.has_error());
   CHECK(Refused.error().m_Code == ProposeErrorCode::NoQuorum);
@@ -98,6 +101,7 @@
   for (std::size_t I = 0; I < RunnerCluster::VoterCount; ++I)
     if (I != Left)
       C.start(I);
+  REQUIRE(C.agreedLeader() < RunnerCluster::VoterCount);
   REQUIRE(C.propose(Left, "taken").has_value());
   CHECK(sameState(C, "taken;"));
 }
