--- a/Source/Entry/ForwardedRequest.h
+++ b/Source/Entry/ForwardedRequest.h
@@ -7,6 +7,7 @@
 #include "Entry/BackendDirectory.h"
 #include "Entry/CallAttempt.h"
 #include "Entry/OwnAnswer.h"
+#include "Entry/RequestGate.h"
 #include "Entry/RouteTable.h"
 #include "Http/HttpServer.h"
 
@@ -18,12 +19,12 @@
 public:
   static void start(EntryContext &Context,
                     std::shared_ptr<HttpExchange> Exchange, RouteMatch Match,
-                    std::string RequestId);
+                    std::string RequestId, GatePass Pass);
 
 private:
   ForwardedRequest(EntryContext &Context,
                    std::shared_ptr<HttpExchange> Exchange, RouteMatch Match,
-                   std::string RequestId);
+                   std::string RequestId, GatePass Pass);
   void begin();
   void armDeadline();
   void attempt();
@@ -34,7 +35,9 @@
   void takeRefusal(const schema::CallRefusal &Refusal);
   void takeBreak(const CallBroken &Broken);
   void endCall(CallResult Result);
-  bool mayRetry() const;
+  // True when another attempt has been arranged.
+  bool retry(bool ProvenNotRun);
+  void noteProgress();
   void refuse(OwnAnswer Answer);
   void breakOff();
   void finish();
@@ -44,16 +47,20 @@
   std::shared_ptr<HttpExchange> m_Exchange;
   const RouteMatch m_Match;
   const std::string m_RequestId;
+  // Given back when the request is over.
+  GatePass m_Pass;
   const TimePoint m_Deadline;
-  const std::uint64_t m_PrefixHash;
+  const CallSize m_Size;
   Timer m_DeadlineTimer;
+  // Waits between a failed attempt and the next one.
+  Timer m_RetryTimer;
   schema::CallRequest m_Request;
 
   std::shared_ptr<CallAttempt> m_Call;
   // Set while a call is under way.
   std::optional<BackendTarget> m_Target;
   TimePoint m_CallStarted;
-  Duration m_FirstByte{0};
+  TimePoint m_ProgressNoted;
   std::vector<std::string> m_Tried;
   std::string m_FailedZone;
   // Head and body of an answer that goes out whole.
--- a/Source/Http/HttpRequestParser.cpp
+++ b/Source/Http/HttpRequestParser.cpp
@@ -12,7 +12,7 @@
 
 // Memory set aside at once for a body whose length was announced. More comes
 // only with the bytes themselves.
-constexpr std::size_t MaxBodyReserve = 64 * 1024;
+constexpr std::size_t MaxBodyReserve = std::size_t{64} * 1024;
 
 constexpr int Version10 = 10;
 constexpr int Version11 = 11;
@@ -126,8 +126,6 @@
   if (m_Request.m_Headers.size() >= m_Limits.m_MaxHeaders)
     return refuse(431, "the request has too many headers", Error);
   m_HeadBytes += Name.size() + Value.size();
-  if (m_HeadBytes > m_Limits.m_MaxHeaderBytes)
-    return refuse(431, "the request head is too large", Error);
   if (Known == http::field::host)
     ++m_HostCount;
   if (Known == http::field::transfer_encoding &&
@@ -156,11 +154,7 @@
     m_Request.m_Body.reserve(std::min<std::uint64_t>(*Length, MaxBodyReserve));
 }
 
-std::size_t HttpRequestParser::on_body_impl(StringView Body, ErrorCode &Error) {
-  if (m_Request.m_Body.size() + Body.size() > m_Limits.m_MaxBodyBytes) {
-    refuse(413, "the request body is too large", Error);
-    return 0;
-  }
+std::size_t HttpRequestParser::on_body_impl(StringView Body, ErrorCode &) {
   m_Request.m_Body.append(Body.data(), Body.size());
   return Body.size();
 }
