--- a/Tests/State/AtMostOnceWorld.cpp
+++ b/Tests/State/AtMostOnceWorld.cpp
@@ -295,7 +295,7 @@
   ++m_Index;
   const std::uint64_t Settled = Command.settle().claim_number();
   const bool WasOpen = m_State.m_Ledger.m_Open.count(Settled) != 0;
-  const schema::CommandReply Reply = apply(m_State, m_Index, Command);
+  schema::CommandReply Reply = apply(m_State, m_Index, Command);
   if (chance(1))
     m_Replica = restore(snapshot(m_Replica)).value();
   require(apply(m_Replica, m_Index, Command).SerializeAsString() ==
--- a/Tests/State/testAgentGuard.cpp
+++ b/Tests/State/testAgentGuard.cpp
@@ -2,8 +2,10 @@
 #include "State/AgentGuard.h"
 
 #include <catch2/catch.hpp>
+#include <malloc.h>
 
 #include <functional>
+#include <iostream>
 
 using namespace mangocart;
 
@@ -222,3 +224,19 @@
     CHECK(checkOrder(Guard, "group-a", Each.m_Number) == Each.m_Verdict);
   }
 }
+
+TEST_CASE("what a key costs at the agent", "[.bench]") {
+  for (const std::size_t Keys : {1'000, 10'000, 50'000}) {
+    malloc_trim(0);
+    const std::size_t Before = mallinfo2().uordblks;
+    AgentGuard Guard = startGuard(3, {});
+    for (std::size_t I = 0; I < Keys; ++I) {
+      ClaimTicket Ticket = ticket(I + 1);
+      Ticket.m_IdempotencyKey = "booking-" + std::to_string(I);
+      begin(Guard, Ticket);
+      finish(Guard, Ticket, FinishKind::Answered, std::string(300, 'x'));
+    }
+    std::cout << Keys << " keys with 300 B answers: "
+              << (mallinfo2().uordblks - Before) / Keys << " B a key\n";
+  }
+}
--- a/Tests/State/testDeploymentState.cpp
+++ b/Tests/State/testDeploymentState.cpp
@@ -170,7 +170,8 @@
                 << Bytes.size() / Records << " B in the snapshot ("
                 << Saving.count() << " s to make it, " << Reading.count()
                 << " s to read it), "
-                << static_cast<std::uint64_t>(2 * Records / Passed.count())
+                << static_cast<std::uint64_t>(
+                       2.0 * static_cast<double>(Records) / Passed.count())
                 << " commands applied a second, counted "
                 << State.m_Ledger.m_Bytes / Records << " B\n";
     }
