--- a/Source/Standin/DraftStream.cpp
+++ b/Source/Standin/DraftStream.cpp
@@ -59,7 +59,13 @@
       m_Request(std::move(Request)), m_Next(m_Request.m_ResumeFrom) {}
 
 void DraftStream::run() {
-  after(shared().m_Options.m_ServiceTime, [this] { start(); });
+  // What the cache holds need not be computed again.
+  const double Cached =
+      shared().m_Cache.use(m_Request.m_Prompt, RuntimeClock::now());
+  const double Full =
+      static_cast<double>(shared().m_Options.m_ServiceTime.count());
+  const Duration Left(static_cast<Duration::rep>(Full * (1.0 - Cached)));
+  after(Left, [this] { start(); });
 }
 
 void DraftStream::clientGone() { finish(); }
--- a/Source/Standin/Standin.cpp
+++ b/Source/Standin/Standin.cpp
@@ -6,6 +6,9 @@
 #include "Standin/DraftStream.h"
 
 #include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <charconv>
 
 namespace mangocart {
 
@@ -25,6 +28,26 @@
   return Target.substr(0, Target.find('?'));
 }
 
+// N of "?after=N"; 0 without one.
+std::uint64_t numberAfter(std::string_view Target) {
+  constexpr std::string_view Key("?after=");
+  std::uint64_t Number = 0;
+  const std::size_t At = Target.find(Key);
+  if (At != std::string_view::npos)
+    std::from_chars(Target.data() + At + Key.size(),
+                    Target.data() + Target.size(), Number);
+  return Number;
+}
+
+// Whether an event is never published. The same event is lost for each reader
+// and at each reading.
+bool isLost(const CacheEvent &Event, double GapShare, std::uint64_t Seed) {
+  if (GapShare <= 0.0)
+    return false;
+  Random Generator(Seed ^ Event.m_Number);
+  return uniformReal(Generator) < GapShare;
+}
+
 } // namespace
 
 struct Standin::State {
@@ -44,6 +67,7 @@
   void booking(const std::shared_ptr<HttpExchange> &Exchange);
   void health(HttpExchange &Exchange);
   void load(HttpExchange &Exchange);
+  void cacheEvents(HttpExchange &Exchange);
   void faults(HttpExchange &Exchange);
   void setFaults(const Faults &Set);
   void sampleLoad();
@@ -62,6 +86,8 @@
     return health(*Exchange);
   if (Path == "/load")
     return load(*Exchange);
+  if (Path == "/cache-events")
+    return cacheEvents(*Exchange);
   if (Path == "/faults")
     return faults(*Exchange);
   if (Request.m_Method != "POST")
@@ -110,6 +136,26 @@
   Exchange.respond(jsonResponse(200, json::serialize(Body)));
 }
 
+void Standin::State::cacheEvents(HttpExchange &Exchange) {
+  const Faults &Set = m_Shared->m_Faults;
+  const auto Events =
+      m_Shared->m_Cache.eventsAfter(numberAfter(Exchange.request().m_Target),
+                                    RuntimeClock::now() - Set.m_CacheEventLag);
+  json::array Shown;
+  for (const CacheEvent &Event : Events) {
+    if (isLost(Event, Set.m_CacheEventGaps, m_Shared->m_Options.m_Seed))
+      continue;
+    Shown.push_back(json::object{
+        {"number", Event.m_Number},
+        {"kind", Event.m_Kind == CacheEventKind::Stored ? "stored" : "evicted"},
+        {"block", fmt::format("{:016x}", Event.m_Block)}});
+  }
+  const json::object Body{{"engine", m_Shared->m_Options.m_Name},
+                          {"block_bytes", PrefixCache::BlockBytes},
+                          {"events", std::move(Shown)}};
+  Exchange.respond(jsonResponse(200, json::serialize(Body)));
+}
+
 void Standin::State::faults(HttpExchange &Exchange) {
   const HttpRequest &Request = Exchange.request();
   if (Request.m_Method == "POST") {
--- a/Source/Standin/StandinOptions.cpp
+++ b/Source/Standin/StandinOptions.cpp
@@ -42,6 +42,9 @@
                Defaults.m_Slots, "N", Line);
   Number Lag("", "load-lag-ms", "how old the figures of GET /load may be",
              false, 200, "MS", Line);
+  Number CacheBlocks("", "cache-blocks",
+                     "blocks of 16 prompt bytes in the prefix cache", false,
+                     Defaults.m_CacheBlocks, "N", Line);
   Text RunLog("", "log", "file to which each run of a booking is appended",
               false, "", "FILE", Line);
   Line.parse(ArgumentCount, Arguments);
@@ -62,6 +65,7 @@
   Options.m_TokenInterval = milliseconds(Interval.getValue());
   Options.m_Slots = Slots.getValue();
   Options.m_LoadLag = milliseconds(Lag.getValue());
+  Options.m_CacheBlocks = CacheBlocks.getValue();
   Options.m_RunLog = RunLog.getValue();
   return Options;
 }
--- a/Source/Standin/StandinOptions.h
+++ b/Source/Standin/StandinOptions.h
@@ -25,6 +25,8 @@
   std::size_t m_Slots = 64;
   // Age at which the figures of GET /load are renewed.
   Duration m_LoadLag = std::chrono::milliseconds(200);
+  // Blocks of 16 bytes of prompts that an engine's prefix cache holds.
+  std::size_t m_CacheBlocks = 4096;
   // Where runs of bookings are recorded; empty: nowhere.
   std::string m_RunLog;
 
--- a/Source/Standin/StandinShared.h
+++ b/Source/Standin/StandinShared.h
@@ -6,6 +6,7 @@
 #include "Core/Random.h"
 #include "Http/HttpServer.h"
 #include "Standin/Faults.h"
+#include "Standin/PrefixCache.h"
 #include "Standin/SlotQueue.h"
 #include "Standin/StandinOptions.h"
 
@@ -23,10 +24,11 @@
 struct StandinShared {
   explicit StandinShared(StandinOptions Options)
       : m_Options(std::move(Options)), m_Slots(m_Options.m_Slots),
-        m_Random(m_Options.m_Seed) {}
+        m_Cache(m_Options.m_CacheBlocks), m_Random(m_Options.m_Seed) {}
 
   StandinOptions m_Options;
   SlotQueue m_Slots;
+  PrefixCache m_Cache;
   Random m_Random;
   StandinCounts m_Counts;
   Faults m_Faults;
--- a/Tests/Standin/testStandin.cpp
+++ b/Tests/Standin/testStandin.cpp
@@ -320,3 +320,25 @@
   CHECK_FALSE(Third.get().m_Error);
   CHECK(Engine.waitFor("/load", R"("outstanding":0)"));
 }
+
+TEST_CASE("cache events come late and with gaps when a fault says so") {
+  StandinFixture Engine({});
+  const std::string Prompt(64, 'p');
+  Engine.call(draft(R"({"prompt":")" + Prompt + R"(","max_tokens":1})"));
+  const auto Count = [&](const char *Path) {
+    const std::string Body = Engine.get(Path).m_Body;
+    std::size_t Found = 0;
+    for (std::size_t At = Body.find("stored"); At != std::string::npos;
+         At = Body.find("stored", At + 1))
+      ++Found;
+    return Found;
+  };
+  CHECK(Count("/cache-events") == 4);
+  CHECK(Count("/cache-events?after=3") == 1);
+  Engine.setFaults(R"({"cache_event_lag_ms":3600000})");
+  CHECK(Count("/cache-events?after=0") == 0);
+  Engine.setFaults(R"({"cache_event_gaps":0.5})");
+  const std::size_t Shown = Count("/cache-events?after=0");
+  CHECK(Shown < 4);
+  CHECK(Count("/cache-events?after=0") == Shown);
+}
