Http: closing the listener lets answers that are still being written arrive whole

An answer that had been handed over but not yet taken by the client counted as idle, so that closing the listener cut it off (seen: 3.9 of 33.6 MB); a stream begun before the close kept its connection open after its end. Both seen failing first.

--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -68,6 +68,11 @@
 void HttpConnection::closeWhenIdle() {
   if (m_InExchange || m_Closed || m_CloseAfterWrite)
     return;
+  if (queuedBytes() > 0) {
+    // The last answer is still on its way.
+    m_CloseAfterWrite = true;
+    return;
+  }
   const bool RequestArriving = m_Parser && m_Parser->started();
   error_code Ignored;
   if (!RequestArriving && m_Socket.available(Ignored) == 0)
@@ -232,7 +237,7 @@
   Exchange.complete();
   m_Exchange.reset();
   m_InExchange = false;
-  m_CloseAfterWrite = !m_KeepAlive;
+  m_CloseAfterWrite = !m_KeepAlive || m_Shared->m_Closing;
   m_Framing = HttpFraming::None;
   flush();
   if (m_Closed || m_CloseAfterWrite)
--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -415,3 +415,37 @@
                             "Connection: close\r\n\r\nwhole");
   CHECK_THROWS(RawSocket(Server.port()));
 }
+
+TEST_CASE("an answer on its way when the listener closes arrives whole") {
+  constexpr std::size_t AnswerBytes = 32UL * 1024 * 1024;
+  HeldExchanges Held;
+  ServerFixture Server(Held.handler());
+  RawSocket Large(Server.port());
+  Large.write(GetRequest);
+  HeldExchanges::on(Held.wait(), [&](HttpExchange &E) {
+    E.respond({{200, {}}, std::string(AnswerBytes, 'x')});
+  });
+  RawSocket Stream(Server.port());
+  Stream.write(GetRequest);
+  const auto Exchange = Held.wait();
+  REQUIRE(Exchange);
+  HeldExchanges::on(Exchange, [](HttpExchange &E) {
+    E.startStream({200, {}});
+  });
+  Server.server().closeListener();
+  // The workers have seen it once nobody can connect.
+  REQUIRE(waitUntil([&] {
+    try {
+      RawSocket Probe(Server.port());
+      return false;
+    } catch (const boost::system::system_error &) {
+      return true;
+    }
+  }));
+  HeldExchanges::on(Exchange, [](HttpExchange &E) {
+    E.writeChunk("piece");
+    E.finishStream();
+  });
+  CHECK_THAT(Stream.readToEnd(), Catch::EndsWith("piece" + FinalChunk));
+  CHECK(Large.readToEnd().size() > AnswerBytes);
+}
