Planning: an accepted configuration must be one that answers lead to

Cause: the check on an acceptance looked at a few fields only; a hand-made configuration with weights that are no numbers (NaN passes a comparison with a tolerance), a deadline of 0 or doubled names would have been replicated. Ruled out: a second list of rules beside the schema's, which would drift. Change: the configuration is turned back into answers, read by the ordinary reader and planned again; any difference but in who votes is refused. Shown by: rows in testAdminMessages, seen failing with the comparison or the reader's errors taken out.

--- a/Tests/Command/testCommandRegistry.cpp
+++ b/Tests/Command/testCommandRegistry.cpp
@@ -307,15 +307,16 @@
 
 TEST_CASE("a call over a socket carries token and body and brings the answer") {
   WorkerPool Workers(1);
-  HttpServer Server(Workers, {}, [](std::shared_ptr<HttpExchange> Exchange) {
-    const HttpRequest &Got = Exchange->request();
-    Exchange->respond(
-        {{201, {{"Retry-After", "5"}}},
-         Got.m_Method + " " + Got.m_Target + " " +
-             std::string(
-                 findHeader(Got.m_Headers, "Authorization").value_or("none")) +
-             " " + Got.m_Body});
-  });
+  HttpServer Server(
+      Workers, {}, [](const std::shared_ptr<HttpExchange> &Exchange) {
+        const HttpRequest &Got = Exchange->request();
+        Exchange->respond(
+            {{201, {{"Retry-After", "5"}}},
+             Got.m_Method + " " + Got.m_Target + " " +
+                 std::string(findHeader(Got.m_Headers, "Authorization")
+                                 .value_or("none")) +
+                 " " + Got.m_Body});
+      });
   REQUIRE(Server.listen("127.24.0.1", 18081));
   Workers.start();
   AdminRequest Request;
--- a/Tests/Planning/testAdminMessages.cpp
+++ b/Tests/Planning/testAdminMessages.cpp
@@ -8,6 +8,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
+
 using namespace mangocart;
 
 namespace {
@@ -60,6 +62,12 @@
   const std::string Whole = messageJson(examplePlan().m_Configuration);
   schema::Configuration TwoVoters = examplePlan().m_Configuration;
   TwoVoters.mutable_entry_vms(0)->set_voter(false);
+  schema::Configuration Nan = examplePlan().m_Configuration;
+  Nan.set_step_skew_weight(std::nan(""));
+  schema::Configuration NoDeadline = examplePlan().m_Configuration;
+  NoDeadline.mutable_services(0)->mutable_routes(0)->set_deadline_ms(0);
+  schema::Configuration TwiceNamed = examplePlan().m_Configuration;
+  TwiceNamed.mutable_customers(1)->set_name(TwiceNamed.customers(0).name());
   const std::string Ids = R"("operation_id":"op-1","operator":"ana")";
   const auto Taken =
       parseAccept(acceptBody(Whole, R"("planned_against":0,)" + Ids));
@@ -82,7 +90,15 @@
       {acceptBody(messageJson(TwoVoters), "\"planned_against\":0," + Ids), 422,
        "2 voters; expected 1, 3 or 5"},
       {acceptBody("{}", "\"planned_against\":0," + Ids), 422,
-       "the configuration names no deployment"},
+       "0 voters; expected 1, 3 or 5"},
+      {acceptBody(messageJson(Nan), "\"planned_against\":0," + Ids), 422,
+       "no answers lead to this configuration: deployment: step_skew_weight "
+       "0.3 -> nan"},
+      {acceptBody(messageJson(NoDeadline), "\"planned_against\":0," + Ids), 422,
+       "no answers lead to this configuration: service drafting, route "
+       "/v1/drafts: deadline_ms 30000 -> 0"},
+      {acceptBody(messageJson(TwiceNamed), "\"planned_against\":0," + Ids), 422,
+       "customers[1].name: found \\\"centros-del-valle\\\", which line "},
   };
   for (const RefusedAccept &Row : Refused) {
     const auto Result = parseAccept(Row.m_Body);
--- a/Tests/Planning/testPlan.cpp
+++ b/Tests/Planning/testPlan.cpp
@@ -110,7 +110,8 @@
     const std::string Name = "vm-" + std::to_string(I);
     auto &Vm = *Answers.add_entry_vms();
     Vm.set_name(Name);
-    Vm.set_availability_zone(std::string(1, std::tolower(Vms[I])));
+    Vm.set_availability_zone(
+        std::string(1, static_cast<char>(std::tolower(Vms[I]))));
     Vm.set_has_disk(std::isupper(Vms[I]) != 0);
     auto &Now = *Present.add_entry_vms();
     Now.set_name(Name);
