Command: accept names the whole of what a repetition must repeat

Cause: the deployment takes a repeated operation id for the same acceptance only with the same plan and operator; run against three entries, a repetition under another login name got a conflict that named the caller's own id as the winner. Change: the hint after a lost reply gives id and operator; a conflict with the own id says that plan or operator differ. Shown by: rows of testCommand.

--- a/Source/Command/AcceptCommand.cpp
+++ b/Source/Command/AcceptCommand.cpp
@@ -49,58 +49,74 @@
                             : json::serialize(*Found);
 }
 
-std::string verdictText(const HttpResponse &Answer, const json::value &Body) {
+// One acceptance: the deployment takes a repetition for the same only with the
+// same plan, operation id and operator.
+struct Operation {
+  std::string m_Id;
+  std::string m_Operator;
+};
+
+std::string repetition(const Operation &Own) {
+  return fmt::format("--operation-id {} --operator {}", Own.m_Id,
+                     Own.m_Operator);
+}
+
+std::string verdictText(const HttpResponse &Answer, const json::value &Body,
+                        const Operation &Own) {
   if (Answer.m_Head.m_Status == Ok)
     return fmt::format("accepted: version {}\n", member(Body, "version"));
-  return fmt::format(
+  const std::string Winner = member(Body, "winner_operation_id");
+  std::string Text = fmt::format(
       "conflict: version {} is in force, accepted by {} with operation id {}; "
-      "nothing was changed; plan again\n",
-      member(Body, "version"), member(Body, "winner_operator_name"),
-      member(Body, "winner_operation_id"));
+      "nothing was changed; ",
+      member(Body, "version"), member(Body, "winner_operator_name"), Winner);
+  if (Winner == Own.m_Id)
+    return Text + "that is this operation id, but with another plan or "
+                  "operator: repeat it with those, or plan again\n";
+  return Text + "plan again\n";
 }
 
 CommandExit decide(const AdminRequest &Request, const HttpResponse &Answer,
-                   const std::string &OperationId, bool Json,
-                   CommandContext &Context) {
+                   const Operation &Own, bool Json, CommandContext &Context) {
   const unsigned Status = Answer.m_Head.m_Status;
   json::error_code Failed;
   json::value Body = json::parse(Answer.m_Body, Failed);
   if (Status != Ok && Status != Conflict)
     return report(Context, CommandExit::Failed,
-                  fmt::format("{}; a repetition must use --operation-id {}",
-                              failureText(Request, Answer), OperationId));
+                  fmt::format("{}; a repetition must use {}",
+                              failureText(Request, Answer), repetition(Own)));
   const CommandExit Exit = Status == Ok ? CommandExit::Ok : CommandExit::Failed;
   if (!Json) {
-    (Status == Ok ? Context.m_Out : Context.m_Err) << verdictText(Answer, Body);
+    (Status == Ok ? Context.m_Out : Context.m_Err)
+        << verdictText(Answer, Body, Own);
     return Exit;
   }
   if (Body.is_object())
-    Body.as_object()["operation_id"] = OperationId;
+    Body.as_object()["operation_id"] = Own.m_Id;
   Context.m_Out << json::serialize(Body) << "\n";
   return Exit;
 }
 
 CommandExit send(const Plan &Accepted, const CommandValues &Values,
                  AdminRequest Request, CommandContext &Context) {
-  const std::string OperationId = Values.given("operation-id")
-                                      ? Values.text("operation-id")
-                                      : Context.m_MakeOperationId();
+  const Operation Own{Values.given("operation-id")
+                          ? Values.text("operation-id")
+                          : Context.m_MakeOperationId(),
+                      operatorName(Values)};
   // Printed before the call, so that it is known whatever becomes of the call.
-  Context.m_Err << "operation id: " << OperationId << std::endl;
+  Context.m_Err << "operation id: " << Own.m_Id << std::endl;
   Request.m_Method = "POST";
   Request.m_Path = "/v1/accept";
   Request.m_ContentType = "application/json";
-  Request.m_Body = acceptBody(Accepted, OperationId, operatorName(Values));
+  Request.m_Body = acceptBody(Accepted, Own.m_Id, Own.m_Operator);
   const auto Answer = Context.m_CallAdmin(Request);
   if (Answer)
-    return decide(Request, Answer.value(), OperationId, wantsJson(Values),
-                  Context);
+    return decide(Request, Answer.value(), Own, wantsJson(Values), Context);
   std::string Text = failureText(Request, Answer.error());
   if (!Answer.error().m_NothingSent)
     Text += "; it is not known whether the configuration was accepted";
   return report(Context, CommandExit::Failed,
-                fmt::format("{}; run it again with --operation-id {}", Text,
-                            OperationId));
+                fmt::format("{}; run it again with {}", Text, repetition(Own)));
 }
 
 CommandExit run(const CommandValues &Values, CommandContext &Context) {
--- a/Tests/Command/testCommandRegistry.cpp
+++ b/Tests/Command/testCommandRegistry.cpp
@@ -214,22 +214,28 @@
   const std::string Winner = R"({"verdict":"CONFLICT","version":7,)"
                              R"("winner_operation_id":"op-2",)"
                              R"("winner_operator_name":"luz"})";
+  const std::string OwnId = R"({"version":7,"winner_operation_id":"made-id",)"
+                            R"("winner_operator_name":"luz"})";
   const AcceptCase Cases[] = {
       {jsonResponse(200, R"({"verdict":"ACCEPTED","version":1})"), Ok,
        "accepted: version 1", "operation id: made-id\n"},
       {jsonResponse(409, Winner), Failed, "",
        "operation id: made-id\nconflict: version 7 is in force, accepted by "
        "luz with operation id op-2; nothing was changed; plan again\n"},
+      {jsonResponse(409, OwnId), Failed, "",
+       "with operation id made-id; nothing was changed; that is this operation "
+       "id, but with another plan or operator: repeat it with those, or plan "
+       "again\n"},
       {unavailableResponse("no majority", std::chrono::seconds(3)), Failed, "",
        "status 503: no majority; try again in 3 s; a repetition must use "
-       "--operation-id made-id"},
+       "--operation-id made-id --operator ana"},
       {errorResponse(401, "wrong token"), Failed, "", "check --token-file"},
       {AdminError{"no connection", true}, Failed, "",
        "no connection; nothing was sent; run it again with --operation-id "
-       "made-id"},
+       "made-id --operator ana"},
       {AdminError{"the connection was lost", false}, Failed, "",
        "it is not known whether the configuration was accepted; run it again "
-       "with --operation-id made-id"},
+       "with --operation-id made-id --operator ana"},
   };
   for (const AcceptCase &Row : Cases) {
     AdminApi Api;
