--- a/Source/Command/AcceptCommand.cpp
+++ b/Source/Command/AcceptCommand.cpp
@@ -120,10 +120,6 @@
 }
 
 CommandExit run(const CommandValues &Values, CommandContext &Context) {
-  if (!parseTarget(Values.text("admin"))) {
-    adminRequest(Values, false, Context);
-    return CommandExit::Usage;
-  }
   const auto Text = readTextFile(Values.text("PLAN"));
   if (!Text) {
     Context.m_Err << toString(Text.error());
@@ -134,10 +130,10 @@
     return report(Context, CommandExit::Failed,
                   fmt::format("{}: {}; expected a file that plan wrote",
                               Values.text("PLAN"), Accepted.error().m_Detail));
-  auto Request = adminRequest(Values, true, Context);
+  auto Request = adminRequest(Values, WithToken::Yes, Context);
   if (!Request)
-    return CommandExit::Failed;
-  return send(Accepted.value(), Values, std::move(*Request), Context);
+    return Request.error();
+  return send(Accepted.value(), Values, std::move(Request).value(), Context);
 }
 
 } // namespace
--- a/Source/Command/CommonOptions.cpp
+++ b/Source/Command/CommonOptions.cpp
@@ -87,38 +87,34 @@
   return Exit;
 }
 
-std::optional<AdminRequest> adminRequest(const CommandValues &Values,
-                                         bool WithToken,
-                                         CommandContext &Context) {
+Result<AdminRequest, CommandExit> adminRequest(const CommandValues &Values,
+                                               WithToken Token,
+                                               CommandContext &Context) {
   const auto Target = parseTarget(Values.text("admin"));
-  if (!Target) {
-    report(Context, CommandExit::Usage,
-           fmt::format("--admin: found \"{}\"; expected an IP number and a "
-                       "port, for example 127.0.1.1:8081 or [::1]:8081",
-                       Values.text("admin")));
-    return std::nullopt;
-  }
+  if (!Target)
+    return report(
+        Context, CommandExit::Usage,
+        fmt::format("--admin: found \"{}\"; expected an IP number and "
+                    "a port, for example 127.0.1.1:8081 or "
+                    "[::1]:8081",
+                    Values.text("admin")));
   const auto Timeout = parseNumber(Values.text("timeout-s"), MaxTimeoutSeconds);
-  if (!Timeout) {
-    report(Context, CommandExit::Usage,
-           fmt::format("--timeout-s: found \"{}\"; expected a whole number "
-                       "from 1 to {}",
-                       Values.text("timeout-s"), MaxTimeoutSeconds));
-    return std::nullopt;
-  }
+  if (!Timeout)
+    return report(Context, CommandExit::Usage,
+                  fmt::format("--timeout-s: found \"{}\"; expected a whole "
+                              "number from 1 to {}",
+                              Values.text("timeout-s"), MaxTimeoutSeconds));
   AdminRequest Request;
   Request.m_Target = *Target;
   Request.m_Deadline = std::chrono::seconds(*Timeout);
-  if (!WithToken)
+  if (Token == WithToken::No)
     return Request;
-  const auto Token = readTokenFile(Values.text("token-file"));
-  if (!Token) {
-    report(Context, CommandExit::Failed, toString(Token.error()));
-    return std::nullopt;
-  }
-  if (!Token.value().m_Warning.empty())
-    report(Context, CommandExit::Ok, "warning: " + Token.value().m_Warning);
-  Request.m_Token = Token.value().m_Token;
+  const auto File = readTokenFile(Values.text("token-file"));
+  if (!File)
+    return report(Context, CommandExit::Failed, toString(File.error()));
+  if (!File.value().m_Warning.empty())
+    report(Context, CommandExit::Ok, "warning: " + File.value().m_Warning);
+  Request.m_Token = File.value().m_Token;
   return Request;
 }
 
--- a/Source/Command/CommonOptions.h
+++ b/Source/Command/CommonOptions.h
@@ -19,12 +19,13 @@
 // --token-file FILE
 CommandOption tokenFileOption();
 
-// A call to the process that --admin names; absent when the options don't make
-// one, which is then reported. Options that a command doesn't declare are left
-// out with WithToken = false.
-std::optional<AdminRequest> adminRequest(const CommandValues &Values,
-                                         bool WithToken,
-                                         CommandContext &Context);
+enum class WithToken { No, Yes };
+
+// A call to the process that --admin names, with the token of --token-file when
+// asked. What keeps it from being made is reported; the error is the exit code.
+Result<AdminRequest, CommandExit> adminRequest(const CommandValues &Values,
+                                               WithToken Token,
+                                               CommandContext &Context);
 
 // "mangocart: TEXT" on standard error; returns Exit.
 CommandExit report(CommandContext &Context, CommandExit Exit,
--- a/Source/Command/DrainCommand.cpp
+++ b/Source/Command/DrainCommand.cpp
@@ -11,20 +11,17 @@
 namespace {
 
 CommandExit run(const CommandValues &Values, CommandContext &Context) {
-  if (!parseTarget(Values.text("admin"))) {
-    adminRequest(Values, false, Context);
-    return CommandExit::Usage;
-  }
-  auto Request = adminRequest(Values, true, Context);
-  if (!Request)
-    return CommandExit::Failed;
+  auto Made = adminRequest(Values, WithToken::Yes, Context);
+  if (!Made)
+    return Made.error();
+  AdminRequest &Request = Made.value();
   const std::string &Process = Values.text("PROCESS");
-  Request->m_Method = "POST";
-  Request->m_Path = "/v1/drain";
-  Request->m_ContentType = "application/json";
-  Request->m_Body =
+  Request.m_Method = "POST";
+  Request.m_Path = "/v1/drain";
+  Request.m_ContentType = "application/json";
+  Request.m_Body =
       boost::json::serialize(boost::json::object{{"process", Process}});
-  const auto Answer = callForSuccess(*Request, Context);
+  const auto Answer = callForSuccess(Request, Context);
   if (!Answer)
     return CommandExit::Failed;
   if (wantsJson(Values))
--- a/Source/Command/MetricsCommand.cpp
+++ b/Source/Command/MetricsCommand.cpp
@@ -9,11 +9,11 @@
 namespace {
 
 CommandExit run(const CommandValues &Values, CommandContext &Context) {
-  auto Request = adminRequest(Values, false, Context);
+  auto Request = adminRequest(Values, WithToken::No, Context);
   if (!Request)
-    return CommandExit::Usage;
-  Request->m_Path = "/metrics";
-  const auto Answer = callForSuccess(*Request, Context);
+    return Request.error();
+  Request.value().m_Path = "/metrics";
+  const auto Answer = callForSuccess(Request.value(), Context);
   if (!Answer)
     return CommandExit::Failed;
   Context.m_Out << Answer->m_Body;
--- a/Source/Command/PlanCommand.cpp
+++ b/Source/Command/PlanCommand.cpp
@@ -14,24 +14,21 @@
 
 namespace {
 
-// The configuration in force; absent after a reported failure.
-std::optional<schema::Configuration> fetchPresent(const CommandValues &Values,
-                                                  CommandContext &Context,
-                                                  CommandExit &Exit) {
-  Exit = CommandExit::Usage;
-  auto Request = adminRequest(Values, false, Context);
+// The configuration in force; failures are reported, the error is the exit
+// code.
+Result<schema::Configuration, CommandExit>
+fetchPresent(const CommandValues &Values, CommandContext &Context) {
+  auto Request = adminRequest(Values, WithToken::No, Context);
   if (!Request)
-    return std::nullopt;
-  Exit = CommandExit::Failed;
-  Request->m_Path = "/v1/configuration";
-  const auto Answer = callForSuccess(*Request, Context);
+    return Request.error();
+  Request.value().m_Path = "/v1/configuration";
+  const auto Answer = callForSuccess(Request.value(), Context);
   if (!Answer)
-    return std::nullopt;
+    return CommandExit::Failed;
   auto Present = parseConfiguration(Answer->m_Body);
-  if (Present)
-    return std::move(Present).value();
-  report(Context, CommandExit::Failed, Present.error().m_Detail);
-  return std::nullopt;
+  if (!Present)
+    return report(Context, CommandExit::Failed, Present.error().m_Detail);
+  return std::move(Present).value();
 }
 
 void print(const Plan &Made, const std::string &File, CommandContext &Context) {
@@ -78,9 +75,9 @@
                   "expected either --admin HOST:PORT or --offline");
   if (Values.given("offline"))
     return planAgainst({}, Values, Context);
-  CommandExit Exit = CommandExit::Failed;
-  const auto Present = fetchPresent(Values, Context, Exit);
-  return Present ? planAgainst(*Present, Values, Context) : Exit;
+  const auto Present = fetchPresent(Values, Context);
+  return Present ? planAgainst(Present.value(), Values, Context)
+                 : Present.error();
 }
 
 } // namespace
--- a/Source/Command/StatusCommand.cpp
+++ b/Source/Command/StatusCommand.cpp
@@ -10,11 +10,11 @@
 namespace {
 
 CommandExit run(const CommandValues &Values, CommandContext &Context) {
-  auto Request = adminRequest(Values, false, Context);
+  auto Request = adminRequest(Values, WithToken::No, Context);
   if (!Request)
-    return CommandExit::Usage;
-  Request->m_Path = "/v1/status";
-  const auto Answer = callForSuccess(*Request, Context);
+    return Request.error();
+  Request.value().m_Path = "/v1/status";
+  const auto Answer = callForSuccess(Request.value(), Context);
   if (!Answer)
     return CommandExit::Failed;
   if (wantsJson(Values)) {
