--- a/Utilities/check-pages-events.sh
+++ b/Utilities/check-pages-events.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # docs/EVENTS.md must have a whole row for each event of Catalogue.def with the
-# same number, name and level, and none besides. Needs no built program; the
+# same number, name and level, and none besides; a row must name the fields that
+# the code writes with the event. Needs no built program; the
 # build folder is taken as an argument like by the other page checks.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -37,4 +38,16 @@
       next
     }
 } END { exit Bad }' "$Page" || Failed=1
+# "Name field" for each field of a call write(Event::Name, {{"field", ...}...}).
+git ls-files 'Source/*.cpp' | xargs perl -0777 -ne '
+  while (/\bwrite\(\s*Event::(\w+),(.*?)\);/sg) {
+    my ($Name, $Fields) = ($1, $2);
+    print "$Name $1\n" while $Fields =~ /\{\s*"(\w+)"\s*,/g;
+  }' | sort -u >"$Scratch/fields"
+while read -r Name Field; do
+  grep -E "^\| *[0-9]+ *\| *$Name *\|" "$Page" | grep -qF "\`$Field\`" || {
+    echo "$Page: the row of $Name doesn't name the field $Field that the code writes"
+    Failed=1
+  }
+done <"$Scratch/fields"
 exit "$Failed"
