Entry: the gate counts only admitted work and busy time; full replicas by all entries' load

A request refused by its deadline had cost its customer tokens; an idle queue lowered the rate; a plain service's long calls could count as a stall. Waiting in vain lowers the rate too, so that what can't be met is refused at once.

--- a/Source/Entry/BackendDirectory.h
+++ b/Source/Entry/BackendDirectory.h
@@ -31,6 +31,8 @@
   std::uint64_t m_PromptTokens = 0;
   // Tokens of work in all, at least 1.
   std::uint64_t m_Tokens = 1;
+  // Streamed: silence for long says that the server has stalled.
+  bool m_ShowsProgress = false;
 
   bool operator==(const CallSize &) const = default;
 };
@@ -38,7 +40,7 @@
 struct ChoiceRequest {
   std::string_view m_Service;
   std::string_view m_Policy;
-  // Own calls in flight that one server may have; 0 for no bound.
+  // Calls of all entries in flight that one server may have.
   std::uint32_t m_MaxOutstanding = 0;
   CallSize m_Size;
   // Names of servers that this request has tried.
--- a/Source/Entry/ForwardedRequest.cpp
+++ b/Source/Entry/ForwardedRequest.cpp
@@ -5,6 +5,7 @@
 #include "Entry/CallRequests.h"
 #include "Entry/EntryContext.h"
 #include "Entry/MembershipDirectory.h"
+#include "Entry/RequestGate.h"
 #include "Events/EventLog.h"
 
 #include <algorithm>
@@ -21,6 +22,12 @@
 constexpr unsigned StatusGatewayTimeout = 504;
 constexpr unsigned StatusBadGateway = 502;
 
+CallSize streamedSize(const HttpRequest &Request, const schema::Route &Route) {
+  CallSize Size = sizeOf(Request);
+  Size.m_ShowsProgress = Route.streamed();
+  return Size;
+}
+
 } // namespace
 
 void ForwardedRequest::start(EntryContext &Context,
@@ -42,7 +49,7 @@
       m_Pass(std::move(Pass)),
       m_Deadline(RuntimeClock::now() +
                  std::chrono::milliseconds(m_Match.m_Route->deadline_ms())),
-      m_Size(sizeOf(m_Exchange->request())),
+      m_Size(streamedSize(m_Exchange->request(), *m_Match.m_Route)),
       m_DeadlineTimer(m_Exchange->executor()),
       m_RetryTimer(m_Exchange->executor()) {}
 
@@ -134,6 +141,8 @@
 }
 
 void ForwardedRequest::takeHead(schema::CallHead Head) {
+  m_Context.m_Gate.noteFirstByte(m_Match.m_Service->name(),
+                                 RuntimeClock::now() - m_CallStarted);
   HttpHead Converted = toHttpHead(Head, m_RequestId);
   if (!m_Match.m_Route->streamed()) {
     m_Whole.m_Head = std::move(Converted);
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -34,9 +34,11 @@
 
 MembershipDirectory::MembershipDirectory(EventLog &Events,
                                          std::string AvailabilityZone,
+                                         std::uint32_t EntryCount,
                                          std::uint64_t Seed)
     : m_Events(Events) {
   m_Routing.m_AvailabilityZone = std::move(AvailabilityZone);
+  m_Routing.m_EntryCount = EntryCount;
   m_Routing.m_Random.seed(Seed);
 }
 
@@ -46,12 +48,9 @@
       eligible(m_Table, Request.m_Service, RuntimeClock::now());
   std::erase_if(Candidates, [&](const Candidate &Each) {
     const std::string &Name = Each.m_Member.m_BackendServer;
-    if (Request.m_Tried &&
-        std::find(Request.m_Tried->begin(), Request.m_Tried->end(), Name) !=
-            Request.m_Tried->end())
-      return true;
-    return Request.m_MaxOutstanding > 0 &&
-           ownRequests(m_Routing, Name) >= Request.m_MaxOutstanding;
+    return Request.m_Tried &&
+           std::find(Request.m_Tried->begin(), Request.m_Tried->end(), Name) !=
+               Request.m_Tried->end();
   });
   return Candidates;
 }
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -28,7 +28,7 @@
 class MembershipDirectory : public BackendDirectory {
 public:
   MembershipDirectory(EventLog &Events, std::string AvailabilityZone,
-                      std::uint64_t Seed);
+                      std::uint32_t EntryCount, std::uint64_t Seed);
 
   std::optional<BackendTarget> choose(const ChoiceRequest &Request) override;
   void callStarted(const BackendTarget &Target, const CallSize &Size) override;
--- a/Source/Entry/RequestGate.cpp
+++ b/Source/Entry/RequestGate.cpp
@@ -3,68 +3,91 @@
 
 #include "Core/Hash.h"
 
-#include <limits>
-
 namespace mangocart {
 
 namespace {
 
-// Weight of a new sample in the running rate.
-constexpr double RateWeight = 0.2;
 // A bucket saves up this long at its rate.
 constexpr double BurstSeconds = 1.0;
-constexpr double NoRateYet = std::numeric_limits<double>::infinity();
 
 const AdmissionOptions AdmitOptions;
 const LimitShareOptions ShareOptions;
+const ServiceRateOptions RateOptions;
+
+// Plain services may answer in no time, so nothing is presumed.
+FirstTokenOptions firstByteOptions() {
+  FirstTokenOptions Options;
+  Options.m_Unloaded = Duration::zero();
+  return Options;
+}
 
 } // namespace
 
 RequestGate::RequestGate(std::uint64_t Seed, std::uint32_t EntryNumber,
                          std::uint32_t EntryCount)
-    : m_Random(Seed), m_LastTick(RuntimeClock::now()) {
+    : m_Random(Seed) {
   m_Shares.m_Entry = EntryNumber;
   m_Shares.m_EntryCount = EntryCount;
   m_Shares.m_Generation = Seed;
 }
 
-bool RequestGate::hasSlot(const ServiceGate &Gate) const {
+RequestGate::ServiceGate &RequestGate::gateOf(const std::string &Service,
+                                              TimePoint Now) {
+  const auto Found = m_Services.find(Service);
+  if (Found != m_Services.end())
+    return Found->second;
+  ServiceGate &Gate = m_Services[Service];
+  Gate.m_Rate = startServiceRate(RateOptions, Now);
+  return Gate;
+}
+
+bool RequestGate::hasSlot(const ServiceGate &Gate) {
   return !Gate.m_Slots || Gate.m_AtWork < *Gate.m_Slots;
 }
 
-GatePass RequestGate::makePass(const std::string &Service,
-                               std::uint64_t Tokens) {
-  return {nullptr, [Self = shared_from_this(), Service, Tokens](void *) {
-            Self->leave(Service, Tokens);
+GatePass RequestGate::makePass(const std::string &Service) {
+  return {nullptr, [Self = shared_from_this(), Service](void *) {
+            Self->leave(Service);
           }};
 }
 
-Duration RequestGate::limitWait(const GateRequest &Request,
-                                std::uint64_t Customer, TimePoint Now) {
+RequestGate::LimitBucket RequestGate::limitOf(const GateRequest &Request,
+                                              std::uint64_t Customer,
+                                              TimePoint Now) {
   if (Request.m_Limit <= 0.0)
-    return Duration::zero();
+    return {};
   m_Limits[Customer] = Request.m_Limit;
-  const auto Tokens = static_cast<double>(Request.m_Tokens);
-  noteDemand(m_Shares, Customer, Tokens, ShareOptions, Now);
-  const double Share =
+  noteDemand(m_Shares, Customer, static_cast<double>(Request.m_Tokens),
+             ShareOptions, Now);
+  const double Rate =
       currentShare(m_Shares, Customer, Request.m_Limit, ShareOptions, Now);
   TokenBucket &Bucket = m_Buckets[Customer];
-  if (tryTake(Bucket, Tokens, Share, Share * BurstSeconds, Now))
-    return Duration::zero();
-  return timeUntil(Bucket, Tokens, Share, Share * BurstSeconds);
+  refill(Bucket, Rate, Rate * BurstSeconds, Now);
+  return {&Bucket, Rate};
 }
 
 AdmissionVerdict RequestGate::judge(ServiceGate &Gate,
                                     const GateRequest &Request,
                                     const QueuedRequest &Queued,
                                     TimePoint Now) {
+  const LimitBucket Limit = limitOf(Request, Queued.m_Customer, Now);
+  const auto Tokens = static_cast<double>(Request.m_Tokens);
+  const double Burst = Limit.m_Rate * BurstSeconds;
   AdmissionRequest Arrival;
   Arrival.m_Request = Queued;
   Arrival.m_Weight = Request.m_Weight;
-  Arrival.m_LimitWait = limitWait(Request, Queued.m_Customer, Now);
-  return admit(Gate.m_Queue, Arrival,
-               Gate.m_TokensPerSecond.value_or(NoRateYet), AdmitOptions, Now,
-               m_Random);
+  Arrival.m_ExpectedService =
+      expectedFirstToken(Gate.m_FirstByte, firstByteOptions(), Now);
+  if (Limit.m_Bucket)
+    Arrival.m_LimitWait =
+        timeUntil(*Limit.m_Bucket, Tokens, Limit.m_Rate, Burst);
+  const AdmissionVerdict Verdict =
+      admit(Gate.m_Queue, Arrival, tokensPerSecond(Gate.m_Rate), AdmitOptions,
+            Now, m_Random);
+  // Only what is admitted costs the customer tokens.
+  if (Limit.m_Bucket && Verdict.m_Reason == AdmissionReason::Admitted)
+    tryTake(*Limit.m_Bucket, Tokens, Limit.m_Rate, Burst, Now);
+  return Verdict;
 }
 
 std::uint64_t RequestGate::enter(const GateRequest &Request,
@@ -74,7 +97,7 @@
   std::uint64_t Number = 0;
   {
     const std::lock_guard Lock(m_Mutex);
-    ServiceGate &Gate = m_Services[Request.m_Service];
+    ServiceGate &Gate = gateOf(Request.m_Service, Now);
     const QueuedRequest Queued{++m_LastNumber, hash64(Request.m_Customer),
                                Request.m_Tokens, Request.m_Deadline};
     const AdmissionVerdict Verdict = judge(Gate, Request, Queued, Now);
@@ -82,6 +105,8 @@
       Calls.push_back({std::move(Handler), nullptr, Verdict});
     } else {
       Number = Queued.m_Request;
+      if (Gate.m_Queue.m_Requests.empty())
+        noteBusy(Gate.m_Rate, Now);
       m_Waiting[Number] = {std::move(Handler), Request.m_Service};
       const EnqueueResult Result =
           enqueue(Gate.m_Queue, Queued, Request.m_Weight);
@@ -107,12 +132,12 @@
       return;
     const auto Found = m_Waiting.find(Next->m_Request);
     ++Gate.m_AtWork;
-    Calls.push_back({std::move(Found->second.m_Handler),
-                     makePass(Service, Next->m_EstimatedTokens),
-                     {}});
+    noteServed(Gate.m_Rate, Next->m_EstimatedTokens, RateOptions,
+               RuntimeClock::now());
+    Calls.push_back(
+        {std::move(Found->second.m_Handler), makePass(Service), {}});
     m_Waiting.erase(Found);
   }
-  Gate.m_WasBusy = true;
 }
 
 void RequestGate::refuse(const QueuedRequest &Refused, AdmissionReason Reason,
@@ -121,13 +146,10 @@
   if (Found == m_Waiting.end())
     return;
   const ServiceGate &Gate = m_Services[Found->second.m_Service];
-  const double Rate = Gate.m_TokensPerSecond.value_or(NoRateYet);
-  const std::chrono::duration<double> Wait(
-      static_cast<double>(Gate.m_Queue.m_WaitingTokens) / Rate);
-  Calls.push_back(
-      {std::move(Found->second.m_Handler), nullptr,
-       refuseWaiting(Reason, std::chrono::duration_cast<Duration>(Wait),
-                     AdmitOptions, m_Random)});
+  const Duration Wait =
+      expectedWait(Gate.m_Queue, {Refused}, tokensPerSecond(Gate.m_Rate));
+  Calls.push_back({std::move(Found->second.m_Handler), nullptr,
+                   refuseWaiting(Reason, Wait, AdmitOptions, m_Random)});
   m_Waiting.erase(Found);
 }
 
@@ -136,13 +158,12 @@
     Each.m_Handler(std::move(Each.m_Pass), Each.m_Verdict);
 }
 
-void RequestGate::leave(const std::string &Service, std::uint64_t Tokens) {
+void RequestGate::leave(const std::string &Service) {
   std::vector<Call> Calls;
   {
     const std::lock_guard Lock(m_Mutex);
     ServiceGate &Gate = m_Services[Service];
     --Gate.m_AtWork;
-    Gate.m_TokensDone += Tokens;
     admitWaiting(Service, Gate, Calls);
   }
   callAll(Calls);
@@ -158,7 +179,7 @@
   std::vector<Call> Calls;
   {
     const std::lock_guard Lock(m_Mutex);
-    ServiceGate &Gate = m_Services[Service];
+    ServiceGate &Gate = gateOf(Service, RuntimeClock::now());
     Gate.m_Slots = Slots;
     admitWaiting(Service, Gate, Calls);
   }
@@ -170,24 +191,26 @@
   std::vector<Call> Calls;
   {
     const std::lock_guard Lock(m_Mutex);
-    const std::chrono::duration<double> Passed = Now - m_LastTick;
-    m_LastTick = Now;
     for (auto &[Service, Gate] : m_Services) {
-      const auto Done =
-          static_cast<double>(std::exchange(Gate.m_TokensDone, 0));
-      if (std::exchange(Gate.m_WasBusy, !hasSlot(Gate)) && !hasSlot(Gate) &&
-          Passed.count() > 0) {
-        const double Sample = Done / Passed.count();
-        const double Before = Gate.m_TokensPerSecond.value_or(Sample);
-        Gate.m_TokensPerSecond = Before + RateWeight * (Sample - Before);
-      }
-      for (const QueuedRequest &Late : expire(Gate.m_Queue, Now))
+      // Waiting in vain lowers the rate as well.
+      if (!Gate.m_Queue.m_Requests.empty())
+        noteServed(Gate.m_Rate, 0, RateOptions, Now);
+      const Duration Needed =
+          expectedFirstToken(Gate.m_FirstByte, firstByteOptions(), Now);
+      for (const QueuedRequest &Late : expire(Gate.m_Queue, Now + Needed))
         refuse(Late, AdmissionReason::DeadlineTooClose, Calls);
     }
   }
   callAll(Calls);
 }
 
+void RequestGate::noteFirstByte(const std::string &Service, Duration Observed) {
+  const TimePoint Now = RuntimeClock::now();
+  const std::lock_guard Lock(m_Mutex);
+  noteFirstToken(gateOf(Service, Now).m_FirstByte, Observed, firstByteOptions(),
+                 Now);
+}
+
 ShareReport RequestGate::makeShareReport() {
   const std::lock_guard Lock(m_Mutex);
   return makeReport(m_Shares, m_Limits, ShareOptions, RuntimeClock::now());
@@ -209,7 +232,7 @@
   if (Found == m_Services.end())
     return {};
   return {Found->second.m_AtWork, Found->second.m_Queue.m_Requests.size(),
-          Found->second.m_TokensPerSecond.value_or(0.0)};
+          tokensPerSecond(Found->second.m_Rate)};
 }
 
 } // namespace mangocart
--- a/Source/Entry/RequestGate.h
+++ b/Source/Entry/RequestGate.h
@@ -9,6 +9,7 @@
 #include "Routing/Admission.h"
 #include "Routing/FairQueue.h"
 #include "Routing/LimitShares.h"
+#include "Routing/ServiceRate.h"
 #include "Routing/TokenBucket.h"
 
 #include <functional>
@@ -54,8 +55,10 @@
 
   // Slots that the service's backend servers offer this entry.
   void setCapacity(const std::string &Service, std::size_t Slots);
-  // Measures the rates and refuses what waited too long. Every 100 ms or so.
+  // Refuses what has waited too long. Every 100 ms or so.
   void tick();
+  // Time from sending a request on to the head of its answer.
+  void noteFirstByte(const std::string &Service, Duration Observed);
 
   // Shares of limits: the report for the planner, and its reply.
   ShareReport makeShareReport();
@@ -80,10 +83,8 @@
     // No bound until the first capacity is known.
     std::optional<std::size_t> m_Slots;
     std::size_t m_AtWork = 0;
-    // Rate while the service was busy; none until it first was.
-    std::optional<double> m_TokensPerSecond;
-    std::uint64_t m_TokensDone = 0;
-    bool m_WasBusy = false;
+    ServiceRate m_Rate;
+    FirstTokenTime m_FirstByte;
   };
   // A handler to be called once the mutex is free.
   struct Call {
@@ -92,15 +93,21 @@
     AdmissionVerdict m_Verdict;
   };
 
-  bool hasSlot(const ServiceGate &Gate) const;
-  GatePass makePass(const std::string &Service, std::uint64_t Tokens);
-  void leave(const std::string &Service, std::uint64_t Tokens);
+  ServiceGate &gateOf(const std::string &Service, TimePoint Now);
+  static bool hasSlot(const ServiceGate &Gate);
+  GatePass makePass(const std::string &Service);
+  void leave(const std::string &Service);
   void admitWaiting(const std::string &Service, ServiceGate &Gate,
                     std::vector<Call> &Calls);
   AdmissionVerdict judge(ServiceGate &Gate, const GateRequest &Request,
                          const QueuedRequest &Queued, TimePoint Now);
-  Duration limitWait(const GateRequest &Request, std::uint64_t Customer,
-                     TimePoint Now);
+  // The customer's bucket and its rate; null without a limit.
+  struct LimitBucket {
+    TokenBucket *m_Bucket = nullptr;
+    double m_Rate = 0.0;
+  };
+  LimitBucket limitOf(const GateRequest &Request, std::uint64_t Customer,
+                      TimePoint Now);
   void refuse(const QueuedRequest &Refused, AdmissionReason Reason,
               std::vector<Call> &Calls);
   static void callAll(std::vector<Call> &Calls);
@@ -114,7 +121,6 @@
   EntryShares m_Shares;
   Random m_Random;
   std::uint64_t m_LastNumber = 0;
-  TimePoint m_LastTick;
 };
 
 } // namespace mangocart
--- a/Source/Entry/RoutingTable.cpp
+++ b/Source/Entry/RoutingTable.cpp
@@ -38,6 +38,7 @@
     Replica.m_OutstandingRequests = Own->second.m_Requests;
     Replica.m_OutstandingTokens = Own->second.m_Tokens;
   }
+  Replica.m_ReportedRequests = From.m_Member.m_ReportedLoad;
   Replica.m_ReportedTokens =
       From.m_Member.m_ReportedLoad * Routing.m_MeanTokens;
   Replica.m_ReportAge = Now - From.m_Member.m_LoadMeasuredAt;
@@ -47,6 +48,8 @@
         Now, HintOptions);
   Replica.m_Share = returnShare(Routing.m_Ejection, Replica.m_BackendServer,
                                 EjectOptions, Now);
+  Replica.m_Full =
+      isFull(Replica, Request.m_MaxOutstanding, Table.m_EntryCount);
   Replica.m_Suspect = From.m_Avoided;
   Replica.m_Ejected =
       isEjected(Routing.m_Ejection, Replica.m_BackendServer, Now);
@@ -97,7 +100,8 @@
   Routing.m_MeanTokens +=
       MeanTokensWeight *
       (static_cast<double>(Size.m_Tokens) - Routing.m_MeanTokens);
-  noteStart(Routing.m_Ejection, hash64(Target.m_Name), Now);
+  if (Size.m_ShowsProgress)
+    noteStart(Routing.m_Ejection, hash64(Target.m_Name), Now);
 }
 
 void noteCallProgress(RoutingTable &Table, const BackendTarget &Target,
--- a/Source/Entry/RoutingTable.h
+++ b/Source/Entry/RoutingTable.h
@@ -34,6 +34,7 @@
 
 struct RoutingTable {
   std::string m_AvailabilityZone;
+  std::uint32_t m_EntryCount = 1;
   std::map<std::string, OwnWork, std::less<>> m_Own;
   std::map<std::string, ServiceRouting, std::less<>> m_Services;
   CacheHints m_Hints;
