--- a/Tests/Http/benchHttpServer.cpp
+++ b/Tests/Http/benchHttpServer.cpp
@@ -51,7 +51,7 @@
                      m_Latencies.push_back(RuntimeClock::now() - Sent);
                      sendNext(Left - 1);
                    },
-                   [](HttpError) { std::abort(); }});
+                   [](const HttpError &) { std::abort(); }});
   }
 
   HttpClient m_Client;
--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -173,10 +173,11 @@
   HttpClient Client(Workers.worker(0));
   const HttpTarget Target{TestAddress, Server.port()};
   std::promise<bool> Ended;
-  const HttpCallHandlers Second{{},
-                                {},
-                                [&] { Ended.set_value(true); },
-                                [&](HttpError) { Ended.set_value(false); }};
+  const HttpCallHandlers Second{
+      {},
+      {},
+      [&] { Ended.set_value(true); },
+      [&](const HttpError &) { Ended.set_value(false); }};
   boost::asio::post(Workers.worker(0), [&] {
     Client.send(Target, {"POST", "/"}, 20s,
                 {{},
@@ -186,7 +187,7 @@
                    waitUntil([&] { return Server.closedCount() == 1; });
                    Client.send(Target, {"POST", "/"}, 20s, Second);
                  },
-                 [&](HttpError) { Ended.set_value(false); }});
+                 [&](const HttpError &) { Ended.set_value(false); }});
   });
   Workers.start();
   CHECK(Ended.get_future().get());
@@ -247,7 +248,7 @@
                        {[&](HttpHead) { Call->pauseReading(); },
                         [&](std::string_view Piece) { Taken += Piece.size(); },
                         [&] { Ended.set_value(true); },
-                        [&](HttpError) { Ended.set_value(false); }});
+                        [&](const HttpError &) { Ended.set_value(false); }});
   });
   Workers.start();
   REQUIRE(waitUntil([&] { return Queued > 0; }));
