Http: test waits until the server has closed the kept connection

Seen once under the thread sanitizer: the second call could reuse the connection in the moment between the server's answer and its close; that request is lost by design, so the test's premise did not hold. It now waits for the close.

--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -162,8 +162,11 @@
   const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
   ScriptedServer Server({Answer, Answer, Answer});
   ClientFixture Client;
-  for (int I = 0; I < 3; ++I)
+  for (int I = 0; I < 3; ++I) {
     CHECK(Client.call(Server.port(), {"POST", "/"}).m_Ended);
+    // The next call must find the connection closed, not lose it.
+    REQUIRE(waitUntil([&] { return Server.closedCount() == I + 1; }));
+  }
 }
 
 TEST_CASE("a kept connection is looked at before a request is written") {
