Entry, Raft: the leader's stamp follows the replicated time; shares of limits are lent by the leader

A leader whose wall clock is ahead would have let outcomes expire early: the stamp now counts from the replicated time at the moment of taking the lead. Candidates are looked at without copies.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -4,6 +4,7 @@
 #include "Daemon/DaemonCommandLine.h"
 #include "Daemon/StopSignals.h"
 #include "Entry/OrphanSettler.h"
+#include "Entry/ShareExchange.h"
 #include "Entry/StatusPage.h"
 #include "Net/UnaryMethod.h"
 #include "Raft/RaftRunner.h"
@@ -76,6 +77,7 @@
                                                m_Configuration, m_Directory,
                                                Incarnation)),
       m_Settler(std::make_shared<OrphanSettler>(m_Context, *m_Log, m_Machine)),
+      m_Shares(std::make_shared<ShareExchange>(m_Context, *m_Log)),
       m_Drain(m_Workers.worker(0), drainLimits(m_Settings), drainActions()) {
   m_Configuration.onChange([this](const ConfigurationPtr &InForce) {
     configurationChanged(*InForce);
@@ -97,6 +99,9 @@
         {Entry.name(),
          {Entry.address(), static_cast<std::uint16_t>(Entry.peer_port())},
          Entry.voter()});
+  Options.m_CommandTimeMs = [this](std::uint64_t Term) {
+    return m_Machine.commandTimeMs(Term);
+  };
   auto Runner = RaftRunner::start(
       std::move(Options), m_Machine, m_Workers, m_Peers, m_Server,
       [this](const StorageError &) { m_Exit.open(ExitFailed); }, &m_Events);
@@ -114,6 +119,7 @@
       [this] { m_Exit.open(ExitFailed); });
   m_Gossip->start();
   m_Settler->start();
+  m_Shares->start();
   tendGate();
   m_Workers.start();
   m_Events.write(Event::ProcessStarted,
@@ -177,6 +183,11 @@
       m_Server, "/entry/gossip", [this](const schema::GossipMessage &Message) {
         return m_Gossip->receive(Message);
       });
+  addUnaryMethod<schema::ShareReportMessage>(
+      m_Server, "/entry/shares",
+      [this](const schema::ShareReportMessage &Message) {
+        return m_Shares->receive(Message);
+      });
   addUnaryMethod<schema::DrainRequest>(m_Server, "/entry/drain",
                                        [this](const schema::DrainRequest &) {
                                          m_Drain.request();
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -24,6 +24,7 @@
 
 class OrphanSettler;
 class RaftRunner;
+class ShareExchange;
 
 // Says why an entry can't start, for the operator.
 struct StartFailure : std::runtime_error {
@@ -72,6 +73,7 @@
   Timer m_GateTimer;
   std::shared_ptr<GossipService> m_Gossip;
   std::shared_ptr<OrphanSettler> m_Settler;
+  std::shared_ptr<ShareExchange> m_Shares;
   DrainController m_Drain;
   std::atomic<bool> m_Leaving{false};
   ExitGate m_Exit;
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -42,12 +42,12 @@
   m_Routing.m_Random.seed(Seed);
 }
 
-std::vector<Candidate>
+std::vector<CandidateView>
 MembershipDirectory::usable(const ChoiceRequest &Request) const {
-  std::vector<Candidate> Candidates =
-      eligible(m_Table, Request.m_Service, RuntimeClock::now());
-  std::erase_if(Candidates, [&](const Candidate &Each) {
-    const std::string &Name = Each.m_Member.m_BackendServer;
+  std::vector<CandidateView> Candidates =
+      eligibleViews(m_Table, Request.m_Service, RuntimeClock::now());
+  std::erase_if(Candidates, [&](const CandidateView &Each) {
+    const std::string &Name = Each.m_Member->m_BackendServer;
     return Request.m_Tried &&
            std::find(Request.m_Tried->begin(), Request.m_Tried->end(), Name) !=
                Request.m_Tried->end();
@@ -58,12 +58,12 @@
 std::optional<BackendTarget>
 MembershipDirectory::choose(const ChoiceRequest &Request) {
   const std::lock_guard Lock(m_Mutex);
-  const std::vector<Candidate> Candidates = usable(Request);
+  const std::vector<CandidateView> Candidates = usable(Request);
   const auto Chosen =
       chooseCandidate(m_Routing, Candidates, Request, RuntimeClock::now());
   if (!Chosen)
     return std::nullopt;
-  return toTarget(Candidates[*Chosen].m_Member);
+  return toTarget(*Candidates[*Chosen].m_Member);
 }
 
 void MembershipDirectory::callStarted(const BackendTarget &Target,
@@ -175,7 +175,7 @@
 
 std::size_t MembershipDirectory::eligibleCount(std::string_view Service) const {
   const std::lock_guard Lock(m_Mutex);
-  return eligible(m_Table, Service, RuntimeClock::now()).size();
+  return eligibleViews(m_Table, Service, RuntimeClock::now()).size();
 }
 
 std::optional<BackendTarget>
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -57,7 +57,7 @@
 
 private:
   void mergeRecord(const Member &Record, Duration HeardAgo);
-  std::vector<Candidate> usable(const ChoiceRequest &Request) const;
+  std::vector<CandidateView> usable(const ChoiceRequest &Request) const;
 
   EventLog &m_Events;
   mutable std::mutex m_Mutex;
--- a/Source/Entry/OrphanSettler.cpp
+++ b/Source/Entry/OrphanSettler.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 OrphanSettler::OrphanSettler(EntryContext &Context, const RaftRunner &Log,
-                             const DeploymentMachine &Machine)
+                             DeploymentMachine &Machine)
     : m_Context(Context), m_Log(Log), m_Machine(Machine),
       m_Timer(Context.m_Workers.worker(0)) {}
 
@@ -42,7 +42,7 @@
   const auto Grace = std::chrono::duration_cast<std::chrono::milliseconds>(
       m_Settler.m_Limits.m_Grace);
   const std::vector<OpenClaim> Overdue = m_Machine.overdue(
-      RuntimeClock::wallMilliseconds(),
+      m_Machine.commandTimeMs(m_Log.status().m_Term),
       static_cast<std::uint64_t>(Grace.count()),
       m_Settler.m_Limits.m_MaxAtOnce + m_Settler.m_Active.size());
   for (const SettlerWork &Work :
--- a/Source/Entry/OrphanSettler.h
+++ b/Source/Entry/OrphanSettler.h
@@ -17,7 +17,7 @@
 class OrphanSettler : public std::enable_shared_from_this<OrphanSettler> {
 public:
   OrphanSettler(EntryContext &Context, const RaftRunner &Log,
-                const DeploymentMachine &Machine);
+                DeploymentMachine &Machine);
   void start();
 
 private:
@@ -27,7 +27,7 @@
 
   EntryContext &m_Context;
   const RaftRunner &m_Log;
-  const DeploymentMachine &m_Machine;
+  DeploymentMachine &m_Machine;
   Timer m_Timer;
   Settler m_Settler;
 };
--- a/Source/Entry/RoutingTable.cpp
+++ b/Source/Entry/RoutingTable.cpp
@@ -28,20 +28,20 @@
 }
 
 ReplicaCandidate toReplica(RoutingTable &Table, ServiceRouting &Routing,
-                           const Candidate &From, const ChoiceRequest &Request,
-                           TimePoint Now) {
+                           const CandidateView &From,
+                           const ChoiceRequest &Request, TimePoint Now) {
   ReplicaCandidate Replica;
-  Replica.m_BackendServer = hash64(From.m_Member.m_BackendServer);
-  Replica.m_AvailabilityZone = zoneNumber(From.m_Member.m_AvailabilityZone);
-  const auto Own = Table.m_Own.find(From.m_Member.m_BackendServer);
+  Replica.m_BackendServer = hash64(From.m_Member->m_BackendServer);
+  Replica.m_AvailabilityZone = zoneNumber(From.m_Member->m_AvailabilityZone);
+  const auto Own = Table.m_Own.find(From.m_Member->m_BackendServer);
   if (Own != Table.m_Own.end()) {
     Replica.m_OutstandingRequests = Own->second.m_Requests;
     Replica.m_OutstandingTokens = Own->second.m_Tokens;
   }
-  Replica.m_ReportedRequests = From.m_Member.m_ReportedLoad;
+  Replica.m_ReportedRequests = From.m_Member->m_ReportedLoad;
   Replica.m_ReportedTokens =
-      From.m_Member.m_ReportedLoad * Routing.m_MeanTokens;
-  Replica.m_ReportAge = Now - From.m_Member.m_LoadMeasuredAt;
+      From.m_Member->m_ReportedLoad * Routing.m_MeanTokens;
+  Replica.m_ReportAge = Now - From.m_Member->m_LoadMeasuredAt;
   if (Request.m_Size.m_PrefixHash != 0)
     Replica.m_CachedTokens = expectedCachedTokens(
         Table.m_Hints, {Replica.m_BackendServer, Request.m_Size.m_PrefixHash},
@@ -77,12 +77,12 @@
 }
 
 std::optional<std::size_t>
-chooseCandidate(RoutingTable &Table, std::span<const Candidate> Candidates,
+chooseCandidate(RoutingTable &Table, std::span<const CandidateView> Candidates,
                 const ChoiceRequest &Request, TimePoint Now) {
   ServiceRouting &Routing = routingOf(Table, Request.m_Service);
   std::vector<ReplicaCandidate> Replicas;
   Replicas.reserve(Candidates.size());
-  for (const Candidate &Each : Candidates)
+  for (const CandidateView &Each : Candidates)
     Replicas.push_back(toReplica(Table, Routing, Each, Request, Now));
   ReplicaChoiceOptions Options = ChoiceDefaults;
   Options.m_Policy =
--- a/Source/Entry/RoutingTable.h
+++ b/Source/Entry/RoutingTable.h
@@ -46,7 +46,7 @@
 
 // Index of the candidate that the request goes to.
 std::optional<std::size_t>
-chooseCandidate(RoutingTable &Table, std::span<const Candidate> Candidates,
+chooseCandidate(RoutingTable &Table, std::span<const CandidateView> Candidates,
                 const ChoiceRequest &Request, TimePoint Now);
 
 void noteCallStarted(RoutingTable &Table, const BackendTarget &Target,
--- a/Source/Raft/RaftRunner.cpp
+++ b/Source/Raft/RaftRunner.cpp
@@ -116,6 +116,7 @@
   std::vector<RaftEvent> takeEvents(std::vector<RaftMessage> Messages,
                                     std::vector<PendingProposal> Proposals);
   void tryProposals(std::vector<PendingProposal> Proposals, Propose &Batch);
+  std::uint64_t commandTimeMs() const;
   void forward(PendingProposal Proposal);
   std::string nextTarget();
   void handleForwarded(PendingProposal Proposal,
@@ -360,7 +361,6 @@
 
 void RaftRunner::Core::tryProposals(std::vector<PendingProposal> Proposals,
                                     Propose &Batch) {
-  const std::uint64_t WallMs = RuntimeClock::wallMilliseconds();
   for (PendingProposal &P : Proposals) {
     const bool Here =
         m_State && (P.m_Forwarded || m_State->m_Role == RaftRole::Leader);
@@ -372,13 +372,19 @@
       forward(std::move(P));
       continue;
     }
-    P.m_Command.set_leader_time_ms(WallMs);
+    P.m_Command.set_leader_time_ms(commandTimeMs());
     const std::uint64_t Id = m_NextProposalId++;
     Batch.m_Proposals.push_back({Id, P.m_Command.SerializeAsString()});
     m_Tried.emplace(Id, std::move(P));
   }
 }
 
+std::uint64_t RaftRunner::Core::commandTimeMs() const {
+  if (!m_Options.m_CommandTimeMs)
+    return RuntimeClock::wallMilliseconds();
+  return m_Options.m_CommandTimeMs(m_State->m_HardState.m_Term);
+}
+
 // The leader, or while it is unknown one voter after the other.
 std::string RaftRunner::Core::nextTarget() {
   if (m_State)
--- a/Source/Raft/RaftRunner.h
+++ b/Source/Raft/RaftRunner.h
@@ -39,6 +39,8 @@
   std::vector<RaftPeer> m_Peers;
   RaftTiming m_Timing;
   RaftLimits m_Limits;
+  // Stamp of a command that is proposed in the term; absent: the wall clock.
+  std::function<std::uint64_t(Term)> m_CommandTimeMs;
   // A snapshot is taken after so many applied entries or bytes of log.
   LogIndex m_SnapshotEntries = 10000;
   std::uint64_t m_SnapshotLogBytes = std::uint64_t{32} * 1024 * 1024;
--- a/Source/State/DeploymentMachine.cpp
+++ b/Source/State/DeploymentMachine.cpp
@@ -65,6 +65,18 @@
   return m_State.m_LastFencingNumber;
 }
 
+std::uint64_t DeploymentMachine::commandTimeMs(std::uint64_t Term) {
+  const TimePoint Now = RuntimeClock::now();
+  const std::lock_guard Lock(m_Mutex);
+  if (m_ClockTerm != Term) {
+    m_ClockTerm = Term;
+    m_LeaderClock = startLeaderClock(m_State.m_TimeMs,
+                                     RuntimeClock::wallMilliseconds(), Now);
+  }
+  // Entries of earlier terms may still have been applied since the start.
+  return std::max(m_State.m_TimeMs, leaderTimeMs(m_LeaderClock, Now));
+}
+
 std::uint64_t DeploymentMachine::timeMs() const {
   const std::lock_guard Lock(m_Mutex);
   return m_State.m_TimeMs;
--- a/Source/State/DeploymentMachine.h
+++ b/Source/State/DeploymentMachine.h
@@ -35,6 +35,8 @@
   schema::Configuration configuration() const;
   std::uint64_t configurationVersion() const;
   std::uint64_t lastFencingNumber() const;
+  // Time for a command that this process proposes as the leader of the term.
+  std::uint64_t commandTimeMs(std::uint64_t Term);
   // The replicated time; zero before the first command.
   std::uint64_t timeMs() const;
   // The map in force; a record without a group when there is none.
@@ -54,6 +56,9 @@
   mutable std::mutex m_Mutex;
   // Guarded by m_Mutex.
   DeploymentState m_State;
+  // Started in m_ClockTerm; guarded by m_Mutex.
+  LeaderClock m_LeaderClock;
+  std::uint64_t m_ClockTerm = 0;
   // Used only on the thread of the log.
   ConfigurationHandler m_OnConfiguration;
   std::uint64_t m_ReportedVersion = 0;
