--- a/Source/Raft/RaftRunner.cpp
+++ b/Source/Raft/RaftRunner.cpp
@@ -342,6 +342,8 @@
 RaftRunner::Core::takeEvents(std::vector<RaftMessage> Messages,
                              std::vector<PendingProposal> Proposals) {
   std::vector<RaftEvent> Events;
+  // One more for the proposals, one for the tick.
+  Events.reserve(Messages.size() + 2);
   for (RaftMessage &M : Messages)
     Events.emplace_back(Receive{std::move(M)});
   const TimePoint Now = RuntimeClock::now();
--- a/Tests/Raft/testRaftRules.cpp
+++ b/Tests/Raft/testRaftRules.cpp
@@ -260,6 +260,18 @@
   CHECK(std::get<VoteReply>(find<Send>(Given)->m_Message.m_Body).m_Granted);
 }
 
+TEST_CASE("a leader with a lease votes for nobody else") {
+  Member M({1});
+  M.lead();
+  M.acknowledge(B, 3);
+  const Term Before = M.term();
+  CHECK(M.receive(C, Before + 1, VoteRequest{9, 9, false}).empty());
+  CHECK(leaseHeld(M.m_State, M.m_Now));
+  M.m_Now += M.m_State.m_Config.m_Timing.m_LeaseDuration;
+  M.receive(C, Before + 1, VoteRequest{9, 9, false});
+  CHECK(M.m_State.m_Role == RaftRole::Follower);
+}
+
 TEST_CASE("a late join request does not replace a member that answers") {
   Member M({1});
   M.lead();
