--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -28,7 +28,7 @@
 class MembershipDirectory : public BackendDirectory {
 public:
   MembershipDirectory(EventLog &Events, std::string AvailabilityZone,
-                      std::uint64_t Seed);
+                      std::uint32_t EntryCount, std::uint64_t Seed);
 
   std::optional<BackendTarget> choose(const ChoiceRequest &Request) override;
   void callStarted(const BackendTarget &Target, const CallSize &Size) override;
@@ -57,7 +57,7 @@
 
 private:
   void mergeRecord(const Member &Record, Duration HeardAgo);
-  std::vector<Candidate> usable(const ChoiceRequest &Request) const;
+  std::vector<CandidateView> usable(const ChoiceRequest &Request) const;
 
   EventLog &m_Events;
   mutable std::mutex m_Mutex;
--- a/Source/Entry/RoutingTable.cpp
+++ b/Source/Entry/RoutingTable.cpp
@@ -28,25 +28,28 @@
 }
 
 ReplicaCandidate toReplica(RoutingTable &Table, ServiceRouting &Routing,
-                           const Candidate &From, const ChoiceRequest &Request,
-                           TimePoint Now) {
+                           const CandidateView &From,
+                           const ChoiceRequest &Request, TimePoint Now) {
   ReplicaCandidate Replica;
-  Replica.m_BackendServer = hash64(From.m_Member.m_BackendServer);
-  Replica.m_AvailabilityZone = zoneNumber(From.m_Member.m_AvailabilityZone);
-  const auto Own = Table.m_Own.find(From.m_Member.m_BackendServer);
+  Replica.m_BackendServer = hash64(From.m_Member->m_BackendServer);
+  Replica.m_AvailabilityZone = zoneNumber(From.m_Member->m_AvailabilityZone);
+  const auto Own = Table.m_Own.find(From.m_Member->m_BackendServer);
   if (Own != Table.m_Own.end()) {
     Replica.m_OutstandingRequests = Own->second.m_Requests;
     Replica.m_OutstandingTokens = Own->second.m_Tokens;
   }
+  Replica.m_ReportedRequests = From.m_Member->m_ReportedLoad;
   Replica.m_ReportedTokens =
-      From.m_Member.m_ReportedLoad * Routing.m_MeanTokens;
-  Replica.m_ReportAge = Now - From.m_Member.m_LoadMeasuredAt;
+      From.m_Member->m_ReportedLoad * Routing.m_MeanTokens;
+  Replica.m_ReportAge = Now - From.m_Member->m_LoadMeasuredAt;
   if (Request.m_Size.m_PrefixHash != 0)
     Replica.m_CachedTokens = expectedCachedTokens(
         Table.m_Hints, {Replica.m_BackendServer, Request.m_Size.m_PrefixHash},
         Now, HintOptions);
   Replica.m_Share = returnShare(Routing.m_Ejection, Replica.m_BackendServer,
                                 EjectOptions, Now);
+  Replica.m_Full =
+      isFull(Replica, Request.m_MaxOutstanding, Table.m_EntryCount);
   Replica.m_Suspect = From.m_Avoided;
   Replica.m_Ejected =
       isEjected(Routing.m_Ejection, Replica.m_BackendServer, Now);
@@ -74,12 +77,12 @@
 }
 
 std::optional<std::size_t>
-chooseCandidate(RoutingTable &Table, std::span<const Candidate> Candidates,
+chooseCandidate(RoutingTable &Table, std::span<const CandidateView> Candidates,
                 const ChoiceRequest &Request, TimePoint Now) {
   ServiceRouting &Routing = routingOf(Table, Request.m_Service);
   std::vector<ReplicaCandidate> Replicas;
   Replicas.reserve(Candidates.size());
-  for (const Candidate &Each : Candidates)
+  for (const CandidateView &Each : Candidates)
     Replicas.push_back(toReplica(Table, Routing, Each, Request, Now));
   ReplicaChoiceOptions Options = ChoiceDefaults;
   Options.m_Policy =
@@ -97,7 +100,8 @@
   Routing.m_MeanTokens +=
       MeanTokensWeight *
       (static_cast<double>(Size.m_Tokens) - Routing.m_MeanTokens);
-  noteStart(Routing.m_Ejection, hash64(Target.m_Name), Now);
+  if (Size.m_ShowsProgress)
+    noteStart(Routing.m_Ejection, hash64(Target.m_Name), Now);
 }
 
 void noteCallProgress(RoutingTable &Table, const BackendTarget &Target,
--- a/Source/Entry/RoutingTable.h
+++ b/Source/Entry/RoutingTable.h
@@ -34,6 +34,7 @@
 
 struct RoutingTable {
   std::string m_AvailabilityZone;
+  std::uint32_t m_EntryCount = 1;
   std::map<std::string, OwnWork, std::less<>> m_Own;
   std::map<std::string, ServiceRouting, std::less<>> m_Services;
   CacheHints m_Hints;
@@ -45,7 +46,7 @@
 
 // Index of the candidate that the request goes to.
 std::optional<std::size_t>
-chooseCandidate(RoutingTable &Table, std::span<const Candidate> Candidates,
+chooseCandidate(RoutingTable &Table, std::span<const CandidateView> Candidates,
                 const ChoiceRequest &Request, TimePoint Now);
 
 void noteCallStarted(RoutingTable &Table, const BackendTarget &Target,
--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -162,8 +162,11 @@
   const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
   ScriptedServer Server({Answer, Answer, Answer});
   ClientFixture Client;
-  for (int I = 0; I < 3; ++I)
+  for (int I = 0; I < 3; ++I) {
     CHECK(Client.call(Server.port(), {"POST", "/"}).m_Ended);
+    // The next call must find the connection closed, not lose it.
+    REQUIRE(waitUntil([&] { return Server.closedCount() == I + 1; }));
+  }
 }
 
 TEST_CASE("a kept connection is looked at before a request is written") {
@@ -173,10 +176,11 @@
   HttpClient Client(Workers.worker(0));
   const HttpTarget Target{TestAddress, Server.port()};
   std::promise<bool> Ended;
-  const HttpCallHandlers Second{{},
-                                {},
-                                [&] { Ended.set_value(true); },
-                                [&](HttpError) { Ended.set_value(false); }};
+  const HttpCallHandlers Second{
+      {},
+      {},
+      [&] { Ended.set_value(true); },
+      [&](const HttpError &) { Ended.set_value(false); }};
   boost::asio::post(Workers.worker(0), [&] {
     Client.send(Target, {"POST", "/"}, 20s,
                 {{},
@@ -186,7 +190,7 @@
                    waitUntil([&] { return Server.closedCount() == 1; });
                    Client.send(Target, {"POST", "/"}, 20s, Second);
                  },
-                 [&](HttpError) { Ended.set_value(false); }});
+                 [&](const HttpError &) { Ended.set_value(false); }});
   });
   Workers.start();
   CHECK(Ended.get_future().get());
@@ -247,7 +251,7 @@
                        {[&](HttpHead) { Call->pauseReading(); },
                         [&](std::string_view Piece) { Taken += Piece.size(); },
                         [&] { Ended.set_value(true); },
-                        [&](HttpError) { Ended.set_value(false); }});
+                        [&](const HttpError &) { Ended.set_value(false); }});
   });
   Workers.start();
   REQUIRE(waitUntil([&] { return Queued > 0; }));
