--- a/Tests/Capacity/benchSizes.cpp
+++ b/Tests/Capacity/benchSizes.cpp
@@ -2,14 +2,17 @@
 // docs/CAPACITY.md is worked out from the lines printed here.
 #include "Capacity/Measurement.h"
 
+#include "Core/Hash.h"
 #include "Core/Random.h"
 #include "Routing/FairQueue.h"
+#include "Routing/LimitShares.h"
 #include "State/ExpertMapRegister.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <iostream>
+#include <map>
 
 using namespace mangocart;
 using namespace std::chrono_literals;
@@ -202,6 +205,62 @@
   }
 }
 
+TEST_CASE("reports of shares", "[.bench]") {
+  for (const std::size_t Demands : {0, 20, 200}) {
+    schema::ShareReportMessage Message;
+    Message.set_entry(369);
+    Message.set_generation(1'700'000'000'000);
+    Message.set_sent_at_us(1'700'000'000'000'000);
+    Message.set_term(12);
+    Message.set_applied(1'000'000);
+    for (std::size_t I = 0; I < Demands; ++I) {
+      schema::ShareDemand &Demand = *Message.add_demands();
+      Demand.set_customer(hash64("customer-" + std::to_string(I)));
+      Demand.set_tokens_per_second(12.5);
+    }
+    std::cout << "share report with " << Demands
+              << " demands: " << Message.ByteSizeLong() << " B\n";
+  }
+}
+
+// The leader builds the table of limits anew for each report, as
+// ShareExchange::limits() does.
+TEST_CASE("planner of shares", "[.bench]") {
+  constexpr std::uint32_t Entries = 370;
+  constexpr std::size_t DemandsPerEntry = 20;
+  const LimitShareOptions Options;
+  for (const std::size_t Customers : {150, 1'500, 15'000}) {
+    const schema::Configuration Configuration =
+        sampleConfiguration(Customers, 4);
+    std::map<std::uint64_t, double> Limits;
+    const double Building = costOf(20, [&](std::size_t) {
+      Limits.clear();
+      for (const schema::Customer &Customer : Configuration.customers())
+        Limits[hash64(Customer.name())] = Customer.max_tokens_per_second();
+    });
+    SharePlanner Planner = startPlanner(1, Entries, Options, Begin);
+    const std::size_t Before = heapBytes();
+    const double Answering =
+        costOf(std::size_t{10} * Entries, [&](std::size_t I) {
+          ShareReport Report;
+          Report.m_Entry = static_cast<std::uint32_t>(I % Entries);
+          Report.m_Generation = 1;
+          Report.m_SentAt = Begin + 500ms * (1 + I / Entries);
+          for (std::size_t D = 0; D < DemandsPerEntry; ++D)
+            Report.m_Demands.push_back(
+                {hash64("customer-" +
+                        std::to_string((I * DemandsPerEntry + D) % Customers)),
+                 12.5});
+          answerReport(Planner, Report, Limits, Options, Report.m_SentAt);
+        });
+    std::cout << "planner of shares, " << Customers
+              << " customers, 370 entries with 20 demands each: " << Building
+              << " us to build the limits, " << Answering
+              << " us to answer a report, " << heapBytes() - Before
+              << " B in memory\n";
+  }
+}
+
 // A model of GossipService's rounds, not the daemons: every entry that has the
 // configuration passes it to three entries taken at random in each round.
 TEST_CASE("rounds until every entry has a configuration", "[.bench]") {
--- a/Tests/Capacity/benchTraffic.cpp
+++ b/Tests/Capacity/benchTraffic.cpp
@@ -8,8 +8,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <future>
 #include <iostream>
+#include <thread>
 
 using namespace mangocart;
 using namespace std::chrono_literals;
