Lint: findings of the whole tree; the leader builds limits once a configuration

Asio's post of a generic executor is behind one function, because the analyzer reports a null pointer inside it. The limits of all customers were built anew for each report of shares: 5.6 ms at 15,000 customers.

--- a/Source/Agent/CallCarrier.cpp
+++ b/Source/Agent/CallCarrier.cpp
@@ -12,7 +12,7 @@
 
 // An entry that takes the answer slowly stops the reading from the backend
 // server here.
-constexpr std::size_t MaxQueuedBytes = 256 * 1024;
+constexpr std::size_t MaxQueuedBytes = std::size_t{256} * 1024;
 constexpr std::uint32_t RetryAfterUnreachableMilliseconds = 500;
 constexpr const char *RequestHeader = "Mangocart-Request";
 constexpr const char *IdempotencyKeyHeader = "Idempotency-Key";
--- a/Source/Daemon/DrainController.cpp
+++ b/Source/Daemon/DrainController.cpp
@@ -1,7 +1,7 @@
 // Looks at the work in flight while a daemon drains.
 #include "Daemon/DrainController.h"
 
-#include <boost/asio/post.hpp>
+#include "Core/PostTask.h"
 
 namespace mangocart {
 
@@ -19,7 +19,7 @@
 }
 
 void DrainController::request() {
-  boost::asio::post(m_Timer.get_executor(), [this] { begin(); });
+  postTask(m_Timer.get_executor(), [this] { begin(); });
 }
 
 void DrainController::begin() {
--- a/Source/Entry/AdminFront.cpp
+++ b/Source/Entry/AdminFront.cpp
@@ -2,6 +2,7 @@
 #include "Entry/AdminFront.h"
 
 #include "Configuration/ConfigurationHolder.h"
+#include "Core/PostTask.h"
 #include "Entry/EntryContext.h"
 #include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
@@ -9,8 +10,6 @@
 #include "Planning/AdminMessages.h"
 #include "Raft/ReplicatedLog.h"
 
-#include <boost/asio/post.hpp>
-
 #include <algorithm>
 #include <array>
 
@@ -36,6 +35,14 @@
   return Response;
 }
 
+// From any thread; the exchange belongs to its own worker.
+void respondLater(const std::shared_ptr<HttpExchange> &Exchange,
+                  HttpResponse Response) {
+  postTask(Exchange->executor(), [Exchange, Response = std::move(Response)] {
+    Exchange->respond(Response);
+  });
+}
+
 std::string_view pathOf(const HttpRequest &Request) {
   const std::string_view Target = Request.m_Target;
   return Target.substr(0, Target.find('?'));
@@ -125,10 +132,7 @@
             Reply ? acceptResponse(Reply.value().accept())
                   : unavailableResponse(Reply.error().m_Detail,
                                         RetryAfterNoQuorum);
-        boost::asio::post(Exchange->executor(),
-                          [Exchange, Response = std::move(Response)]() mutable {
-                            Exchange->respond(std::move(Response));
-                          });
+        respondLater(Exchange, std::move(Response));
       });
 }
 
@@ -163,10 +167,7 @@
             Reply ? jsonResponse(StatusAccepted, R"({"draining":true})")
                   : unavailableResponse(Reply.error().m_Detail,
                                         RetryAfterNoQuorum);
-        boost::asio::post(Exchange->executor(),
-                          [Exchange, Response = std::move(Response)]() mutable {
-                            Exchange->respond(std::move(Response));
-                          });
+        respondLater(Exchange, std::move(Response));
       });
 }
 
--- a/Source/Entry/CallAttempt.cpp
+++ b/Source/Entry/CallAttempt.cpp
@@ -20,7 +20,7 @@
                    const schema::CallRequest &Request,
                    boost::asio::any_io_executor Executor,
                    CallHandlers Handlers) {
-  const std::shared_ptr<CallAttempt> Self(
+  std::shared_ptr<CallAttempt> Self(
       new CallAttempt(std::move(Executor), std::move(Handlers)));
   PeerStreamHandlers Events;
   Events.m_OnMessage = [Self](std::string_view Bytes) {
--- a/Source/Entry/ForwardedRequest.cpp
+++ b/Source/Entry/ForwardedRequest.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 // A caller that takes its answer slowly stops the reading from the agent here.
-constexpr std::size_t MaxQueuedBytes = 256 * 1024;
+constexpr std::size_t MaxQueuedBytes = std::size_t{256} * 1024;
 constexpr Duration ProgressInterval = std::chrono::milliseconds(200);
 constexpr Duration RetryAfterNoServer = std::chrono::seconds(1);
 constexpr unsigned StatusUnavailable = 503;
@@ -124,8 +124,8 @@
 CallHandlers ForwardedRequest::handlers() {
   CallHandlers Handlers;
   const auto Self = shared_from_this();
-  Handlers.m_OnHead = [Self](schema::CallHead Head) {
-    Self->takeHead(std::move(Head));
+  Handlers.m_OnHead = [Self](const schema::CallHead &Head) {
+    Self->takeHead(Head);
   };
   Handlers.m_OnBody = [Self](std::string Data) {
     Self->takeBody(std::move(Data));
@@ -140,7 +140,7 @@
   return Handlers;
 }
 
-void ForwardedRequest::takeHead(schema::CallHead Head) {
+void ForwardedRequest::takeHead(const schema::CallHead &Head) {
   m_Context.m_Gate.noteFirstByte(m_Match.m_Service->name(),
                                  RuntimeClock::now() - m_CallStarted);
   HttpHead Converted = toHttpHead(Head, m_RequestId);
@@ -238,7 +238,7 @@
   return true;
 }
 
-void ForwardedRequest::refuse(OwnAnswer Answer) {
+void ForwardedRequest::refuse(const OwnAnswer &Answer) {
   if (m_Over)
     return;
   ++m_Context.m_Counters.m_Refused;
--- a/Source/Entry/ForwardedRequest.h
+++ b/Source/Entry/ForwardedRequest.h
@@ -29,7 +29,7 @@
   void armDeadline();
   void attempt();
   CallHandlers handlers();
-  void takeHead(schema::CallHead Head);
+  void takeHead(const schema::CallHead &Head);
   void takeBody(std::string Data);
   void takeEnd();
   void takeRefusal(const schema::CallRefusal &Refusal);
@@ -38,7 +38,7 @@
   // True when another attempt has been arranged.
   bool retry(bool ProvenNotRun);
   void noteProgress();
-  void refuse(OwnAnswer Answer);
+  void refuse(const OwnAnswer &Answer);
   void breakOff();
   void finish();
   Duration timeLeft() const;
--- a/Source/Entry/SettlementDriver.cpp
+++ b/Source/Entry/SettlementDriver.cpp
@@ -64,7 +64,7 @@
                                boost::asio::any_io_executor Executor,
                                const SettlementRequest &Request,
                                SettlementCall Call, AnswerHandler OnAnswer) {
-  const std::shared_ptr<SettlementDriver> Self(
+  std::shared_ptr<SettlementDriver> Self(
       new SettlementDriver(Context, std::move(Executor)));
   Self->m_Call = std::move(Call);
   Self->m_OnAnswer = std::move(OnAnswer);
--- a/Source/Entry/ShareExchange.cpp
+++ b/Source/Entry/ShareExchange.cpp
@@ -104,13 +104,16 @@
       });
 }
 
-std::map<std::uint64_t, double> ShareExchange::limits() const {
-  std::map<std::uint64_t, double> Limits;
-  for (const schema::Customer &Customer :
-       m_Context.m_Configuration.current()->customers())
+const std::map<std::uint64_t, double> &ShareExchange::limits() {
+  const ConfigurationPtr InForce = m_Context.m_Configuration.current();
+  if (InForce->version() == m_LimitsVersion)
+    return m_Limits;
+  m_LimitsVersion = InForce->version();
+  m_Limits.clear();
+  for (const schema::Customer &Customer : InForce->customers())
     if (Customer.max_tokens_per_second() > 0)
-      Limits[hash64(Customer.name())] = Customer.max_tokens_per_second();
-  return Limits;
+      m_Limits[hash64(Customer.name())] = Customer.max_tokens_per_second();
+  return m_Limits;
 }
 
 void ShareExchange::report() {
--- a/Source/Entry/ShareExchange.h
+++ b/Source/Entry/ShareExchange.h
@@ -28,8 +28,9 @@
 private:
   void tick();
   void report();
-  // Limits of all customers that have one, by hash of the name.
-  std::map<std::uint64_t, double> limits() const;
+  // Limits of all customers that have one, by hash of the name; made anew only
+  // for another configuration. With m_Mutex held.
+  const std::map<std::uint64_t, double> &limits();
 
   EntryContext &m_Context;
   const RaftRunner &m_Log;
@@ -37,6 +38,9 @@
   std::mutex m_Mutex;
   // Only while this process leads, of its term; guarded by m_Mutex.
   std::optional<SharePlanner> m_Planner;
+  // Of the configuration of that version; guarded by m_Mutex.
+  std::map<std::uint64_t, double> m_Limits;
+  std::uint64_t m_LimitsVersion = 0;
 };
 
 } // namespace mangocart
--- a/Source/Http/HttpWire.cpp
+++ b/Source/Http/HttpWire.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/status.hpp>
 
 #include <charconv>
+#include <ostream>
 
 namespace mangocart {
 
--- a/Source/Net/MessageFramer.h
+++ b/Source/Net/MessageFramer.h
@@ -11,7 +11,7 @@
 namespace mangocart {
 
 inline constexpr std::size_t FrameLengthBytes = 4;
-inline constexpr std::size_t MaxMessageBytes = 64 * 1024 * 1024;
+inline constexpr std::size_t MaxMessageBytes = std::size_t{64} * 1024 * 1024;
 
 void appendFrame(std::string &Out, std::string_view Message);
 
--- a/Source/Net/PeerClient.cpp
+++ b/Source/Net/PeerClient.cpp
@@ -107,9 +107,9 @@
 // Collects the one message of an answer and ends on time.
 class UnaryCall : public std::enable_shared_from_this<UnaryCall> {
 public:
-  UnaryCall(boost::asio::any_io_executor Executor,
+  UnaryCall(const boost::asio::any_io_executor &Executor,
             PeerClient::UnaryHandler Done)
-      : m_Timer(std::move(Executor)), m_Done(std::move(Done)) {}
+      : m_Timer(Executor), m_Done(std::move(Done)) {}
 
   PeerStreamHandlers handlers() {
     PeerStreamHandlers Handlers;
--- a/Source/Net/PeerSession.h
+++ b/Source/Net/PeerSession.h
@@ -61,8 +61,8 @@
   friend struct Callbacks;
 
   // Frames wait in this buffer while the previous write is under way.
-  static constexpr std::size_t MaxWriteBytes = 256 * 1024;
-  static constexpr std::size_t ReadBytes = 64 * 1024;
+  static constexpr std::size_t MaxWriteBytes = std::size_t{256} * 1024;
+  static constexpr std::size_t ReadBytes = std::size_t{64} * 1024;
   // A connection with open streams on which nothing arrives is probed at this
   // interval, and given up after that many silent intervals.
   static constexpr Duration ProbeInterval = std::chrono::seconds(1);
--- a/Tests/Entry/testRequestGate.cpp
+++ b/Tests/Entry/testRequestGate.cpp
@@ -82,8 +82,8 @@
       enter("limited", 1000, 10);
     RuntimeClock::advance(1s);
   }
-  CHECK(m_Admitted.size() * 10 <= 125 * 11);
-  CHECK(m_Admitted.size() * 10 >= 125 * 9);
+  CHECK(m_Admitted.size() * 10 <= std::size_t{125} * 11);
+  CHECK(m_Admitted.size() * 10 >= std::size_t{125} * 9);
   for (const AdmissionVerdict &Verdict : m_Refused)
     CHECK((Verdict.m_Status == 429 && Verdict.m_RetryAfter >= 1s));
 }
--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -1,5 +1,6 @@
 // The client against the project's own server and against a server that
 // answers with given bytes.
+#include "Core/PostTask.h"
 #include "Http/HttpClient.h"
 #include "Http/HttpTesting.h"
 
@@ -236,7 +237,7 @@
   ServerFixture Server([&](const std::shared_ptr<HttpExchange> &Exchange) {
     Exchange->startStream({200, {}});
     Exchange->writeChunk(std::string(AnswerBytes, 'x'));
-    boost::asio::post(Exchange->executor(), [Exchange, &Queued] {
+    postTask(Exchange->executor(), [Exchange, &Queued] {
       Queued = Exchange->queuedBytes();
       Exchange->finishStream();
     });
@@ -248,7 +249,7 @@
   std::promise<bool> Ended;
   boost::asio::post(Workers.worker(0), [&] {
     Call = Client.send({TestAddress, Server.port()}, {"GET", "/"}, 60s,
-                       {[&](HttpHead) { Call->pauseReading(); },
+                       {[&](const HttpHead &) { Call->pauseReading(); },
                         [&](std::string_view Piece) { Taken += Piece.size(); },
                         [&] { Ended.set_value(true); },
                         [&](const HttpError &) { Ended.set_value(false); }});
--- a/Tests/Load/testLoadRunner.cpp
+++ b/Tests/Load/testLoadRunner.cpp
@@ -59,8 +59,8 @@
   std::string m_Promise;
 };
 
-Answering respondWith(unsigned Status, std::vector<HttpHeader> Headers,
-                      std::string Body) {
+Answering respondWith(unsigned Status, const std::vector<HttpHeader> &Headers,
+                      const std::string &Body) {
   return [=](HttpExchange &Exchange) {
     Exchange.respond({{Status, Headers}, Body});
   };
--- a/Tests/Net/testPeerStream.cpp
+++ b/Tests/Net/testPeerStream.cpp
@@ -41,7 +41,7 @@
   ~Pair() { m_Workers.stop(); }
 };
 
-void echo(std::shared_ptr<PeerStream> Stream) {
+void echo(const std::shared_ptr<PeerStream> &Stream) {
   PeerStreamHandlers Handlers;
   Handlers.m_OnMessage = [S = Stream.get()](std::string_view Message) {
     S->send(std::string(Message));
@@ -66,12 +66,13 @@
 
 TEST_CASE("failures of a call are told apart") {
   Pair P;
-  P.m_Server.addMethod("/silent", [](std::shared_ptr<PeerStream> Stream) {
-    PeerStreamHandlers Handlers;
-    Handlers.m_OnError = [Stream](PeerError) {};
-    Stream->setHandlers(std::move(Handlers));
-  });
-  P.m_Server.addMethod("/reset", [](std::shared_ptr<PeerStream> Stream) {
+  P.m_Server.addMethod("/silent",
+                       [](const std::shared_ptr<PeerStream> &Stream) {
+                         PeerStreamHandlers Handlers;
+                         Handlers.m_OnError = [Stream](const PeerError &) {};
+                         Stream->setHandlers(std::move(Handlers));
+                       });
+  P.m_Server.addMethod("/reset", [](const std::shared_ptr<PeerStream> &Stream) {
     PeerStreamHandlers Handlers;
     Handlers.m_OnEnd = [S = Stream.get()] { S->reset(); };
     Stream->setHandlers(std::move(Handlers));
@@ -104,10 +105,12 @@
   Pair P;
   std::promise<void> Ended;
   std::promise<PeerError> Broken;
-  P.m_Server.addMethod("/wait", [&](std::shared_ptr<PeerStream> Stream) {
+  P.m_Server.addMethod("/wait", [&](const std::shared_ptr<PeerStream> &Stream) {
     PeerStreamHandlers Handlers;
     Handlers.m_OnEnd = [&] { Ended.set_value(); };
-    Handlers.m_OnError = [&](PeerError Error) { Broken.set_value(Error); };
+    Handlers.m_OnError = [&](const PeerError &Error) {
+      Broken.set_value(Error);
+    };
     Stream->setHandlers(std::move(Handlers));
   });
   P.start();
@@ -126,17 +129,18 @@
   Pair P;
   std::shared_ptr<PeerStream> Sender;
   std::promise<void> Sending;
-  P.m_Server.addMethod("/flood", [&](std::shared_ptr<PeerStream> Stream) {
-    Sender = Stream;
-    PeerStreamHandlers Handlers;
-    Handlers.m_OnEnd = [&] {
-      for (std::size_t Sent = 0; Sent < Total; Sent += 65536)
-        Sender->send(std::string(65536, 'f'));
-      Sender->finish();
-      Sending.set_value();
-    };
-    Stream->setHandlers(std::move(Handlers));
-  });
+  P.m_Server.addMethod(
+      "/flood", [&](const std::shared_ptr<PeerStream> &Stream) {
+        Sender = Stream;
+        PeerStreamHandlers Handlers;
+        Handlers.m_OnEnd = [&] {
+          for (std::size_t Sent = 0; Sent < Total; Sent += 65536)
+            Sender->send(std::string(65536, 'f'));
+          Sender->finish();
+          Sending.set_value();
+        };
+        Stream->setHandlers(std::move(Handlers));
+      });
   P.start();
   std::atomic<std::size_t> Received = 0;
   std::promise<void> Done;
--- a/Tests/Processes/Deployment.cpp
+++ b/Tests/Processes/Deployment.cpp
@@ -227,7 +227,7 @@
   const int Number = ++m_Counter;
   const auto Answers =
       writeFile(fmt::format("answers-{}.toml", Number), answers(Share));
-  const auto Plan = (m_Folder / fmt::format("plan-{}.json", Number)).string();
+  auto Plan = (m_Folder / fmt::format("plan-{}.json", Number)).string();
   if (operate({"plan", "--answers", Answers, "--admin", adminOf(Entry), "--out",
                Plan}) != 0)
     return {};
--- a/Tests/Raft/MemoryFileSystem.h
+++ b/Tests/Raft/MemoryFileSystem.h
@@ -62,7 +62,7 @@
     auto &Content = m_Names[Path];
     if (!Content)
       Content = std::make_shared<File>();
-    const auto Done = outcomeOf("append", Path);
+    auto Done = outcomeOf("append", Path);
     Content->m_Bytes += Done ? Bytes : Bytes.substr(0, Bytes.size() / 2);
     return Done;
   }
--- a/Tests/Raft/benchRaft.cpp
+++ b/Tests/Raft/benchRaft.cpp
@@ -99,9 +99,11 @@
   const RaftCounters After = C.at(Leader).m_Runner->counters();
   const auto WireAfter = C.at(Leader).m_Client.traffic();
   std::cout << "leader at rest: "
-            << (After.m_Messages - Before.m_Messages) / 10.0 << " messages/s, "
-            << (After.m_Bytes - Before.m_Bytes) / 10.0
+            << static_cast<double>(After.m_Messages - Before.m_Messages) / 10.0
+            << " messages/s, "
+            << static_cast<double>(After.m_Bytes - Before.m_Bytes) / 10.0
             << " bytes/s of messages, "
-            << (WireAfter.m_BytesSent - Wire.m_BytesSent) / 10.0
+            << static_cast<double>(WireAfter.m_BytesSent - Wire.m_BytesSent) /
+                   10.0
             << " bytes/s sent on its connections\n";
 }
--- a/Tests/Raft/testRaftCost.cpp
+++ b/Tests/Raft/testRaftCost.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint64_t MaxBytesPerSecondAtRest = 6 * 1024;
+constexpr std::uint64_t MaxBytesPerSecondAtRest = std::uint64_t{6} * 1024;
 // HTTP/2 frame, length prefix, TCP and IP headers of a message sent alone.
 constexpr std::uint64_t HeadBytesPerMessage = 9 + 4 + 52;
 constexpr std::uint64_t RestSeconds = 20;
--- a/Tests/Standin/testStandin.cpp
+++ b/Tests/Standin/testStandin.cpp
@@ -74,8 +74,8 @@
   Outcome call(HttpRequest Request) { return start(std::move(Request)).get(); }
   Outcome get(const char *Path) { return call({"GET", Path}); }
   void setFaults(std::string Json) {
-    CHECK(call({"POST", "/faults", {}, std::move(Json)}).m_Head.m_Status ==
-          200);
+    const Outcome Set = call({"POST", "/faults", {}, std::move(Json)});
+    CHECK(Set.m_Head.m_Status == 200);
   }
   // Until GET of the path contains the text.
   bool waitFor(const char *Path, const std::string &Text) {
