Entry: an accepted configuration is in force at the asked entry before the answer

Seen: an accept right after an accept at the same entry failed with a conflict in the whole check, because the plan had been made from the version before. Ruled out: the log (the conflict was right). The local demonstration now waits for a leader before it accepts.

--- a/Source/Entry/AdminFront.cpp
+++ b/Source/Entry/AdminFront.cpp
@@ -125,14 +125,24 @@
     return Exchange->respond(Parsed.error());
   schema::Command Command;
   *Command.mutable_accept() = std::move(Parsed).value();
+  const auto Planned =
+      std::make_shared<schema::Configuration>(Command.accept().configuration());
   m_Context.m_Log.propose(
       std::move(Command), AcceptTimeout,
-      [Exchange](const Result<schema::CommandReply, ProposeError> &Reply) {
-        HttpResponse Response =
-            Reply ? acceptResponse(Reply.value().accept())
-                  : unavailableResponse(Reply.error().m_Detail,
-                                        RetryAfterNoQuorum);
-        respondLater(Exchange, std::move(Response));
+      [this, Exchange,
+       Planned](const Result<schema::CommandReply, ProposeError> &Reply) {
+        if (!Reply)
+          return respondLater(
+              Exchange,
+              unavailableResponse(Reply.error().m_Detail, RetryAfterNoQuorum));
+        const schema::AcceptReply &Accepted = Reply.value().accept();
+        // In force here before the operator reads the answer, so that a plan
+        // that follows at this entry starts from it.
+        if (Accepted.verdict() == schema::AcceptReply::ACCEPTED) {
+          Planned->set_version(Accepted.version());
+          m_Context.m_Configuration.offer(*Planned);
+        }
+        respondLater(Exchange, acceptResponse(Accepted));
       });
 }
 
--- a/Utilities/deployment.sh
+++ b/Utilities/deployment.sh
@@ -57,7 +57,14 @@
   for Name in entry-a entry-b entry-c1 entry-c2; do startEntry "$Name"; done
   for Number in $(seq 1 12); do startBackend "$Number" assistant engine; done
   for Number in 13 14 15; do startBackend "$Number" booking-desk plain; done
-  waitFor 10 serving 15
+  waitFor 30 serving 15
+  waitFor 30 hasLeader
+}
+
+# The log has a leader, so a configuration can be accepted.
+hasLeader() {
+  "$Bin/mangocart" status --admin "127.0.1.1:$AdminPort" --output json 2>/dev/null |
+    grep -q '"leader":"entry'
 }
 
 # serving COUNT: entry-a knows that many serving backend servers.
