--- a/Source/Entry/CallerFront.cpp
+++ b/Source/Entry/CallerFront.cpp
@@ -80,8 +80,7 @@
   ++m_Context.m_Counters.m_Requests;
   std::string RequestId = makeRequestId();
   const auto Refuse = [&](const OwnAnswer &Answer) {
-    ++m_Context.m_Counters.m_Refused;
-    Exchange->respond(toResponse(Answer, RequestId));
+    refuse(*Exchange, Answer, RequestId);
   };
   const ConfigurationPtr Configuration = m_Context.m_Configuration.current();
   if (Configuration->version() == 0)
@@ -119,8 +118,7 @@
               if (Verdict.m_Reason == AdmissionReason::Admitted)
                 return goOn(Exchange, std::move(Match), std::move(RequestId),
                             std::move(Pass));
-              ++m_Context.m_Counters.m_Refused;
-              Exchange->respond(toResponse(refusedByGate(Verdict), RequestId));
+              refuse(*Exchange, refusedByGate(Verdict), RequestId);
             });
       });
   if (Waiting != 0)
@@ -128,6 +126,12 @@
                         Waiting] { Gate.cancel(Service, Waiting); });
 }
 
+void CallerFront::refuse(HttpExchange &Exchange, const OwnAnswer &Answer,
+                         const std::string &RequestId) {
+  noteRefusal(m_Context, Answer, RequestId);
+  Exchange.respond(toResponse(Answer, RequestId));
+}
+
 void CallerFront::goOn(const std::shared_ptr<HttpExchange> &Exchange,
                        RouteMatch Match, std::string RequestId, GatePass Pass) {
   if (Match.m_Route->idempotent())
--- a/Source/Entry/CallerFront.h
+++ b/Source/Entry/CallerFront.h
@@ -3,6 +3,7 @@
 #ifndef MANGOCART_ENTRY_CALLERFRONT_H
 #define MANGOCART_ENTRY_CALLERFRONT_H
 
+#include "Entry/OwnAnswer.h"
 #include "Entry/RequestGate.h"
 #include "Entry/RouteTable.h"
 #include "Http/HttpServer.h"
@@ -31,6 +32,8 @@
   void enterGate(const std::shared_ptr<HttpExchange> &Exchange,
                  const schema::Customer &Customer, RouteMatch Match,
                  std::string RequestId);
+  void refuse(HttpExchange &Exchange, const OwnAnswer &Answer,
+              const std::string &RequestId);
   void goOn(const std::shared_ptr<HttpExchange> &Exchange, RouteMatch Match,
             std::string RequestId, GatePass Pass);
   void answerHealth(HttpExchange &Exchange) const;
--- a/Source/Entry/ForwardedRequest.cpp
+++ b/Source/Entry/ForwardedRequest.cpp
@@ -241,7 +241,7 @@
 void ForwardedRequest::refuse(const OwnAnswer &Answer) {
   if (m_Over)
     return;
-  ++m_Context.m_Counters.m_Refused;
+  noteRefusal(m_Context, Answer, m_RequestId);
   m_Exchange->respond(toResponse(Answer, m_RequestId));
   finish();
 }
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -18,18 +18,6 @@
           Record.m_Incarnation};
 }
 
-std::string_view toText(MemberHealth Health) {
-  switch (Health) {
-  case MemberHealth::Healthy:
-    return "healthy";
-  case MemberHealth::Suspect:
-    return "suspect";
-  case MemberHealth::Lost:
-    return "lost";
-  }
-  return "lost";
-}
-
 } // namespace
 
 MembershipDirectory::MembershipDirectory(EventLog &Events,
@@ -158,8 +146,8 @@
   for (const HealthChange &Change : Changes)
     m_Events.write(Event::BackendServerHealth,
                    {{"backend_server", Change.m_BackendServer},
-                    {"from", toText(Change.m_From)},
-                    {"to", toText(Change.m_To)}});
+                    {"from", toString(Change.m_From)},
+                    {"to", toString(Change.m_To)}});
 }
 
 std::vector<MemberView> MembershipDirectory::members() const {
--- a/Source/Entry/OwnAnswer.cpp
+++ b/Source/Entry/OwnAnswer.cpp
@@ -1,6 +1,9 @@
 // Shapes of the system's own answers.
 #include "Entry/OwnAnswer.h"
 
+#include "Entry/EntryContext.h"
+#include "Events/EventLog.h"
+
 #include <boost/json.hpp>
 
 #include <chrono>
@@ -18,6 +21,14 @@
   }
 }
 
+void noteRefusal(EntryContext &Context, const OwnAnswer &Answer,
+                 std::string_view RequestId) {
+  ++Context.m_Counters.m_Refused;
+  Context.m_Events.write(Event::RequestRefused, {{"request", RequestId},
+                                                 {"code", Answer.m_Code},
+                                                 {"status", Answer.m_Status}});
+}
+
 HttpResponse toResponse(const OwnAnswer &Answer, std::string_view RequestId) {
   boost::json::object Body;
   Body["error"] = Answer.m_Code;
--- a/Source/Entry/OwnAnswer.h
+++ b/Source/Entry/OwnAnswer.h
@@ -32,6 +32,12 @@
   std::optional<Duration> m_RetryAfter;
 };
 
+struct EntryContext;
+
+// Counts and logs a refusal.
+void noteRefusal(EntryContext &Context, const OwnAnswer &Answer,
+                 std::string_view RequestId);
+
 HttpResponse toResponse(const OwnAnswer &Answer, std::string_view RequestId);
 
 } // namespace mangocart
--- a/Source/Entry/StatusPage.cpp
+++ b/Source/Entry/StatusPage.cpp
@@ -21,18 +21,6 @@
   return "left";
 }
 
-const char *toText(MemberHealth Health) {
-  switch (Health) {
-  case MemberHealth::Healthy:
-    return "healthy";
-  case MemberHealth::Suspect:
-    return "suspect";
-  case MemberHealth::Lost:
-    return "lost";
-  }
-  return "lost";
-}
-
 boost::json::object toJson(const VersionView &View) {
   boost::json::object Json;
   Json["process"] = View.m_Process;
@@ -50,7 +38,7 @@
   Json["service"] = View.m_Member.m_Service;
   Json["availability_zone"] = View.m_Member.m_AvailabilityZone;
   Json["state"] = toText(View.m_Member.m_State);
-  Json["health"] = toText(View.m_Health);
+  Json["health"] = toString(View.m_Health);
   Json["incarnation"] = View.m_Member.m_Incarnation;
   Json["outstanding"] = View.m_Member.m_Outstanding;
   Json["reported_load"] = View.m_Member.m_ReportedLoad;
--- a/Source/Membership/MembershipTable.cpp
+++ b/Source/Membership/MembershipTable.cpp
@@ -159,6 +159,18 @@
 
 } // namespace
 
+std::string_view toString(MemberHealth Health) {
+  switch (Health) {
+  case MemberHealth::Healthy:
+    return "healthy";
+  case MemberHealth::Suspect:
+    return "suspect";
+  case MemberHealth::Lost:
+    return "lost";
+  }
+  return "lost";
+}
+
 MergeResult merge(MembershipTable &Table, const Member &Record,
                   Duration HeardAgo, TimePoint Now) {
   const TimePoint HeardAt = Now - std::max(Duration::zero(), HeardAgo);
--- a/Source/Membership/MembershipTable.h
+++ b/Source/Membership/MembershipTable.h
@@ -63,6 +63,9 @@
   Lost
 };
 
+// "healthy", "suspect" or "lost".
+std::string_view toString(MemberHealth Health);
+
 struct MembershipLimits {
   // Silence after which a member is suspect, and after which it is lost.
   Duration m_SuspectAfter = std::chrono::milliseconds(1500);
