--- a/Source/Entry/ClaimedRequest.cpp
+++ b/Source/Entry/ClaimedRequest.cpp
@@ -4,6 +4,7 @@
 #include "Entry/CallRequests.h"
 #include "Entry/EntryContext.h"
 #include "Entry/OwnAnswer.h"
+#include "Entry/RequestMetrics.h"
 #include "Entry/SettlementDriver.h"
 
 namespace mangocart {
@@ -113,11 +114,16 @@
   Call.m_Request = toCallRequest(Request, RequestId, Call.m_Service);
   const auto Driver = SettlementDriver::startRequest(
       Context, Exchange->executor(), Settled, std::move(Call),
-      [&Counters = Context.m_Counters, Exchange, RequestId,
+      [&Context, Service = Match.m_Service->name(),
+       Arrived = RuntimeClock::now(), Exchange, RequestId,
        Pass = std::move(Pass),
        Key = Settled.m_IdempotencyKey](const AnswerCaller &Answer) {
         const bool Answered = Answer.m_Reason == AnswerReason::Answered;
+        EntryCounters &Counters = Context.m_Counters;
         ++(Answered ? Counters.m_Answered : Counters.m_Refused);
+        if (Answered)
+          observeWhole(Context.m_Metrics, Service,
+                       RuntimeClock::now() - Arrived);
         Exchange->respond(toResponse(Answer, RequestId, Key));
       });
   Exchange->onClosed([Weak = std::weak_ptr<SettlementDriver>(Driver)] {
--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -15,6 +15,7 @@
 class ConfigurationHolder;
 class EventLog;
 class MembershipDirectory;
+class MetricRegistry;
 class PeerClient;
 class ReplicatedLog;
 class RequestGate;
@@ -40,6 +41,7 @@
   ReplicatedLog &m_Log;
   RequestGate &m_Gate;
   EntryCounters &m_Counters;
+  MetricRegistry &m_Metrics;
 };
 
 } // namespace mangocart
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -60,8 +60,8 @@
       m_Gate(std::make_shared<RequestGate>(
           Incarnation, entryNumber(m_Settings),
           static_cast<std::uint32_t>(m_Settings.entries_size()))),
-      m_Context{m_Settings,  m_Workers, m_Events, m_Peers,   m_Configuration,
-                m_Directory, *m_Log,    *m_Gate,  m_Counters},
+      m_Context{m_Settings,  m_Workers, m_Events, m_Peers,    m_Configuration,
+                m_Directory, *m_Log,    *m_Gate,  m_Counters, m_Metrics},
       m_Callers(m_Context, Incarnation),
       m_Admin(m_Context, adminSources(std::move(AdminToken))),
       m_CallerServer(m_Workers, callerLimits(m_Settings),
@@ -287,7 +287,7 @@
   Add("mangocart_peer_bytes_sent_total", "counter", Traffic.m_BytesSent);
   Add("mangocart_peer_bytes_received_total", "counter",
       Traffic.m_BytesReceived);
-  return Page;
+  return Page + m_Metrics.expose(RuntimeClock::now());
 }
 
 } // namespace mangocart
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -14,6 +14,7 @@
 #include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
 #include "Http/HttpServer.h"
+#include "Metrics/MetricRegistry.h"
 #include "Net/PeerStream.h"
 #include "State/DeploymentMachine.h"
 
@@ -65,6 +66,7 @@
   std::unique_ptr<RaftRunner> m_Log;
   std::shared_ptr<RequestGate> m_Gate;
   EntryCounters m_Counters;
+  MetricRegistry m_Metrics;
   EntryContext m_Context;
   CallerFront m_Callers;
   AdminFront m_Admin;
--- a/Source/Entry/ForwardedRequest.cpp
+++ b/Source/Entry/ForwardedRequest.cpp
@@ -6,6 +6,7 @@
 #include "Entry/EntryContext.h"
 #include "Entry/MembershipDirectory.h"
 #include "Entry/RequestGate.h"
+#include "Entry/RequestMetrics.h"
 #include "Events/EventLog.h"
 
 #include <algorithm>
@@ -46,8 +47,8 @@
                                    GatePass Pass)
     : m_Context(Context), m_Exchange(std::move(Exchange)),
       m_Match(std::move(Match)), m_RequestId(std::move(RequestId)),
-      m_Pass(std::move(Pass)),
-      m_Deadline(RuntimeClock::now() +
+      m_Pass(std::move(Pass)), m_Arrived(RuntimeClock::now()),
+      m_Deadline(m_Arrived +
                  std::chrono::milliseconds(m_Match.m_Route->deadline_ms())),
       m_Size(streamedSize(m_Exchange->request(), *m_Match.m_Route)),
       m_DeadlineTimer(m_Exchange->executor()),
@@ -141,6 +142,8 @@
 }
 
 void ForwardedRequest::takeHead(const schema::CallHead &Head) {
+  observeFirstByte(m_Context.m_Metrics, m_Match.m_Service->name(),
+                   RuntimeClock::now() - m_Arrived);
   m_Context.m_Gate.noteFirstByte(m_Match.m_Service->name(),
                                  RuntimeClock::now() - m_CallStarted);
   HttpHead Converted = toHttpHead(Head, m_RequestId);
@@ -174,6 +177,8 @@
 
 void ForwardedRequest::takeEnd() {
   endCall(CallResult::Answered);
+  observeWhole(m_Context.m_Metrics, m_Match.m_Service->name(),
+               RuntimeClock::now() - m_Arrived);
   ++m_Context.m_Counters.m_Answered;
   if (m_Streaming)
     m_Exchange->finishStream();
--- a/Source/Entry/ForwardedRequest.h
+++ b/Source/Entry/ForwardedRequest.h
@@ -49,6 +49,7 @@
   const std::string m_RequestId;
   // Given back when the request is over.
   GatePass m_Pass;
+  const TimePoint m_Arrived;
   const TimePoint m_Deadline;
   const CallSize m_Size;
   Timer m_DeadlineTimer;
