--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -79,14 +79,14 @@
 
 void MembershipDirectory::earnRetry(std::string_view Service) {
   const std::lock_guard Lock(m_Mutex);
-  earnRetries(m_Routing.m_Services[std::string(Service)].m_Retries, {});
+  earnRetries(routingOf(m_Routing, Service).m_Retries, {});
 }
 
 RetryDecision MembershipDirectory::judgeRetry(std::string_view Service,
                                               const FailedAttempt &Failed) {
   const std::lock_guard Lock(m_Mutex);
-  return decideRetry(m_Routing.m_Services[std::string(Service)].m_Retries,
-                     Failed, {}, RuntimeClock::now(), m_Routing.m_Random);
+  return decideRetry(routingOf(m_Routing, Service).m_Retries, Failed, {},
+                     RuntimeClock::now(), m_Routing.m_Random);
 }
 
 std::uint64_t
--- a/Source/Entry/RoutingTable.cpp
+++ b/Source/Entry/RoutingTable.cpp
@@ -20,13 +20,6 @@
   return static_cast<std::uint32_t>(hash64(AvailabilityZone));
 }
 
-ServiceRouting &routingOf(RoutingTable &Table, std::string_view Service) {
-  const auto Found = Table.m_Services.find(Service);
-  if (Found != Table.m_Services.end())
-    return Found->second;
-  return Table.m_Services[std::string(Service)];
-}
-
 ReplicaCandidate toReplica(RoutingTable &Table, ServiceRouting &Routing,
                            const CandidateView &From,
                            const ChoiceRequest &Request, TimePoint Now) {
@@ -70,6 +63,13 @@
 
 } // namespace
 
+ServiceRouting &routingOf(RoutingTable &Table, std::string_view Service) {
+  const auto Found = Table.m_Services.find(Service);
+  if (Found != Table.m_Services.end())
+    return Found->second;
+  return Table.m_Services[std::string(Service)];
+}
+
 std::uint32_t ownRequests(const RoutingTable &Table,
                           std::string_view BackendServer) {
   const auto Found = Table.m_Own.find(BackendServer);
--- a/Source/Entry/RoutingTable.h
+++ b/Source/Entry/RoutingTable.h
@@ -41,6 +41,9 @@
   Random m_Random;
 };
 
+// The service's own part, made when it is first asked for.
+ServiceRouting &routingOf(RoutingTable &Table, std::string_view Service);
+
 std::uint32_t ownRequests(const RoutingTable &Table,
                           std::string_view BackendServer);
 
