Net: a server that closes ends its connections

The error was "the leader's answer was lost", and under it "the other side is silent". The test stops members inside one process. PeerServer::close() ended only the acceptor; streams that their own handlers keep alive kept the sockets open, so the member that was left wrote into a connection that nobody read, until its probes gave up after 3 s. A slow machine reaches the proposal before that.

Ruled out: loss of leadership (the proposal never reached the leader), a forward to a leader that is gone (all members agreed on it), the deadline. The answer itself was right: bytes were sent and nothing came back. A killed process is not concerned, since the kernel closes its sockets.

Change: close() ends the open connections on their workers; the cluster of the test waits for that. A closed acceptor no longer accepts again in a loop. The test shows the error's detail when it fails.

The new test of the contract fails without the change (TimedOut instead of ConnectionLost).

--- a/Source/Net/PeerServer.cpp
+++ b/Source/Net/PeerServer.cpp
@@ -6,7 +6,9 @@
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -24,7 +26,7 @@
     m_Acceptor->async_accept(
         Worker, [Self = shared_from_this(),
                  &Worker](boost::system::error_code Error, tcp::socket Socket) {
-          if (Error == boost::asio::error::operation_aborted)
+          if (Self->m_Closed)
             return;
           if (!Error)
             Self->serve(Worker, std::move(Socket));
@@ -58,6 +60,7 @@
   WorkerPool &m_Workers;
   std::map<std::string, MethodHandler> m_Methods;
   std::optional<tcp::acceptor> m_Acceptor;
+  std::atomic<bool> m_Closed = false;
   std::shared_ptr<TrafficCounters> m_Traffic =
       std::make_shared<TrafficCounters>();
   std::mutex m_Mutex;
@@ -92,9 +95,15 @@
 }
 
 void PeerServer::close() {
+  m_State->m_Closed = true;
   boost::system::error_code Ignored;
   if (m_State->m_Acceptor)
     m_State->m_Acceptor->close(Ignored);
+  const std::lock_guard Lock(m_State->m_Mutex);
+  for (const std::weak_ptr<PeerSession> &Each : m_State->m_Sessions)
+    if (const auto Session = Each.lock())
+      boost::asio::post(Session->executor(),
+                        [Session] { Session->close("the server closed"); });
 }
 
 } // namespace mangocart
--- a/Source/Net/PeerSession.h
+++ b/Source/Net/PeerSession.h
@@ -47,6 +47,7 @@
   // Closes the connection; open streams end with the error.
   void close(const std::string &Why);
   bool open() const { return m_Open; }
+  boost::asio::any_io_executor executor() { return m_Socket.get_executor(); }
 
   // The functions below are for SessionStream, on the worker.
   bool submitRequest(const std::shared_ptr<SessionStream> &Stream,
--- a/Source/Net/PeerStream.h
+++ b/Source/Net/PeerStream.h
@@ -93,6 +93,8 @@
   void addMethod(std::string Method, MethodHandler Handler);
   Result<void, PeerError> listen(const std::string &Address,
                                  std::uint16_t Port);
+  // Accepts no more; the workers end the open connections, so that the other
+  // sides see it at once and not after their probes.
   void close();
 
 private:
--- a/Tests/Net/testPeerStream.cpp
+++ b/Tests/Net/testPeerStream.cpp
@@ -101,6 +101,27 @@
   CHECK(Got.error().m_NothingSent);
 }
 
+TEST_CASE("a server that closes ends its connections at once") {
+  Pair P;
+  std::promise<void> Arrived;
+  P.m_Server.addMethod("/silent",
+                       [&](const std::shared_ptr<PeerStream> &Stream) {
+                         PeerStreamHandlers Handlers;
+                         Handlers.m_OnEnd = [&] { Arrived.set_value(); };
+                         Stream->setHandlers(std::move(Handlers));
+                       });
+  P.start();
+  std::promise<Answer> Answered;
+  P.m_Client.call({Address, Port}, "/silent", "x", Patience,
+                  [&](Answer Got) { Answered.set_value(std::move(Got)); });
+  REQUIRE(Arrived.get_future().wait_for(Patience) == std::future_status::ready);
+  P.m_Server.close();
+  const Answer Got = Answered.get_future().get();
+  REQUIRE(Got.has_error());
+  CHECK(Got.error().m_Code == PeerErrorCode::ConnectionLost);
+  CHECK_FALSE(Got.error().m_NothingSent);
+}
+
 TEST_CASE("the other side sees a reset after the request has ended") {
   Pair P;
   std::promise<void> Ended;
--- a/Tests/Raft/RunnerCluster.h
+++ b/Tests/Raft/RunnerCluster.h
@@ -6,6 +6,8 @@
 #include "Raft/RaftRunner.h"
 #include "Raft/StateMachine.h"
 
+#include <boost/asio/post.hpp>
+
 #include <filesystem>
 #include <future>
 #include <mutex>
@@ -60,7 +62,14 @@
     m_Workers.start();
   }
   ~ClusterProcess() {
+    // As a kernel does for a killed process: without it the other members'
+    // streams end only when their probes find them silent.
     m_Server.close();
+    for (std::size_t I = 0; I < m_Workers.size(); ++I) {
+      std::promise<void> Passed;
+      boost::asio::post(m_Workers.worker(I), [&] { Passed.set_value(); });
+      Passed.get_future().wait();
+    }
     m_Runner.reset();
     m_Workers.stop();
   }
--- a/Tests/Raft/testRaftRunner.cpp
+++ b/Tests/Raft/testRaftRunner.cpp
@@ -102,6 +102,8 @@
     if (I != Left)
       C.start(I);
   REQUIRE(C.agreedLeader() < RunnerCluster::VoterCount);
-  REQUIRE(C.propose(Left, "taken").has_value());
+  const auto Taken = C.propose(Left, "taken");
+  INFO((Taken ? std::string() : Taken.error().m_Detail));
+  REQUIRE(Taken.has_value());
   CHECK(sameState(C, "taken;"));
 }
