--- a/Tests/Raft/testRaftRules.cpp
+++ b/Tests/Raft/testRaftRules.cpp
@@ -2,6 +2,7 @@
 #include "Raft/RaftCodec.h"
 #include "Raft/RaftMembership.h"
 #include "Raft/RaftNode.h"
+#include "Raft/RaftSteps.h"
 
 #include <catch2/catch.hpp>
 
@@ -129,6 +130,71 @@
   }
 }
 
+// The list in force is committed already, so only the rule on the own term
+// keeps back the change: an earlier leader's change, unknown here, could still
+// be committed against it.
+TEST_CASE("a new leader changes members only after an entry of its own term "
+          "was committed") {
+  const RaftMembers WithoutC = {{A, true}, {B, true}};
+  Member M({1});
+  M.receive(B, 1, AppendRequest{2, 1, {}, 2, M.m_Now});
+  REQUIRE(M.m_State.m_Commit == 2);
+  M.lead();
+  M.acknowledge(B, 2);
+  REQUIRE(M.m_State.m_Commit < M.m_State.m_TermStart);
+  CHECK_FALSE(find<PersistLog>(M.handle(ProposeMembers{WithoutC})));
+  M.acknowledge(B, 3);
+  CHECK(find<PersistLog>(M.handle(ProposeMembers{WithoutC})));
+}
+
+TEST_CASE("messages of older terms change nothing and are answered at most by "
+          "the newer term") {
+  struct Row {
+    std::string m_Name;
+    bool m_Leads;
+    decltype(RaftMessage::m_Body) m_Body;
+    bool m_Answered;
+  };
+  const TimePoint Later(2000s);
+  const std::vector<Row> Rows = {
+      {"entries", false, AppendRequest{2, 1, {entry(3, 1)}, 3, Later}, true},
+      {"a heartbeat", false, AppendRequest{2, 1, {}, 2, Later}, true},
+      {"a snapshot", false,
+       SnapshotChunk{9, 1, {{A, true}, {B, true}}, 0, "state", true, Later},
+       true},
+      {"the answer to an earlier leadership", true,
+       AppendReply{true, 3, 0, Later}, false},
+      {"a refusal to an earlier leadership", true,
+       AppendReply{false, 0, 1, Later}, false},
+      {"a snapshot's answer to an earlier leadership", true,
+       SnapshotReply{9, 0, true, Later}, false},
+  };
+  for (const Row &R : Rows) {
+    INFO(R.m_Name);
+    Member M({1});
+    if (R.m_Leads)
+      M.lead();
+    else
+      M.receive(C, 5, AppendRequest{2, 1, {}, 0, M.m_Now});
+    M.m_Now += 100ms;
+    const RaftState Before = M.m_State;
+    const auto Effects = M.receive(B, Before.m_HardState.m_Term - 1, R.m_Body);
+    CHECK(Effects.size() == (R.m_Answered ? 1 : 0));
+    if (const Send *Sent = find<Send>(Effects)) {
+      CHECK(Sent->m_Message.m_Term == M.term());
+      CHECK_FALSE(std::get<AppendReply>(Sent->m_Message.m_Body).m_Success);
+    }
+    CHECK(M.m_State.m_HardState == Before.m_HardState);
+    CHECK(M.m_State.m_Log.lastIndex() == Before.m_Log.lastIndex());
+    CHECK(M.m_State.m_Commit == Before.m_Commit);
+    CHECK(M.m_State.m_Leader == Before.m_Leader);
+    CHECK(M.m_State.m_LeaderContact == Before.m_LeaderContact);
+    CHECK(leaseEnd(M.m_State, M.m_Now) == leaseEnd(Before, M.m_Now));
+    for (const auto &[Id, P] : Before.m_Progress)
+      CHECK(M.m_State.m_Progress.at(Id).m_Next == P.m_Next);
+  }
+}
+
 TEST_CASE("a leader without answers steps down, and its lease ends first") {
   Member M({1});
   M.lead();
@@ -192,6 +258,32 @@
   CHECK(M.m_State.m_Commit == 4);
 }
 
+// No event of today sends between the commit of an own entry and its sync:
+// every path sends first. The rule is tested where the messages are sorted.
+TEST_CASE("a message sent after an own entry was committed in the same step "
+          "waits for its sync") {
+  Member M({1}, {{A, true}, {B, false}});
+  M.m_State.m_Config.m_Voters = {"a"};
+  M.m_Now += 1s;
+  M.handle(Tick{});
+  REQUIRE(M.m_State.m_Role == RaftRole::Leader);
+  StepContext Step{M.m_State, M.m_Now, M.m_Random};
+  appendEntry(Step, entry(4, M.term()));
+  sendBody(Step, B, AppendRequest{3, M.term(), {}, 3, M.m_Now});
+  advanceCommit(Step, 4);
+  sendBody(Step, B, AppendRequest{4, M.term(), {}, 4, M.m_Now});
+  const auto Effects = finishStep(Step);
+  REQUIRE(Effects.size() == 4);
+  const auto CommitOf = [&](std::size_t I) {
+    const auto &Sent = std::get<Send>(Effects[I]).m_Message;
+    return std::get<AppendRequest>(Sent.m_Body).m_CommitIndex;
+  };
+  CHECK(CommitOf(0) == 3);
+  CHECK(std::holds_alternative<PersistLog>(Effects[1]));
+  CHECK(CommitOf(2) == 4);
+  CHECK(std::holds_alternative<Apply>(Effects[3]));
+}
+
 TEST_CASE("proposals that are refused, with nothing appended") {
   struct Row {
     std::string m_Name;
