State: the operator's name is no part of an operation

Cause: the digest covered the whole command, so the same plan sent again under its operation id by another operator's name was a conflict.

Change: the digest covers the configuration and the version planned against. The test failed in the two rows with another name, with none, before. Voters must run the same program for this: a digest kept by an earlier one differs.

--- a/Source/State/ConfigurationRegister.cpp
+++ b/Source/State/ConfigurationRegister.cpp
@@ -7,8 +7,11 @@
 
 namespace {
 
+// Of what is accepted, not of who asks: the same plan sent again under another
+// operator's name is the same operation.
 std::uint64_t digestOf(const schema::AcceptConfiguration &Command) {
-  return hash64(Command.SerializeAsString());
+  return hash64(Command.configuration().SerializeAsString(),
+                Command.planned_against());
 }
 
 schema::AcceptReply conflict(const ConfigurationRegister &Register) {
--- a/Source/State/ConfigurationRegister.h
+++ b/Source/State/ConfigurationRegister.h
@@ -32,8 +32,9 @@
 };
 
 // Takes the configuration if it was planned against the version in force. The
-// same operation id again gets the first reply; another command under a used id
-// is a conflict.
+// same operation id again gets the first reply, whatever the operator's name;
+// another configuration or version planned against under a used id is a
+// conflict.
 schema::AcceptReply accept(ConfigurationRegister &Register,
                            const schema::AcceptConfiguration &Command,
                            std::uint64_t TimeMs);
--- a/Tests/State/testConfigurationRegister.cpp
+++ b/Tests/State/testConfigurationRegister.cpp
@@ -53,6 +53,38 @@
   }
 }
 
+TEST_CASE("only the configuration and the version planned against make the "
+          "operation") {
+  struct Row {
+    const char *m_Name;
+    std::string m_Operator;
+    std::uint64_t m_PlannedAgainst;
+    std::string m_Deployment;
+    bool m_IsSame;
+  };
+  const Row Rows[] = {
+      {"the same", "first", 0, "d", true},
+      {"another operator's name", "second", 0, "d", true},
+      {"no operator's name", "", 0, "d", true},
+      {"another configuration", "first", 0, "e", false},
+      {"planned against another version", "first", 1, "d", false},
+  };
+  for (const Row &Each : Rows) {
+    INFO(Each.m_Name);
+    ConfigurationRegister Register;
+    schema::AcceptConfiguration First = command("a", 0);
+    First.set_operator_name("first");
+    const schema::AcceptReply Reply = accept(Register, First, 1);
+    schema::AcceptConfiguration Again =
+        command("a", Each.m_PlannedAgainst, Each.m_Deployment);
+    Again.set_operator_name(Each.m_Operator);
+    const schema::AcceptReply Resent = accept(Register, Again, 2);
+    CHECK((Resent.verdict() == schema::AcceptReply::ACCEPTED) == Each.m_IsSame);
+    CHECK(Resent.winner_operator_name() == Reply.winner_operator_name());
+    CHECK(Register.m_Configuration.version() == 1);
+  }
+}
+
 TEST_CASE("an operation that was forgotten isn't accepted again") {
   ConfigurationRegister Register;
   for (std::uint64_t I = 0; I <= MaxOperations; ++I)
