--- a/Source/State/Ledger.cpp
+++ b/Source/State/Ledger.cpp
@@ -107,6 +107,8 @@
   Cell.m_ClaimNumber = Open.m_ClaimNumber;
   Cell.m_Attempt = static_cast<std::uint16_t>(Open.m_Attempt);
   Cell.m_Outcome = LedgerOutcome::InProgress;
+  // Of an earlier attempt; a restored record has none.
+  Cell.m_SettledS = 0;
   Book.m_Bytes += openBytes(Open);
   const std::uint64_t Number = Open.m_ClaimNumber;
   Book.m_Open.emplace(Number, std::move(Open));
