Raft: forwarding, inbox, events and peers are types beside the control thread

Cause: RaftRunner.cpp had 665 lines and five jobs.

Change, without one of behaviour: ProposalForwarder serves and calls the propose method and keeps the leader hint; RaftInbox hands over what other threads bring; RaftEvents writes the numbered events; RaftPeers reads the list of peers; RaftControl is the control thread (361 lines); RaftRunner only the face that the process sees. The forwarder's owner lives until the answer of each forwarded proposal, as before.

--- a/Source/Raft/ProposalQueue.cpp
+++ b/Source/Raft/ProposalQueue.cpp
@@ -6,6 +6,14 @@
 
 namespace mangocart {
 
+ProposeError noQuorum(std::string Detail) {
+  return {ProposeErrorCode::NoQuorum, std::move(Detail)};
+}
+
+ProposeError inDoubt(std::string Detail) {
+  return {ProposeErrorCode::InDoubt, std::move(Detail)};
+}
+
 void ProposalQueue::retryAt(TimePoint Due, PendingProposal Waiting) {
   m_Retries.emplace(Due, std::move(Waiting));
 }
--- a/Source/Raft/ProposalQueue.h
+++ b/Source/Raft/ProposalQueue.h
@@ -11,6 +11,14 @@
 
 namespace mangocart {
 
+// How long a proposal waits that nobody took.
+constexpr Duration ProposalRetryInterval = std::chrono::milliseconds(30);
+
+// Nothing was appended.
+ProposeError noQuorum(std::string Detail);
+// The command may have been appended.
+ProposeError inDoubt(std::string Detail);
+
 // One command from a caller or from another process.
 struct PendingProposal {
   schema::Command m_Command;
--- /dev/null
+++ b/Source/Raft/RaftControl.h
@@ -0,0 +1,99 @@
+// The control thread of the replicated log, and what it shares with the runner
+// and the handlers of other threads.
+#ifndef MANGOCART_RAFT_RAFTCONTROL_H
+#define MANGOCART_RAFT_RAFTCONTROL_H
+
+#include "Raft/ProposalForwarder.h"
+#include "Raft/RaftInbox.h"
+#include "Raft/RaftNode.h"
+#include "Raft/RaftRunner.h"
+#include "Raft/RaftTransport.h"
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+namespace mangocart {
+
+class RaftControl : public ProposalForwarder::Owner,
+                    public std::enable_shared_from_this<RaftControl> {
+public:
+  RaftControl(RaftRunnerOptions Options, StateMachine &Machine,
+              WorkerPool &Workers, PeerClient &Client, PeerServer &Server,
+              RaftRunner::FatalHandler OnFatal, EventLog *Events);
+
+  // Before start().
+  Result<void, StorageError> openFolder();
+  void serve(PeerServer &Server);
+  void start();
+
+  // Any thread.
+  void submit(PendingProposal Proposal) override;
+  void receive(RaftMessage Message);
+  // Returns when the control thread has ended.
+  void stop();
+  std::string leader() const override;
+  bool leaseHeld() const;
+  RaftStatus status() const;
+  RaftCounters counters() const;
+
+private:
+  void run();
+  bool wait();
+  void turn();
+  std::vector<RaftEvent> takeEvents();
+  void tryProposals(std::vector<PendingProposal> Proposals, Propose &Batch);
+  std::uint64_t commandTimeMs() const;
+  void forward(PendingProposal Proposal);
+  void carryOut(std::vector<RaftEffect> Effects);
+  bool carryOutStorage(const RaftEffect &Effect);
+  void carryOutOne(RaftEffect &Effect);
+  void apply(const EntryList &Entries);
+  void refuse(const ProposalRefused &Refused);
+  void takeSnapshotIfDue();
+  void publish();
+  void answer(PendingProposal Proposal, ProposalForwarder::Reply With);
+  void retryLater(PendingProposal Proposal);
+  void fail(const StorageError &Error);
+
+  const RaftRunnerOptions m_Options;
+  const std::map<std::string, PeerEndpoint> m_Endpoints;
+  const std::vector<std::string> m_Voters;
+  StateMachine &m_Machine;
+  const RaftRunner::FatalHandler m_OnFatal;
+  EventLog *const m_Events;
+  ProposalForwarder m_Forwarder;
+
+  // Used only on the control thread once it runs.
+  Random m_Generator;
+  RaftTransport m_Transport;
+  std::unique_ptr<FileSystem> m_Files;
+  // Both null without a data folder.
+  std::unique_ptr<RaftStorage> m_Storage;
+  std::optional<RaftState> m_State;
+  ProposalQueue m_Queue;
+  std::map<std::uint64_t, PendingProposal> m_Tried;
+  std::uint64_t m_NextProposalId = 1;
+  LogIndex m_Applied = 0;
+  LogIndex m_SnapshotIndex = 0;
+  TimePoint m_LeaderSeen;
+  bool m_Failed = false;
+
+  RaftInbox m_Inbox;
+
+  // A leaf of the lock order.
+  mutable std::mutex m_StatusMutex;
+  // Guarded by m_StatusMutex.
+  RaftStatus m_Status;
+  std::optional<TimePoint> m_LeaseEnd;
+  bool m_MayRead = false;
+
+  std::atomic<std::uint64_t> m_ProposalCount{0};
+  std::atomic<std::uint64_t> m_BatchCount{0};
+  std::atomic<std::uint64_t> m_SyncCount{0};
+  std::thread m_Thread;
+};
+
+} // namespace mangocart
+
+#endif
--- a/Source/Raft/RaftRunner.h
+++ b/Source/Raft/RaftRunner.h
@@ -5,7 +5,7 @@
 #ifndef MANGOCART_RAFT_RAFTRUNNER_H
 #define MANGOCART_RAFT_RAFTRUNNER_H
 
-#include "Net/PeerStream.h"
+#include "Raft/RaftPeers.h"
 #include "Raft/RaftStorage.h"
 #include "Raft/RaftTypes.h"
 #include "Raft/ReplicatedLog.h"
@@ -17,19 +17,10 @@
 namespace mangocart {
 
 class EventLog;
-class FileSystem;
+class RaftControl;
 class StateMachine;
 class WorkerPool;
 
-// One entry VM of the deployment.
-struct RaftPeer {
-  std::string m_Name;
-  PeerEndpoint m_Endpoint;
-  bool m_Voter = false;
-
-  bool operator==(const RaftPeer &) const = default;
-};
-
 struct RaftRunnerOptions {
   std::string m_Name;
   // Empty: no member of the log.
@@ -100,9 +91,8 @@
   RaftCounters counters() const;
 
 private:
-  struct Core;
-  explicit RaftRunner(std::shared_ptr<Core> Shared);
-  std::shared_ptr<Core> m_Core;
+  explicit RaftRunner(std::shared_ptr<RaftControl> Control);
+  std::shared_ptr<RaftControl> m_Control;
 };
 
 } // namespace mangocart
