--- a/Tests/Raft/benchSnapshot.cpp
+++ b/Tests/Raft/benchSnapshot.cpp
@@ -22,6 +22,8 @@
 constexpr LogIndex SnapshotIndex = 2 * RecordCount;
 constexpr LogIndex SnapshotEntries = 2000;
 constexpr std::size_t Proposers = 64;
+// Between a reply and the next command, for about 2,000 commands a second.
+constexpr std::chrono::milliseconds Pause{30};
 constexpr int SnapshotCount = 3;
 
 // Its snapshots are taken, written and synced on the control thread.
@@ -72,7 +74,7 @@
 // Proposers that send their next command after the reply, until some snapshots
 // were taken.
 void measure(const std::string &How, DeploymentMachine &Machine,
-             const std::string &State) {
+             const std::string &State, std::chrono::milliseconds Wait) {
   const std::string Folder =
       (std::filesystem::temp_directory_path() /
        ("mangocart-snapshot-bench-" + std::to_string(::getpid())))
@@ -105,6 +107,7 @@
         Runner->propose(Command, 20s, [&](const auto &) { Done.set_value(); });
         Done.get_future().wait();
         ++Committed;
+        std::this_thread::sleep_for(Wait);
       }
     });
   int Taken = 0;
@@ -133,10 +136,10 @@
 
 TEST_CASE("the longest turn with snapshots of a large state", "[.bench]") {
   const std::string State = largeState();
-  {
-    MachineAtOnce Machine;
-    measure("at once", Machine, State);
+  for (const auto Wait : {0ms, Pause}) {
+    MachineAtOnce First;
+    measure("at once", First, State, Wait);
+    DeploymentMachine Second;
+    measure("beside the control thread", Second, State, Wait);
   }
-  DeploymentMachine Machine;
-  measure("beside the control thread", Machine, State);
 }
