--- a/Source/Raft/RaftRunner.h
+++ b/Source/Raft/RaftRunner.h
@@ -5,7 +5,7 @@
 #ifndef MANGOCART_RAFT_RAFTRUNNER_H
 #define MANGOCART_RAFT_RAFTRUNNER_H
 
-#include "Net/PeerStream.h"
+#include "Raft/RaftPeers.h"
 #include "Raft/RaftStorage.h"
 #include "Raft/RaftTypes.h"
 #include "Raft/ReplicatedLog.h"
@@ -17,19 +17,10 @@
 namespace mangocart {
 
 class EventLog;
-class FileSystem;
+class RaftControl;
 class StateMachine;
 class WorkerPool;
 
-// One entry VM of the deployment.
-struct RaftPeer {
-  std::string m_Name;
-  PeerEndpoint m_Endpoint;
-  bool m_Voter = false;
-
-  bool operator==(const RaftPeer &) const = default;
-};
-
 struct RaftRunnerOptions {
   std::string m_Name;
   // Empty: no member of the log.
@@ -41,9 +32,12 @@
   RaftLimits m_Limits;
   // Stamp of a command that is proposed in the term; absent: the wall clock.
   std::function<std::uint64_t(Term)> m_CommandTimeMs;
-  // A snapshot is taken after so many applied entries or bytes of log.
-  LogIndex m_SnapshotEntries = 10000;
+  // A snapshot is taken after so many bytes of log, or after so many applied
+  // entries if the log then has this part of the last snapshot's size, because
+  // the work of a snapshot grows with the state and not with the entries.
   std::uint64_t m_SnapshotLogBytes = std::uint64_t{32} * 1024 * 1024;
+  LogIndex m_SnapshotEntries = 10000;
+  double m_SnapshotLogShare = 0.25;
 };
 
 struct RaftStatus {
@@ -68,6 +62,8 @@
   std::uint64_t m_Syncs = 0;
   std::uint64_t m_Messages = 0;
   std::uint64_t m_Bytes = 0;
+  // The longest time that the control thread was away from its inbox.
+  Duration m_LongestTurn{0};
 
   bool operator==(const RaftCounters &) const = default;
 };
@@ -100,9 +96,8 @@
   RaftCounters counters() const;
 
 private:
-  struct Core;
-  explicit RaftRunner(std::shared_ptr<Core> Shared);
-  std::shared_ptr<Core> m_Core;
+  explicit RaftRunner(std::shared_ptr<RaftControl> Control);
+  std::shared_ptr<RaftControl> m_Control;
 };
 
 } // namespace mangocart
