Settings: one function turns a field of the schema into text

MessageWriter and ConfigurationChange each had their own switch over the field types; the writer's had no case for enums and would have read one as text. fieldText() is the one switch; the writer only quotes text and marks a real number as such for TOML.

--- a/Source/Planning/ConfigurationChange.cpp
+++ b/Source/Planning/ConfigurationChange.cpp
@@ -3,6 +3,7 @@
 #include "Planning/ConfigurationChange.h"
 
 #include "Configuration.pb.h"
+#include "Settings/FieldText.h"
 
 #include <fmt/format.h>
 #include <google/protobuf/descriptor.h>
@@ -48,24 +49,6 @@
          Field.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE;
 }
 
-std::string scalarText(const Message &From, const FieldDescriptor &Field) {
-  const Reflection &Access = *From.GetReflection();
-  switch (Field.cpp_type()) {
-  case FieldDescriptor::CPPTYPE_BOOL:
-    return Access.GetBool(From, &Field) ? "true" : "false";
-  case FieldDescriptor::CPPTYPE_UINT32:
-    return std::to_string(Access.GetUInt32(From, &Field));
-  case FieldDescriptor::CPPTYPE_UINT64:
-    return std::to_string(Access.GetUInt64(From, &Field));
-  case FieldDescriptor::CPPTYPE_DOUBLE:
-    return fmt::format("{}", Access.GetDouble(From, &Field));
-  case FieldDescriptor::CPPTYPE_ENUM:
-    return Access.GetEnum(From, &Field)->name();
-  default:
-    return Access.GetString(From, &Field);
-  }
-}
-
 // The field that tells the elements of a list apart.
 const FieldDescriptor *keyField(const Message &Element) {
   const FieldDescriptor *Name =
@@ -80,7 +63,7 @@
   std::map<std::string, const Message *> ByKey;
   for (int I = 0; I < Access.FieldSize(In, &List); ++I) {
     const Message &Element = Access.GetRepeatedMessage(In, &List, I);
-    ByKey[scalarText(Element, *keyField(Element))] = &Element;
+    ByKey[fieldText(Element, *keyField(Element))] = &Element;
   }
   return ByKey;
 }
@@ -95,7 +78,7 @@
       continue;
     if (!Text.empty())
       Text += ", ";
-    Text += fmt::format("{} {}", Field->name(), scalarText(Element, *Field));
+    Text += fmt::format("{} {}", Field->name(), fieldText(Element, *Field));
   }
   return Text;
 }
@@ -123,8 +106,8 @@
 private:
   void compareScalars(const std::string &Subject, const FieldDescriptor &Field,
                       const Message &Before, const Message &After) {
-    const std::string Old = scalarText(Before, Field);
-    const std::string New = scalarText(After, Field);
+    const std::string Old = fieldText(Before, Field);
+    const std::string New = fieldText(After, Field);
     if (Old != New)
       m_Changes.push_back(
           {ChangeKind::Changed, Subject, Field.name(), Old, New});
--- a/Source/Settings/MessageWriter.cpp
+++ b/Source/Settings/MessageWriter.cpp
@@ -2,6 +2,7 @@
 #include "Settings/MessageWriter.h"
 
 #include "Options.pb.h"
+#include "Settings/FieldText.h"
 #include "Settings/MessageReader.h"
 
 #include <fmt/format.h>
@@ -26,19 +27,24 @@
   return Stream.str();
 }
 
+// TOML takes a number without point and exponent for a whole one.
+std::string realValue(std::string Number) {
+  if (Number.find_first_not_of("-0123456789") == std::string::npos)
+    Number += ".0";
+  return Number;
+}
+
 std::string scalarValue(const Message &From, const FieldDescriptor &Field) {
-  const Reflection &Access = *From.GetReflection();
+  std::string Value = fieldText(From, Field);
   switch (Field.cpp_type()) {
-  case FieldDescriptor::CPPTYPE_BOOL:
-    return Access.GetBool(From, &Field) ? "true" : "false";
-  case FieldDescriptor::CPPTYPE_UINT32:
-    return std::to_string(Access.GetUInt32(From, &Field));
-  case FieldDescriptor::CPPTYPE_UINT64:
-    return std::to_string(Access.GetUInt64(From, &Field));
+  case FieldDescriptor::CPPTYPE_STRING:
+  case FieldDescriptor::CPPTYPE_ENUM:
+    return textValue(Value);
+  case FieldDescriptor::CPPTYPE_FLOAT:
   case FieldDescriptor::CPPTYPE_DOUBLE:
-    return fmt::format("{:#}", Access.GetDouble(From, &Field));
+    return realValue(std::move(Value));
   default:
-    return textValue(Access.GetString(From, &Field));
+    return Value;
   }
 }
 
