Configuration: customers and routes are indexed once per configuration

Each request scanned all customers for its own, and all routes for the longest prefix. ConfigurationHolder now makes an immutable ConfigurationIndex when a newer configuration comes into force; a request takes it with one lock and looks up by hash. A route look-up tries the segment ends of the target from the longest known path downwards, so a long target costs no more than a short one. An offer that is not newer is refused before it is copied.

--- a/Source/Configuration/ConfigurationHolder.cpp
+++ b/Source/Configuration/ConfigurationHolder.cpp
@@ -4,23 +4,29 @@
 namespace mangocart {
 
 ConfigurationHolder::ConfigurationHolder()
-    : m_Current(std::make_shared<const schema::Configuration>()) {}
+    : m_Current(std::make_shared<const ConfigurationIndex>(
+          std::make_shared<const schema::Configuration>())) {}
 
-ConfigurationPtr ConfigurationHolder::current() const {
+ConfigurationIndexPtr ConfigurationHolder::index() const {
   const std::lock_guard Lock(m_Mutex);
   return m_Current;
 }
 
 bool ConfigurationHolder::offer(const schema::Configuration &Offered) {
-  const auto Candidate = std::make_shared<const schema::Configuration>(Offered);
+  // Most offers repeat what is in force; only a newer one is copied and
+  // indexed.
+  if (Offered.version() <= version())
+    return false;
+  const auto Candidate = std::make_shared<const ConfigurationIndex>(
+      std::make_shared<const schema::Configuration>(Offered));
   {
     const std::lock_guard Lock(m_Mutex);
-    if (Candidate->version() <= m_Current->version())
+    if (Offered.version() <= m_Current->configuration()->version())
       return false;
     m_Current = Candidate;
   }
   for (const ChangeHandler &Handler : m_Handlers)
-    Handler(Candidate);
+    Handler(Candidate->configuration());
   return true;
 }
 
--- a/Source/Configuration/ConfigurationHolder.h
+++ b/Source/Configuration/ConfigurationHolder.h
@@ -3,7 +3,7 @@
 #ifndef MANGOCART_CONFIGURATION_CONFIGURATIONHOLDER_H
 #define MANGOCART_CONFIGURATION_CONFIGURATIONHOLDER_H
 
-#include "Configuration.pb.h"
+#include "Configuration/ConfigurationIndex.h"
 
 #include <cstdint>
 #include <functional>
@@ -13,8 +13,6 @@
 
 namespace mangocart {
 
-using ConfigurationPtr = std::shared_ptr<const schema::Configuration>;
-
 // Safe to use from any thread. Handlers run on the thread that offers, after
 // the lock has been released.
 class ConfigurationHolder {
@@ -24,7 +22,9 @@
   ConfigurationHolder();
 
   // Never null; version 0 before the first configuration arrives.
-  ConfigurationPtr current() const;
+  ConfigurationPtr current() const { return index()->configuration(); }
+  // The same with its look-ups.
+  ConfigurationIndexPtr index() const;
   std::uint64_t version() const { return current()->version(); }
 
   // True when the configuration was newer and is now in force.
@@ -36,7 +36,7 @@
 private:
   mutable std::mutex m_Mutex;
   // Its version only grows; guarded by m_Mutex.
-  ConfigurationPtr m_Current;
+  ConfigurationIndexPtr m_Current;
   std::vector<ChangeHandler> m_Handlers;
 };
 
--- a/Source/Entry/CallerFront.cpp
+++ b/Source/Entry/CallerFront.cpp
@@ -1,6 +1,7 @@
 // The first steps of each caller's request.
 #include "Entry/CallerFront.h"
 
+#include "Configuration/ConfigurationHolder.h"
 #include "Entry/CallRequests.h"
 #include "Entry/ClaimedRequest.h"
 #include "Entry/EntryContext.h"
@@ -82,16 +83,16 @@
   const auto Refuse = [&](const OwnAnswer &Answer) {
     refuse(*Exchange, Answer, RequestId);
   };
-  const ConfigurationPtr Configuration = m_Context.m_Configuration.current();
-  if (Configuration->version() == 0)
+  const ConfigurationIndexPtr InForce = m_Context.m_Configuration.index();
+  if (InForce->configuration()->version() == 0)
     return Refuse(noConfiguration());
   const auto Customer = findHeader(Request.m_Headers, CustomerHeader);
   if (!Customer)
     return Refuse(noCustomer());
-  const schema::Customer *Known = findCustomer(*Configuration, *Customer);
+  const schema::Customer *Known = InForce->findCustomer(*Customer);
   if (!Known)
     return Refuse(unknownCustomer());
-  auto Match = findRoute(Configuration, Request.m_Target);
+  auto Match = findRoute(*InForce, Request.m_Target);
   if (!Match)
     return Refuse(unknownRoute());
   enterGate(Exchange, *Known, std::move(*Match), std::move(RequestId));
--- a/Source/Entry/RouteTable.h
+++ b/Source/Entry/RouteTable.h
@@ -1,9 +1,9 @@
-// Finds the service and route that answer a request, by the longest path
-// prefix.
+// The service and route that answer a request, together with the configuration
+// that they stand in.
 #ifndef MANGOCART_ENTRY_ROUTETABLE_H
 #define MANGOCART_ENTRY_ROUTETABLE_H
 
-#include "Configuration/ConfigurationHolder.h"
+#include "Configuration/ConfigurationIndex.h"
 
 #include <optional>
 #include <string_view>
@@ -17,15 +17,9 @@
   const schema::Route *m_Route = nullptr;
 };
 
-// A prefix matches whole path segments: "/bookings" matches "/bookings/7" and
-// "/bookings?day=3", not "/bookingsale".
-std::optional<RouteMatch> findRoute(const ConfigurationPtr &Configuration,
+std::optional<RouteMatch> findRoute(const ConfigurationIndex &Index,
                                     std::string_view Target);
 
-// Null when the configuration has no such customer.
-const schema::Customer *findCustomer(const schema::Configuration &Configuration,
-                                     std::string_view Name);
-
 } // namespace mangocart
 
 #endif
