Agent: its metrics page comes from the registry

The page was one format string beside the registry, without help texts. The agent's counters now live in MetricRegistry. The registry also takes functions that read a value kept elsewhere (bytes of the connections, calls in flight, the version in force) at each exposition; a series has one source only.

--- a/Source/Agent/AgentContext.h
+++ b/Source/Agent/AgentContext.h
@@ -7,12 +7,12 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
-#include <atomic>
 #include <map>
 #include <memory>
 
 namespace mangocart {
 
+struct AgentCounters;
 class CallGuard;
 class EventLog;
 class WorkerPool;
@@ -30,12 +30,6 @@
       m_Clients;
 };
 
-struct AgentCounters {
-  std::atomic<std::uint64_t> m_Calls{0};
-  std::atomic<std::uint64_t> m_Refused{0};
-  std::atomic<std::uint64_t> m_Broken{0};
-};
-
 struct AgentContext {
   const schema::AgentSettings &m_Settings;
   WorkerPool &m_Workers;
--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -6,9 +6,6 @@
 #include "Daemon/StopSignals.h"
 #include "Net/UnaryMethod.h"
 
-#include <boost/asio/post.hpp>
-#include <fmt/format.h>
-
 namespace mangocart {
 
 namespace {
@@ -33,6 +30,7 @@
                 Limits.m_MaxOutstanding = m_Settings.max_outstanding();
                 return Limits;
               }()),
+      m_Counters(m_Metrics),
       m_Clients(m_Workers), m_Context{m_Settings, m_Workers, m_Events,
                                       m_Clients,  m_Guard,   m_Counters},
       m_Peers(m_Workers), m_Server(m_Workers),
@@ -49,6 +47,7 @@
             return Limits;
           }(),
           drainActions()) {
+  addMetrics();
   m_Announcer = std::make_shared<Announcer>(
       m_Settings, m_Workers, m_Peers, m_Configuration, Incarnation,
       [this] { return load(); },
@@ -131,7 +130,7 @@
     Response.m_Head.m_Status = Serving ? StatusOk : StatusUnavailable;
     Response.m_Body = Serving ? "serving\n" : "not serving\n";
   } else if (Exchange.request().m_Target == "/metrics") {
-    Response.m_Body = metricsPage();
+    Response.m_Body = m_Metrics.expose(RuntimeClock::now());
   } else {
     Response.m_Head.m_Status = StatusNotFound;
     Response.m_Body = "pages: /health, /metrics\n";
@@ -139,26 +138,17 @@
   Exchange.respond(std::move(Response));
 }
 
-std::string AgentDaemon::metricsPage() const {
-  const PeerClient::Traffic Traffic = m_Peers.traffic();
-  return fmt::format("# TYPE mangocart_agent_calls_total counter\n"
-                     "mangocart_agent_calls_total {}\n"
-                     "# TYPE mangocart_agent_refused_total counter\n"
-                     "mangocart_agent_refused_total {}\n"
-                     "# TYPE mangocart_agent_broken_total counter\n"
-                     "mangocart_agent_broken_total {}\n"
-                     "# TYPE mangocart_agent_outstanding gauge\n"
-                     "mangocart_agent_outstanding {}\n"
-                     "# TYPE mangocart_agent_configuration_version gauge\n"
-                     "mangocart_agent_configuration_version {}\n"
-                     "# TYPE mangocart_peer_bytes_sent_total counter\n"
-                     "mangocart_peer_bytes_sent_total {}\n"
-                     "# TYPE mangocart_peer_bytes_received_total counter\n"
-                     "mangocart_peer_bytes_received_total {}\n",
-                     m_Counters.m_Calls.load(), m_Counters.m_Refused.load(),
-                     m_Counters.m_Broken.load(), m_Guard.outstanding(),
-                     m_Configuration.version(), Traffic.m_BytesSent,
-                     Traffic.m_BytesReceived);
+void AgentDaemon::addMetrics() {
+  AgentReadings Readings;
+  Readings.m_Outstanding = [this] { return m_Guard.outstanding(); };
+  Readings.m_ConfigurationVersion = [this] {
+    return m_Configuration.version();
+  };
+  Readings.m_BytesSent = [this] { return m_Peers.traffic().m_BytesSent; };
+  Readings.m_BytesReceived = [this] {
+    return m_Peers.traffic().m_BytesReceived;
+  };
+  addReadings(m_Metrics, std::move(Readings));
 }
 
 DrainActions AgentDaemon::drainActions() {
--- a/Source/Agent/AgentDaemon.h
+++ b/Source/Agent/AgentDaemon.h
@@ -4,6 +4,7 @@
 #define MANGOCART_AGENT_AGENTDAEMON_H
 
 #include "Agent/AgentContext.h"
+#include "Agent/AgentMetrics.h"
 #include "Agent/Announcer.h"
 #include "Agent/BackendProbe.h"
 #include "Agent/CallGuard.h"
@@ -13,6 +14,7 @@
 #include "Daemon/ExitGate.h"
 #include "Events/EventLog.h"
 #include "Http/HttpServer.h"
+#include "Metrics/MetricRegistry.h"
 #include "Net/PeerStream.h"
 
 namespace mangocart {
@@ -30,7 +32,7 @@
   AnnouncedLoad load() const;
   void addMethods();
   void answerAdmin(HttpExchange &Exchange) const;
-  std::string metricsPage() const;
+  void addMetrics();
   DrainActions drainActions();
 
   const schema::AgentSettings m_Settings;
@@ -38,6 +40,7 @@
   EventLog m_Events;
   ConfigurationHolder m_Configuration;
   CallGuard m_Guard;
+  MetricRegistry m_Metrics;
   AgentCounters m_Counters;
   BackendClients m_Clients;
   AgentContext m_Context;
--- a/Source/Agent/CallCarrier.cpp
+++ b/Source/Agent/CallCarrier.cpp
@@ -2,9 +2,11 @@
 #include "Agent/CallCarrier.h"
 
 #include "Agent/AgentContext.h"
+#include "Agent/AgentMetrics.h"
 #include "Agent/CallGuard.h"
 #include "Core/Hash.h"
 #include "Events/EventLog.h"
+#include "Metrics/Counter.h"
 
 namespace mangocart {
 
@@ -50,7 +52,7 @@
     : m_Context(Context), m_Stream(std::move(Stream)) {}
 
 void CallCarrier::takeRequest(std::string_view Bytes) {
-  ++m_Context.m_Counters.m_Calls;
+  m_Context.m_Counters.m_Calls.add();
   if (m_Begun ||
       !m_Request.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
     return m_Stream->reset();
@@ -131,7 +133,7 @@
 }
 
 void CallCarrier::takeError(const HttpError &Error) {
-  ++m_Context.m_Counters.m_Broken;
+  m_Context.m_Counters.m_Broken.add();
   finishGuard(Error.m_NothingSent ? FinishKind::NeverSent : FinishKind::Broken);
   m_Context.m_Events.write(Event::BackendCallFailed,
                            {{"request", m_Request.request_id()},
@@ -160,7 +162,7 @@
 }
 
 void CallCarrier::refuse(const schema::CallRefusal &Refusal) {
-  ++m_Context.m_Counters.m_Refused;
+  m_Context.m_Counters.m_Refused.add();
   schema::CallReply Reply;
   *Reply.mutable_refusal() = Refusal;
   reply(Reply);
--- a/Source/Metrics/MetricRegistry.cpp
+++ b/Source/Metrics/MetricRegistry.cpp
@@ -106,10 +106,43 @@
   return Found->second.m_Series[fold(Found->second, Given)];
 }
 
+MetricRegistry::Series &MetricRegistry::newSeries(Kind Wanted,
+                                                  std::string_view Name,
+                                                  std::string_view Help,
+                                                  const Labels &Given) {
+  Series &Own = series(Wanted, Name, Help, Given);
+  requireNotRead(Own, Name);
+  if (Own.m_Counter || Own.m_Gauge)
+    throw std::logic_error(
+        fmt::format("metric \"{}\" has this series already", Name));
+  return Own;
+}
+
+void MetricRegistry::requireNotRead(const Series &Own, std::string_view Name) {
+  if (Own.m_ReadCounter || Own.m_ReadGauge)
+    throw std::logic_error(
+        fmt::format("metric \"{}\" is read from elsewhere", Name));
+}
+
+void MetricRegistry::counterFrom(std::string_view Name, std::string_view Help,
+                                 std::function<std::uint64_t()> Read,
+                                 const Labels &Labels) {
+  const std::lock_guard Lock(m_Mutex);
+  newSeries(Kind::Counter, Name, Help, Labels).m_ReadCounter = std::move(Read);
+}
+
+void MetricRegistry::gaugeFrom(std::string_view Name, std::string_view Help,
+                               std::function<double()> Read,
+                               const Labels &Labels) {
+  const std::lock_guard Lock(m_Mutex);
+  newSeries(Kind::Gauge, Name, Help, Labels).m_ReadGauge = std::move(Read);
+}
+
 Counter &MetricRegistry::counter(std::string_view Name, std::string_view Help,
                                  const Labels &Labels) {
   const std::lock_guard Lock(m_Mutex);
   Series &Own = series(Kind::Counter, Name, Help, Labels);
+  requireNotRead(Own, Name);
   if (!Own.m_Counter)
     Own.m_Counter = std::make_unique<Counter>();
   return *Own.m_Counter;
@@ -119,6 +152,7 @@
                              const Labels &Labels) {
   const std::lock_guard Lock(m_Mutex);
   Series &Own = series(Kind::Gauge, Name, Help, Labels);
+  requireNotRead(Own, Name);
   if (!Own.m_Gauge)
     Own.m_Gauge = std::make_unique<Gauge>();
   return *Own.m_Gauge;
@@ -155,6 +189,11 @@
   if (Each.m_Gauge)
     Text += fmt::format("{}{} {}\n", Name, Shown,
                         renderValue(Each.m_Gauge->value()));
+  if (Each.m_ReadCounter)
+    Text += fmt::format("{}{} {}\n", Name, Shown, Each.m_ReadCounter());
+  if (Each.m_ReadGauge)
+    Text +=
+        fmt::format("{}{} {}\n", Name, Shown, renderValue(Each.m_ReadGauge()));
   if (!Each.m_Summary)
     return;
   const SummarySnapshot Values = Each.m_Summary->snapshot(ShownQuantiles, Now);
--- a/Source/Metrics/MetricRegistry.h
+++ b/Source/Metrics/MetricRegistry.h
@@ -9,6 +9,8 @@
 #include "Metrics/QuantileSummary.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -48,6 +50,15 @@
   QuantileSummary &summary(std::string_view Name, std::string_view Help,
                            const Labels &Labels = {});
 
+  // For a value that is kept elsewhere. Read runs at each exposition, on its
+  // thread, and must not use the registry; it stays valid as long as the
+  // registry is exposed. A series that exists already is a programming error.
+  void counterFrom(std::string_view Name, std::string_view Help,
+                   std::function<std::uint64_t()> Read,
+                   const Labels &Labels = {});
+  void gaugeFrom(std::string_view Name, std::string_view Help,
+                 std::function<double()> Read, const Labels &Labels = {});
+
   // The text of all metrics, families and series in a fixed order. Summaries
   // show the quantiles 0.5, 0.95 and 0.99 of the window.
   std::string expose(TimePoint Now) const;
@@ -55,10 +66,13 @@
 private:
   enum class Kind { Counter, Gauge, Summary };
 
+  // One of them is set.
   struct Series {
     std::unique_ptr<Counter> m_Counter;
     std::unique_ptr<Gauge> m_Gauge;
     std::unique_ptr<QuantileSummary> m_Summary;
+    std::function<std::uint64_t()> m_ReadCounter;
+    std::function<double()> m_ReadGauge;
   };
 
   struct Family {
@@ -72,6 +86,9 @@
 
   Series &series(Kind Wanted, std::string_view Name, std::string_view Help,
                  const Labels &Given);
+  Series &newSeries(Kind Wanted, std::string_view Name, std::string_view Help,
+                    const Labels &Given);
+  static void requireNotRead(const Series &Own, std::string_view Name);
   Labels fold(Family &Of, const Labels &Given) const;
   static std::string_view kindName(Kind Of);
   static void exposeSeries(std::string &Text, const std::string &Name,
--- /dev/null
+++ b/Tests/Agent/testAgentDaemon.cpp
@@ -0,0 +1,28 @@
+// What an agent shows of itself before it listens.
+#include "Agent/AgentDaemon.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mangocart;
+
+TEST_CASE("the metrics page shows every counter from the start") {
+  MetricRegistry Registry;
+  const AgentCounters Counters(Registry);
+  addReadings(Registry, {[] { return 4U; }, [] { return 7U; },
+                         [] { return 100U; }, [] { return 200U; }});
+  Counters.m_Calls.add(3);
+  Counters.m_Broken.add();
+  const std::string Page = Registry.expose(TimePoint());
+  for (const char *Line : {"# TYPE mangocart_agent_calls_total counter\n",
+                           "\nmangocart_agent_calls_total 3\n",
+                           "\nmangocart_agent_refused_total 0\n",
+                           "\nmangocart_agent_broken_total 1\n",
+                           "# TYPE mangocart_agent_outstanding gauge\n",
+                           "\nmangocart_agent_outstanding 4\n",
+                           "\nmangocart_agent_configuration_version 7\n",
+                           "\nmangocart_peer_bytes_sent_total 100\n",
+                           "\nmangocart_peer_bytes_received_total 200\n"}) {
+    INFO(Line);
+    CHECK(Page.find(Line) != std::string::npos);
+  }
+}
--- a/Tests/Metrics/testMetricRegistry.cpp
+++ b/Tests/Metrics/testMetricRegistry.cpp
@@ -35,6 +35,23 @@
   CHECK(Registry.expose(TimePoint()).find("_count 1") != std::string::npos);
 }
 
+TEST_CASE("a value kept elsewhere is read at each exposition") {
+  MetricRegistry Registry;
+  std::uint64_t Sent = 18446744073709551615U;
+  Registry.counterFrom("sent_total", "Sent.", [&] { return Sent; });
+  Registry.gaugeFrom("load", "Load.", [&] { return Sent == 0 ? 0.5 : 2.0; });
+  CHECK(Registry.expose(TimePoint()) == "# HELP load Load.\n"
+                                        "# TYPE load gauge\n"
+                                        "load 2\n"
+                                        "# HELP sent_total Sent.\n"
+                                        "# TYPE sent_total counter\n"
+                                        "sent_total 18446744073709551615\n");
+  Sent = 0;
+  CHECK(Registry.expose(TimePoint()).find("load 0.5\n") != std::string::npos);
+  CHECK_THROWS(Registry.counter("sent_total", ""));
+  CHECK_THROWS(Registry.gaugeFrom("load", "", [] { return 1.0; }));
+}
+
 TEST_CASE("label order doesn't make another series") {
   MetricRegistry Registry;
   CHECK(&Registry.counter("a", "", {{"x", "1"}, {"y", "2"}}) ==
