Daemon: events for deprecated settings and unusable token files

The catalogue had SettingDeprecated and TokenFileUnusable, and nothing wrote them.

- The warnings of the settings reader reach both daemons and become events with file, line and key.
The schema's replaced_by and the row "deprecated for" of the pages were there already; the row now has a test, by a message type that stands in no schema.
- A token file that is missing, can't be read, holds no token or may be read by others than its owner: event 1007 with the reason; the entry serves and refuses what changes state, as the catalogue says.
Until now the entry ended with 2 in the first cases and took a token that others could read.

--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -3,6 +3,7 @@
 
 #include "Agent/CallCarrier.h"
 #include "Daemon/DaemonCommandLine.h"
+#include "Daemon/StartEvents.h"
 #include "Daemon/StopSignals.h"
 #include "Net/UnaryMethod.h"
 
@@ -20,7 +21,8 @@
 } // namespace
 
 AgentDaemon::AgentDaemon(schema::AgentSettings Settings,
-                         std::uint64_t Incarnation)
+                         std::uint64_t Incarnation,
+                         const SettingsWarnings &Warnings)
     : m_Settings(std::move(Settings)), m_Workers(m_Settings.workers()),
       m_Events({"agent", m_Settings.name(), m_Settings.availability_zone()},
                m_Settings.log_file()),
@@ -47,6 +49,7 @@
             return Limits;
           }(),
           drainActions()) {
+  noteDeprecated(m_Events, Warnings);
   addMetrics();
   m_Announcer = std::make_shared<Announcer>(
       m_Settings, m_Workers, m_Peers, m_Configuration, Incarnation,
--- a/Source/Agent/AgentDaemon.h
+++ b/Source/Agent/AgentDaemon.h
@@ -16,12 +16,15 @@
 #include "Http/HttpServer.h"
 #include "Metrics/MetricRegistry.h"
 #include "Net/PeerStream.h"
+#include "Settings/SettingsError.h"
 
 namespace mangocart {
 
 class AgentDaemon {
 public:
-  AgentDaemon(schema::AgentSettings Settings, std::uint64_t Incarnation);
+  // The warnings are those of the settings reader; they become events.
+  AgentDaemon(schema::AgentSettings Settings, std::uint64_t Incarnation,
+              const SettingsWarnings &Warnings);
   ~AgentDaemon();
 
   // Serves until a signal asks it to stop; returns the exit code.
--- a/Source/Agent/AgentProgram.cpp
+++ b/Source/Agent/AgentProgram.cpp
@@ -11,11 +11,12 @@
       Argc, Argv, "announces a backend server and carries every call to it");
   if (!Line.m_Arguments)
     return Line.m_ExitCode;
-  auto Settings =
+  auto Found =
       settingsOrReport(readAgentSettings, Line.m_Arguments->m_SettingsFile);
-  if (!Settings)
+  if (!Found)
     return ExitUsage;
-  AgentDaemon Daemon(std::move(*Settings), RuntimeClock::wallMilliseconds());
+  AgentDaemon Daemon(std::move(Found->m_Settings),
+                     RuntimeClock::wallMilliseconds(), Found->m_Warnings);
   return Daemon.run();
 }
 
--- a/Source/Daemon/SettingsOrExit.h
+++ b/Source/Daemon/SettingsOrExit.h
@@ -11,9 +11,15 @@
 
 namespace mangocart {
 
-// Absent after all errors were printed; nothing should be started then.
+template <class Settings> struct SettingsFound {
+  Settings m_Settings;
+  SettingsWarnings m_Warnings;
+};
+
+// Warnings are printed and returned. Absent after all errors were printed;
+// nothing should be started then.
 template <class Settings>
-std::optional<Settings>
+std::optional<SettingsFound<Settings>>
 settingsOrReport(Result<Settings, SettingsErrors> (*Read)(const std::string &,
                                                           SettingsWarnings &),
                  const std::string &File) {
@@ -22,7 +28,8 @@
   for (const SettingsWarning &Warning : Warnings)
     std::cerr << toString(Warning) << '\n';
   if (Found)
-    return std::move(Found).value();
+    return SettingsFound<Settings>{std::move(Found).value(),
+                                   std::move(Warnings)};
   std::cerr << toString(Found.error());
   return std::nullopt;
 }
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -2,6 +2,7 @@
 #include "Entry/EntryDaemon.h"
 
 #include "Daemon/DaemonCommandLine.h"
+#include "Daemon/StartEvents.h"
 #include "Daemon/StopSignals.h"
 #include "Entry/OrphanSettler.h"
 #include "Entry/ShareExchange.h"
@@ -49,7 +50,8 @@
 } // namespace
 
 EntryDaemon::EntryDaemon(schema::EntrySettings Settings,
-                         std::uint64_t Incarnation, std::string AdminToken)
+                         std::uint64_t Incarnation,
+                         const SettingsWarnings &Warnings)
     : m_Settings(std::move(Settings)), m_Workers(m_Settings.workers()),
       m_Events({"entry", m_Settings.name(), m_Settings.availability_zone()},
                m_Settings.log_file()),
@@ -63,7 +65,8 @@
       m_Context{m_Settings,  m_Workers, m_Events, m_Peers,    m_Configuration,
                 m_Directory, *m_Log,    *m_Gate,  m_Counters, m_Metrics},
       m_Callers(m_Context, Incarnation),
-      m_Admin(m_Context, adminSources(std::move(AdminToken))),
+      m_Admin(m_Context, adminSources(adminToken(
+                             m_Events, m_Settings.admin_token_file()))),
       m_CallerServer(m_Workers, callerLimits(m_Settings),
                      [this](const std::shared_ptr<HttpExchange> &Exchange) {
                        m_Callers.handle(Exchange);
@@ -79,6 +82,7 @@
       m_Settler(std::make_shared<OrphanSettler>(m_Context, *m_Log, m_Machine)),
       m_Shares(std::make_shared<ShareExchange>(m_Context, *m_Log)),
       m_Drain(m_Workers.worker(0), drainLimits(m_Settings), drainActions()) {
+  noteDeprecated(m_Events, Warnings);
   m_Configuration.onChange([this](const ConfigurationPtr &InForce) {
     configurationChanged(*InForce);
   });
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -16,6 +16,7 @@
 #include "Http/HttpServer.h"
 #include "Metrics/MetricRegistry.h"
 #include "Net/PeerStream.h"
+#include "Settings/SettingsError.h"
 #include "State/DeploymentMachine.h"
 
 #include <memory>
@@ -34,9 +35,10 @@
 
 class EntryDaemon {
 public:
-  // Opens the data folder; throws StartFailure when it can't be used.
+  // Opens the data folder; throws StartFailure when it can't be used. The
+  // warnings are those of the settings reader; they become events.
   EntryDaemon(schema::EntrySettings Settings, std::uint64_t Incarnation,
-              std::string AdminToken);
+              const SettingsWarnings &Warnings);
   ~EntryDaemon();
 
   // Serves until a signal asks it to stop; returns the exit code.
--- a/Source/Settings/SettingsReference.cpp
+++ b/Source/Settings/SettingsReference.cpp
@@ -63,13 +63,18 @@
 
 } // namespace
 
-std::string settingsReference() {
+std::string settingsReference(const std::vector<const Descriptor *> &Types) {
   std::string Text;
   std::set<std::string> Done;
-  describe(*schema::EntrySettings::descriptor(), Done, Text);
-  describe(*schema::AgentSettings::descriptor(), Done, Text);
-  describe(*schema::Questionnaire::descriptor(), Done, Text);
+  for (const Descriptor *Type : Types)
+    describe(*Type, Done, Text);
   return Text;
 }
 
+std::string settingsReference() {
+  return settingsReference({schema::EntrySettings::descriptor(),
+                            schema::AgentSettings::descriptor(),
+                            schema::Questionnaire::descriptor()});
+}
+
 } // namespace mangocart
--- a/Tests/Agent/testAgentDaemon.cpp
+++ b/Tests/Agent/testAgentDaemon.cpp
@@ -1,10 +1,29 @@
-// What an agent shows of itself before it listens.
+// What an agent shows and logs of itself before it listens.
 #include "Agent/AgentDaemon.h"
 
 #include <catch2/catch.hpp>
 
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
 using namespace mangocart;
 
+TEST_CASE("an agent notes deprecated settings") {
+  std::string Pattern =
+      (std::filesystem::temp_directory_path() / "agentXXXXXX").string();
+  const std::filesystem::path Folder = mkdtemp(Pattern.data());
+  schema::AgentSettings Settings;
+  Settings.set_name("assistant-1");
+  Settings.set_workers(1);
+  Settings.set_log_file(Folder / "log");
+  { const AgentDaemon Daemon(Settings, 1, {{"a.toml", 3, "old", "use new"}}); }
+  std::ostringstream Text;
+  Text << std::ifstream(Folder / "log").rdbuf();
+  CHECK(Text.str().find("\"event\":1004") != std::string::npos);
+  std::filesystem::remove_all(Folder);
+}
+
 TEST_CASE("the metrics page shows every counter from the start") {
   MetricRegistry Registry;
   const AgentCounters Counters(Registry);
--- a/Tests/Settings/testSettingsReader.cpp
+++ b/Tests/Settings/testSettingsReader.cpp
@@ -6,6 +6,7 @@
 #include "Questionnaire.pb.h"
 #include "Settings.pb.h"
 #include "Settings/MessageReader.h"
+#include "Settings/SettingsReference.h"
 
 #include <catch2/catch.hpp>
 #include <google/protobuf/descriptor.pb.h>
@@ -282,3 +283,14 @@
         "f.toml:2: old_limit: found both old_limit and limit; expected only "
         "limit; remove the old key\n");
 }
+
+TEST_CASE("the page of a deprecated key names its replacement") {
+  google::protobuf::DescriptorPool Pool(
+      google::protobuf::DescriptorPool::generated_pool());
+  const std::string Pages = settingsReference({&deprecatingType(Pool)});
+  const std::size_t Old = Pages.find("Deprecating/old_limit\n");
+  REQUIRE(Old != std::string::npos);
+  CHECK(Pages.find("| deprecated for | limit |\n", Old) != std::string::npos);
+  // Only the deprecated one, which comes last.
+  CHECK(Pages.find("deprecated for") > Old);
+}
