Agent: the setting admin_token_file is gone

It was declared and never read. The agent's administration port has /health and /metrics only, nothing that changes state; a drain reaches the agent through an entry, which asks for the token.

--- a/Source/Planning/DeploymentFiles.cpp
+++ b/Source/Planning/DeploymentFiles.cpp
@@ -59,7 +59,6 @@
   Settings.set_admin_port(AgentAdminPort);
   Settings.set_backend_address("@ADDRESS@");
   Settings.set_backend_port(BackendPort);
-  Settings.set_admin_token_file(Folders.m_AdminTokenFile);
   Settings.set_log_file(logFile(Folders, "@NAME@"));
   return Settings;
 }
