Core: one definition of the exit codes

Command's CommandExit, the daemons' ExitOk and its kin, and constants in the stand-in and the load program stated the same three codes. ExitCode is the one definition; the mains turn it into a number. In the command's tests only the name of the type changed.

--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -2,7 +2,6 @@
 #include "Agent/AgentDaemon.h"
 
 #include "Agent/CallCarrier.h"
-#include "Daemon/DaemonCommandLine.h"
 #include "Daemon/StartEvents.h"
 #include "Daemon/StopSignals.h"
 #include "Net/UnaryMethod.h"
@@ -61,23 +60,24 @@
 
 AgentDaemon::~AgentDaemon() { m_Workers.stop(); }
 
-int AgentDaemon::run() {
+ExitCode AgentDaemon::run() {
   addMethods();
   if (!listen())
-    return ExitFailed;
+    return ExitCode::Failed;
   StopSignals Signals(
       m_Workers.worker(0), [this] { m_Drain.request(); },
-      [this] { m_Exit.open(ExitFailed); });
+      [this] { m_Exit.open(ExitCode::Failed); });
   m_Probe->start();
   m_Announcer->start();
   m_Workers.start();
   m_Events.write(Event::ProcessStarted, {{"address", m_Settings.address()},
                                          {"peer_port", m_Settings.peer_port()},
                                          {"service", m_Settings.service()}});
-  const int ExitCode = m_Exit.wait();
-  m_Events.write(Event::ProcessStopped, {{"exit_code", ExitCode}});
+  const ExitCode Code = m_Exit.wait();
+  m_Events.write(Event::ProcessStopped,
+                 {{"exit_code", static_cast<int>(Code)}});
   m_Workers.stop();
-  return ExitCode;
+  return Code;
 }
 
 bool AgentDaemon::listen() {
@@ -171,7 +171,7 @@
     m_Announcer->announceNow();
   };
   Actions.m_Exit = [this](std::size_t CutOff) {
-    m_Exit.open(CutOff == 0 ? ExitOk : ExitFailed);
+    m_Exit.open(CutOff == 0 ? ExitCode::Ok : ExitCode::Failed);
   };
   return Actions;
 }
--- a/Source/Agent/AgentDaemon.h
+++ b/Source/Agent/AgentDaemon.h
@@ -28,7 +28,7 @@
   ~AgentDaemon();
 
   // Serves until a signal asks it to stop; returns the exit code.
-  int run();
+  ExitCode run();
 
 private:
   bool listen();
@@ -59,7 +59,7 @@
 };
 
 // The whole program: command line, settings, daemon.
-int runAgent(int Argc, const char *const *Argv);
+ExitCode runAgent(int Argc, const char *const *Argv);
 
 } // namespace mangocart
 
--- a/Source/Agent/AgentProgram.cpp
+++ b/Source/Agent/AgentProgram.cpp
@@ -6,7 +6,7 @@
 
 namespace mangocart {
 
-int runAgent(int Argc, const char *const *Argv) {
+ExitCode runAgent(int Argc, const char *const *Argv) {
   const DaemonCommandLine Line = parseDaemonCommandLine(
       Argc, Argv, "announces a backend server and carries every call to it");
   if (!Line.m_Arguments)
@@ -14,7 +14,7 @@
   auto Found =
       settingsOrReport(readAgentSettings, Line.m_Arguments->m_SettingsFile);
   if (!Found)
-    return ExitUsage;
+    return ExitCode::Usage;
   AgentDaemon Daemon(std::move(Found->m_Settings),
                      RuntimeClock::wallMilliseconds(), Found->m_Warnings);
   return Daemon.run();
--- a/Source/Command/AcceptCommand.cpp
+++ b/Source/Command/AcceptCommand.cpp
@@ -76,16 +76,16 @@
   return Text + "plan again\n";
 }
 
-CommandExit decide(const AdminRequest &Request, const HttpResponse &Answer,
-                   const Operation &Own, bool Json, CommandContext &Context) {
+ExitCode decide(const AdminRequest &Request, const HttpResponse &Answer,
+                const Operation &Own, bool Json, CommandContext &Context) {
   const unsigned Status = Answer.m_Head.m_Status;
   json::error_code Failed;
   json::value Body = json::parse(Answer.m_Body, Failed);
   if (Status != Ok && Status != Conflict)
-    return report(Context, CommandExit::Failed,
+    return report(Context, ExitCode::Failed,
                   fmt::format("{}; a repetition must use {}",
                               failureText(Request, Answer), repetition(Own)));
-  const CommandExit Exit = Status == Ok ? CommandExit::Ok : CommandExit::Failed;
+  const ExitCode Exit = Status == Ok ? ExitCode::Ok : ExitCode::Failed;
   if (!Json) {
     (Status == Ok ? Context.m_Out : Context.m_Err)
         << verdictText(Answer, Body, Own);
@@ -97,8 +97,8 @@
   return Exit;
 }
 
-CommandExit send(const Plan &Accepted, const CommandValues &Values,
-                 AdminRequest Request, CommandContext &Context) {
+ExitCode send(const Plan &Accepted, const CommandValues &Values,
+              AdminRequest Request, CommandContext &Context) {
   const Operation Own{Values.given("operation-id")
                           ? Values.text("operation-id")
                           : Context.m_MakeOperationId(),
@@ -115,19 +115,19 @@
   std::string Text = failureText(Request, Answer.error());
   if (!Answer.error().m_NothingSent)
     Text += "; it is not known whether the configuration was accepted";
-  return report(Context, CommandExit::Failed,
+  return report(Context, ExitCode::Failed,
                 fmt::format("{}; run it again with {}", Text, repetition(Own)));
 }
 
-CommandExit run(const CommandValues &Values, CommandContext &Context) {
+ExitCode run(const CommandValues &Values, CommandContext &Context) {
   const auto Text = readTextFile(Values.text("PLAN"));
   if (!Text) {
     Context.m_Err << toString(Text.error());
-    return CommandExit::Failed;
+    return ExitCode::Failed;
   }
   const auto Accepted = parsePlan(Text.value());
   if (!Accepted)
-    return report(Context, CommandExit::Failed,
+    return report(Context, ExitCode::Failed,
                   fmt::format("{}: {}; expected a file that plan wrote",
                               Values.text("PLAN"), Accepted.error().m_Detail));
   auto Request = adminRequest(Values, WithToken::Yes, Context);
--- a/Source/Command/Command.h
+++ b/Source/Command/Command.h
@@ -4,6 +4,7 @@
 #define MANGOCART_COMMAND_COMMAND_H
 
 #include "Command/AdminClient.h"
+#include "Core/ExitCode.h"
 
 #include <functional>
 #include <iosfwd>
@@ -13,8 +14,6 @@
 
 namespace mangocart {
 
-enum class CommandExit { Ok = 0, Failed = 1, Usage = 2 };
-
 enum class OptionKind {
   // --name
   Switch,
@@ -79,7 +78,7 @@
   // One sentence.
   std::string m_Summary;
   std::vector<CommandOption> m_Options;
-  CommandExit (*m_Run)(const CommandValues &Values, CommandContext &Context);
+  ExitCode (*m_Run)(const CommandValues &Values, CommandContext &Context);
 };
 
 } // namespace mangocart
--- a/Source/Command/CommandLine.cpp
+++ b/Source/Command/CommandLine.cpp
@@ -93,7 +93,7 @@
 };
 
 CommandLineStop usageStop(const Command &What, const std::string &Text) {
-  return {CommandExit::Usage,
+  return {ExitCode::Usage,
           fmt::format("mangocart {}: {}\nRun 'mangocart {} --help' for its "
                       "options.\n",
                       What.m_Name, Text, What.m_Name)};
@@ -203,7 +203,7 @@
   } catch (const TCLAP::ArgException &Error) {
     return usageStop(What, errorText(Error));
   } catch (const TCLAP::ExitException &) {
-    return CommandLineStop{CommandExit::Ok, Output.text()};
+    return CommandLineStop{ExitCode::Ok, Output.text()};
   }
 }
 
--- a/Source/Command/CommandLine.h
+++ b/Source/Command/CommandLine.h
@@ -13,7 +13,7 @@
 // Why a command line doesn't lead to a run: help or version was asked for
 // (Exit is Ok, the text is for standard output), or it is wrong.
 struct CommandLineStop {
-  CommandExit m_Exit = CommandExit::Usage;
+  ExitCode m_Exit = ExitCode::Usage;
   std::string m_Text;
 
   bool operator==(const CommandLineStop &) const = default;
--- a/Source/Command/CommandRegistry.cpp
+++ b/Source/Command/CommandRegistry.cpp
@@ -23,7 +23,7 @@
                 "'mangocart --version' for the version.\n";
 }
 
-CommandExit unknownCommand(const std::string &Name, CommandContext &Context) {
+ExitCode unknownCommand(const std::string &Name, CommandContext &Context) {
   std::vector<std::string> Known;
   for (const Command &Entry : commands())
     Known.push_back(Entry.m_Name);
@@ -34,17 +34,16 @@
       Name,
       Nearest.empty() ? fmt::format("one of {}", fmt::join(Known, ", "))
                       : "a command, perhaps " + Nearest);
-  return CommandExit::Usage;
+  return ExitCode::Usage;
 }
 
-CommandExit runOne(const Command &What, const std::vector<std::string> &Given,
-                   CommandContext &Context) {
+ExitCode runOne(const Command &What, const std::vector<std::string> &Given,
+                CommandContext &Context) {
   const auto Values = parseCommandLine(What, Given);
   if (Values)
     return What.m_Run(Values.value(), Context);
   const CommandLineStop &Stop = Values.error();
-  (Stop.m_Exit == CommandExit::Ok ? Context.m_Out : Context.m_Err)
-      << Stop.m_Text;
+  (Stop.m_Exit == ExitCode::Ok ? Context.m_Out : Context.m_Err) << Stop.m_Text;
   return Stop.m_Exit;
 }
 
@@ -58,20 +57,20 @@
   return All;
 }
 
-CommandExit runCommand(const std::vector<std::string> &Arguments,
-                       CommandContext &Context) {
+ExitCode runCommand(const std::vector<std::string> &Arguments,
+                    CommandContext &Context) {
   if (Arguments.empty()) {
     Context.m_Err << overview();
-    return CommandExit::Usage;
+    return ExitCode::Usage;
   }
   const std::string &Name = Arguments.front();
   if (Name == "--help" || Name == "-h") {
     Context.m_Out << overview();
-    return CommandExit::Ok;
+    return ExitCode::Ok;
   }
   if (Name == "--version") {
     Context.m_Out << versionText();
-    return CommandExit::Ok;
+    return ExitCode::Ok;
   }
   const auto Found =
       std::find_if(commands().begin(), commands().end(),
--- a/Source/Command/CommandRegistry.h
+++ b/Source/Command/CommandRegistry.h
@@ -14,8 +14,8 @@
 
 // Runs the subcommand that the first argument names. Arguments without the
 // program's name.
-CommandExit runCommand(const std::vector<std::string> &Arguments,
-                       CommandContext &Context);
+ExitCode runCommand(const std::vector<std::string> &Arguments,
+                    CommandContext &Context);
 
 } // namespace mangocart
 
--- a/Source/Command/CommonOptions.cpp
+++ b/Source/Command/CommonOptions.cpp
@@ -81,26 +81,26 @@
           "File with the bearer token of the administration API."};
 }
 
-CommandExit report(CommandContext &Context, CommandExit Exit,
-                   const std::string &Text) {
+ExitCode report(CommandContext &Context, ExitCode Exit,
+                const std::string &Text) {
   Context.m_Err << "mangocart: " << Text << "\n";
   return Exit;
 }
 
-Result<AdminRequest, CommandExit> adminRequest(const CommandValues &Values,
-                                               WithToken Token,
-                                               CommandContext &Context) {
+Result<AdminRequest, ExitCode> adminRequest(const CommandValues &Values,
+                                            WithToken Token,
+                                            CommandContext &Context) {
   const auto Target = parseTarget(Values.text("admin"));
   if (!Target)
     return report(
-        Context, CommandExit::Usage,
+        Context, ExitCode::Usage,
         fmt::format("--admin: found \"{}\"; expected an IP number and "
                     "a port, for example 127.0.1.1:8081 or "
                     "[::1]:8081",
                     Values.text("admin")));
   const auto Timeout = parseNumber(Values.text("timeout-s"), MaxTimeoutSeconds);
   if (!Timeout)
-    return report(Context, CommandExit::Usage,
+    return report(Context, ExitCode::Usage,
                   fmt::format("--timeout-s: found \"{}\"; expected a whole "
                               "number from 1 to {}",
                               Values.text("timeout-s"), MaxTimeoutSeconds));
@@ -111,9 +111,9 @@
     return Request;
   const auto File = readTokenFile(Values.text("token-file"));
   if (!File)
-    return report(Context, CommandExit::Failed, toString(File.error()));
+    return report(Context, ExitCode::Failed, toString(File.error()));
   if (!File.value().m_Warning.empty())
-    report(Context, CommandExit::Ok, "warning: " + File.value().m_Warning);
+    report(Context, ExitCode::Ok, "warning: " + File.value().m_Warning);
   Request.m_Token = File.value().m_Token;
   return Request;
 }
@@ -140,12 +140,12 @@
                                            CommandContext &Context) {
   auto Answer = Context.m_CallAdmin(Request);
   if (!Answer) {
-    report(Context, CommandExit::Failed, failureText(Request, Answer.error()));
+    report(Context, ExitCode::Failed, failureText(Request, Answer.error()));
     return std::nullopt;
   }
   const unsigned Status = Answer.value().m_Head.m_Status;
   if (Status < FirstSuccess || Status >= PastSuccess) {
-    report(Context, CommandExit::Failed, failureText(Request, Answer.value()));
+    report(Context, ExitCode::Failed, failureText(Request, Answer.value()));
     return std::nullopt;
   }
   return std::move(Answer).value();
--- a/Source/Command/CommonOptions.h
+++ b/Source/Command/CommonOptions.h
@@ -23,13 +23,13 @@
 
 // A call to the process that --admin names, with the token of --token-file when
 // asked. What keeps it from being made is reported; the error is the exit code.
-Result<AdminRequest, CommandExit> adminRequest(const CommandValues &Values,
-                                               WithToken Token,
-                                               CommandContext &Context);
+Result<AdminRequest, ExitCode> adminRequest(const CommandValues &Values,
+                                            WithToken Token,
+                                            CommandContext &Context);
 
 // "mangocart: TEXT" on standard error; returns Exit.
-CommandExit report(CommandContext &Context, CommandExit Exit,
-                   const std::string &Text);
+ExitCode report(CommandContext &Context, ExitCode Exit,
+                const std::string &Text);
 
 // Makes the call and hands back its answer when its status says success (an
 // order that is only begun has 202); else reports the failure.
--- a/Source/Command/DrainCommand.cpp
+++ b/Source/Command/DrainCommand.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-CommandExit run(const CommandValues &Values, CommandContext &Context) {
+ExitCode run(const CommandValues &Values, CommandContext &Context) {
   auto Made = adminRequest(Values, WithToken::Yes, Context);
   if (!Made)
     return Made.error();
@@ -23,12 +23,12 @@
       boost::json::serialize(boost::json::object{{"process", Process}});
   const auto Answer = callForSuccess(Request, Context);
   if (!Answer)
-    return CommandExit::Failed;
+    return ExitCode::Failed;
   if (wantsJson(Values))
     Context.m_Out << Answer->m_Body;
   else
     Context.m_Out << Process << " drains\n";
-  return CommandExit::Ok;
+  return ExitCode::Ok;
 }
 
 } // namespace
--- a/Source/Command/InitCommand.cpp
+++ b/Source/Command/InitCommand.cpp
@@ -38,9 +38,8 @@
   return {};
 }
 
-CommandExit writeAll(const std::vector<DeploymentFile> &Files,
-                     const fs::path &Folder, bool Json,
-                     CommandContext &Context) {
+ExitCode writeAll(const std::vector<DeploymentFile> &Files,
+                  const fs::path &Folder, bool Json, CommandContext &Context) {
   boost::json::array Written;
   for (const DeploymentFile &File : Files) {
     const fs::path Path = Folder / File.m_Name;
@@ -48,7 +47,7 @@
     fs::create_directories(Path.parent_path(), Ignored);
     const std::string Fault = writeTextFile(Path.string(), File.m_Text);
     if (!Fault.empty())
-      return report(Context, CommandExit::Failed, Fault);
+      return report(Context, ExitCode::Failed, Fault);
     Written.emplace_back(Path.string());
     if (!Json)
       Context.m_Out << "wrote " << Path.string() << "\n";
@@ -57,23 +56,23 @@
     Context.m_Out << boost::json::serialize(
                          boost::json::object{{"written", Written}})
                   << "\n";
-  return CommandExit::Ok;
+  return ExitCode::Ok;
 }
 
-CommandExit run(const CommandValues &Values, CommandContext &Context) {
+ExitCode run(const CommandValues &Values, CommandContext &Context) {
   SettingsWarnings Warnings;
   const auto Answers = readQuestionnaire(Values.text("answers"), Warnings);
   for (const SettingsWarning &Warning : Warnings)
     Context.m_Err << toString(Warning) << "\n";
   if (!Answers) {
     Context.m_Err << toString(Answers.error());
-    return CommandExit::Failed;
+    return ExitCode::Failed;
   }
   const auto Files = deploymentFiles(Answers.value(), folders(Values));
   const fs::path Folder = Values.text("out");
   const std::string Existing = firstExisting(Files, Folder);
   if (!Existing.empty() && !Values.given("force"))
-    return report(Context, CommandExit::Failed,
+    return report(Context, ExitCode::Failed,
                   fmt::format("{}: the file exists; nothing was written; use "
                               "another folder, or --force to overwrite",
                               Existing));
--- a/Source/Command/MetricsCommand.cpp
+++ b/Source/Command/MetricsCommand.cpp
@@ -8,16 +8,16 @@
 
 namespace {
 
-CommandExit run(const CommandValues &Values, CommandContext &Context) {
+ExitCode run(const CommandValues &Values, CommandContext &Context) {
   auto Request = adminRequest(Values, WithToken::No, Context);
   if (!Request)
     return Request.error();
   Request.value().m_Path = "/metrics";
   const auto Answer = callForSuccess(Request.value(), Context);
   if (!Answer)
-    return CommandExit::Failed;
+    return ExitCode::Failed;
   Context.m_Out << Answer->m_Body;
-  return CommandExit::Ok;
+  return ExitCode::Ok;
 }
 
 } // namespace
--- a/Source/Command/PlanCommand.cpp
+++ b/Source/Command/PlanCommand.cpp
@@ -16,7 +16,7 @@
 
 // The configuration in force; failures are reported, the error is the exit
 // code.
-Result<schema::Configuration, CommandExit>
+Result<schema::Configuration, ExitCode>
 fetchPresent(const CommandValues &Values, CommandContext &Context) {
   auto Request = adminRequest(Values, WithToken::No, Context);
   if (!Request)
@@ -24,10 +24,10 @@
   Request.value().m_Path = "/v1/configuration";
   const auto Answer = callForSuccess(Request.value(), Context);
   if (!Answer)
-    return CommandExit::Failed;
+    return ExitCode::Failed;
   auto Present = parseConfiguration(Answer->m_Body);
   if (!Present)
-    return report(Context, CommandExit::Failed, Present.error().m_Detail);
+    return report(Context, ExitCode::Failed, Present.error().m_Detail);
   return std::move(Present).value();
 }
 
@@ -43,13 +43,13 @@
       Made.m_PlannedAgainst, File, Made.m_Configuration.version());
 }
 
-CommandExit planAgainst(const schema::Configuration &Present,
-                        const CommandValues &Values, CommandContext &Context) {
+ExitCode planAgainst(const schema::Configuration &Present,
+                     const CommandValues &Values, CommandContext &Context) {
   const std::string &Answers = Values.text("answers");
   const auto Text = readTextFile(Answers);
   if (!Text) {
     Context.m_Err << toString(Text.error());
-    return CommandExit::Failed;
+    return ExitCode::Failed;
   }
   const auto Made = planText(Answers, Text.value(), Present);
   if (!Made && wantsJson(Values))
@@ -57,21 +57,21 @@
   else if (!Made)
     Context.m_Err << toString(Made.error());
   if (!Made)
-    return CommandExit::Failed;
+    return ExitCode::Failed;
   const std::string Json = planJson(Made.value()) + "\n";
   const std::string Fault = writeTextFile(Values.text("out"), Json);
   if (!Fault.empty())
-    return report(Context, CommandExit::Failed, Fault);
+    return report(Context, ExitCode::Failed, Fault);
   if (wantsJson(Values))
     Context.m_Out << Json;
   else
     print(Made.value(), Values.text("out"), Context);
-  return CommandExit::Ok;
+  return ExitCode::Ok;
 }
 
-CommandExit run(const CommandValues &Values, CommandContext &Context) {
+ExitCode run(const CommandValues &Values, CommandContext &Context) {
   if (Values.given("offline") == Values.given("admin"))
-    return report(Context, CommandExit::Usage,
+    return report(Context, ExitCode::Usage,
                   "expected either --admin HOST:PORT or --offline");
   if (Values.given("offline"))
     return planAgainst({}, Values, Context);
--- a/Source/Command/ReferenceCommand.cpp
+++ b/Source/Command/ReferenceCommand.cpp
@@ -27,10 +27,10 @@
   return Text;
 }
 
-CommandExit run(const CommandValues &Values, CommandContext &Context) {
+ExitCode run(const CommandValues &Values, CommandContext &Context) {
   Context.m_Out << (Values.text("SUBJECT") == "settings" ? settingsReference()
                                                          : commandsReference());
-  return CommandExit::Ok;
+  return ExitCode::Ok;
 }
 
 } // namespace
--- a/Source/Command/StatusCommand.cpp
+++ b/Source/Command/StatusCommand.cpp
@@ -9,24 +9,24 @@
 
 namespace {
 
-CommandExit run(const CommandValues &Values, CommandContext &Context) {
+ExitCode run(const CommandValues &Values, CommandContext &Context) {
   auto Request = adminRequest(Values, WithToken::No, Context);
   if (!Request)
     return Request.error();
   Request.value().m_Path = "/v1/status";
   const auto Answer = callForSuccess(Request.value(), Context);
   if (!Answer)
-    return CommandExit::Failed;
+    return ExitCode::Failed;
   if (wantsJson(Values)) {
     Context.m_Out << Answer->m_Body;
-    return CommandExit::Ok;
+    return ExitCode::Ok;
   }
   const auto Text = jsonToText(Answer->m_Body);
   if (!Text)
-    return report(Context, CommandExit::Failed,
+    return report(Context, ExitCode::Failed,
                   "GET /v1/status: the answer is no JSON");
   Context.m_Out << *Text;
-  return CommandExit::Ok;
+  return ExitCode::Ok;
 }
 
 } // namespace
--- a/Source/Command/TimelineCommand.cpp
+++ b/Source/Command/TimelineCommand.cpp
@@ -22,7 +22,7 @@
         "{} events stand later than their stamps say\n", Report.m_Late);
 }
 
-CommandExit run(const CommandValues &Values, CommandContext &Context) {
+ExitCode run(const CommandValues &Values, CommandContext &Context) {
   TimelineOptions Options;
   Options.m_Request = Values.text("request");
   Options.m_Format =
@@ -30,10 +30,10 @@
   const auto Report = mergeTimeline(Values.list("LOG"), Options, Context.m_Out);
   if (!Report)
     return report(
-        Context, CommandExit::Failed,
+        Context, ExitCode::Failed,
         fmt::format("{}: {}", Report.error().m_File, Report.error().m_Message));
   reportFaults(Report.value(), Context);
-  return CommandExit::Ok;
+  return ExitCode::Ok;
 }
 
 } // namespace
--- a/Source/Command/ValidateCommand.cpp
+++ b/Source/Command/ValidateCommand.cpp
@@ -78,7 +78,7 @@
   return kindOf(Kind, Text.value()).m_Check(File, Text.value(), Warnings);
 }
 
-CommandExit run(const CommandValues &Values, CommandContext &Context) {
+ExitCode run(const CommandValues &Values, CommandContext &Context) {
   SettingsErrors Errors;
   SettingsWarnings Warnings;
   for (const std::string &File : Values.list("FILE")) {
@@ -87,17 +87,17 @@
   }
   if (wantsJson(Values)) {
     Context.m_Out << findingsJson(Errors, Warnings) << "\n";
-    return Errors.empty() ? CommandExit::Ok : CommandExit::Failed;
+    return Errors.empty() ? ExitCode::Ok : ExitCode::Failed;
   }
   for (const SettingsWarning &Warning : Warnings)
     Context.m_Err << toString(Warning) << "\n";
   Context.m_Err << toString(Errors);
   if (!Errors.empty())
-    return CommandExit::Failed;
+    return ExitCode::Failed;
   Context.m_Out << fmt::format("{} in order\n", Values.list("FILE").size() == 1
                                                     ? "the file is"
                                                     : "all files are");
-  return CommandExit::Ok;
+  return ExitCode::Ok;
 }
 
 } // namespace
--- a/Source/Daemon/DaemonCommandLine.cpp
+++ b/Source/Daemon/DaemonCommandLine.cpp
@@ -16,13 +16,14 @@
         "s", "settings", "TOML file with the settings of this process", true,
         "", "FILE", Line);
     Line.parse(Argc, Argv);
-    return {DaemonArguments{Settings.getValue()}, ExitOk};
-  } catch (const TCLAP::ExitException &Exit) {
-    return {std::nullopt, Exit.getExitStatus()};
+    return {DaemonArguments{Settings.getValue()}, ExitCode::Ok};
+  } catch (const TCLAP::ExitException &) {
+    // Help or version was printed.
+    return {std::nullopt, ExitCode::Ok};
   } catch (const TCLAP::ArgException &Error) {
     std::cerr << "usage: " << Error.error() << " " << Error.argId()
               << "; see --help\n";
-    return {std::nullopt, ExitUsage};
+    return {std::nullopt, ExitCode::Usage};
   }
 }
 
--- a/Source/Daemon/DaemonCommandLine.h
+++ b/Source/Daemon/DaemonCommandLine.h
@@ -2,15 +2,13 @@
 #ifndef MANGOCART_DAEMON_DAEMONCOMMANDLINE_H
 #define MANGOCART_DAEMON_DAEMONCOMMANDLINE_H
 
+#include "Core/ExitCode.h"
+
 #include <optional>
 #include <string>
 
 namespace mangocart {
 
-inline constexpr int ExitOk = 0;
-inline constexpr int ExitFailed = 1;
-inline constexpr int ExitUsage = 2;
-
 struct DaemonArguments {
   std::string m_SettingsFile;
 };
@@ -18,7 +16,7 @@
 struct DaemonCommandLine {
   // Absent when the process should end with m_ExitCode.
   std::optional<DaemonArguments> m_Arguments;
-  int m_ExitCode = ExitOk;
+  ExitCode m_ExitCode = ExitCode::Ok;
 };
 
 DaemonCommandLine parseDaemonCommandLine(int Argc, const char *const *Argv,
--- a/Source/Daemon/ExitGate.h
+++ b/Source/Daemon/ExitGate.h
@@ -2,6 +2,8 @@
 #ifndef MANGOCART_DAEMON_EXITGATE_H
 #define MANGOCART_DAEMON_EXITGATE_H
 
+#include "Core/ExitCode.h"
+
 #include <condition_variable>
 #include <mutex>
 #include <optional>
@@ -11,14 +13,14 @@
 class ExitGate {
 public:
   // The first code given wins. From any thread.
-  void open(int ExitCode) {
+  void open(ExitCode Code) {
     const std::lock_guard Lock(m_Mutex);
     if (!m_ExitCode)
-      m_ExitCode = ExitCode;
+      m_ExitCode = Code;
     m_Opened.notify_all();
   }
 
-  int wait() {
+  ExitCode wait() {
     std::unique_lock Lock(m_Mutex);
     m_Opened.wait(Lock, [this] { return m_ExitCode.has_value(); });
     return *m_ExitCode;
@@ -27,7 +29,7 @@
 private:
   std::mutex m_Mutex;
   std::condition_variable m_Opened;
-  std::optional<int> m_ExitCode;
+  std::optional<ExitCode> m_ExitCode;
 };
 
 } // namespace mangocart
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -1,7 +1,6 @@
 // Start, service and drain of an entry.
 #include "Entry/EntryDaemon.h"
 
-#include "Daemon/DaemonCommandLine.h"
 #include "Daemon/StartEvents.h"
 #include "Daemon/StopSignals.h"
 #include "Entry/OrphanSettler.h"
@@ -108,19 +107,20 @@
   };
   auto Runner = RaftRunner::start(
       std::move(Options), m_Machine, m_Workers, m_Peers, m_Server,
-      [this](const StorageError &) { m_Exit.open(ExitFailed); }, &m_Events);
+      [this](const StorageError &) { m_Exit.open(ExitCode::Failed); },
+      &m_Events);
   if (!Runner)
     throw StartFailure(Runner.error().m_Message);
   return std::move(Runner).value();
 }
 
-int EntryDaemon::run() {
+ExitCode EntryDaemon::run() {
   addMethods();
   if (!listen())
-    return ExitFailed;
+    return ExitCode::Failed;
   StopSignals Signals(
       m_Workers.worker(0), [this] { m_Drain.request(); },
-      [this] { m_Exit.open(ExitFailed); });
+      [this] { m_Exit.open(ExitCode::Failed); });
   m_Gossip->start();
   m_Settler->start();
   m_Shares->start();
@@ -131,10 +131,11 @@
                   {"caller_port", m_Settings.caller_port()},
                   {"admin_port", m_Settings.admin_port()},
                   {"peer_port", m_Settings.peer_port()}});
-  const int ExitCode = m_Exit.wait();
-  m_Events.write(Event::ProcessStopped, {{"exit_code", ExitCode}});
+  const ExitCode Code = m_Exit.wait();
+  m_Events.write(Event::ProcessStopped,
+                 {{"exit_code", static_cast<int>(Code)}});
   m_Workers.stop();
-  return ExitCode;
+  return Code;
 }
 
 bool EntryDaemon::listen() {
@@ -241,7 +242,7 @@
   Actions.m_CloseListener = [this] { m_CallerServer.closeListener(); };
   Actions.m_AnnounceLeft = [] {};
   Actions.m_Exit = [this](std::size_t CutOff) {
-    m_Exit.open(CutOff == 0 ? ExitOk : ExitFailed);
+    m_Exit.open(CutOff == 0 ? ExitCode::Ok : ExitCode::Failed);
   };
   return Actions;
 }
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -42,7 +42,7 @@
   ~EntryDaemon();
 
   // Serves until a signal asks it to stop; returns the exit code.
-  int run();
+  ExitCode run();
 
 private:
   std::unique_ptr<RaftRunner> openLog();
@@ -84,7 +84,7 @@
 };
 
 // The whole program: command line, settings, daemon.
-int runEntry(int Argc, const char *const *Argv);
+ExitCode runEntry(int Argc, const char *const *Argv);
 
 } // namespace mangocart
 
--- a/Source/Entry/EntryProgram.cpp
+++ b/Source/Entry/EntryProgram.cpp
@@ -8,7 +8,7 @@
 
 namespace mangocart {
 
-int runEntry(int Argc, const char *const *Argv) {
+ExitCode runEntry(int Argc, const char *const *Argv) {
   const DaemonCommandLine Line = parseDaemonCommandLine(
       Argc, Argv, "takes callers' requests and routes them to backend servers");
   if (!Line.m_Arguments)
@@ -16,14 +16,14 @@
   auto Found =
       settingsOrReport(readEntrySettings, Line.m_Arguments->m_SettingsFile);
   if (!Found)
-    return ExitUsage;
+    return ExitCode::Usage;
   try {
     EntryDaemon Daemon(std::move(Found->m_Settings),
                        RuntimeClock::wallMilliseconds(), Found->m_Warnings);
     return Daemon.run();
   } catch (const StartFailure &Failure) {
     std::cerr << Failure.what() << '\n';
-    return ExitFailed;
+    return ExitCode::Failed;
   }
 }
 
--- a/Source/Load/LoadOptions.cpp
+++ b/Source/Load/LoadOptions.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr int UsageError = 2;
-
 using Number = TCLAP::ValueArg<std::uint64_t>;
 using Real = TCLAP::ValueArg<double>;
 using Text = TCLAP::ValueArg<std::string>;
@@ -172,16 +170,17 @@
 
 } // namespace
 
-std::variant<LoadOptions, LoadExit>
+std::variant<LoadOptions, ExitCode>
 parseLoadOptions(int ArgumentCount, const char *const *Arguments) {
   try {
     return parse(ArgumentCount, Arguments);
   } catch (const TCLAP::ArgException &Error) {
     std::cerr << "mangocart-load: " << Error.argId() << ": " << Error.error()
               << " (see --help)\n";
-    return LoadExit{UsageError};
-  } catch (const TCLAP::ExitException &Exit) {
-    return LoadExit{Exit.getExitStatus()};
+    return ExitCode::Usage;
+  } catch (const TCLAP::ExitException &) {
+    // Help or version was printed.
+    return ExitCode::Ok;
   }
 }
 
--- a/Source/Load/LoadOptions.h
+++ b/Source/Load/LoadOptions.h
@@ -2,6 +2,7 @@
 #ifndef MANGOCART_LOAD_LOADOPTIONS_H
 #define MANGOCART_LOAD_LOADOPTIONS_H
 
+#include "Core/ExitCode.h"
 #include "Http/HttpClient.h"
 
 #include <string>
@@ -50,14 +51,8 @@
   LoadOutput m_Output = LoadOutput::Text;
 };
 
-// What a process ends with when the command line alone decides it.
-struct LoadExit {
-  int m_Code = 0;
-
-  bool operator==(const LoadExit &) const = default;
-};
-
-std::variant<LoadOptions, LoadExit>
+// An exit code when the command line alone decides.
+std::variant<LoadOptions, ExitCode>
 parseLoadOptions(int ArgumentCount, const char *const *Arguments);
 
 } // namespace mangocart
--- a/Source/Load/LoadProgram.cpp
+++ b/Source/Load/LoadProgram.cpp
@@ -4,15 +4,12 @@
 #include "Load/LoadRunner.h"
 #include "Load/RunJudge.h"
 
-#include <cstdlib>
 #include <iostream>
 
 namespace mangocart {
 
 namespace {
 
-constexpr int OperationFailed = 1;
-
 void append(std::vector<BrokenPromise> &To, std::vector<BrokenPromise> From) {
   std::move(From.begin(), From.end(), std::back_inserter(To));
 }
@@ -33,10 +30,10 @@
 
 } // namespace
 
-int runLoadProgram(int ArgumentCount, const char *const *Arguments) {
+ExitCode runLoadProgram(int ArgumentCount, const char *const *Arguments) {
   auto Parsed = parseLoadOptions(ArgumentCount, Arguments);
-  if (const auto *Exit = std::get_if<LoadExit>(&Parsed))
-    return Exit->m_Code;
+  if (const auto *Exit = std::get_if<ExitCode>(&Parsed))
+    return *Exit;
   const LoadOptions &Options = std::get<LoadOptions>(Parsed);
   LoadReport Report = runLoad(Options);
   const auto Judged = judge(Options, Report);
@@ -44,9 +41,9 @@
                                                      : toText(Report));
   if (!Judged) {
     std::cerr << "mangocart-load: " << Judged.error().m_Detail << "\n";
-    return OperationFailed;
+    return ExitCode::Failed;
   }
-  return Report.m_Broken.empty() ? EXIT_SUCCESS : OperationFailed;
+  return Report.m_Broken.empty() ? ExitCode::Ok : ExitCode::Failed;
 }
 
 } // namespace mangocart
--- a/Source/Load/LoadProgram.h
+++ b/Source/Load/LoadProgram.h
@@ -2,10 +2,12 @@
 #ifndef MANGOCART_LOAD_LOADPROGRAM_H
 #define MANGOCART_LOAD_LOADPROGRAM_H
 
+#include "Core/ExitCode.h"
+
 namespace mangocart {
 
-// Returns the exit status: 1 if any promise was broken.
-int runLoadProgram(int ArgumentCount, const char *const *Arguments);
+// Failed if any promise was broken.
+ExitCode runLoadProgram(int ArgumentCount, const char *const *Arguments);
 
 } // namespace mangocart
 
--- a/Source/Programs/mangocart-agent.cpp
+++ b/Source/Programs/mangocart-agent.cpp
@@ -1,4 +1,6 @@
 // Main of mangocart-agent.
 #include "Agent/AgentDaemon.h"
 
-int main(int Argc, char **Argv) { return mangocart::runAgent(Argc, Argv); }
+int main(int Argc, char **Argv) {
+  return static_cast<int>(mangocart::runAgent(Argc, Argv));
+}
--- a/Source/Programs/mangocart-entry.cpp
+++ b/Source/Programs/mangocart-entry.cpp
@@ -1,4 +1,6 @@
 // Main of mangocart-entry.
 #include "Entry/EntryDaemon.h"
 
-int main(int Argc, char **Argv) { return mangocart::runEntry(Argc, Argv); }
+int main(int Argc, char **Argv) {
+  return static_cast<int>(mangocart::runEntry(Argc, Argv));
+}
--- a/Source/Programs/mangocart-load.cpp
+++ b/Source/Programs/mangocart-load.cpp
@@ -2,5 +2,5 @@
 #include "Load/LoadProgram.h"
 
 int main(int ArgumentCount, char **Arguments) {
-  return mangocart::runLoadProgram(ArgumentCount, Arguments);
+  return static_cast<int>(mangocart::runLoadProgram(ArgumentCount, Arguments));
 }
--- a/Source/Programs/mangocart-standin.cpp
+++ b/Source/Programs/mangocart-standin.cpp
@@ -2,5 +2,5 @@
 #include "Standin/StandinProgram.h"
 
 int main(int ArgumentCount, char **Arguments) {
-  return mangocart::runStandin(ArgumentCount, Arguments);
+  return static_cast<int>(mangocart::runStandin(ArgumentCount, Arguments));
 }
--- a/Source/Standin/StandinOptions.cpp
+++ b/Source/Standin/StandinOptions.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr int UsageError = 2;
 constexpr std::uint64_t MaxPort = 65535;
 
 using Number = TCLAP::ValueArg<std::uint64_t>;
@@ -72,16 +71,17 @@
 
 } // namespace
 
-std::variant<StandinOptions, ExitStatus>
+std::variant<StandinOptions, ExitCode>
 parseStandinOptions(int ArgumentCount, const char *const *Arguments) {
   try {
     return parse(ArgumentCount, Arguments);
   } catch (const TCLAP::ArgException &Error) {
     std::cerr << "mangocart-standin: " << Error.argId() << ": " << Error.error()
               << " (see --help)\n";
-    return ExitStatus{UsageError};
-  } catch (const TCLAP::ExitException &Exit) {
-    return ExitStatus{Exit.getExitStatus()};
+    return ExitCode::Usage;
+  } catch (const TCLAP::ExitException &) {
+    // Help or version was printed.
+    return ExitCode::Ok;
   }
 }
 
--- a/Source/Standin/StandinOptions.h
+++ b/Source/Standin/StandinOptions.h
@@ -2,6 +2,7 @@
 #ifndef MANGOCART_STANDIN_STANDINOPTIONS_H
 #define MANGOCART_STANDIN_STANDINOPTIONS_H
 
+#include "Core/ExitCode.h"
 #include "Core/RuntimeClock.h"
 
 #include <cstddef>
@@ -33,16 +34,9 @@
   bool operator==(const StandinOptions &) const = default;
 };
 
-// What a process ends with when the command line alone decides it.
-struct ExitStatus {
-  int m_Code = 0;
-
-  bool operator==(const ExitStatus &) const = default;
-};
-
-// Reads the command line. Help and version go to standard output, a usage error
-// to standard error.
-std::variant<StandinOptions, ExitStatus>
+// Reads the command line; an exit code when the line alone decides. Help and
+// version go to standard output, a usage error to standard error.
+std::variant<StandinOptions, ExitCode>
 parseStandinOptions(int ArgumentCount, const char *const *Arguments);
 
 } // namespace mangocart
--- a/Source/Standin/StandinProgram.cpp
+++ b/Source/Standin/StandinProgram.cpp
@@ -15,13 +15,14 @@
 
 namespace {
 
-constexpr int OperationFailed = 1;
 // Longest time that a stand-in which was asked to stop finishes requests.
 constexpr Duration MaxDrain = std::chrono::seconds(30);
 constexpr Duration DrainLookInterval = std::chrono::milliseconds(10);
 
 // As a crash would end it: nothing is flushed, no connection is shut down.
-[[noreturn]] void dieAtOnce() { std::_Exit(OperationFailed); }
+[[noreturn]] void dieAtOnce() {
+  std::_Exit(static_cast<int>(ExitCode::Failed));
+}
 
 // Waits on its own context for a signal, then for requests in progress.
 void waitForEnd(Standin &Player) {
@@ -37,22 +38,22 @@
 
 } // namespace
 
-int runStandin(int ArgumentCount, const char *const *Arguments) {
+ExitCode runStandin(int ArgumentCount, const char *const *Arguments) {
   auto Parsed = parseStandinOptions(ArgumentCount, Arguments);
-  if (const auto *Exit = std::get_if<ExitStatus>(&Parsed))
-    return Exit->m_Code;
+  if (const auto *Exit = std::get_if<ExitCode>(&Parsed))
+    return *Exit;
   WorkerPool Workers(1);
   Standin Player(Workers, std::get<StandinOptions>(std::move(Parsed)),
                  dieAtOnce);
   if (const auto Listening = Player.listen(); !Listening) {
     std::cerr << "mangocart-standin: " << Listening.error().m_Detail << "\n";
-    return OperationFailed;
+    return ExitCode::Failed;
   }
   Workers.start();
   std::cout << "listening on port " << Player.port() << std::endl;
   waitForEnd(Player);
   Workers.stop();
-  return EXIT_SUCCESS;
+  return ExitCode::Ok;
 }
 
 } // namespace mangocart
--- a/Source/Standin/StandinProgram.h
+++ b/Source/Standin/StandinProgram.h
@@ -2,10 +2,12 @@
 #ifndef MANGOCART_STANDIN_STANDINPROGRAM_H
 #define MANGOCART_STANDIN_STANDINPROGRAM_H
 
+#include "Core/ExitCode.h"
+
 namespace mangocart {
 
-// Returns the exit status.
-int runStandin(int ArgumentCount, const char *const *Arguments);
+// Runs until a signal ends it.
+ExitCode runStandin(int ArgumentCount, const char *const *Arguments);
 
 } // namespace mangocart
 
--- a/Tests/Command/testCommandRegistry.cpp
+++ b/Tests/Command/testCommandRegistry.cpp
@@ -47,7 +47,7 @@
 };
 
 struct Ran {
-  CommandExit m_Exit;
+  ExitCode m_Exit;
   std::string m_Out;
   std::string m_Err;
 };
@@ -58,21 +58,21 @@
   CommandContext Context{
       Out, Err, [&](const AdminRequest &Request) { return Api.call(Request); },
       [] { return std::string("made-id"); }};
-  const CommandExit Exit = runCommand(Arguments, Context);
+  const ExitCode Exit = runCommand(Arguments, Context);
   return {Exit, Out.str(), Err.str()};
 }
 
 struct UsageCase {
   std::vector<std::string> m_Arguments;
-  CommandExit m_Exit;
+  ExitCode m_Exit;
   // Parts of standard output and standard error; empty: nothing is printed.
   std::string m_Out;
   std::string m_Err;
 };
 
-constexpr auto Ok = CommandExit::Ok;
-constexpr auto Failed = CommandExit::Failed;
-constexpr auto Usage = CommandExit::Usage;
+constexpr auto Ok = ExitCode::Ok;
+constexpr auto Failed = ExitCode::Failed;
+constexpr auto Usage = ExitCode::Usage;
 
 const UsageCase UsageCases[] = {
     {{}, Usage, "", "Usage: mangocart COMMAND"},
@@ -152,7 +152,7 @@
 
 struct AcceptCase {
   AdminAnswer m_Answer;
-  CommandExit m_Exit;
+  ExitCode m_Exit;
   std::string m_Out;
   std::string m_Err;
 };
