--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -2,13 +2,10 @@
 #include "Agent/AgentDaemon.h"
 
 #include "Agent/CallCarrier.h"
-#include "Daemon/DaemonCommandLine.h"
+#include "Daemon/StartEvents.h"
 #include "Daemon/StopSignals.h"
 #include "Net/UnaryMethod.h"
 
-#include <boost/asio/post.hpp>
-#include <fmt/format.h>
-
 namespace mangocart {
 
 namespace {
@@ -23,7 +20,8 @@
 } // namespace
 
 AgentDaemon::AgentDaemon(schema::AgentSettings Settings,
-                         std::uint64_t Incarnation)
+                         std::uint64_t Incarnation,
+                         const SettingsWarnings &Warnings)
     : m_Settings(std::move(Settings)), m_Workers(m_Settings.workers()),
       m_Events({"agent", m_Settings.name(), m_Settings.availability_zone()},
                m_Settings.log_file()),
@@ -33,6 +31,7 @@
                 Limits.m_MaxOutstanding = m_Settings.max_outstanding();
                 return Limits;
               }()),
+      m_Counters(m_Metrics),
       m_Clients(m_Workers), m_Context{m_Settings, m_Workers, m_Events,
                                       m_Clients,  m_Guard,   m_Counters},
       m_Peers(m_Workers), m_Server(m_Workers),
@@ -49,6 +48,8 @@
             return Limits;
           }(),
           drainActions()) {
+  noteDeprecated(m_Events, Warnings);
+  addMetrics();
   m_Announcer = std::make_shared<Announcer>(
       m_Settings, m_Workers, m_Peers, m_Configuration, Incarnation,
       [this] { return load(); },
@@ -59,23 +60,24 @@
 
 AgentDaemon::~AgentDaemon() { m_Workers.stop(); }
 
-int AgentDaemon::run() {
+ExitCode AgentDaemon::run() {
   addMethods();
   if (!listen())
-    return ExitFailed;
+    return ExitCode::Failed;
   StopSignals Signals(
       m_Workers.worker(0), [this] { m_Drain.request(); },
-      [this] { m_Exit.open(ExitFailed); });
+      [this] { m_Exit.open(ExitCode::Failed); });
   m_Probe->start();
   m_Announcer->start();
   m_Workers.start();
   m_Events.write(Event::ProcessStarted, {{"address", m_Settings.address()},
                                          {"peer_port", m_Settings.peer_port()},
                                          {"service", m_Settings.service()}});
-  const int ExitCode = m_Exit.wait();
-  m_Events.write(Event::ProcessStopped, {{"exit_code", ExitCode}});
+  const ExitCode Code = m_Exit.wait();
+  m_Events.write(Event::ProcessStopped,
+                 {{"exit_code", static_cast<int>(Code)}});
   m_Workers.stop();
-  return ExitCode;
+  return Code;
 }
 
 bool AgentDaemon::listen() {
@@ -131,7 +133,7 @@
     Response.m_Head.m_Status = Serving ? StatusOk : StatusUnavailable;
     Response.m_Body = Serving ? "serving\n" : "not serving\n";
   } else if (Exchange.request().m_Target == "/metrics") {
-    Response.m_Body = metricsPage();
+    Response.m_Body = m_Metrics.expose(RuntimeClock::now());
   } else {
     Response.m_Head.m_Status = StatusNotFound;
     Response.m_Body = "pages: /health, /metrics\n";
@@ -139,26 +141,17 @@
   Exchange.respond(std::move(Response));
 }
 
-std::string AgentDaemon::metricsPage() const {
-  const PeerClient::Traffic Traffic = m_Peers.traffic();
-  return fmt::format("# TYPE mangocart_agent_calls_total counter\n"
-                     "mangocart_agent_calls_total {}\n"
-                     "# TYPE mangocart_agent_refused_total counter\n"
-                     "mangocart_agent_refused_total {}\n"
-                     "# TYPE mangocart_agent_broken_total counter\n"
-                     "mangocart_agent_broken_total {}\n"
-                     "# TYPE mangocart_agent_outstanding gauge\n"
-                     "mangocart_agent_outstanding {}\n"
-                     "# TYPE mangocart_agent_configuration_version gauge\n"
-                     "mangocart_agent_configuration_version {}\n"
-                     "# TYPE mangocart_peer_bytes_sent_total counter\n"
-                     "mangocart_peer_bytes_sent_total {}\n"
-                     "# TYPE mangocart_peer_bytes_received_total counter\n"
-                     "mangocart_peer_bytes_received_total {}\n",
-                     m_Counters.m_Calls.load(), m_Counters.m_Refused.load(),
-                     m_Counters.m_Broken.load(), m_Guard.outstanding(),
-                     m_Configuration.version(), Traffic.m_BytesSent,
-                     Traffic.m_BytesReceived);
+void AgentDaemon::addMetrics() {
+  AgentReadings Readings;
+  Readings.m_Outstanding = [this] { return m_Guard.outstanding(); };
+  Readings.m_ConfigurationVersion = [this] {
+    return m_Configuration.version();
+  };
+  Readings.m_BytesSent = [this] { return m_Peers.traffic().m_BytesSent; };
+  Readings.m_BytesReceived = [this] {
+    return m_Peers.traffic().m_BytesReceived;
+  };
+  addReadings(m_Metrics, std::move(Readings));
 }
 
 DrainActions AgentDaemon::drainActions() {
@@ -178,7 +171,7 @@
     m_Announcer->announceNow();
   };
   Actions.m_Exit = [this](std::size_t CutOff) {
-    m_Exit.open(CutOff == 0 ? ExitOk : ExitFailed);
+    m_Exit.open(CutOff == 0 ? ExitCode::Ok : ExitCode::Failed);
   };
   return Actions;
 }
--- a/Source/Agent/AgentDaemon.h
+++ b/Source/Agent/AgentDaemon.h
@@ -4,6 +4,7 @@
 #define MANGOCART_AGENT_AGENTDAEMON_H
 
 #include "Agent/AgentContext.h"
+#include "Agent/AgentMetrics.h"
 #include "Agent/Announcer.h"
 #include "Agent/BackendProbe.h"
 #include "Agent/CallGuard.h"
@@ -13,24 +14,28 @@
 #include "Daemon/ExitGate.h"
 #include "Events/EventLog.h"
 #include "Http/HttpServer.h"
+#include "Metrics/MetricRegistry.h"
 #include "Net/PeerStream.h"
+#include "Settings/SettingsError.h"
 
 namespace mangocart {
 
 class AgentDaemon {
 public:
-  AgentDaemon(schema::AgentSettings Settings, std::uint64_t Incarnation);
+  // The warnings are those of the settings reader; they become events.
+  AgentDaemon(schema::AgentSettings Settings, std::uint64_t Incarnation,
+              const SettingsWarnings &Warnings);
   ~AgentDaemon();
 
   // Serves until a signal asks it to stop; returns the exit code.
-  int run();
+  ExitCode run();
 
 private:
   bool listen();
   AnnouncedLoad load() const;
   void addMethods();
   void answerAdmin(HttpExchange &Exchange) const;
-  std::string metricsPage() const;
+  void addMetrics();
   DrainActions drainActions();
 
   const schema::AgentSettings m_Settings;
@@ -38,6 +43,7 @@
   EventLog m_Events;
   ConfigurationHolder m_Configuration;
   CallGuard m_Guard;
+  MetricRegistry m_Metrics;
   AgentCounters m_Counters;
   BackendClients m_Clients;
   AgentContext m_Context;
@@ -53,7 +59,7 @@
 };
 
 // The whole program: command line, settings, daemon.
-int runAgent(int Argc, const char *const *Argv);
+ExitCode runAgent(int Argc, const char *const *Argv);
 
 } // namespace mangocart
 
--- a/Source/Agent/AgentProgram.cpp
+++ b/Source/Agent/AgentProgram.cpp
@@ -6,16 +6,17 @@
 
 namespace mangocart {
 
-int runAgent(int Argc, const char *const *Argv) {
+ExitCode runAgent(int Argc, const char *const *Argv) {
   const DaemonCommandLine Line = parseDaemonCommandLine(
       Argc, Argv, "announces a backend server and carries every call to it");
   if (!Line.m_Arguments)
     return Line.m_ExitCode;
-  auto Settings =
+  auto Found =
       settingsOrReport(readAgentSettings, Line.m_Arguments->m_SettingsFile);
-  if (!Settings)
-    return ExitUsage;
-  AgentDaemon Daemon(std::move(*Settings), RuntimeClock::wallMilliseconds());
+  if (!Found)
+    return ExitCode::Usage;
+  AgentDaemon Daemon(std::move(Found->m_Settings),
+                     RuntimeClock::wallMilliseconds(), Found->m_Warnings);
   return Daemon.run();
 }
 
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -1,7 +1,7 @@
 // Start, service and drain of an entry.
 #include "Entry/EntryDaemon.h"
 
-#include "Daemon/DaemonCommandLine.h"
+#include "Daemon/StartEvents.h"
 #include "Daemon/StopSignals.h"
 #include "Entry/OrphanSettler.h"
 #include "Entry/ShareExchange.h"
@@ -49,7 +49,8 @@
 } // namespace
 
 EntryDaemon::EntryDaemon(schema::EntrySettings Settings,
-                         std::uint64_t Incarnation, std::string AdminToken)
+                         std::uint64_t Incarnation,
+                         const SettingsWarnings &Warnings)
     : m_Settings(std::move(Settings)), m_Workers(m_Settings.workers()),
       m_Events({"entry", m_Settings.name(), m_Settings.availability_zone()},
                m_Settings.log_file()),
@@ -63,7 +64,8 @@
       m_Context{m_Settings,  m_Workers, m_Events, m_Peers,    m_Configuration,
                 m_Directory, *m_Log,    *m_Gate,  m_Counters, m_Metrics},
       m_Callers(m_Context, Incarnation),
-      m_Admin(m_Context, adminSources(std::move(AdminToken))),
+      m_Admin(m_Context, adminSources(adminToken(
+                             m_Events, m_Settings.admin_token_file()))),
       m_CallerServer(m_Workers, callerLimits(m_Settings),
                      [this](const std::shared_ptr<HttpExchange> &Exchange) {
                        m_Callers.handle(Exchange);
@@ -79,6 +81,7 @@
       m_Settler(std::make_shared<OrphanSettler>(m_Context, *m_Log, m_Machine)),
       m_Shares(std::make_shared<ShareExchange>(m_Context, *m_Log)),
       m_Drain(m_Workers.worker(0), drainLimits(m_Settings), drainActions()) {
+  noteDeprecated(m_Events, Warnings);
   m_Configuration.onChange([this](const ConfigurationPtr &InForce) {
     configurationChanged(*InForce);
   });
@@ -104,19 +107,20 @@
   };
   auto Runner = RaftRunner::start(
       std::move(Options), m_Machine, m_Workers, m_Peers, m_Server,
-      [this](const StorageError &) { m_Exit.open(ExitFailed); }, &m_Events);
+      [this](const StorageError &) { m_Exit.open(ExitCode::Failed); },
+      &m_Events);
   if (!Runner)
     throw StartFailure(Runner.error().m_Message);
   return std::move(Runner).value();
 }
 
-int EntryDaemon::run() {
+ExitCode EntryDaemon::run() {
   addMethods();
   if (!listen())
-    return ExitFailed;
+    return ExitCode::Failed;
   StopSignals Signals(
       m_Workers.worker(0), [this] { m_Drain.request(); },
-      [this] { m_Exit.open(ExitFailed); });
+      [this] { m_Exit.open(ExitCode::Failed); });
   m_Gossip->start();
   m_Settler->start();
   m_Shares->start();
@@ -127,10 +131,11 @@
                   {"caller_port", m_Settings.caller_port()},
                   {"admin_port", m_Settings.admin_port()},
                   {"peer_port", m_Settings.peer_port()}});
-  const int ExitCode = m_Exit.wait();
-  m_Events.write(Event::ProcessStopped, {{"exit_code", ExitCode}});
+  const ExitCode Code = m_Exit.wait();
+  m_Events.write(Event::ProcessStopped,
+                 {{"exit_code", static_cast<int>(Code)}});
   m_Workers.stop();
-  return ExitCode;
+  return Code;
 }
 
 bool EntryDaemon::listen() {
@@ -237,7 +242,7 @@
   Actions.m_CloseListener = [this] { m_CallerServer.closeListener(); };
   Actions.m_AnnounceLeft = [] {};
   Actions.m_Exit = [this](std::size_t CutOff) {
-    m_Exit.open(CutOff == 0 ? ExitOk : ExitFailed);
+    m_Exit.open(CutOff == 0 ? ExitCode::Ok : ExitCode::Failed);
   };
   return Actions;
 }
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -16,6 +16,7 @@
 #include "Http/HttpServer.h"
 #include "Metrics/MetricRegistry.h"
 #include "Net/PeerStream.h"
+#include "Settings/SettingsError.h"
 #include "State/DeploymentMachine.h"
 
 #include <memory>
@@ -34,13 +35,14 @@
 
 class EntryDaemon {
 public:
-  // Opens the data folder; throws StartFailure when it can't be used.
+  // Opens the data folder; throws StartFailure when it can't be used. The
+  // warnings are those of the settings reader; they become events.
   EntryDaemon(schema::EntrySettings Settings, std::uint64_t Incarnation,
-              std::string AdminToken);
+              const SettingsWarnings &Warnings);
   ~EntryDaemon();
 
   // Serves until a signal asks it to stop; returns the exit code.
-  int run();
+  ExitCode run();
 
 private:
   std::unique_ptr<RaftRunner> openLog();
@@ -82,7 +84,7 @@
 };
 
 // The whole program: command line, settings, daemon.
-int runEntry(int Argc, const char *const *Argv);
+ExitCode runEntry(int Argc, const char *const *Argv);
 
 } // namespace mangocart
 
