Orders: fencing numbers from the log to the backend server

Cause: the decision existed (AgentGuard, fence_for), but no daemon carried orders, so nothing held the promise. Change: Order, OrderAnswer and /agent/order; OrderDesk decides at the agent, OrderSender draws one number and sends at the entry; POST /v1/order and mangocart order. A restarted agent learns the number by a committed command (fence_in_force). Numbers are kept by backend server. Ruled out: a read under the leader's lease (a suspended VM isn't covered), the number of an announcement's reply (any entry's), one number for all.

--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -2,6 +2,7 @@
 #include "Agent/AgentDaemon.h"
 
 #include "Agent/CallCarrier.h"
+#include "Agent/OrderService.h"
 #include "Daemon/DaemonCommandLine.h"
 #include "Daemon/StopSignals.h"
 #include "Net/UnaryMethod.h"
@@ -55,6 +56,8 @@
       [this](std::uint64_t Higher) { m_Guard.raiseIncarnation(Higher); });
   m_Probe = std::make_shared<BackendProbe>(
       m_Context, [this] { m_Announcer->announceNow(); });
+  m_Orders =
+      std::make_shared<OrderService>(m_Context, m_Peers, m_Configuration);
 }
 
 AgentDaemon::~AgentDaemon() { m_Workers.stop(); }
@@ -68,6 +71,7 @@
       [this] { m_Exit.open(ExitFailed); });
   m_Probe->start();
   m_Announcer->start();
+  m_Orders->start();
   m_Workers.start();
   m_Events.write(Event::ProcessStarted, {{"address", m_Settings.address()},
                                          {"peer_port", m_Settings.peer_port()},
@@ -94,6 +98,7 @@
 }
 
 void AgentDaemon::addMethods() {
+  m_Orders->addMethod(m_Server);
   m_Server.addMethod(CallMethod, [this](std::shared_ptr<PeerStream> Stream) {
     CallCarrier::accept(m_Context, std::move(Stream));
   });
@@ -163,12 +168,15 @@
 
 DrainActions AgentDaemon::drainActions() {
   DrainActions Actions;
-  Actions.m_Outstanding = [this] { return m_Guard.outstanding(); };
+  Actions.m_Outstanding = [this] {
+    return m_Guard.outstanding() + m_Orders->running();
+  };
   Actions.m_AnnounceLeaving = [this] {
     m_Events.write(Event::ProcessStopping,
                    {{"outstanding", m_Guard.outstanding()}});
     m_State = schema::Announcement::LEAVING;
     m_Guard.startLeaving();
+    m_Orders->startLeaving();
     m_Announcer->announceNow();
   };
   // Entries that have not heard yet are refused with proof, not disconnected.
--- a/Source/Agent/AgentDaemon.h
+++ b/Source/Agent/AgentDaemon.h
@@ -17,6 +17,8 @@
 
 namespace mangocart {
 
+class OrderService;
+
 class AgentDaemon {
 public:
   AgentDaemon(schema::AgentSettings Settings, std::uint64_t Incarnation);
@@ -46,6 +48,7 @@
   HttpServer m_Admin;
   std::shared_ptr<BackendProbe> m_Probe;
   std::shared_ptr<Announcer> m_Announcer;
+  std::shared_ptr<OrderService> m_Orders;
   std::atomic<schema::Announcement::State> m_State{
       schema::Announcement::SERVING};
   DrainController m_Drain;
--- a/Source/Agent/CallGuard.cpp
+++ b/Source/Agent/CallGuard.cpp
@@ -121,4 +121,22 @@
   return m_Guard.m_Outstanding;
 }
 
+OrderVerdict CallGuard::checkOrder(const schema::Order &Order) {
+  const std::lock_guard Lock(m_Mutex);
+  return mangocart::checkOrder(m_Guard, Order.backend_server(),
+                               Order.fencing_number());
+}
+
+void CallGuard::learnFence(const std::string &BackendServer,
+                           std::uint64_t Number) {
+  const std::lock_guard Lock(m_Mutex);
+  mangocart::learnFence(m_Guard, BackendServer, Number);
+}
+
+std::optional<std::uint64_t>
+CallGuard::fenceInForce(const std::string &BackendServer) const {
+  const std::lock_guard Lock(m_Mutex);
+  return mangocart::fenceInForce(m_Guard, BackendServer);
+}
+
 } // namespace mangocart
--- a/Source/Agent/CallGuard.h
+++ b/Source/Agent/CallGuard.h
@@ -7,6 +7,8 @@
 
 #include <cstdint>
 #include <mutex>
+#include <optional>
+#include <string>
 
 namespace mangocart {
 
@@ -28,6 +30,11 @@
   void raiseIncarnation(std::uint64_t Incarnation);
   void startLeaving();
   std::size_t outstanding() const;
+  // Orders; see State/AgentGuard.h. The name is the backend server's.
+  OrderVerdict checkOrder(const schema::Order &Order);
+  void learnFence(const std::string &BackendServer, std::uint64_t Number);
+  std::optional<std::uint64_t>
+  fenceInForce(const std::string &BackendServer) const;
 
 private:
   mutable std::mutex m_Mutex;
--- a/Source/Command/CommandRegistry.cpp
+++ b/Source/Command/CommandRegistry.cpp
@@ -52,9 +52,9 @@
 
 const std::vector<Command> &commands() {
   static const std::vector<Command> All{
-      validateCommand(), initCommand(),     planCommand(),
-      acceptCommand(),   statusCommand(),   drainCommand(),
-      metricsCommand(),  timelineCommand(), referenceCommand()};
+      validateCommand(), initCommand(),     planCommand(),  acceptCommand(),
+      statusCommand(),   drainCommand(),    orderCommand(), metricsCommand(),
+      timelineCommand(), referenceCommand()};
   return All;
 }
 
--- a/Source/Command/Commands.h
+++ b/Source/Command/Commands.h
@@ -12,6 +12,7 @@
 Command acceptCommand();
 Command statusCommand();
 Command drainCommand();
+Command orderCommand();
 Command metricsCommand();
 Command timelineCommand();
 Command referenceCommand();
--- a/Source/Entry/AdminFront.cpp
+++ b/Source/Entry/AdminFront.cpp
@@ -5,6 +5,7 @@
 #include "Core/PostTask.h"
 #include "Entry/EntryContext.h"
 #include "Entry/MembershipDirectory.h"
+#include "Entry/OrderFront.h"
 #include "Events/EventLog.h"
 #include "Http/BearerToken.h"
 #include "Planning/AdminMessages.h"
@@ -61,14 +62,15 @@
     : m_Context(Context), m_Sources(std::move(Sources)) {}
 
 void AdminFront::handle(const std::shared_ptr<HttpExchange> &Exchange) {
-  static constexpr std::array<Page, 7> Pages = {
+  static constexpr std::array<Page, 8> Pages = {
       {{"GET", "/health", false, &AdminFront::health},
        {"GET", "/metrics", false, &AdminFront::metrics},
        {"GET", "/v1/status", false, &AdminFront::status},
        {"GET", "/v1/configuration", false, &AdminFront::configuration},
        {"POST", "/v1/plan", false, &AdminFront::plan},
        {"POST", "/v1/accept", true, &AdminFront::accept},
-       {"POST", "/v1/drain", true, &AdminFront::drain}}};
+       {"POST", "/v1/drain", true, &AdminFront::drain},
+       {"POST", "/v1/order", true, &AdminFront::order}}};
   const HttpRequest &Request = Exchange->request();
   const auto Found =
       std::find_if(Pages.begin(), Pages.end(), [&](const Page &Each) {
@@ -156,6 +158,10 @@
   Exchange->respond(jsonResponse(StatusAccepted, R"({"draining":true})"));
 }
 
+void AdminFront::order(const std::shared_ptr<HttpExchange> &Exchange) {
+  answerOrder(m_Context, Exchange);
+}
+
 void AdminFront::drainOther(const std::shared_ptr<HttpExchange> &Exchange,
                             const std::string &Process) {
   PeerEndpoint To;
--- a/Source/Entry/AdminFront.h
+++ b/Source/Entry/AdminFront.h
@@ -1,5 +1,5 @@
 // The administration API: health, metrics, status, configuration, plan, accept,
-// drain. What changes state needs the bearer token.
+// drain, order. What changes state needs the bearer token.
 #ifndef MANGOCART_ENTRY_ADMINFRONT_H
 #define MANGOCART_ENTRY_ADMINFRONT_H
 
@@ -39,6 +39,7 @@
   void plan(const std::shared_ptr<HttpExchange> &Exchange);
   void accept(const std::shared_ptr<HttpExchange> &Exchange);
   void drain(const std::shared_ptr<HttpExchange> &Exchange);
+  void order(const std::shared_ptr<HttpExchange> &Exchange);
   bool allowed(const HttpRequest &Request) const;
   void drainOther(const std::shared_ptr<HttpExchange> &Exchange,
                   const std::string &Process);
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -3,6 +3,7 @@
 
 #include "Daemon/DaemonCommandLine.h"
 #include "Daemon/StopSignals.h"
+#include "Entry/OrderFront.h"
 #include "Entry/OrphanSettler.h"
 #include "Entry/ShareExchange.h"
 #include "Entry/StatusPage.h"
@@ -175,6 +176,7 @@
 }
 
 void EntryDaemon::addMethods() {
+  addFenceMethod(m_Server, *m_Log);
   addUnaryMethod<schema::Announcement>(
       m_Server, "/entry/announce", [this](const schema::Announcement &Message) {
         return announced(Message);
--- a/Source/Standin/Standin.cpp
+++ b/Source/Standin/Standin.cpp
@@ -4,6 +4,7 @@
 #include "Core/WorkerPool.h"
 #include "Standin/BookingRun.h"
 #include "Standin/DraftStream.h"
+#include "Standin/StandinOrders.h"
 
 #include <boost/json.hpp>
 #include <fmt/format.h>
@@ -53,7 +54,10 @@
 struct Standin::State {
   State(WorkerPool &Workers, StandinOptions Options, std::function<void()> Die)
       : m_Shared(std::make_shared<StandinShared>(std::move(Options))),
-        m_Log(m_Shared->m_Options.m_RunLog), m_LoadTimer(Workers.worker(0)),
+        m_Log(m_Shared->m_Options.m_RunLog),
+        m_Orders(m_Shared->m_Options.m_OrderLog,
+                 m_Shared->m_Options.m_CheckFencing),
+        m_LoadTimer(Workers.worker(0)),
         m_Server(Workers, {},
                  [this](const std::shared_ptr<HttpExchange> &Exchange) {
                    route(Exchange);
@@ -65,6 +69,7 @@
   void route(const std::shared_ptr<HttpExchange> &Exchange);
   void draft(const std::shared_ptr<HttpExchange> &Exchange);
   void booking(const std::shared_ptr<HttpExchange> &Exchange);
+  void order(HttpExchange &Exchange);
   void health(HttpExchange &Exchange);
   void load(HttpExchange &Exchange);
   void cacheEvents(HttpExchange &Exchange);
@@ -74,6 +79,7 @@
 
   std::shared_ptr<StandinShared> m_Shared;
   RunLog m_Log;
+  StandinOrders m_Orders;
   LoadSample m_Load;
   Timer m_LoadTimer;
   HttpServer m_Server;
@@ -92,6 +98,8 @@
     return faults(*Exchange);
   if (Request.m_Method != "POST")
     return Exchange->respond(errorResponse(404, "no such page"));
+  if (Path == "/orders")
+    return order(*Exchange);
   if (m_Shared->m_Options.m_Kind == StandinKind::Engine)
     return draft(Exchange);
   if (Path.starts_with("/bookings"))
@@ -111,6 +119,16 @@
   std::make_shared<BookingRun>(m_Shared, Exchange, m_Log)->begin();
 }
 
+void Standin::State::order(HttpExchange &Exchange) {
+  const RequestFaults Faults(*m_Shared);
+  if (Faults.now().m_Refuse)
+    return Exchange.respond(errorResponse(503, "refused by a fault"));
+  HttpResponse Answer = m_Orders.take(Exchange.request());
+  if (Faults.now().m_DropAnswer)
+    return Exchange.abort();
+  Exchange.respond(std::move(Answer));
+}
+
 void Standin::State::health(HttpExchange &Exchange) {
   // Without an answer the client's own deadline decides.
   if (m_Shared->m_Faults.m_StallHealth)
@@ -200,6 +218,9 @@
   if (!m_State->m_Log.isOpen())
     return HttpError{HttpErrorCode::ListenFailed,
                      "cannot open the log file " + Options.m_RunLog, true};
+  if (!m_State->m_Orders.isOpen())
+    return HttpError{HttpErrorCode::ListenFailed,
+                     "cannot open the log file " + Options.m_OrderLog, true};
   return m_State->m_Server.listen(Options.m_Address, Options.m_Port);
 }
 
--- a/Source/Standin/StandinOptions.cpp
+++ b/Source/Standin/StandinOptions.cpp
@@ -47,6 +47,11 @@
                      Defaults.m_CacheBlocks, "N", Line);
   Text RunLog("", "log", "file to which each run of a booking is appended",
               false, "", "FILE", Line);
+  Text OrderLog("", "order-log",
+                "file to which each order that is carried out is appended",
+                false, "", "FILE", Line);
+  TCLAP::SwitchArg CheckFencing(
+      "", "check-fencing", "refuse orders with an old fencing number", Line);
   Line.parse(ArgumentCount, Arguments);
   if (Port.getValue() > MaxPort)
     throw TCLAP::CmdLineParseException("expected at most 65535", "--port");
@@ -67,6 +72,8 @@
   Options.m_LoadLag = milliseconds(Lag.getValue());
   Options.m_CacheBlocks = CacheBlocks.getValue();
   Options.m_RunLog = RunLog.getValue();
+  Options.m_OrderLog = OrderLog.getValue();
+  Options.m_CheckFencing = CheckFencing.getValue();
   return Options;
 }
 
--- a/Source/Standin/StandinOptions.h
+++ b/Source/Standin/StandinOptions.h
@@ -29,6 +29,10 @@
   std::size_t m_CacheBlocks = 4096;
   // Where runs of bookings are recorded; empty: nowhere.
   std::string m_RunLog;
+  // Where orders that were carried out are recorded; empty: nowhere.
+  std::string m_OrderLog;
+  // Whether an order with an old fencing number is refused.
+  bool m_CheckFencing = false;
 
   bool operator==(const StandinOptions &) const = default;
 };
--- a/Source/State/AgentGuard.cpp
+++ b/Source/State/AgentGuard.cpp
@@ -224,6 +224,14 @@
   InForce = std::max(InForce, Number);
 }
 
+std::optional<std::uint64_t> fenceInForce(const AgentGuard &Guard,
+                                          const std::string &Group) {
+  const auto InForce = Guard.m_Fences.find(Group);
+  if (InForce == Guard.m_Fences.end())
+    return std::nullopt;
+  return InForce->second;
+}
+
 OrderVerdict checkOrder(AgentGuard &Guard, const std::string &Group,
                         std::uint64_t Number) {
   const auto InForce = Guard.m_Fences.find(Group);
--- a/Source/State/AgentGuard.h
+++ b/Source/State/AgentGuard.h
@@ -95,7 +95,8 @@
   // Keys with an answer, in the order in which they finished.
   std::deque<Name> m_Answered;
   std::size_t m_AnswerBytes = 0;
-  // Fencing number in force by rank group or service; absent until learnt.
+  // Fencing number in force by the name that it is drawn for; absent until
+  // learnt.
   std::map<std::string, std::uint64_t> m_Fences;
 };
 
@@ -176,8 +177,12 @@
   NotLearnt
 };
 
-// An order for a rank group or service. A newer number is in force from then
-// on; the same number again is the same leader's next order.
+// The number in force; absent until learnt.
+std::optional<std::uint64_t> fenceInForce(const AgentGuard &Guard,
+                                          const std::string &Group);
+
+// An order under a number drawn for the group. A newer number is in force from
+// then on; the same number again is the same sender's next order.
 OrderVerdict checkOrder(AgentGuard &Guard, const std::string &Group,
                         std::uint64_t Number);
 
--- a/Source/State/DeploymentState.cpp
+++ b/Source/State/DeploymentState.cpp
@@ -14,6 +14,12 @@
          MillisecondsPerSecond;
 }
 
+std::uint64_t fenceInForce(const DeploymentState &State,
+                           const std::string &BackendServer) {
+  const auto Found = State.m_Fences.find(BackendServer);
+  return Found == State.m_Fences.end() ? 0 : Found->second;
+}
+
 } // namespace
 
 schema::CommandReply apply(DeploymentState &State, std::uint64_t Index,
@@ -41,8 +47,12 @@
     break;
   case schema::Command::kFenceFor:
     State.m_LastFencingNumber = Index;
+    State.m_Fences[Command.fence_for()] = Index;
     Reply.set_fencing_number(Index);
     break;
+  case schema::Command::kFenceInForce:
+    Reply.set_fencing_number(fenceInForce(State, Command.fence_in_force()));
+    break;
   case schema::Command::KIND_NOT_SET:
     break;
   }
@@ -54,6 +64,11 @@
   saveConfiguration(State.m_Configuration, Rest);
   saveExpertMaps(State.m_ExpertMaps, Rest);
   Rest.set_last_fencing_number(State.m_LastFencingNumber);
+  for (const auto &[BackendServer, Number] : State.m_Fences) {
+    schema::FenceRecord &Record = *Rest.add_fences();
+    Record.set_backend_server(BackendServer);
+    Record.set_fencing_number(Number);
+  }
   Rest.set_leader_time_ms(State.m_TimeMs);
   std::string Bytes = Rest.SerializeAsString();
   appendLedger(State.m_Ledger, Bytes);
@@ -70,6 +85,8 @@
   State.m_Configuration = restoreConfiguration(Parsed);
   State.m_ExpertMaps = restoreExpertMaps(Parsed);
   State.m_LastFencingNumber = Parsed.last_fencing_number();
+  for (const schema::FenceRecord &Record : Parsed.fences())
+    State.m_Fences[Record.backend_server()] = Record.fencing_number();
   State.m_TimeMs = Parsed.leader_time_ms();
   State.m_Ledger.m_Limits = Limits;
   for (const schema::LedgerRecord &Record : Parsed.ledger())
--- a/Source/State/DeploymentState.h
+++ b/Source/State/DeploymentState.h
@@ -11,6 +11,7 @@
 #include "State/Ledger.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,6 +24,8 @@
   ExpertMapRegister m_ExpertMaps;
   // Number of the newest order that asked for one; only grows.
   std::uint64_t m_LastFencingNumber = 0;
+  // The newest number by the name that it was drawn for; each only grows.
+  std::map<std::string, std::uint64_t> m_Fences;
   // The replicated time: the highest leader_time_ms applied. Never falls, also
   // when a new leader's clock is behind.
   std::uint64_t m_TimeMs = 0;
--- a/Tests/Command/testCommandRegistry.cpp
+++ b/Tests/Command/testCommandRegistry.cpp
@@ -7,6 +7,7 @@
 #include "Http/HttpServer.h"
 #include "Log.pb.h"
 #include "Planning/AdminMessages.h"
+#include "Planning/OrderMessages.h"
 #include "Planning/Plan.h"
 #include "Planning/PlanJson.h"
 #include "Settings/SettingsReader.h"
@@ -291,6 +292,30 @@
   CHECK(Done.m_Out == "entry-a drains\n");
 }
 
+TEST_CASE("order gives its id, its content and its end") {
+  const Folder Scratch;
+  const std::string Token = Scratch.file("token", "0123456789abcdef");
+  const std::string Payload = Scratch.file("payload", "map 3");
+  AdminApi Api;
+  schema::OrderAnswer Old;
+  Old.set_verdict(schema::OrderAnswer::OLD_NUMBER);
+  Old.set_number_in_force(9);
+  REQUIRE_CALL(Api, call(trompeloeil::_))
+      .WITH(_1.m_Path == "/v1/order" && _1.m_Token == "0123456789abcdef" &&
+            parseOrder(_1.m_Body).value().m_Order.payload() == "map 3" &&
+            parseOrder(_1.m_Body).value().m_Order.order_id() == "made-id" &&
+            parseOrder(_1.m_Body).value().m_Longest < _1.m_Deadline)
+      .RETURN(orderResponse("made-id", {Old, 8, schema::NOT_RUN}));
+  const Ran Done =
+      run({"order", "engine-1", "--kind", "switch-expert-map", "--payload",
+           Payload, "--admin", "127.24.0.1:8081", "--token-file", Token},
+          Api);
+  CHECK(Done.m_Exit == Failed);
+  CHECK(Done.m_Err == "order id: made-id\nmangocart: old-number: outcome "
+                      "not-run, number 8, a newer order came first with "
+                      "number 9\n");
+}
+
 TEST_CASE("status shows the answer as lines or as it came") {
   const std::string Body = R"({"version":3,"members":[{"name":"a","up":true}],)"
                            R"("raft":{"leader":"entry-a"}})";
--- a/Tests/Processes/Deployment.cpp
+++ b/Tests/Processes/Deployment.cpp
@@ -169,7 +169,8 @@
          {"--address", address(Name), "--port", std::to_string(BackendPort),
           "--kind", isDesk(Name) ? "plain" : "engine", "--name", Name,
           "--service-time-ms", "10", "--token-interval-ms", "5", "--log",
-          (m_Folder / "runs" / (Name + ".jsonl")).string()});
+          (m_Folder / "runs" / (Name + ".jsonl")).string(), "--order-log",
+          (m_Folder / "runs" / (Name + ".orders")).string()});
 }
 
 void Deployment::start() {
@@ -255,6 +256,26 @@
          });
 }
 
+std::unique_ptr<ChildProcess>
+Deployment::startOrder(const std::string &Entry,
+                       const std::string &BackendServer,
+                       const std::string &OrderId) const {
+  const std::vector<std::string> Arguments = {
+      "order",        BackendServer,
+      "--kind",       "load",
+      "--order-id",   OrderId,
+      "--admin",      adminOf(Entry),
+      "--token-file", (m_Folder / "admin.token").string(),
+      "--timeout-s",  "300"};
+  return std::make_unique<ChildProcess>(
+      program("mangocart"), Arguments,
+      (m_Folder / ("order-" + OrderId + ".out")).string());
+}
+
+std::string Deployment::text(const std::string &Name) const {
+  return readFile(m_Folder / Name);
+}
+
 boost::json::object Deployment::status(const std::string &Entry) const {
   std::string Output;
   if (operate({"status", "--admin", adminOf(Entry), "--output", "json",
--- a/Tests/Processes/Deployment.h
+++ b/Tests/Processes/Deployment.h
@@ -63,6 +63,13 @@
   int acceptPlan(const std::string &Entry, const std::string &PlanFile,
                  const std::string &OperationId, std::string *Output) const;
 
+  // Gives an order to a backend server at the entry.
+  std::unique_ptr<ChildProcess> startOrder(const std::string &Entry,
+                                           const std::string &BackendServer,
+                                           const std::string &OrderId) const;
+  // Whole text of a file of the deployment; empty when there is none.
+  std::string text(const std::string &Name) const;
+
   // The status as the entry shows it; empty when it doesn't answer.
   boost::json::object status(const std::string &Entry) const;
   std::string leader(const std::string &AskedEntry) const;
--- a/Tests/State/testDeploymentState.cpp
+++ b/Tests/State/testDeploymentState.cpp
@@ -72,6 +72,32 @@
         schema::CommandReply::KIND_NOT_SET);
 }
 
+TEST_CASE("the number in force is kept by name, and read by a command") {
+  const auto Draw = [](const char *Name) {
+    schema::Command Command;
+    Command.set_fence_for(Name);
+    return Command;
+  };
+  DeploymentState State;
+  const auto Read = [&](const char *Name) {
+    schema::Command Command;
+    Command.set_fence_in_force(Name);
+    const schema::CommandReply Reply = apply(State, 100, Command);
+    CHECK(Reply.has_fencing_number());
+    return Reply.fencing_number();
+  };
+  CHECK(Read("engine-1") == 0);
+  apply(State, 7, Draw("engine-1"));
+  apply(State, 9, Draw("engine-2"));
+  CHECK(Read("engine-1") == 7);
+  CHECK(Read("engine-2") == 9);
+  CHECK(State.m_LastFencingNumber == 9);
+  State = restore(snapshot(State)).value();
+  CHECK(Read("engine-1") == 7);
+  apply(State, 12, Draw("engine-1"));
+  CHECK(Read("engine-1") == 12);
+}
+
 TEST_CASE("the leader's clock goes on from the replicated time") {
   using std::chrono::seconds;
   const TimePoint Start(seconds(100));
