--- a/Tests/Processes/testOrders.cpp
+++ b/Tests/Processes/testOrders.cpp
@@ -39,7 +39,7 @@
 
 bool hasSent(const Deployment &D, const std::string &Entry,
              const std::string &Id) {
-  const std::string Log = D.text("logs/" + Entry + ".log");
+  const std::string Log = D.text("logs/" + Entry + ".jsonl");
   std::istringstream Lines(Log);
   for (std::string Line; std::getline(Lines, Line);)
     if (Line.find("OrderSent") != std::string::npos &&
