--- a/Source/Agent/AgentDaemon.h
+++ b/Source/Agent/AgentDaemon.h
@@ -20,6 +20,8 @@
 
 namespace mangocart {
 
+class OrderService;
+
 class AgentDaemon {
 public:
   // The warnings are those of the settings reader; they become events.
@@ -52,6 +54,7 @@
   HttpServer m_Admin;
   std::shared_ptr<BackendProbe> m_Probe;
   std::shared_ptr<Announcer> m_Announcer;
+  std::shared_ptr<OrderService> m_Orders;
   std::atomic<schema::Announcement::State> m_State{
       schema::Announcement::SERVING};
   DrainController m_Drain;
