Entry: a broken stream goes on at the next token on another replica

Cause: once the head of a streamed answer was out, the loss of the engine ended the stream as broken, also where the engine can resume.

A continuation that doesn't begin at the token asked for, or lacks its closing event, ends as broken.

An agent's refusal after the head (its engine died) went to respond(), which the exchange ignored; the caller saw a cut connection only once the exchange was dropped. It is broken off or resumed at once now. CallAttempt::cancel() destroyed the handlers while one of them may be running; that is put off.

--- a/Source/Entry/CallAttempt.cpp
+++ b/Source/Entry/CallAttempt.cpp
@@ -2,6 +2,7 @@
 #include "Entry/CallAttempt.h"
 
 #include "Core/Hash.h"
+#include "Core/PostTask.h"
 
 #include <boost/asio/dispatch.hpp>
 
@@ -46,8 +47,9 @@
   if (m_Over)
     return;
   m_Over = true;
-  m_Handlers = {};
   m_Stream->reset();
+  // Not at once: one of them may be what calls this.
+  postTask(m_Executor, [Self = shared_from_this()] { Self->m_Handlers = {}; });
 }
 
 void CallAttempt::push(Item Next) {
--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -28,6 +28,8 @@
   std::atomic<std::uint64_t> m_Refused{0};
   std::atomic<std::uint64_t> m_Broken{0};
   std::atomic<std::uint64_t> m_Attempts{0};
+  // Streams that went on at another backend server.
+  std::atomic<std::uint64_t> m_Resumed{0};
   std::atomic<std::uint64_t> m_HungUp{0};
 };
 
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -272,6 +272,7 @@
   Add("mangocart_broken_total", "counter", m_Counters.m_Broken);
   Add("mangocart_attempts_total", "counter", m_Counters.m_Attempts);
   Add("mangocart_hung_up_total", "counter", m_Counters.m_HungUp);
+  Add("mangocart_resumed_total", "counter", m_Counters.m_Resumed);
   Add("mangocart_in_flight", "gauge", m_CallerServer.exchangeCount());
   Add("mangocart_caller_connections", "gauge",
       m_CallerServer.connectionCount());
--- a/Source/Entry/ForwardedRequest.cpp
+++ b/Source/Entry/ForwardedRequest.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t MaxQueuedBytes = std::size_t{256} * 1024;
 constexpr Duration ProgressInterval = std::chrono::milliseconds(200);
 constexpr Duration RetryAfterNoServer = std::chrono::seconds(1);
+constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
 constexpr unsigned StatusBadGateway = 502;
@@ -83,11 +84,10 @@
       [Self = shared_from_this()](boost::system::error_code Error) {
         if (Error || Self->m_Over)
           return;
-        if (Self->m_Streaming)
-          return Self->breakOff();
-        Self->refuse({StatusGatewayTimeout, "deadline-passed",
+        Self->giveUp({StatusGatewayTimeout, "deadline-passed",
                       "the answer was not complete within the route's deadline",
-                      schema::UNKNOWN, RetryAfterNoServer});
+                      schema::UNKNOWN, RetryAfterNoServer},
+                     "deadline-passed");
       });
 }
 
@@ -95,22 +95,28 @@
   return m_Deadline - RuntimeClock::now();
 }
 
-void ForwardedRequest::attempt() {
+ChoiceRequest ForwardedRequest::choice() const {
   const schema::Service &Service = *m_Match.m_Service;
-  ChoiceRequest Choice;
-  Choice.m_Service = Service.name();
-  Choice.m_Policy = Service.routing_policy();
-  Choice.m_MaxOutstanding = Service.max_outstanding_per_backend_server();
-  Choice.m_Size = m_Size;
-  Choice.m_Tried = &m_Tried;
-  Choice.m_FailedZone = m_FailedZone;
-  m_Target = m_Context.m_Directory.choose(Choice);
+  ChoiceRequest First;
+  First.m_Service = Service.name();
+  First.m_Policy = Service.routing_policy();
+  First.m_MaxOutstanding = Service.max_outstanding_per_backend_server();
+  First.m_Size = m_Size;
+  return nextChoice(m_History, First);
+}
+
+void ForwardedRequest::attempt() {
+  m_Target = m_Context.m_Directory.choose(choice());
   if (!m_Target)
-    return refuse({StatusUnavailable, "no-backend-server",
-                   "no backend server of the service can take the request now",
-                   m_Tried.empty() ? schema::NOT_RUN : schema::UNKNOWN,
-                   RetryAfterNoServer});
-  m_Tried.push_back(m_Target->m_Name);
+    return giveUp(
+        {StatusUnavailable, "no-backend-server",
+         "no backend server of the service can take the request now",
+         m_History.m_Tried.empty() ? schema::NOT_RUN : schema::UNKNOWN,
+         RetryAfterNoServer},
+        "no-backend-server");
+  m_History.m_Tried.push_back(m_Target->m_Name);
+  if (m_History.m_AnswerBegun && !prepareContinuation())
+    return;
   m_CallStarted = RuntimeClock::now();
   m_Whole = {};
   m_Request.set_deadline_ms(static_cast<std::uint32_t>(
@@ -122,15 +128,31 @@
                               m_Exchange->executor(), handlers());
 }
 
+bool ForwardedRequest::prepareContinuation() {
+  StreamProgress &Stream = m_History.m_Stream;
+  auto Body = resumeBody(Stream, m_Exchange->request().m_Body);
+  if (!Body) {
+    m_Target.reset();
+    giveUp({}, "answer-begun");
+    return false;
+  }
+  m_Request.set_body(std::move(*Body));
+  beginContinuation(Stream);
+  ++m_Context.m_Counters.m_Resumed;
+  m_Context.m_Events.write(Event::StreamResumed,
+                           {{"request", m_RequestId},
+                            {"backend_server", m_Target->m_Name},
+                            {"token", Stream.m_NextToken.value_or(0)}});
+  return true;
+}
+
 CallHandlers ForwardedRequest::handlers() {
   CallHandlers Handlers;
   const auto Self = shared_from_this();
   Handlers.m_OnHead = [Self](const schema::CallHead &Head) {
     Self->takeHead(Head);
   };
-  Handlers.m_OnBody = [Self](std::string Data) {
-    Self->takeBody(std::move(Data));
-  };
+  Handlers.m_OnBody = [Self](const std::string &Data) { Self->takeBody(Data); };
   Handlers.m_OnEnd = [Self] { Self->takeEnd(); };
   Handlers.m_OnRefusal = [Self](const schema::CallRefusal &Refusal) {
     Self->takeRefusal(Refusal);
@@ -142,6 +164,13 @@
 }
 
 void ForwardedRequest::takeHead(const schema::CallHead &Head) {
+  if (m_History.m_AnswerBegun) {
+    if (Head.status() == StatusOk)
+      return;
+    m_Call->cancel();
+    endCall(CallResult::Refused);
+    return retryOr(false, {});
+  }
   observeFirstByte(m_Context.m_Metrics, m_Match.m_Service->name(),
                    RuntimeClock::now() - m_Arrived);
   m_Context.m_Gate.noteFirstByte(m_Match.m_Service->name(),
@@ -151,17 +180,23 @@
     m_Whole.m_Head = std::move(Converted);
     return;
   }
-  m_Streaming = true;
+  m_History.m_AnswerBegun = true;
+  m_History.m_Stream.m_Resumable =
+      m_Match.m_Service->resumes_streams() && Head.status() == StatusOk;
   m_Exchange->startStream(std::move(Converted));
 }
 
-void ForwardedRequest::takeBody(std::string Data) {
+void ForwardedRequest::takeBody(const std::string &Data) {
   noteProgress();
-  if (!m_Streaming) {
+  if (!m_History.m_AnswerBegun) {
     m_Whole.m_Body.append(Data);
     return;
   }
-  m_Exchange->writeChunk(std::move(Data));
+  StreamPiece Piece = takePiece(m_History.m_Stream, Data);
+  if (!Piece.m_Fits)
+    return giveUp({}, "other-token");
+  if (!Piece.m_Data.empty())
+    m_Exchange->writeChunk(std::move(Piece.m_Data));
   if (m_Exchange->queuedBytes() > MaxQueuedBytes && m_Call)
     m_Call->pauseReading();
 }
@@ -177,41 +212,46 @@
 
 void ForwardedRequest::takeEnd() {
   endCall(CallResult::Answered);
+  if (m_History.m_AnswerBegun) {
+    auto Rest = takeRest(m_History.m_Stream);
+    if (!Rest)
+      return giveUp({}, "no-closing-event");
+    if (!Rest->empty())
+      m_Exchange->writeChunk(std::move(*Rest));
+    m_Exchange->finishStream();
+  } else {
+    m_Exchange->respond(std::move(m_Whole));
+  }
   observeWhole(m_Context.m_Metrics, m_Match.m_Service->name(),
                RuntimeClock::now() - m_Arrived);
   ++m_Context.m_Counters.m_Answered;
-  if (m_Streaming)
-    m_Exchange->finishStream();
-  else
-    m_Exchange->respond(std::move(m_Whole));
   finish();
 }
 
 void ForwardedRequest::takeRefusal(const schema::CallRefusal &Refusal) {
+  // The agent lives, but what ran at its backend server is lost.
+  if (Refusal.reason() == schema::CallRefusal::BACKEND_BROKE)
+    m_History.m_FailedZone = m_Target->m_AvailabilityZone;
   endCall(CallResult::Refused);
-  if (retry(Refusal.outcome() == schema::NOT_RUN))
-    return;
-  refuse({StatusUnavailable, "refused",
-          "the backend servers that were tried refused the request",
-          Refusal.outcome(),
-          std::max(RetryAfterNoServer, Duration(std::chrono::milliseconds(
-                                           Refusal.retry_after_ms())))});
+  retryOr(Refusal.outcome() == schema::NOT_RUN,
+          {StatusUnavailable, "refused",
+           "the backend servers that were tried refused the request",
+           Refusal.outcome(),
+           std::max(RetryAfterNoServer, Duration(std::chrono::milliseconds(
+                                            Refusal.retry_after_ms())))});
 }
 
 void ForwardedRequest::takeBreak(const CallBroken &Broken) {
-  m_FailedZone = m_Target->m_AvailabilityZone;
+  m_History.m_FailedZone = m_Target->m_AvailabilityZone;
   m_Context.m_Events.write(Event::CallBroken,
                            {{"request", m_RequestId},
                             {"backend_server", m_Target->m_Name},
                             {"detail", Broken.m_Detail}});
   endCall(CallResult::Broken);
-  if (m_Streaming)
-    return breakOff();
-  if (retry(Broken.m_NothingSent))
-    return;
-  refuse({StatusBadGateway, "answer-lost",
-          "the backend servers that were tried did not answer whole",
-          schema::UNKNOWN, RetryAfterNoServer});
+  retryOr(Broken.m_NothingSent,
+          {StatusBadGateway, "answer-lost",
+           "the backend servers that were tried did not answer whole",
+           schema::UNKNOWN, RetryAfterNoServer});
 }
 
 void ForwardedRequest::endCall(CallResult Result) {
@@ -223,29 +263,32 @@
   m_Call.reset();
 }
 
-bool ForwardedRequest::retry(bool ProvenNotRun) {
-  FailedAttempt Failed;
-  Failed.m_Attempt = static_cast<std::uint32_t>(m_Tried.size());
-  Failed.m_Idempotent = true;
-  Failed.m_ProvenNotRun = ProvenNotRun;
-  Failed.m_AnswerBegun = m_Streaming;
-  Failed.m_Deadline = m_Deadline;
-  const RetryDecision Decision =
-      m_Context.m_Directory.judgeRetry(m_Match.m_Service->name(), Failed);
+void ForwardedRequest::retryOr(bool ProvenNotRun, const OwnAnswer &Answer) {
+  const RetryDecision Decision = m_Context.m_Directory.judgeRetry(
+      m_Match.m_Service->name(),
+      describeFailure(m_History, m_Size, m_Exchange->request().m_Body,
+                      ProvenNotRun, m_Deadline));
   if (Decision.m_Verdict != RetryVerdict::Retry)
-    return false;
+    return giveUp(Answer, toString(Decision.m_Verdict));
   m_RetryTimer.expires_after(Decision.m_Delay);
   m_RetryTimer.async_wait(
       [Self = shared_from_this()](boost::system::error_code Error) {
         if (!Error && !Self->m_Over)
           Self->attempt();
       });
-  return true;
 }
 
-void ForwardedRequest::refuse(const OwnAnswer &Answer) {
+void ForwardedRequest::giveUp(const OwnAnswer &Answer, std::string_view Cause) {
   if (m_Over)
     return;
+  if (m_History.m_AnswerBegun) {
+    m_Context.m_Events.write(
+        Event::StreamBroken,
+        {{"request", m_RequestId},
+         {"cause", Cause},
+         {"token", m_History.m_Stream.m_NextToken.value_or(0)}});
+    return breakOff();
+  }
   noteRefusal(m_Context, Answer, m_RequestId);
   m_Exchange->respond(toResponse(Answer, m_RequestId));
   finish();
--- a/Source/Entry/ForwardedRequest.h
+++ b/Source/Entry/ForwardedRequest.h
@@ -1,5 +1,5 @@
 // An idempotent request on its way: chooses a backend server, follows the
-// answer, and tries another server while nothing has reached the caller.
+// answer, and goes on at another server after a failure where that is allowed.
 #ifndef MANGOCART_ENTRY_FORWARDEDREQUEST_H
 #define MANGOCART_ENTRY_FORWARDEDREQUEST_H
 
@@ -9,6 +9,7 @@
 #include "Entry/OwnAnswer.h"
 #include "Entry/RequestGate.h"
 #include "Entry/RouteTable.h"
+#include "Entry/StreamResume.h"
 #include "Http/HttpServer.h"
 
 namespace mangocart {
@@ -28,17 +29,21 @@
   void begin();
   void armDeadline();
   void attempt();
+  ChoiceRequest choice() const;
+  // False when the stream can't go on.
+  bool prepareContinuation();
   CallHandlers handlers();
   void takeHead(const schema::CallHead &Head);
-  void takeBody(std::string Data);
+  void takeBody(const std::string &Data);
   void takeEnd();
   void takeRefusal(const schema::CallRefusal &Refusal);
   void takeBreak(const CallBroken &Broken);
   void endCall(CallResult Result);
-  // True when another attempt has been arranged.
-  bool retry(bool ProvenNotRun);
+  // Arranges another attempt or ends the request with the answer.
+  void retryOr(bool ProvenNotRun, const OwnAnswer &Answer);
   void noteProgress();
-  void refuse(const OwnAnswer &Answer);
+  // The final answer: a refusal, or a broken end once the answer has begun.
+  void giveUp(const OwnAnswer &Answer, std::string_view Cause);
   void breakOff();
   void finish();
   Duration timeLeft() const;
@@ -62,12 +67,9 @@
   std::optional<BackendTarget> m_Target;
   TimePoint m_CallStarted;
   TimePoint m_ProgressNoted;
-  std::vector<std::string> m_Tried;
-  std::string m_FailedZone;
+  AttemptHistory m_History;
   // Head and body of an answer that goes out whole.
   HttpResponse m_Whole;
-  // True once bytes of an answer have gone to the caller: no other try then.
-  bool m_Streaming = false;
   bool m_Over = false;
 };
 
--- a/Source/Planning/ConfigurationChecks.cpp
+++ b/Source/Planning/ConfigurationChecks.cpp
@@ -58,6 +58,7 @@
     Answer.set_max_outstanding_per_backend_server(
         Service.max_outstanding_per_backend_server());
     Answer.set_routing_policy(Service.routing_policy());
+    Answer.set_resumes_streams(Service.resumes_streams());
     for (const schema::Route &Route : Service.routes()) {
       auto &Path = *Answer.add_routes();
       Path.set_path(Route.path());
--- a/Source/Planning/Plan.cpp
+++ b/Source/Planning/Plan.cpp
@@ -78,6 +78,7 @@
     Service.set_max_outstanding_per_backend_server(
         Answer.max_outstanding_per_backend_server());
     Service.set_routing_policy(Answer.routing_policy());
+    Service.set_resumes_streams(Answer.resumes_streams());
     setRoutes(Answer, Service);
   }
 }
--- a/Source/Routing/RetryBudget.cpp
+++ b/Source/Routing/RetryBudget.cpp
@@ -69,9 +69,9 @@
   const Duration Delay = drawDelay(Failed.m_Attempt, Options, Generator);
   if (Now + Delay + Failed.m_ExpectedTime > Failed.m_Deadline)
     return {RetryVerdict::PastDeadline};
-  if (Budget.m_Balance < 1.0)
+  if (Budget.m_Balance < Failed.m_Cost)
     return {RetryVerdict::BudgetSpent};
-  Budget.m_Balance -= 1.0;
+  Budget.m_Balance -= Failed.m_Cost;
   return {RetryVerdict::Retry, Delay};
 }
 
--- a/Source/Routing/RetryBudget.h
+++ b/Source/Routing/RetryBudget.h
@@ -48,6 +48,9 @@
   TimePoint m_Deadline;
   // Time that a new attempt is expected to take.
   Duration m_ExpectedTime = Duration::zero();
+  // Share of the request's work that a new attempt repeats, in (0, 1]; what it
+  // takes from the budget.
+  double m_Cost = 1.0;
 
   bool operator==(const FailedAttempt &) const = default;
 };
--- a/Tests/Processes/Deployment.cpp
+++ b/Tests/Processes/Deployment.cpp
@@ -118,7 +118,8 @@
                     "\"zone-{}\"\naddress = \"{}\"\nhas_disk = {}\n",
                     Entry, zoneOf(Entry), address(Entry), Entry != "entry-c2");
   Text += "[[services]]\nname = \"assistant\"\nkind = \"engine-group\"\n"
-          "replicas = 3\n[[services.routes]]\npath = \"/v1/drafts\"\n"
+          "replicas = 3\nresumes_streams = true\n"
+          "[[services.routes]]\npath = \"/v1/drafts\"\n"
           "idempotent = true\nstreamed = true\ndeadline_ms = 60000\n"
           "[[services]]\nname = \"booking-desk\"\nkind = \"plain\"\n"
           "replicas = 2\n[[services.routes]]\npath = \"/bookings\"\n"
@@ -294,6 +295,17 @@
   return Count;
 }
 
+long Deployment::metric(const std::string &Entry,
+                        const std::string &Name) const {
+  std::string Output;
+  operate({"metrics", "--admin", adminOf(Entry)}, &Output);
+  std::istringstream Lines(Output);
+  for (std::string Line; std::getline(Lines, Line);)
+    if (Line.starts_with(Name + " "))
+      return std::stol(Line.substr(Name.size() + 1));
+  return -1;
+}
+
 std::unique_ptr<ChildProcess>
 Deployment::startLoad(const std::vector<std::string> &Entries,
                       const std::vector<std::string> &Arguments) {
--- a/Tests/Processes/Deployment.h
+++ b/Tests/Processes/Deployment.h
@@ -69,6 +69,8 @@
   // Versions in force by process, as the entry shows them.
   std::map<std::string, std::uint64_t> versions(const std::string &Entry) const;
   std::size_t serving(const std::string &Entry) const;
+  // A counter or gauge without labels of the entry; -1 when it isn't shown.
+  long metric(const std::string &Entry, const std::string &Name) const;
 
   // Starts the load program against the entries; it checks each answer and, at
   // its end, the booking desks' own logs.
--- a/Tests/Processes/testProcessFaults.cpp
+++ b/Tests/Processes/testProcessFaults.cpp
@@ -215,3 +215,33 @@
                        [](const auto &Each) { return Each.second == 7; });
   }));
 }
+
+TEST_CASE("streams whose replicas are killed go on at the next token") {
+  Deployment D(123);
+  D.start();
+  constexpr int Streams = 20;
+  const auto Load = D.startLoad(Deployment::entries(),
+                                {"--callers", "20", "--requests", "20",
+                                 "--max-tokens", "800", "--seed", "5"});
+  // The middle of 800 tokens, 5 ms apart; some streams lose two servers.
+  std::this_thread::sleep_for(1500ms);
+  D.kill("standin-engine-1");
+  std::this_thread::sleep_for(800ms);
+  D.kill("engine-2");
+  const LoadResult Result = D.finishLoad(*Load);
+  INFO(Result.m_Output);
+  // The load program checked each token and each end.
+  CHECK(Result.m_ExitCode == 0);
+  const auto &Drafts = Result.m_Report.at("drafts").as_object();
+  const auto Count = [&](const char *Verdict) {
+    const auto *Found = Drafts.if_contains(Verdict);
+    return Found ? Found->to_number<int>() : 0;
+  };
+  CHECK(Count("ok") + Count("broken") == Streams);
+  CHECK(Count("ok") == Streams);
+  // Some were broken off under way, or the case shows nothing.
+  long Resumed = 0;
+  for (const std::string &Entry : Deployment::entries())
+    Resumed += D.metric(Entry, "mangocart_resumed_total");
+  CHECK(Resumed > 0);
+}
