Experts: placement by none, full recomputation and incremental moves

Free functions over plain structs. A layer's ranks meet at its end, so the skew is the sum over layers of the slowest rank over the sum of the means. Full: replicas to the largest share, then the longest processing time first. Incremental: the slowest rank of a layer gives up a share by one more replica on a cold rank or by a swap; moves are joined into chunks, each of which must be worth its weights.

Ruled out: a gate over a whole decision (it would let through moves that cost more than they save, in company of others).

--- /dev/null
+++ b/Source/Experts/IncrementalPlacement.cpp
@@ -0,0 +1,287 @@
+// Incremental moves: the slowest rank of a layer gives up a replica's share,
+// either by one more replica on a cold rank or by a swap with it.
+#include "Experts/Placement.h"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+
+namespace mangocart {
+
+namespace {
+
+struct SlotWrite {
+  std::uint32_t m_Rank = 0;
+  std::uint32_t m_Slot = 0;
+  ExpertId m_Expert = EmptySlot;
+};
+
+// One move: a write for each of its weights.
+struct Move {
+  std::array<SlotWrite, 2> m_Writes;
+  std::uint32_t m_Weights = 0;
+  // Largest load of the ranks that the move changes, after it.
+  double m_Peak = 0;
+};
+
+// Consecutive moves of one layer that are taken or left together.
+struct Chunk {
+  std::uint32_t m_Layer = 0;
+  std::vector<Move> m_Moves;
+  MoveTrade m_Trade;
+
+  double tokensPerWeights() const {
+    return m_Trade.m_TokensSaved / static_cast<double>(m_Trade.m_Weights);
+  }
+};
+
+class LayerMover {
+public:
+  LayerMover(const ExpertMap &Current, std::uint32_t Layer,
+             const ExpertLoad &Load, const RankSlowness &Slowness,
+             const PlacementOptions &Options)
+      : m_Shape(Current.m_Shape), m_Layer(Layer), m_Slowness(Slowness),
+        m_Options(Options),
+        m_Tokens(Load.m_Tokens.data() + loadIndex(m_Shape, Layer, 0)),
+        m_Slots(Current.m_Slots.begin() + static_cast<std::ptrdiff_t>(
+                                              slotIndex(m_Shape, Layer, 0, 0)),
+                Current.m_Slots.begin() + static_cast<std::ptrdiff_t>(slotIndex(
+                                              m_Shape, Layer + 1, 0, 0))),
+        m_Holders(m_Shape.m_Experts),
+        m_Loads(rankLoads(Current, Layer, Load, Slowness)) {
+    for (std::uint32_t Rank = 0; Rank < m_Shape.m_Ranks; ++Rank)
+      for (std::uint32_t Slot = 0; Slot < m_Shape.m_SlotsPerRank; ++Slot)
+        if (at(Rank, Slot) != EmptySlot)
+          m_Holders[at(Rank, Slot)].push_back(Rank);
+  }
+
+  // Moves in their order, joined so that a later chunk never saves more for
+  // its weights than an earlier one.
+  std::vector<Chunk> findChunks() {
+    std::vector<Chunk> Chunks;
+    const double Mean =
+        std::accumulate(m_Loads.begin(), m_Loads.end(), 0.0) / m_Shape.m_Ranks;
+    const double Enough = Mean * (1 + m_Options.m_GoodEnoughPart);
+    std::uint32_t Hot = hottest();
+    // Each move touches a rank's slot; far fewer are ever of use.
+    std::size_t Left = m_Slots.size();
+    while (m_Loads[Hot] > Enough && Left-- > 0) {
+      const double Before = m_Loads[Hot];
+      const Move Best = bestMove(Hot);
+      if (Best.m_Weights == 0)
+        break;
+      apply(Best);
+      Hot = hottest();
+      append(Chunks, Best, Before - m_Loads[Hot]);
+    }
+    return Chunks;
+  }
+
+private:
+  ExpertId at(std::uint32_t Rank, std::uint32_t Slot) const {
+    return m_Slots[std::size_t{Rank} * m_Shape.m_SlotsPerRank + Slot];
+  }
+
+  std::uint32_t hottest() const {
+    return static_cast<std::uint32_t>(
+        std::max_element(m_Loads.begin(), m_Loads.end()) - m_Loads.begin());
+  }
+
+  std::vector<std::uint32_t> coldest() const {
+    std::vector<std::uint32_t> Ranks(m_Shape.m_Ranks);
+    std::iota(Ranks.begin(), Ranks.end(), 0U);
+    const auto Count =
+        std::min<std::size_t>(m_Options.m_CandidateRanks, Ranks.size());
+    const auto Middle = Ranks.begin() + static_cast<std::ptrdiff_t>(Count);
+    std::partial_sort(Ranks.begin(), Middle, Ranks.end(),
+                      [&](std::uint32_t A, std::uint32_t B) {
+                        return m_Loads[A] != m_Loads[B]
+                                   ? m_Loads[A] < m_Loads[B]
+                                   : A < B;
+                      });
+    Ranks.resize(Count);
+    return Ranks;
+  }
+
+  bool holds(std::uint32_t Rank, ExpertId Expert) const {
+    const std::vector<std::uint32_t> &Ranks = m_Holders[Expert];
+    return std::find(Ranks.begin(), Ranks.end(), Rank) != Ranks.end();
+  }
+
+  double share(ExpertId Expert) const {
+    return m_Tokens[Expert] / static_cast<double>(m_Holders[Expert].size());
+  }
+
+  Move bestMove(std::uint32_t Hot) const {
+    Move Best;
+    const std::vector<std::uint32_t> Cold = coldest();
+    for (std::uint32_t Slot = 0; Slot < m_Shape.m_SlotsPerRank; ++Slot) {
+      const ExpertId Expert = at(Hot, Slot);
+      if (Expert == EmptySlot)
+        continue;
+      for (const std::uint32_t Other : Cold) {
+        if (Other == Hot || holds(Other, Expert))
+          continue;
+        for (std::uint32_t To = 0; To < m_Shape.m_SlotsPerRank; ++To) {
+          consider(Best, Hot, replicate(Hot, Slot, Other, To));
+          consider(Best, Hot, swap(Hot, Slot, Other, To));
+        }
+      }
+    }
+    return Best;
+  }
+
+  // Keeps the move that lowers the hot rank most for its weights.
+  void consider(Move &Best, std::uint32_t Hot, const Move &Candidate) const {
+    // Below this part of a rank's load a gain is rounding.
+    constexpr double LeastPart = 1e-9;
+    if (Candidate.m_Weights == 0)
+      return;
+    const double Load = m_Loads[Hot];
+    const double Gain = (Load - Candidate.m_Peak) / Candidate.m_Weights;
+    if (Gain <= Load * LeastPart)
+      return;
+    if (Best.m_Weights == 0 || Gain > (Load - Best.m_Peak) / Best.m_Weights)
+      Best = Candidate;
+  }
+
+  // One more replica of the hot rank's expert, in place of an expert that has
+  // others.
+  Move replicate(std::uint32_t Hot, std::uint32_t Slot, std::uint32_t Other,
+                 std::uint32_t To) const {
+    const ExpertId Expert = at(Hot, Slot);
+    const ExpertId Displaced = at(Other, To);
+    Move Result;
+    Result.m_Writes[0] = {Other, To, Expert};
+    const double Old = share(Expert);
+    const double New =
+        m_Tokens[Expert] / static_cast<double>(m_Holders[Expert].size() + 1);
+    double OtherLoad = m_Loads[Other] + New * m_Slowness.of(Other);
+    double HotLoad = m_Loads[Hot] - (Old - New) * m_Slowness.of(Hot);
+    if (Displaced != EmptySlot) {
+      const std::vector<std::uint32_t> &Ranks = m_Holders[Displaced];
+      if (Ranks.size() < 2)
+        return {};
+      const double Lost = share(Displaced);
+      const double Rise =
+          m_Tokens[Displaced] / static_cast<double>(Ranks.size() - 1) - Lost;
+      OtherLoad -= Lost * m_Slowness.of(Other);
+      for (const std::uint32_t Rank : Ranks) {
+        if (Rank == Hot)
+          HotLoad += Rise * m_Slowness.of(Hot);
+        else if (Rank != Other)
+          Result.m_Peak = std::max(Result.m_Peak,
+                                   m_Loads[Rank] + Rise * m_Slowness.of(Rank));
+      }
+    }
+    Result.m_Peak = std::max({Result.m_Peak, HotLoad, OtherLoad});
+    Result.m_Weights = 1;
+    return Result;
+  }
+
+  Move swap(std::uint32_t Hot, std::uint32_t Slot, std::uint32_t Other,
+            std::uint32_t To) const {
+    const ExpertId Expert = at(Hot, Slot);
+    const ExpertId Back = at(Other, To);
+    if (Back == EmptySlot || holds(Hot, Back))
+      return {};
+    const double Change = share(Expert) - share(Back);
+    Move Result;
+    Result.m_Writes = {SlotWrite{Other, To, Expert},
+                       SlotWrite{Hot, Slot, Back}};
+    Result.m_Peak = std::max(m_Loads[Hot] - Change * m_Slowness.of(Hot),
+                             m_Loads[Other] + Change * m_Slowness.of(Other));
+    Result.m_Weights = 2;
+    return Result;
+  }
+
+  void addLoad(ExpertId Expert, double Sign) {
+    if (m_Holders[Expert].empty())
+      return;
+    const double Tokens = Sign * share(Expert);
+    for (const std::uint32_t Rank : m_Holders[Expert])
+      m_Loads[Rank] += Tokens * m_Slowness.of(Rank);
+  }
+
+  void apply(const Move &Chosen) {
+    for (std::uint32_t I = 0; I < Chosen.m_Weights; ++I) {
+      const SlotWrite &Write = Chosen.m_Writes[I];
+      ExpertId &Slot =
+          m_Slots[std::size_t{Write.m_Rank} * m_Shape.m_SlotsPerRank +
+                  Write.m_Slot];
+      if (Slot != EmptySlot) {
+        addLoad(Slot, -1);
+        std::erase(m_Holders[Slot], Write.m_Rank);
+        addLoad(Slot, 1);
+      }
+      addLoad(Write.m_Expert, -1);
+      m_Holders[Write.m_Expert].push_back(Write.m_Rank);
+      addLoad(Write.m_Expert, 1);
+      Slot = Write.m_Expert;
+    }
+  }
+
+  void append(std::vector<Chunk> &Chunks, const Move &Added,
+              double TokensSaved) const {
+    Chunks.push_back({m_Layer, {Added}, {TokensSaved, Added.m_Weights}});
+    while (Chunks.size() > 1 &&
+           Chunks.back().tokensPerWeights() >=
+               Chunks[Chunks.size() - 2].tokensPerWeights()) {
+      Chunk &Into = Chunks[Chunks.size() - 2];
+      const Chunk &Last = Chunks.back();
+      Into.m_Moves.insert(Into.m_Moves.end(), Last.m_Moves.begin(),
+                          Last.m_Moves.end());
+      Into.m_Trade.m_TokensSaved += Last.m_Trade.m_TokensSaved;
+      Into.m_Trade.m_Weights += Last.m_Trade.m_Weights;
+      Chunks.pop_back();
+    }
+  }
+
+  const GroupShape &m_Shape;
+  std::uint32_t m_Layer;
+  const RankSlowness &m_Slowness;
+  const PlacementOptions &m_Options;
+  const double *m_Tokens;
+  std::vector<ExpertId> m_Slots;
+  // Ranks of each expert.
+  std::vector<std::vector<std::uint32_t>> m_Holders;
+  std::vector<double> m_Loads;
+};
+
+void applyChunk(ExpertMap &Map, const Chunk &Taken) {
+  for (const Move &M : Taken.m_Moves)
+    for (std::uint32_t I = 0; I < M.m_Weights; ++I) {
+      const SlotWrite &Write = M.m_Writes[I];
+      Map.m_Slots[slotIndex(Map.m_Shape, Taken.m_Layer, Write.m_Rank,
+                            Write.m_Slot)] = Write.m_Expert;
+    }
+}
+
+} // namespace
+
+ExpertMap placeIncrementally(const ExpertMap &Current, const ExpertLoad &Load,
+                             const RankSlowness &Slowness,
+                             const PlacementOptions &Options) {
+  std::vector<Chunk> Chunks;
+  for (std::uint32_t Layer = 0; Layer < Current.m_Shape.m_Layers; ++Layer)
+    for (Chunk &Found :
+         LayerMover(Current, Layer, Load, Slowness, Options).findChunks())
+      if (isWorthwhile(Options.m_Gate, Found.m_Trade))
+        Chunks.push_back(std::move(Found));
+  // Within a layer the chunks already stand in this order.
+  std::stable_sort(Chunks.begin(), Chunks.end(),
+                   [](const Chunk &A, const Chunk &B) {
+                     return A.tokensPerWeights() > B.tokensPerWeights();
+                   });
+  ExpertMap Next = Current;
+  std::uint64_t Weights = 0;
+  for (const Chunk &Taken : Chunks) {
+    Weights += Taken.m_Trade.m_Weights;
+    if (Options.m_MaxWeights > 0 && Weights > Options.m_MaxWeights)
+      break;
+    applyChunk(Next, Taken);
+  }
+  return Next;
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Experts/Placement.h
@@ -0,0 +1,58 @@
+// Proposes the next expert map for a load: nothing, a full recomputation, or
+// incremental moves behind a gate. Each layer is placed by itself.
+#ifndef MANGOCART_EXPERTS_PLACEMENT_H
+#define MANGOCART_EXPERTS_PLACEMENT_H
+
+#include "Experts/ExpertMap.h"
+#include "Experts/MoveGate.h"
+
+#include <cstdint>
+
+namespace mangocart {
+
+enum class PlacementPolicy : std::uint8_t { None, Full, Incremental };
+
+struct PlacementOptions {
+  PlacementPolicy m_Policy = PlacementPolicy::Incremental;
+  MoveGate m_Gate;
+  // Full: a rank that holds the expert is preferred while its load is at most
+  // this part of the mean rank load above the least one; 0: no preference.
+  double m_AffinityPart = 0;
+  // Incremental: a layer whose slowest rank is at most this part above the
+  // mean is left alone.
+  double m_GoodEnoughPart = 0.02;
+  // Incremental: coldest ranks tried as the other side of a move.
+  std::uint32_t m_CandidateRanks = 16;
+  // Incremental: weights that one decision may move; 0: no limit.
+  std::uint64_t m_MaxWeights = 0;
+
+  bool operator==(const PlacementOptions &) const = default;
+};
+
+struct PlacementDecision {
+  ExpertMap m_Map;
+  // Measured between the map of before and m_Map.
+  MoveTrade m_Trade;
+
+  bool operator==(const PlacementDecision &) const = default;
+};
+
+// The current map must keep its invariants, the load must have its shape.
+PlacementDecision place(const ExpertMap &Current, const ExpertLoad &Load,
+                        const RankSlowness &Slowness,
+                        const PlacementOptions &Options);
+
+// Replicas for the experts with the largest share, then the longest processing
+// time first.
+ExpertMap placeFully(const ExpertMap &Current, const ExpertLoad &Load,
+                     const RankSlowness &Slowness, double AffinityPart);
+
+// Moves off the slowest ranks, in chunks that each pass the gate. No layer's
+// slowest rank gets slower.
+ExpertMap placeIncrementally(const ExpertMap &Current, const ExpertLoad &Load,
+                             const RankSlowness &Slowness,
+                             const PlacementOptions &Options);
+
+} // namespace mangocart
+
+#endif
