--- /dev/null
+++ b/Tests/Experts/testRebalanceSchedule.cpp
@@ -0,0 +1,84 @@
+// Tables of the times of checks and of the gate between gain and cost.
+#include "Experts/MoveGate.h"
+#include "Experts/RebalanceSchedule.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace mangocart;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{10h};
+
+struct ScheduleCase {
+  std::string m_Name;
+  Duration m_ReadAfter;
+  double m_Skew = 1;
+  Duration m_NextAfter;
+};
+
+} // namespace
+
+TEST_CASE("load brings a check forward, within the bounds") {
+  const ScheduleOptions Options;
+  const auto Case = GENERATE(values<ScheduleCase>({
+      {"no rise", 5min, 1.10, 30min},
+      {"a fall", 5min, 1.05, 30min},
+      {"half of the rise after five minutes", 5min, 1.11, 10min},
+      {"the rise is there", 5min, 1.12, 5min},
+      {"a sudden crowd", 2min, 1.90, 1min},
+      {"a slow drift reaches it after the schedule", 10min, 1.101, 30min},
+      {"a reading at the time of the check", 0min, 1.50, 30min},
+      {"hardly any rise", 10min, 1.10 + 1e-15, 30min},
+  }));
+  INFO(Case.m_Name);
+  RebalanceSchedule Schedule = startSchedule(Start);
+  CHECK(isCheckDue(Schedule, Start));
+  noteCheck(Schedule, Options, 1.10, Start);
+  noteSkew(Schedule, Options, Case.m_Skew, Start + Case.m_ReadAfter);
+  const Duration Next = Schedule.m_NextCheck - Start;
+  CHECK(std::abs((Next - Case.m_NextAfter).count()) <= 10);
+  // A later, better reading doesn't put it off.
+  noteSkew(Schedule, Options, 1.10, Start + Case.m_ReadAfter + 1min);
+  CHECK(Schedule.m_NextCheck - Start == Next);
+  CHECK_FALSE(isCheckDue(Schedule, Schedule.m_NextCheck - 1us));
+  CHECK(isCheckDue(Schedule, Schedule.m_NextCheck));
+}
+
+TEST_CASE("a change under way puts the check off by the least interval") {
+  RebalanceSchedule Schedule = startSchedule(Start);
+  postpone(Schedule, {}, Start);
+  CHECK(Schedule.m_NextCheck == Start + 1min);
+}
+
+namespace {
+
+struct GateCase {
+  std::string m_Name;
+  double m_SkewWeight = 0;
+  MoveTrade m_Trade;
+  bool m_Passes = false;
+};
+
+} // namespace
+
+TEST_CASE("the deployment's weights decide between gain and cost") {
+  // 10 tokens a step are 0.1 s over the horizon, one expert 0.05 s.
+  const auto Case = GENERATE(values<GateCase>({
+      {"nothing saved, nothing moved", 0.7, {0, 0}, false},
+      {"saved without a move", 0.7, {10, 0}, true},
+      {"gain above cost, skew first", 0.7, {10, 4}, true},
+      {"the same, cost first", 0.3, {10, 4}, false},
+      {"gain far above cost, cost first", 0.3, {100, 4}, true},
+      {"cost far above gain, skew first", 0.7, {10, 40}, false},
+      {"a loss", 0.7, {-1, 1}, false},
+  }));
+  INFO(Case.m_Name);
+  MoveGate Gate;
+  Gate.m_StepSkewWeight = Case.m_SkewWeight;
+  Gate.m_RebalancingCostWeight = 1 - Case.m_SkewWeight;
+  CHECK(isWorthwhile(Gate, Case.m_Trade) == Case.m_Passes);
+}
