--- a/Source/Experts/MapCoordinator.cpp
+++ b/Source/Experts/MapCoordinator.cpp
@@ -52,9 +52,7 @@
     case ReportKind::Loaded:
       return noteDone(Report, CoordinatorPhase::Loading);
     case ReportKind::Promised:
-      if (Report.m_Step == m_State.m_SwitchStep)
-        noteDone(Report, CoordinatorPhase::Promising);
-      return;
+      return noteDone(Report, CoordinatorPhase::Promising);
     case ReportKind::Refused:
       if (isAboutChange(Report))
         callOff();
@@ -207,9 +205,9 @@
   }
 
   void askForPromises() {
-    m_State.m_SwitchStep =
-        std::max(m_State.m_NewestStep, m_State.m_Record->m_FromStep) +
-        m_State.m_Limits.m_LeadSteps;
+    // Ranks that have loaded the map have done the switch before, so this step
+    // comes after the record's.
+    m_State.m_SwitchStep = m_State.m_NewestStep + m_State.m_Limits.m_LeadSteps;
     m_State.m_GiveUpAt = m_Now + m_State.m_Limits.m_PromiseTime;
     startPhase(CoordinatorPhase::Promising);
   }
--- a/Source/Experts/MapOrder.h
+++ b/Source/Experts/MapOrder.h
@@ -55,8 +55,6 @@
   MapId m_Map;
   // First step that the rank hasn't started.
   std::uint64_t m_NextStep = 0;
-  // For Promised: the step that it holds at.
-  std::uint64_t m_Step = 0;
 
   bool operator==(const MapReport &) const = default;
 };
--- a/Source/Experts/RankGate.cpp
+++ b/Source/Experts/RankGate.cpp
@@ -68,9 +68,9 @@
   }
 
 private:
-  void report(ReportKind Kind, const MapId &Map, std::uint64_t Step = 0) {
-    m_Effects.push_back(SendReport{{Kind, m_Gate.m_Rank, m_Gate.m_Incarnation,
-                                    Map, m_Gate.m_NextStep, Step}});
+  void report(ReportKind Kind, const MapId &Map) {
+    m_Effects.push_back(SendReport{
+        {Kind, m_Gate.m_Rank, m_Gate.m_Incarnation, Map, m_Gate.m_NextStep}});
   }
 
   // A promise ends with a record of its version or a later one: the log has
@@ -116,13 +116,13 @@
   void hold(const MapOrder &Order) {
     const StepHold Wanted{Order.m_Map.m_Id, Order.m_Step};
     if (m_Gate.m_Hold == Wanted)
-      return report(ReportKind::Promised, Wanted.m_Map, Wanted.m_Step);
+      return report(ReportKind::Promised, Wanted.m_Map);
     const bool IsLoaded = m_Gate.m_Spare == Wanted.m_Map;
     if (m_Gate.m_Hold || isOutdated(Order) || !IsLoaded ||
         m_Gate.m_NextStep > Wanted.m_Step)
       return report(ReportKind::Refused, Wanted.m_Map);
     m_Gate.m_Hold = Wanted;
-    report(ReportKind::Promised, Wanted.m_Map, Wanted.m_Step);
+    report(ReportKind::Promised, Wanted.m_Map);
   }
 
   void cancel(const MapOrder &Order) {
