--- a/Source/Experts/IncrementalPlacement.cpp
+++ b/Source/Experts/IncrementalPlacement.cpp
@@ -1,5 +1,6 @@
 // Incremental moves: the slowest rank of a layer gives up a replica's share,
-// either by one more replica on a cold rank or by a swap with it.
+// either by one more replica on a cold rank or by a swap with it. Where such
+// moves get stuck, the layer is laid out anew if that is worth its weights.
 #include "Experts/Placement.h"
 
 #include <algorithm>
@@ -28,6 +29,8 @@
 struct Chunk {
   std::uint32_t m_Layer = 0;
   std::vector<Move> m_Moves;
+  // In place of moves: all slots of the layer.
+  std::vector<ExpertId> m_Layout;
   MoveTrade m_Trade;
 
   double tokensPerWeights() const {
@@ -223,7 +226,7 @@
 
   void append(std::vector<Chunk> &Chunks, const Move &Added,
               double TokensSaved) const {
-    Chunks.push_back({m_Layer, {Added}, {TokensSaved, Added.m_Weights}});
+    Chunks.push_back({m_Layer, {Added}, {}, {TokensSaved, Added.m_Weights}});
     while (Chunks.size() > 1 &&
            Chunks.back().tokensPerWeights() >=
                Chunks[Chunks.size() - 2].tokensPerWeights()) {
@@ -248,7 +251,13 @@
   std::vector<double> m_Loads;
 };
 
+std::ptrdiff_t layerBegin(const ExpertMap &Map, std::uint32_t Layer) {
+  return static_cast<std::ptrdiff_t>(slotIndex(Map.m_Shape, Layer, 0, 0));
+}
+
 void applyChunk(ExpertMap &Map, const Chunk &Taken) {
+  std::copy(Taken.m_Layout.begin(), Taken.m_Layout.end(),
+            Map.m_Slots.begin() + layerBegin(Map, Taken.m_Layer));
   for (const Move &M : Taken.m_Moves)
     for (std::uint32_t I = 0; I < M.m_Weights; ++I) {
       const SlotWrite &Write = M.m_Writes[I];
@@ -257,17 +266,86 @@
     }
 }
 
+// Decides for one layer after the other.
+class IncrementalPlacer {
+public:
+  IncrementalPlacer(const ExpertMap &Current, const ExpertLoad &Load,
+                    const RankSlowness &Slowness,
+                    const PlacementOptions &Options)
+      : m_Current(Current), m_Load(Load), m_Slowness(Slowness),
+        m_Options(Options) {}
+
+  std::vector<Chunk> chooseChunks(std::uint32_t Layer) const {
+    std::vector<Chunk> Chunks =
+        LayerMover(m_Current, Layer, m_Load, m_Slowness, m_Options)
+            .findChunks();
+    std::erase_if(Chunks, [&](const Chunk &Found) {
+      return !isWorthwhile(m_Options.m_Gate, Found.m_Trade);
+    });
+    ExpertMap Moved = m_Current;
+    MoveTrade ByMoves;
+    for (const Chunk &Taken : Chunks) {
+      applyChunk(Moved, Taken);
+      ByMoves.m_TokensSaved += Taken.m_Trade.m_TokensSaved;
+      ByMoves.m_Weights += Taken.m_Trade.m_Weights;
+    }
+    if (!isGoodEnough(Moved, Layer))
+      considerLayout(Chunks, ByMoves, Layer);
+    return Chunks;
+  }
+
+private:
+  double slowest(const ExpertMap &Map, std::uint32_t Layer) const {
+    const std::vector<double> Loads = rankLoads(Map, Layer, m_Load, m_Slowness);
+    return *std::max_element(Loads.begin(), Loads.end());
+  }
+
+  bool isGoodEnough(const ExpertMap &Map, std::uint32_t Layer) const {
+    const std::vector<double> Loads = rankLoads(Map, Layer, m_Load, m_Slowness);
+    const double Mean = std::accumulate(Loads.begin(), Loads.end(), 0.0) /
+                        static_cast<double>(Loads.size());
+    return *std::max_element(Loads.begin(), Loads.end()) <=
+           Mean * (1 + m_Options.m_RelayoutPart);
+  }
+
+  // What a recomputation saves beyond the moves must be worth what it moves
+  // beyond them; then the whole passes the gate as well.
+  void considerLayout(std::vector<Chunk> &Chunks, const MoveTrade &ByMoves,
+                      std::uint32_t Layer) const {
+    ExpertMap Anew = m_Current;
+    const auto Begin = Anew.m_Slots.begin() + layerBegin(Anew, Layer);
+    const auto End = Anew.m_Slots.begin() + layerBegin(Anew, Layer + 1);
+    std::fill(Begin, End, EmptySlot);
+    placeLayerFully(m_Current, Anew, Layer, m_Load, m_Slowness,
+                    m_Options.m_RelayoutAffinityPart);
+    const MoveTrade Whole{slowest(m_Current, Layer) - slowest(Anew, Layer),
+                          weightsMoved(m_Current, Anew)};
+    const double Cost = static_cast<double>(Whole.m_Weights) -
+                        static_cast<double>(ByMoves.m_Weights);
+    const MoveTrade Beyond{Whole.m_TokensSaved - ByMoves.m_TokensSaved,
+                           static_cast<std::uint64_t>(std::max(0.0, Cost))};
+    if (Whole.m_Weights == 0 || !isWorthwhile(m_Options.m_Gate, Beyond) ||
+        !isWorthwhile(m_Options.m_Gate, Whole))
+      return;
+    Chunks = {{Layer, {}, {Begin, End}, Whole}};
+  }
+
+  const ExpertMap &m_Current;
+  const ExpertLoad &m_Load;
+  const RankSlowness &m_Slowness;
+  const PlacementOptions &m_Options;
+};
+
 } // namespace
 
 ExpertMap placeIncrementally(const ExpertMap &Current, const ExpertLoad &Load,
                              const RankSlowness &Slowness,
                              const PlacementOptions &Options) {
+  const IncrementalPlacer Placer(Current, Load, Slowness, Options);
   std::vector<Chunk> Chunks;
   for (std::uint32_t Layer = 0; Layer < Current.m_Shape.m_Layers; ++Layer)
-    for (Chunk &Found :
-         LayerMover(Current, Layer, Load, Slowness, Options).findChunks())
-      if (isWorthwhile(Options.m_Gate, Found.m_Trade))
-        Chunks.push_back(std::move(Found));
+    for (Chunk &Found : Placer.chooseChunks(Layer))
+      Chunks.push_back(std::move(Found));
   // Within a layer the chunks already stand in this order.
   std::stable_sort(Chunks.begin(), Chunks.end(),
                    [](const Chunk &A, const Chunk &B) {
--- a/Source/Experts/MapCoordinator.cpp
+++ b/Source/Experts/MapCoordinator.cpp
@@ -25,6 +25,8 @@
     endChange(isCurrent(m_State.m_Change));
     m_State.m_Phase = CoordinatorPhase::Idle;
     announce();
+    if (m_State.m_Record && !m_State.m_HasChangedLog)
+      return renew();
     takeInRanks();
   }
 
@@ -68,6 +70,7 @@
       return read();
     m_State.m_Record = m_State.m_Proposal;
     m_State.m_Proposal.reset();
+    m_State.m_HasChangedLog = true;
     m_State.m_Phase = CoordinatorPhase::Idle;
     endChange(isCurrent(m_State.m_Change));
     announce();
--- a/Source/Experts/MapCoordinator.h
+++ b/Source/Experts/MapCoordinator.h
@@ -21,14 +21,14 @@
   Duration m_RepeatDelay = std::chrono::milliseconds(20);
   // One expert's weights at the group's part of the weight store's rate; ranks
   // are told to load one after the other.
-  Duration m_TimePerWeights = std::chrono::milliseconds(50);
+  Duration m_TimePerWeights = std::chrono::milliseconds(20);
   // Loading that takes longer than planned by this is called off.
   Duration m_LoadSlack = std::chrono::seconds(5);
   // Promises that aren't there in time are called off.
   Duration m_PromiseTime = std::chrono::milliseconds(500);
   // Steps between the newest known one and the switch: enough for a promise, a
-  // commit and the news of it.
-  std::uint64_t m_LeadSteps = 8;
+  // commit and the news of it, even when the log changes its leader meanwhile.
+  std::uint64_t m_LeadSteps = 64;
 
   bool operator==(const CoordinatorLimits &) const = default;
 };
@@ -52,6 +52,10 @@
   CoordinatorPhase m_Phase = CoordinatorPhase::Reading;
   // As the log had it when it was last read or changed from here.
   SharedRecord m_Record;
+  // A proposal from here was taken. Before, the first act is a new version of
+  // the record, which ends the promises to an earlier coordinator before any
+  // rank comes to their step.
+  bool m_HasChangedLog = false;
   // Highest version that this coordinator has used or heard of.
   std::uint64_t m_LastVersion = 0;
   // The change under way.
--- a/Source/Experts/MoveGate.h
+++ b/Source/Experts/MoveGate.h
@@ -12,11 +12,11 @@
   double m_StepSkewWeight = 0.5;
   double m_RebalancingCostWeight = 0.5;
   // Time that a rank takes for one token of one expert, in seconds.
-  double m_SecondsPerToken = 0.5e-6;
+  double m_SecondsPerToken = 0.25e-6;
   // Steps for which a gain is expected to last.
-  double m_HorizonSteps = 20'000;
+  double m_HorizonSteps = 200'000;
   // One expert's weights of one layer at the weight store's rate, in seconds.
-  double m_SecondsPerWeights = 0.05;
+  double m_SecondsPerWeights = 0.02;
   // Seconds of the group's steps that one second of the weight store is worth:
   // other groups wait for it, and loading takes memory bandwidth of the rank.
   double m_StoreSecondPrice = 1.0;
--- a/Source/Experts/Placement.cpp
+++ b/Source/Experts/Placement.cpp
@@ -136,12 +136,18 @@
 
 } // namespace
 
+void placeLayerFully(const ExpertMap &Current, ExpertMap &Next,
+                     std::uint32_t Layer, const ExpertLoad &Load,
+                     const RankSlowness &Slowness, double AffinityPart) {
+  LayerPlacer(Current, Next, Layer, Load, Slowness, AffinityPart).place();
+}
+
 ExpertMap placeFully(const ExpertMap &Current, const ExpertLoad &Load,
                      const RankSlowness &Slowness, double AffinityPart) {
   ExpertMap Next{Current.m_Shape, {}};
   Next.m_Slots.assign(Current.m_Slots.size(), EmptySlot);
   for (std::uint32_t Layer = 0; Layer < Current.m_Shape.m_Layers; ++Layer)
-    LayerPlacer(Current, Next, Layer, Load, Slowness, AffinityPart).place();
+    placeLayerFully(Current, Next, Layer, Load, Slowness, AffinityPart);
   return Next;
 }
 
--- a/Source/Experts/Placement.h
+++ b/Source/Experts/Placement.h
@@ -23,6 +23,10 @@
   double m_GoodEnoughPart = 0.02;
   // Incremental: coldest ranks tried as the other side of a move.
   std::uint32_t m_CandidateRanks = 16;
+  // Incremental: a layer that moves leave by more than this part above the mean
+  // is weighed against a recomputation with affinity, at the same gate.
+  double m_RelayoutPart = 0.05;
+  double m_RelayoutAffinityPart = 0.05;
   // Incremental: weights that one decision may move; 0: no limit.
   std::uint64_t m_MaxWeights = 0;
 
@@ -47,8 +51,14 @@
 ExpertMap placeFully(const ExpertMap &Current, const ExpertLoad &Load,
                      const RankSlowness &Slowness, double AffinityPart);
 
-// Moves off the slowest ranks, in chunks that each pass the gate. No layer's
-// slowest rank gets slower.
+// The same for one layer of Next, whose slots there must be empty.
+void placeLayerFully(const ExpertMap &Current, ExpertMap &Next,
+                     std::uint32_t Layer, const ExpertLoad &Load,
+                     const RankSlowness &Slowness, double AffinityPart);
+
+// Moves off the slowest ranks, in chunks that each pass the gate; where they
+// get stuck, a layer is recomputed if that passes too. No layer's slowest rank
+// gets slower.
 ExpertMap placeIncrementally(const ExpertMap &Current, const ExpertLoad &Load,
                              const RankSlowness &Slowness,
                              const PlacementOptions &Options);
--- a/Tests/Experts/testMapCoordinator.cpp
+++ b/Tests/Experts/testMapCoordinator.cpp
@@ -22,7 +22,8 @@
   TimePoint m_Now{1h};
   CoordinatorEffects m_Effects;
 
-  // A group of incarnations 1 and 2, in the log under version 1.
+  // A group of incarnations 1 and 2, in the log under version 1; taken over
+  // under version 2.
   Fixture() {
     GroupRecord Record;
     Record.m_Version = 1;
@@ -30,6 +31,10 @@
     Record.m_Incarnations = {1, 2};
     feed(CoordinatorStarted{});
     feed(RecordRead{std::make_shared<const GroupRecord>(Record)});
+    // What an earlier coordinator left under way can't be committed any more.
+    REQUIRE(m_State.m_Proposal->m_Current == Record.m_Current);
+    REQUIRE(m_Effects.size() > 2);
+    feed(ProposalReplied{2, true});
     ExpertMap Next = initialMap(Shape);
     Next.m_Slots = {0, 1, 2, 3, 1, 2};
     feed(ChangeAsked{Next});
@@ -105,9 +110,9 @@
   m_Now = m_State.m_GiveUpAt;
   feed(CoordinatorTimePassed{});
   REQUIRE(m_State.m_Phase == CoordinatorPhase::Proposing);
-  CHECK(m_State.m_Proposal->m_Version > 2);
+  CHECK(m_State.m_Proposal->m_Version > 3);
   CHECK(m_State.m_Proposal->m_Current == m_State.m_Record->m_Current);
-  CHECK(m_State.m_Replaces == 1);
+  CHECK(m_State.m_Replaces == 2);
 }
 
 TEST_CASE_METHOD(Fixture, "a record comes back from the log as it was") {
--- a/Tests/Experts/testRebalanceSchedule.cpp
+++ b/Tests/Experts/testRebalanceSchedule.cpp
@@ -79,6 +79,9 @@
   INFO(Case.m_Name);
   MoveGate Gate;
   Gate.m_StepSkewWeight = Case.m_SkewWeight;
+  Gate.m_SecondsPerToken = 0.5e-6;
+  Gate.m_HorizonSteps = 20'000;
+  Gate.m_SecondsPerWeights = 0.05;
   Gate.m_RebalancingCostWeight = 1 - Case.m_SkewWeight;
   CHECK(isWorthwhile(Gate, Case.m_Trade) == Case.m_Passes);
 }
