--- a/Source/Experts/Straggler.cpp
+++ b/Source/Experts/Straggler.cpp
@@ -61,6 +61,7 @@
   Line Result;
   Result.m_PerToken = median(Slopes);
   std::vector<double> Rests;
+  Rests.reserve(Fits.size());
   for (const RankFit &Fit : Fits)
     Rests.push_back(Fit.m_Mean.m_Seconds -
                     Result.m_PerToken * Fit.m_Mean.m_Tokens);
--- a/Tests/Experts/benchPlacement.cpp
+++ b/Tests/Experts/benchPlacement.cpp
@@ -45,16 +45,19 @@
   Bench->Unit(benchmark::kMillisecond);
 }
 
+BENCHMARK_CAPTURE(decide, full_untouched, PlacementPolicy::Full,
+                  Start::Untouched)
+    ->Apply(addSizes);
+BENCHMARK_CAPTURE(decide, incremental_untouched, PlacementPolicy::Incremental,
+                  Start::Untouched)
+    ->Apply(addSizes);
+BENCHMARK_CAPTURE(decide, incremental_balanced, PlacementPolicy::Incremental,
+                  Start::Balanced)
+    ->Apply(addSizes);
+
 } // namespace
 
 TEST_CASE("time of a placement decision", "[.bench]") {
-  using benchmark::RegisterBenchmark;
-  addSizes(RegisterBenchmark("full, untouched map", decide,
-                             PlacementPolicy::Full, Start::Untouched));
-  addSizes(RegisterBenchmark("incremental, untouched map", decide,
-                             PlacementPolicy::Incremental, Start::Untouched));
-  addSizes(RegisterBenchmark("incremental, balanced map", decide,
-                             PlacementPolicy::Incremental, Start::Balanced));
   std::array<char, 12> Name{"testExperts"};
   std::array<char *, 1> Arguments{Name.data()};
   int Count = 1;
