--- a/Source/Experts/RankGate.cpp
+++ b/Source/Experts/RankGate.cpp
@@ -50,11 +50,7 @@
       m_Gate.m_IsStepAsked = true;
   }
 
-  void operator()(const GateTimePassed &) {
-    if (!m_Gate.m_AskAt || m_Now < *m_Gate.m_AskAt)
-      return;
-    m_Gate.m_AskAt.reset();
-  }
+  void operator()(const GateTimePassed &) {}
 
   // What every event may have made possible.
   void advance() {
@@ -173,20 +169,37 @@
     loadNeeded();
   }
 
+  void wakeToAsk(Duration Delay) {
+    m_Gate.m_AskAt = m_Now + Delay;
+    m_Effects.push_back(GateWakeAt{*m_Gate.m_AskAt});
+  }
+
+  // Asks at once when the rank has to wait; under a promise now and then, so
+  // that lost news of the decision comes before its step.
   void askAgain() {
-    const bool IsBlocked = m_Gate.m_IsStepAsked && isHeld();
-    if (hasJoined(m_Gate) && !IsBlocked) {
+    if (hasJoined(m_Gate) && !m_Gate.m_Hold) {
       m_Gate.m_AskAt.reset();
       return;
     }
-    if (m_Gate.m_AskAt)
+    const bool MustWait =
+        !hasJoined(m_Gate) || (m_Gate.m_IsStepAsked && isHeld());
+    const Duration Delay =
+        MustWait ? m_Gate.m_Limits.m_AskDelay : m_Gate.m_Limits.m_EarlyAskDelay;
+    const bool IsDue = !m_Gate.m_AskAt || m_Now >= *m_Gate.m_AskAt;
+    const bool IsTooFar = m_Gate.m_AskAt && *m_Gate.m_AskAt > m_Now + Delay;
+    if (!IsDue && !IsTooFar)
       return;
-    if (IsBlocked)
+    const bool IsNewPromise = !MustWait && !m_Gate.m_AskAt;
+    if (!IsNewPromise)
+      ask();
+    wakeToAsk(Delay);
+  }
+
+  void ask() {
+    if (m_Gate.m_Hold)
       report(ReportKind::Ask, m_Gate.m_Hold->m_Map);
     else
       report(ReportKind::Join, {});
-    m_Gate.m_AskAt = m_Now + m_Gate.m_Limits.m_AskDelay;
-    m_Effects.push_back(GateWakeAt{*m_Gate.m_AskAt});
   }
 
   RankGate &m_Gate;
--- a/Source/Experts/RankGate.h
+++ b/Source/Experts/RankGate.h
@@ -15,8 +15,10 @@
 namespace mangocart {
 
 struct GateLimits {
-  // Between two questions to the coordinator.
+  // Between two questions to the coordinator, while the rank waits for it.
   Duration m_AskDelay = std::chrono::milliseconds(20);
+  // The same under a promise whose step isn't there yet.
+  Duration m_EarlyAskDelay = std::chrono::milliseconds(200);
 
   bool operator==(const GateLimits &) const = default;
 };
--- a/Tests/Experts/ActivationWorld.cpp
+++ b/Tests/Experts/ActivationWorld.cpp
@@ -110,8 +110,9 @@
   m_Ranks[Rank] = {};
   m_Ranks[Rank].m_IsStepDone = IsDone;
   const std::uint64_t Next = IsDone ? m_Step + 1 : m_Step;
-  m_Ranks[Rank].m_Gate = startGate(static_cast<std::uint32_t>(Rank),
-                                   ++m_Incarnation, Next, {.m_AskDelay = 15ms});
+  m_Ranks[Rank].m_Gate =
+      startGate(static_cast<std::uint32_t>(Rank), ++m_Incarnation, Next,
+                {.m_AskDelay = 15ms, .m_EarlyAskDelay = 40ms});
   feed(Rank, m_Incarnation, GateTimePassed{});
 }
 
