--- a/Source/Command/OrderCommand.cpp
+++ b/Source/Command/OrderCommand.cpp
@@ -27,14 +27,14 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Longest).count();
 }
 
-CommandExit show(const AdminRequest &Request, const HttpResponse &Answer,
+ExitCode show(const AdminRequest &Request, const HttpResponse &Answer,
                  const CommandValues &Values, CommandContext &Context) {
   const unsigned Status = Answer.m_Head.m_Status;
-  const CommandExit Exit = Status == Ok ? CommandExit::Ok : CommandExit::Failed;
+  const ExitCode Exit = Status == Ok ? ExitCode::Ok : ExitCode::Failed;
   json::error_code Failed;
   const json::value Body = json::parse(Answer.m_Body, Failed);
   if (Failed || !Body.is_object() || !Body.as_object().contains("verdict"))
-    return report(Context, CommandExit::Failed, failureText(Request, Answer));
+    return report(Context, ExitCode::Failed, failureText(Request, Answer));
   if (wantsJson(Values)) {
     Context.m_Out << Answer.m_Body;
     return Exit;
@@ -61,13 +61,13 @@
   return report(Context, Exit, Text);
 }
 
-CommandExit run(const CommandValues &Values, CommandContext &Context) {
+ExitCode run(const CommandValues &Values, CommandContext &Context) {
   std::string Payload;
   if (Values.given("payload")) {
     const auto Text = readTextFile(Values.text("payload"));
     if (!Text) {
       Context.m_Err << toString(Text.error());
-      return CommandExit::Failed;
+      return ExitCode::Failed;
     }
     Payload = Text.value();
   }
@@ -94,7 +94,7 @@
   std::string Text = failureText(Request, Answer.error());
   if (!Answer.error().m_NothingSent)
     Text += "; it is not known whether the order was carried out";
-  return report(Context, CommandExit::Failed,
+  return report(Context, ExitCode::Failed,
                 fmt::format("{}; run it again with --order-id {}", Text, Id));
 }
 
