--- a/Source/Command/OrderCommand.cpp
+++ b/Source/Command/OrderCommand.cpp
@@ -28,7 +28,7 @@
 }
 
 ExitCode show(const AdminRequest &Request, const HttpResponse &Answer,
-                 const CommandValues &Values, CommandContext &Context) {
+              const CommandValues &Values, CommandContext &Context) {
   const unsigned Status = Answer.m_Head.m_Status;
   const ExitCode Exit = Status == Ok ? ExitCode::Ok : ExitCode::Failed;
   json::error_code Failed;
