--- a/Source/Raft/RaftStorage.cpp
+++ b/Source/Raft/RaftStorage.cpp
@@ -330,10 +330,10 @@
 Result<void, StorageError>
 RaftStorage::savePreparedSnapshot(const SaveSnapshot &Save,
                                   const Result<void, StorageError> &Prepared) {
-  return saveWith(Save, [&]() -> Result<void, StorageError> {
-    BOOST_OUTCOME_TRYV(Prepared);
-    return putInPlace(path(std::string(PreparedName)),
-                      std::string(SnapshotName));
+  return saveWith(Save, [&] {
+    return Prepared ? putInPlace(path(std::string(PreparedName)),
+                                 std::string(SnapshotName))
+                    : Prepared;
   });
 }
 
