--- a/Source/Agent/OrderService.cpp
+++ b/Source/Agent/OrderService.cpp
@@ -47,7 +47,7 @@
   return Request;
 }
 
-HttpCallHandlers handlers(OrderDesk::ResultHandler Done) {
+HttpCallHandlers handlers(const OrderDesk::ResultHandler &Done) {
   const auto Result = std::make_shared<BackendOrderResult>();
   HttpCallHandlers Handlers;
   Handlers.m_OnHead = [Result](const HttpHead &Head) {
@@ -81,10 +81,11 @@
       m_Desk(Context.m_Settings.name(), Context.m_Guard, backend()) {}
 
 OrderDesk::Backend OrderService::backend() {
-  return {[this] { return checksNumbers(); },
-          [this](const schema::Order &Order, OrderDesk::ResultHandler Done) {
-            carryOut(Order, std::move(Done));
-          }};
+  return {
+      [this] { return checksNumbers(); },
+      [this](const schema::Order &Order, const OrderDesk::ResultHandler &Done) {
+        carryOut(Order, Done);
+      }};
 }
 
 void OrderService::addMethod(PeerServer &Server) {
@@ -124,10 +125,10 @@
 }
 
 void OrderService::carryOut(const schema::Order &Order,
-                            OrderDesk::ResultHandler Done) {
+                            const OrderDesk::ResultHandler &Done) {
   m_Context.m_Clients.on(m_Timer.get_executor())
       .send(m_Context.backend(), toRequest(Order), BackendDeadline,
-            handlers(std::move(Done)));
+            handlers(Done));
 }
 
 void OrderService::report(const schema::Order &Order,
--- a/Source/Agent/OrderService.h
+++ b/Source/Agent/OrderService.h
@@ -31,7 +31,8 @@
 private:
   OrderDesk::Backend backend();
   bool checksNumbers() const;
-  void carryOut(const schema::Order &Order, OrderDesk::ResultHandler Done);
+  void carryOut(const schema::Order &Order,
+                const OrderDesk::ResultHandler &Done);
   void report(const schema::Order &Order, const schema::OrderAnswer &Answer);
   // Asks one entry after the other until one has answered.
   void askForNumber();
