--- a/Source/Agent/OrderService.cpp
+++ b/Source/Agent/OrderService.cpp
@@ -9,6 +9,7 @@
 #include "Events/EventLog.h"
 #include "Net/UnaryMethod.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace mangocart {
@@ -23,7 +24,10 @@
 constexpr const char *NumberHeader = "Mangocart-Fencing-Number";
 constexpr Duration BackendDeadline = std::chrono::seconds(30);
 constexpr Duration FenceTimeout = std::chrono::seconds(1);
-constexpr Duration AskInterval = std::chrono::milliseconds(100);
+// Between questions that weren't answered; doubled each time, so that many
+// agents without a majority don't keep the entries busy.
+constexpr Duration FirstAskInterval = std::chrono::milliseconds(100);
+constexpr Duration LongestAskInterval = std::chrono::seconds(2);
 constexpr std::size_t MaxAnswerBytes = 1024;
 
 std::optional<std::uint64_t> numberIn(const std::vector<HttpHeader> &Headers) {
@@ -167,7 +171,9 @@
   if (Reply.ParseFromString(Bytes) && m_Desk.learn(Reply))
     return m_Context.m_Events.write(
         Event::FenceLearnt, {{"fencing_number", Reply.fencing_number()}});
-  m_Timer.expires_after(AskInterval);
+  m_AskInterval =
+      std::clamp(2 * m_AskInterval, FirstAskInterval, LongestAskInterval);
+  m_Timer.expires_after(m_AskInterval);
   m_Timer.async_wait(
       [Self = shared_from_this()](boost::system::error_code Error) {
         if (!Error)
--- a/Source/Agent/OrderService.h
+++ b/Source/Agent/OrderService.h
@@ -44,6 +44,7 @@
   Timer m_Timer;
   OrderDesk m_Desk;
   int m_NextEntry = 0;
+  Duration m_AskInterval{0};
 };
 
 } // namespace mangocart
