Tests: the orders' case has loopback addresses of its own

Cause: another case used the same octet; run at the same time from two worktrees, two deployments' operators met at one entry (its log held two acceptances under one operation id) and the case failed at its start. Conclusion: one octet a test, as Deployment.h asks.

--- a/Tests/Processes/testOrders.cpp
+++ b/Tests/Processes/testOrders.cpp
@@ -52,7 +52,7 @@
 } // namespace
 
 TEST_CASE("an order of a frozen sender isn't carried out after a newer one") {
-  Deployment D(123);
+  Deployment D(138);
   D.start();
   REQUIRE(carriedOut(D, "entry-c2", "first"));
   // The older sender has drawn its number and can't reach the agent.
