--- a/Source/Agent/OrderService.cpp
+++ b/Source/Agent/OrderService.cpp
@@ -9,6 +9,7 @@
 #include "Events/EventLog.h"
 #include "Net/UnaryMethod.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace mangocart {
@@ -23,7 +24,10 @@
 constexpr const char *NumberHeader = "Mangocart-Fencing-Number";
 constexpr Duration BackendDeadline = std::chrono::seconds(30);
 constexpr Duration FenceTimeout = std::chrono::seconds(1);
-constexpr Duration AskInterval = std::chrono::milliseconds(100);
+// Between questions that weren't answered; doubled each time, so that many
+// agents without a majority don't keep the entries busy.
+constexpr Duration FirstAskInterval = std::chrono::milliseconds(100);
+constexpr Duration LongestAskInterval = std::chrono::seconds(2);
 constexpr std::size_t MaxAnswerBytes = 1024;
 
 std::optional<std::uint64_t> numberIn(const std::vector<HttpHeader> &Headers) {
@@ -47,7 +51,7 @@
   return Request;
 }
 
-HttpCallHandlers handlers(OrderDesk::ResultHandler Done) {
+HttpCallHandlers handlers(const OrderDesk::ResultHandler &Done) {
   const auto Result = std::make_shared<BackendOrderResult>();
   HttpCallHandlers Handlers;
   Handlers.m_OnHead = [Result](const HttpHead &Head) {
@@ -81,10 +85,11 @@
       m_Desk(Context.m_Settings.name(), Context.m_Guard, backend()) {}
 
 OrderDesk::Backend OrderService::backend() {
-  return {[this] { return checksNumbers(); },
-          [this](const schema::Order &Order, OrderDesk::ResultHandler Done) {
-            carryOut(Order, std::move(Done));
-          }};
+  return {
+      [this] { return checksNumbers(); },
+      [this](const schema::Order &Order, const OrderDesk::ResultHandler &Done) {
+        carryOut(Order, Done);
+      }};
 }
 
 void OrderService::addMethod(PeerServer &Server) {
@@ -124,10 +129,10 @@
 }
 
 void OrderService::carryOut(const schema::Order &Order,
-                            OrderDesk::ResultHandler Done) {
+                            const OrderDesk::ResultHandler &Done) {
   m_Context.m_Clients.on(m_Timer.get_executor())
       .send(m_Context.backend(), toRequest(Order), BackendDeadline,
-            handlers(std::move(Done)));
+            handlers(Done));
 }
 
 void OrderService::report(const schema::Order &Order,
@@ -166,7 +171,9 @@
   if (Reply.ParseFromString(Bytes) && m_Desk.learn(Reply))
     return m_Context.m_Events.write(
         Event::FenceLearnt, {{"fencing_number", Reply.fencing_number()}});
-  m_Timer.expires_after(AskInterval);
+  m_AskInterval =
+      std::clamp(2 * m_AskInterval, FirstAskInterval, LongestAskInterval);
+  m_Timer.expires_after(m_AskInterval);
   m_Timer.async_wait(
       [Self = shared_from_this()](boost::system::error_code Error) {
         if (!Error)
