--- a/Tests/Experts/measureRebalance.cpp
+++ b/Tests/Experts/measureRebalance.cpp
@@ -20,7 +20,7 @@
 
 // Each of the suggestions left out by itself, and others weighed.
 std::vector<RebalancePolicy> makeVariants() {
-  std::vector<RebalancePolicy> Variants(6, policySkewFirst());
+  std::vector<RebalancePolicy> Variants(7, policySkewFirst());
   Variants[0].m_Name = "skew first, schedule without load";
   Variants[0].m_Schedule.m_SkewRise = 1e9;
   Variants[1].m_Name = "skew first, on demand above 1.2";
@@ -36,6 +36,8 @@
   Variants[4].m_IsStoreInstant = true;
   Variants[5].m_Name = "skew first, weight store without limit";
   Variants[5].m_IsStoreInstant = true;
+  Variants[6].m_Name = "skew first, on demand above 1.1";
+  Variants[6].m_DemandSkew = 1.1;
   return Variants;
 }
 
--- a/Tests/Experts/testRebalanceSchedule.cpp
+++ b/Tests/Experts/testRebalanceSchedule.cpp
@@ -48,6 +48,17 @@
   CHECK(isCheckDue(Schedule, Schedule.m_NextCheck));
 }
 
+TEST_CASE("a smaller rise later doesn't put a check off") {
+  const ScheduleOptions Options;
+  RebalanceSchedule Schedule = startSchedule(Start);
+  noteCheck(Schedule, Options, 1.10, Start);
+  noteSkew(Schedule, Options, 1.11, Start + 5min);
+  const TimePoint Next = Schedule.m_NextCheck;
+  // By itself this rise would call for a check after 16 minutes.
+  noteSkew(Schedule, Options, 1.105, Start + 4min);
+  CHECK(Schedule.m_NextCheck == Next);
+}
+
 TEST_CASE("a change under way puts the check off by the least interval") {
   RebalanceSchedule Schedule = startSchedule(Start);
   postpone(Schedule, {}, Start);
