--- a/Source/Entry/ForwardedRequest.cpp
+++ b/Source/Entry/ForwardedRequest.cpp
@@ -137,7 +137,9 @@
 }
 
 bool ForwardedRequest::awaitPlace() {
-  if (!m_Context.m_Directory.hasUsable(choice()))
+  // Nor so long that the deadline decides.
+  if (timeLeft() <= 2 * LongestPlaceWait ||
+      !m_Context.m_Directory.hasUsable(choice()))
     return false;
   const TimePoint Now = RuntimeClock::now();
   if (Now - m_PlaceAwaited.value_or(Now) >= LongestPlaceWait)
--- a/Tests/Processes/Deployment.cpp
+++ b/Tests/Processes/Deployment.cpp
@@ -165,11 +165,12 @@
   launch(Name, "mangocart-agent", {"--settings", File});
 }
 
-void Deployment::startStandin(const std::string &Name) {
+void Deployment::startStandin(const std::string &Name, unsigned Slots) {
   launch("standin-" + Name, "mangocart-standin",
          {"--address", address(Name), "--port", std::to_string(BackendPort),
           "--kind", isDesk(Name) ? "plain" : "engine", "--name", Name,
-          "--service-time-ms", "10", "--token-interval-ms", "5", "--log",
+          "--service-time-ms", "10", "--token-interval-ms", "5", "--slots",
+          std::to_string(Slots), "--log",
           (m_Folder / "runs" / (Name + ".jsonl")).string()});
 }
 
--- a/Tests/Processes/Deployment.h
+++ b/Tests/Processes/Deployment.h
@@ -43,7 +43,7 @@
 
   void startEntry(const std::string &Name);
   void startAgent(const std::string &Name);
-  void startStandin(const std::string &Name);
+  void startStandin(const std::string &Name, unsigned Slots = 64);
   ChildProcess &process(const std::string &Name) {
     return *m_Processes.at(Name);
   }
