Routing: what waits in vain is given up when that is known

Cause: a waiting request whose servers stopped or slowed after its admission was held until its deadline less the expected service.

Looked through: every refusal at arrival comes at once (customer's limit, both queues full, expected wait, deadline passed, unknown customer or route, no server); a denied retry comes at once; only the wait in the gate's queue held back.

Change: giveUpHopeless ends, at each tick, the requests that their own customer's requests before them hold beyond the deadline at the measured rate.

--- a/Source/Entry/RequestGate.cpp
+++ b/Source/Entry/RequestGate.cpp
@@ -199,6 +199,9 @@
           expectedFirstToken(Gate.m_FirstByte, firstByteOptions(), Now);
       for (const QueuedRequest &Late : expire(Gate.m_Queue, Now + Needed))
         refuse(Late, AdmissionReason::DeadlineTooClose, Calls);
+      for (const QueuedRequest &Late : giveUpHopeless(
+               Gate.m_Queue, tokensPerSecond(Gate.m_Rate), Needed, Now))
+        refuse(Late, AdmissionReason::DeadlineTooClose, Calls);
     }
   }
   callAll(Calls);
--- a/Source/Routing/Admission.cpp
+++ b/Source/Routing/Admission.cpp
@@ -28,6 +28,8 @@
 // Customers that are looked at one by one; with more of them ahead, the whole
 // queue counts.
 constexpr std::size_t MaxExamined = 64;
+// Tokens a second; a queue that isn't served at all has no rate.
+constexpr double LeastRate = 1.0;
 
 // Tokens that are served before a new request of the customer starts: its own
 // waiting ones, and of each other customer what starts before.
@@ -87,6 +89,29 @@
   return toDuration(tokensAhead(Queue, Arrival) / TokensPerSecond);
 }
 
+std::vector<QueuedRequest> giveUpHopeless(FairQueue &Queue,
+                                          double TokensPerSecond,
+                                          Duration ExpectedService,
+                                          TimePoint Now) {
+  const double Rate = std::max(TokensPerSecond, LeastRate);
+  std::vector<QueuedRequest> Hopeless;
+  for (const auto &[Id, Customer] : Queue.m_Customers) {
+    double Before = 0.0;
+    for (const QueuedRequest &Each : Customer.m_Waiting) {
+      const std::chrono::duration<double> Left =
+          Each.m_Deadline - Now - ExpectedService;
+      // What is given up holds up nothing behind it.
+      if (Before / Rate > std::max(Left.count(), 0.0))
+        Hopeless.push_back(Each);
+      else
+        Before += static_cast<double>(Each.m_EstimatedTokens);
+    }
+  }
+  for (const QueuedRequest &Each : Hopeless)
+    cancel(Queue, Each.m_Request);
+  return Hopeless;
+}
+
 AdmissionVerdict refuseWaiting(AdmissionReason Reason, Duration Wait,
                                const AdmissionOptions &Options,
                                Random &Generator) {
--- a/Source/Routing/Admission.h
+++ b/Source/Routing/Admission.h
@@ -72,6 +72,16 @@
                        double TokensPerSecond, const AdmissionOptions &Options,
                        TimePoint Now, Random &Generator);
 
+// Removes the waiting requests that can't be met any more: those that their own
+// customer's requests before them, at the whole rate, hold beyond the deadline
+// less the expected service. So a fall of the rate ends them now and not near
+// their deadlines. What other customers take before isn't counted: an error of
+// the estimate must not end what can still be met.
+std::vector<QueuedRequest> giveUpHopeless(FairQueue &Queue,
+                                          double TokensPerSecond,
+                                          Duration ExpectedService,
+                                          TimePoint Now);
+
 // The refusal for a request that the queue put out or that expired in it.
 AdmissionVerdict refuseWaiting(AdmissionReason Reason, Duration Wait,
                                const AdmissionOptions &Options,
--- a/Tests/Routing/QueueingModel.cpp
+++ b/Tests/Routing/QueueingModel.cpp
@@ -203,6 +203,12 @@
       Own.m_Queued.erase(Late.m_Request);
       ++m_Result.m_GivenUp;
     }
+    for (const QueuedRequest &Late :
+         giveUpHopeless(Own.m_Queue, tokensPerSecond(Own.m_Rate),
+                        expectedService(Own), now())) {
+      Own.m_Queued.erase(Late.m_Request);
+      ++m_Result.m_GivenUp;
+    }
     while (hasRoom(Own)) {
       const std::optional<QueuedRequest> Next = dequeue(Own.m_Queue);
       if (!Next)
