--- a/Tests/Processes/testProcessFaults.cpp
+++ b/Tests/Processes/testProcessFaults.cpp
@@ -215,3 +215,33 @@
                        [](const auto &Each) { return Each.second == 7; });
   }));
 }
+
+// So many bookings that the other voters have taken a snapshot meanwhile: the
+// entries that the old folder lacks are no longer in any log.
+TEST_CASE("an entry that missed 500 acceptances catches up by snapshot") {
+  constexpr int Acceptances = 500;
+  Deployment D(137);
+  D.start();
+  const std::string Missing = otherThan(D.leader("entry-c2"));
+  const std::string Asked = otherThan(Missing);
+  const auto HasSnapshot = [&](const std::string &Entry) {
+    return std::filesystem::exists(D.folder() / "data" / Entry / "snapshot");
+  };
+  D.kill(Missing);
+  REQUIRE_FALSE(HasSnapshot(Missing));
+  const auto Load =
+      D.startLoad({Asked, "entry-c2"}, {"--rate", "100", "--requests", "6000",
+                                        "--mix", "0:1", "--seed", "5"});
+  for (int I = 0; I < Acceptances; ++I)
+    REQUIRE(D.accept(Asked, 2 + static_cast<unsigned>(I) % 5,
+                     "change-" + std::to_string(I)));
+  const LoadResult Result = D.finishLoad(*Load);
+  INFO(Result.m_Output);
+  CHECK(Result.m_ExitCode == 0);
+  REQUIRE(eventually([&] { return HasSnapshot(Asked); }));
+  D.startEntry(Missing);
+  CHECK(eventually(
+      [&] { return D.versions(Missing)[Missing] == Acceptances + 1; }));
+  // The configuration may have come from another entry before the log did.
+  CHECK(eventually([&] { return HasSnapshot(Missing); }));
+}
