--- a/Tests/Processes/Deployment.cpp
+++ b/Tests/Processes/Deployment.cpp
@@ -169,10 +169,10 @@
   launch("standin-" + Name, "mangocart-standin",
          {"--address", address(Name), "--port", std::to_string(BackendPort),
           "--kind", isDesk(Name) ? "plain" : "engine", "--name", Name,
-           "--service-time-ms", "10", "--token-interval-ms", "5", "--slots",
-           std::to_string(Slots), "--log",
-           (m_Folder / "runs" / (Name + ".jsonl")).string(), "--order-log",
-           (m_Folder / "runs" / (Name + ".orders")).string()});
+          "--service-time-ms", "10", "--token-interval-ms", "5", "--slots",
+          std::to_string(Slots), "--log",
+          (m_Folder / "runs" / (Name + ".jsonl")).string(), "--order-log",
+          (m_Folder / "runs" / (Name + ".orders")).string()});
 }
 
 void Deployment::start() {
