Utilities: latency is also measured at fixed rates

A closed loop of 64 callers without service time loads all cores; 1,100 and 5,000 requests a second are the loads at which the path's own latency is seen.

--- a/Utilities/measure-latency.sh
+++ b/Utilities/measure-latency.sh
@@ -38,6 +38,11 @@
   load "${Direct[@]}" --direct "${Drafts[@]}" --callers 8 --requests 8000 --seed "$Round"
   load "${Through[@]}" "${Drafts[@]}" --callers 8 --requests 8000 --seed "$Round"
 done
+for Rate in 1100 5000; do
+  echo "== 64 callers, $Rate drafts a second, directly, then through 4 entries"
+  load "${Direct[@]}" --direct "${Drafts[@]}" --callers 64 --rate "$Rate" --requests 20000 --seed "$Rate"
+  load "${Through[@]}" "${Drafts[@]}" --callers 64 --rate "$Rate" --requests 20000 --seed "$Rate"
+done
 echo "== 64 callers, drafts, through one entry"
 Before=$(entrySeconds entry-a)
 load --target "127.0.1.1:$CallerPort" "${Drafts[@]}" --callers 64 --requests 40000 --seed 9
