--- a/Source/Agent/AgentDaemon.h
+++ b/Source/Agent/AgentDaemon.h
@@ -47,7 +47,7 @@
   CallGuard m_Guard;
   MetricRegistry m_Metrics;
   AgentCounters m_Counters;
-  BackendClients m_Clients;
+  HttpClients m_Clients;
   AgentContext m_Context;
   PeerClient m_Peers;
   PeerServer m_Server;
--- a/Source/Core/RuntimeClock.cpp
+++ b/Source/Core/RuntimeClock.cpp
@@ -2,6 +2,7 @@
 #include "Core/RuntimeClock.h"
 
 #include <atomic>
+#include <ctime>
 
 namespace mangocart {
 
@@ -13,9 +14,12 @@
 std::atomic<std::int64_t> PausedReading{NotPaused};
 
 std::int64_t monotonicMicroseconds() {
-  return std::chrono::duration_cast<Duration>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
+  constexpr std::int64_t MicrosecondsPerSecond = 1000000;
+  constexpr std::int64_t NanosecondsPerMicrosecond = 1000;
+  timespec Reading{};
+  clock_gettime(CLOCK_BOOTTIME, &Reading);
+  return Reading.tv_sec * MicrosecondsPerSecond +
+         Reading.tv_nsec / NanosecondsPerMicrosecond;
 }
 
 } // namespace
--- a/Source/Core/RuntimeClock.h
+++ b/Source/Core/RuntimeClock.h
@@ -1,6 +1,7 @@
 // The clock that every timer and every decision of the system reads. Tests
 // pause it and advance it by hand; in a running process it is the monotonic
-// clock.
+// clock that goes on while the machine is suspended, so that a lease or a
+// deadline has passed when the machine wakes.
 #ifndef MANGOCART_CORE_RUNTIMECLOCK_H
 #define MANGOCART_CORE_RUNTIMECLOCK_H
 
--- a/Source/Core/Timer.h
+++ b/Source/Core/Timer.h
@@ -11,9 +11,14 @@
 
 struct TimerWaitTraits {
   static constexpr Duration PausedLookInterval = std::chrono::milliseconds(1);
+  // Asio waits by a clock that stands still while the machine is suspended:
+  // timers are looked at this often, so that one that came due meanwhile fires
+  // soon after the machine wakes.
+  static constexpr Duration LongestWait = std::chrono::milliseconds(500);
 
   static Duration to_wait_duration(const Duration &Left) {
-    return RuntimeClock::paused() ? std::min(Left, PausedLookInterval) : Left;
+    return std::min(Left, RuntimeClock::paused() ? PausedLookInterval
+                                                 : LongestWait);
   }
   static Duration to_wait_duration(const TimePoint &Due) {
     const TimePoint Now = RuntimeClock::now();
--- a/Source/Entry/BackendDirectory.h
+++ b/Source/Entry/BackendDirectory.h
@@ -51,7 +51,15 @@
   std::string_view m_FailedZone;
 };
 
-enum class CallResult { Answered, Refused, Broken, Cancelled };
+enum class CallResult {
+  Answered,
+  Refused,
+  // A whole answer that says the backend server failed: counts against it in
+  // comparison with its peers only, as a caller may have asked for a failure.
+  Failed,
+  Broken,
+  Cancelled
+};
 
 struct CallReport {
   CallResult m_Result = CallResult::Cancelled;
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -7,6 +7,7 @@
 #include "Core/WorkerPool.h"
 #include "Daemon/DrainController.h"
 #include "Daemon/ExitGate.h"
+#include "Daemon/StartFailure.h"
 #include "Entry/AdminFront.h"
 #include "Entry/CallerFront.h"
 #include "Entry/EntryContext.h"
@@ -20,7 +21,6 @@
 #include "State/DeploymentMachine.h"
 
 #include <memory>
-#include <stdexcept>
 
 namespace mangocart {
 
@@ -28,11 +28,6 @@
 class RaftRunner;
 class ShareExchange;
 
-// Says why an entry can't start, for the operator.
-struct StartFailure : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 class EntryDaemon {
 public:
   // Opens the data folder; throws StartFailure when it can't be used. The
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -30,6 +30,22 @@
   m_Routing.m_Random.seed(Seed);
 }
 
+void MembershipDirectory::setEntryCount(std::uint32_t Count) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Routing.m_EntryCount = std::max<std::uint32_t>(Count, 1);
+}
+
+void MembershipDirectory::noteReplaced(const BackendTarget &Target) {
+  const TimePoint Now = RuntimeClock::now();
+  const std::lock_guard Lock(m_Mutex);
+  const TableEntry *Known = find(m_Table, Target.m_Name);
+  if (!Known || Known->m_Member.m_Incarnation != Target.m_Incarnation)
+    return;
+  Member Gone = Known->m_Member;
+  Gone.m_State = MemberState::Left;
+  merge(m_Table, Gone, Duration::zero(), Now);
+}
+
 std::vector<CandidateView>
 MembershipDirectory::usable(const ChoiceRequest &Request) const {
   std::vector<CandidateView> Candidates =
@@ -124,8 +140,14 @@
   MergeResult Result;
   {
     const std::lock_guard Lock(m_Mutex);
-    Result = merge(m_Table, Record, HeardAgo, RuntimeClock::now());
+    const TimePoint Now = RuntimeClock::now();
+    Result = merge(m_Table, withKnownIncarnation(m_Table, Record), HeardAgo, Now);
+    if (Result == MergeResult::Joined)
+      forgetReplaced(m_Table, Record.m_BackendServer, Now);
   }
+  if (m_OnNews && (Result == MergeResult::Joined ||
+                   Result == MergeResult::StateChanged))
+    m_OnNews();
   if (Result == MergeResult::Joined)
     m_Events.write(Event::BackendServerJoined,
                    {{"backend_server", Record.m_BackendServer},
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -7,6 +7,7 @@
 #include "Entry/RoutingTable.h"
 #include "Membership/MembershipTable.h"
 
+#include <functional>
 #include <mutex>
 #include <vector>
 
@@ -30,6 +31,15 @@
   MembershipDirectory(EventLog &Events, std::string AvailabilityZone,
                       std::uint32_t EntryCount, std::uint64_t Seed);
 
+  // Before any other function.
+  void setLimits(const MembershipLimits &Limits) { m_Table.m_Limits = Limits; }
+  // Called without the lock after a record has changed more than a counter.
+  void onNews(std::function<void()> Handler) { m_OnNews = std::move(Handler); }
+  // Entries among which the places of a server are shared.
+  void setEntryCount(std::uint32_t Count);
+  // Another backend server has answered at the target's address.
+  void noteReplaced(const BackendTarget &Target);
+
   std::optional<BackendTarget> choose(const ChoiceRequest &Request) override;
   // Whether a server that wasn't tried yet is known to live, full or not.
   bool hasUsable(const ChoiceRequest &Request) const;
@@ -49,6 +59,7 @@
 
   // A heartbeat from an agent itself. Returns the highest incarnation known.
   std::uint64_t announced(const schema::Announcement &Message);
+  void announced(const Member &Record) { mergeRecord(Record, Duration::zero()); }
   // A record passed on by another entry.
   void heard(const schema::MemberRecord &Record);
   DifferenceBatch differences(std::uint64_t Since, std::size_t MaxRecords);
@@ -66,6 +77,7 @@
   std::vector<CandidateView> usable(const ChoiceRequest &Request) const;
 
   EventLog &m_Events;
+  std::function<void()> m_OnNews;
   mutable std::mutex m_Mutex;
   // All below guarded by m_Mutex, which is taken after no other lock.
   MembershipTable m_Table;
--- a/Source/Entry/RoutingTable.cpp
+++ b/Source/Entry/RoutingTable.cpp
@@ -156,7 +156,9 @@
   const std::uint64_t Server = hash64(Target.m_Name);
   const bool Answered = Report.m_Result == CallResult::Answered;
   ServiceRouting &Routing = routingOf(Table, Target.m_Service);
-  noteEnd(Routing.m_Ejection, Server, Report.m_Result == CallResult::Broken,
+  const bool Failed = Report.m_Result == CallResult::Broken ||
+                      Report.m_Result == CallResult::Failed;
+  noteEnd(Routing.m_Ejection, Server, Failed,
           Report.m_Time,
           Answered ? std::max<std::uint64_t>(1, Size.m_Tokens) : 0,
           EjectOptions, Now);
--- a/Source/Events/EventLog.h
+++ b/Source/Events/EventLog.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <initializer_list>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -18,6 +19,9 @@
 
 namespace spdlog {
 class logger;
+namespace details {
+class thread_pool;
+} // namespace details
 } // namespace spdlog
 
 namespace mangocart {
@@ -67,6 +71,11 @@
 // lose what it logged in that time.
 class EventLog {
 public:
+  // In place of a path: lines go to standard output through a bounded queue. A
+  // reader that is too slow never holds up the process: the oldest lines are
+  // dropped and counted.
+  static constexpr std::string_view StandardOutput = "-";
+
   // Lines go to the file, or to standard error when the path is empty. Events
   // below the least level are dropped.
   EventLog(EventSource Source, const std::string &File,
@@ -86,14 +95,33 @@
   // Writes out what is buffered.
   void flush();
 
+  // Bounds the lines about single requests (events 4000 to 4999); 0: no bound.
+  // What was left out in a second is told by one LinesLeftOut.
+  void limitRequestLines(std::uint32_t PerSecond) {
+    m_RequestLinesPerSecond = PerSecond;
+  }
+  // Lines that a slow reader has cost since the start.
+  std::uint64_t droppedLines() const;
+
   HybridClock &clock() { return m_Clock; }
 
 private:
   void writeLine(Event What, std::initializer_list<EventField> Fields);
+  void writeUnlimited(Event What, std::initializer_list<EventField> Fields);
+  // Whether one more line about a request fits into this second.
+  bool takeRequestLine();
 
   EventSource m_Source;
   EventLevel m_LeastLevel;
   HybridClock m_Clock;
+  std::uint32_t m_RequestLinesPerSecond = 0;
+  // The second that is being counted, its lines, and those left out of it.
+  std::mutex m_LineMutex;
+  std::int64_t m_LineSecond = 0;
+  std::uint32_t m_LinesInSecond = 0;
+  std::uint64_t m_LinesLeftOut = 0;
+  // Absent but for standard output. Before m_Logger, which uses it.
+  std::shared_ptr<spdlog::details::thread_pool> m_Queue;
   std::shared_ptr<spdlog::logger> m_Logger;
   // Absent on standard error, which isn't buffered. After m_Logger: its thread
   // ends first.
--- /dev/null
+++ b/Source/Gateway/EventStreamCutter.cpp
@@ -0,0 +1,50 @@
+// Events end with an empty line.
+#include "Gateway/EventStreamCutter.h"
+
+#include <algorithm>
+
+namespace mangocart {
+
+namespace {
+
+// Position after the last empty line; 0 when there is none.
+std::size_t endOfEvents(std::string_view Text) {
+  const std::size_t Short = Text.rfind("\n\n");
+  const std::size_t Long = Text.rfind("\r\n\r\n");
+  std::size_t End = 0;
+  if (Short != std::string_view::npos)
+    End = Short + 2;
+  if (Long != std::string_view::npos)
+    End = std::max(End, Long + 4);
+  return End;
+}
+
+} // namespace
+
+std::string EventStreamCutter::take(std::string_view Bytes) {
+  m_Pending.append(Bytes);
+  const std::size_t End = endOfEvents(m_Pending);
+  std::string Events = m_Pending.substr(0, End);
+  m_Pending.erase(0, End);
+  noteIds(Events);
+  return Events;
+}
+
+void EventStreamCutter::noteIds(std::string_view Events) {
+  constexpr std::string_view Field("id:");
+  while (!Events.empty()) {
+    const std::size_t End = std::min(Events.find('\n'), Events.size());
+    std::string_view Line = Events.substr(0, End);
+    Events.remove_prefix(std::min(End + 1, Events.size()));
+    if (!Line.starts_with(Field))
+      continue;
+    Line.remove_prefix(Field.size());
+    if (Line.ends_with('\r'))
+      Line.remove_suffix(1);
+    if (Line.starts_with(' '))
+      Line.remove_prefix(1);
+    m_LastId = std::string(Line);
+  }
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -0,0 +1,235 @@
+// Start, service and drain of a gateway.
+#include "Gateway/GatewayDaemon.h"
+
+#include "Daemon/StopSignals.h"
+#include "Raft/RaftPeers.h"
+#include "Settings/SettingsReader.h"
+
+#include <algorithm>
+
+namespace mangocart {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusUnavailable = 503;
+// Sweeps of membership and ejection; several within a stall's detection.
+constexpr Duration TendInterval = milliseconds(250);
+// Callers' balancer looks once a second and takes a gateway out after two
+// misses; new connections are taken until then.
+constexpr Duration KeepListening = milliseconds(2500);
+// Of the time until the process is killed, what remains for its end.
+constexpr Duration ExitMargin = milliseconds(300);
+// Announcements that may be missed before a backend server is suspect, lost.
+constexpr int SuspectAfterAnnouncements = 3;
+constexpr int LostAfterAnnouncements = 6;
+// First tries in a zone are many: connections to backend servers are made
+// within a few milliseconds, and a lost packet is sent again after a second.
+constexpr Duration ConnectTimeout = milliseconds(300);
+
+HttpLimits callerLimits(const schema::GatewaySettings &Settings,
+                        const CallerLimits &Limits) {
+  HttpLimits Out;
+  Out.m_MaxConnections = Settings.max_connections();
+  Out.m_MaxHeaderBytes = Limits.m_MaxHeaderBytes;
+  Out.m_MaxBodyBytes = Limits.m_MaxBodyBytes;
+  Out.m_ReadTimeout = Limits.m_HeaderTimeout;
+  Out.m_IdleTimeout = Limits.m_IdleTimeout;
+  return Out;
+}
+
+MembershipLimits membershipLimits(const schema::GatewaySettings &Settings) {
+  const Duration Interval = milliseconds(Settings.announce_interval_ms());
+  MembershipLimits Limits;
+  Limits.m_SuspectAfter = Interval * SuspectAfterAnnouncements;
+  Limits.m_LostAfter = Interval * LostAfterAnnouncements;
+  return Limits;
+}
+
+RepeatOptions repeatOptions(const schema::GatewaySettings &Settings) {
+  RepeatOptions Options;
+  Options.m_Ratio = Settings.retry_ratio();
+  Options.m_Slack = Settings.retry_slack();
+  Options.m_Window = milliseconds(Settings.retry_window_ms());
+  return Options;
+}
+
+HttpClientOptions clientOptions() {
+  HttpClientOptions Options;
+  Options.m_ConnectTimeout = ConnectTimeout;
+  return Options;
+}
+
+DrainLimits drainLimits(const schema::GatewaySettings &Settings) {
+  DrainLimits Limits;
+  Limits.m_KeepListening = KeepListening;
+  Limits.m_Maximum = std::max<Duration>(
+      milliseconds(Settings.drain_max_ms()) - ExitMargin, KeepListening);
+  return Limits;
+}
+
+// The voter behind a control endpoint: the peer port is the same everywhere.
+std::vector<PeerEndpoint> seedsOf(const schema::GatewaySettings &Settings) {
+  std::vector<PeerEndpoint> Seeds;
+  for (const std::string &Seed : Settings.seeds())
+    if (const auto Endpoint = parseEndpoint(Seed))
+      Seeds.push_back({Endpoint->m_Address,
+                       static_cast<std::uint16_t>(Settings.peer_port())});
+  return Seeds;
+}
+
+} // namespace
+
+GatewayDaemon::GatewayDaemon(schema::GatewaySettings Settings,
+                             std::string SettingsFile,
+                             const CallerProtocol &Protocol)
+    : m_Settings(std::move(Settings)), m_SettingsFile(std::move(SettingsFile)),
+      m_Workers(m_Settings.workers()),
+      m_Events(
+          {"gateway", m_Settings.name(), m_Settings.availability_zone()},
+          std::string(EventLog::StandardOutput)),
+      m_Metrics(m_Registry), m_Plans(Protocol, m_Events),
+      m_Directory(m_Events, m_Settings.availability_zone(), 1,
+                  RuntimeClock::wallMilliseconds()),
+      m_Clients(m_Workers, clientOptions()),
+      m_Repeats(repeatOptions(m_Settings)),
+      m_Context{m_Settings, m_Events,  Protocol, m_Plans,
+                m_Directory, m_Clients, m_Repeats, m_Metrics, m_Leaving},
+      m_Front(m_Context, RuntimeClock::wallMilliseconds()),
+      m_CallerServer(m_Workers, callerLimits(m_Settings, {}),
+                     [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                       m_Front.handle(Exchange);
+                     }),
+      m_HealthServer(m_Workers, HttpLimits{},
+                     [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                       answerHealth(*Exchange);
+                     }),
+      m_MetricsServer(m_Workers, HttpLimits{},
+                      [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                        answerMetrics(*Exchange);
+                      }),
+      m_Peers(m_Workers),
+      m_Watch(std::make_shared<VoterWatch>(
+          m_Workers.worker(0), m_Peers,
+          WatchTargets{m_Events, m_Plans, m_Directory,
+                       [this](std::uint32_t Count) {
+                         m_Directory.setEntryCount(Count);
+                         m_Repeats.setGateways(Count);
+                       }},
+          m_Settings.name())),
+      m_SettingsWatch(
+          m_Workers.worker(0), m_SettingsFile,
+          [this](const std::string &Text) { settingsChanged(Text); }),
+      m_Drain(m_Workers.worker(0), drainLimits(m_Settings), drainActions()),
+      m_TendTimer(m_Workers.worker(0)) {
+  m_Events.limitRequestLines(m_Settings.log_lines_per_second());
+  m_Directory.setLimits(membershipLimits(m_Settings));
+  m_Plans.onChange([this](const RoutingPlan &Plan) { planChanged(Plan); });
+}
+
+GatewayDaemon::~GatewayDaemon() { m_Workers.stop(); }
+
+ExitCode GatewayDaemon::run() {
+  if (!listen())
+    return ExitCode::Failed;
+  StopSignals Signals(
+      m_Workers.worker(0), [this] { m_Drain.request(); },
+      [this] { m_Exit.open(ExitCode::Failed); });
+  m_SettingsWatch.start();
+  m_Watch->start(seedsOf(m_Settings));
+  tend();
+  m_Workers.start();
+  m_Events.write(Event::ProcessStarted,
+                 {{"address", m_Settings.caller_endpoint()}});
+  const ExitCode Code = m_Exit.wait();
+  m_Events.write(Event::ProcessStopped,
+                 {{"exit_code", static_cast<int>(Code)}});
+  m_Workers.stop();
+  return Code;
+}
+
+bool GatewayDaemon::listen() {
+  const auto Open = [this](HttpServer &Server, const PeerEndpoint &At) {
+    const auto Done = Server.listen(At.m_Address, At.m_Port);
+    if (Done.has_error())
+      m_Events.write(Event::ListenFailed, {{"detail", Done.error().m_Detail}});
+    return !Done.has_error();
+  };
+  const PeerEndpoint Callers =
+      parseEndpoint(m_Settings.caller_endpoint()).value_or(PeerEndpoint());
+  const PeerEndpoint Health =
+      parseEndpoint(m_Settings.health_endpoint()).value_or(PeerEndpoint());
+  return Open(m_CallerServer, Callers) && Open(m_HealthServer, Health) &&
+         Open(m_MetricsServer,
+              {Callers.m_Address,
+               static_cast<std::uint16_t>(m_Settings.metrics_port())});
+}
+
+bool GatewayDaemon::isReady() const { return m_HasPlan && !m_Leaving; }
+
+void GatewayDaemon::tend() {
+  m_Directory.sweepMembers();
+  const bool Ready = isReady();
+  if (Ready != m_WasReady)
+    m_Events.write(Event::ReadinessChanged,
+                   {{"ready", Ready},
+                    {"configuration", m_Plans.version()},
+                    {"voters", m_Watch->connected()},
+                    {"leaving", m_Leaving.load()}});
+  m_WasReady = Ready;
+  m_TendTimer.expires_after(TendInterval);
+  m_TendTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      tend();
+  });
+}
+
+void GatewayDaemon::answerHealth(HttpExchange &Exchange) const {
+  const bool Ready = isReady();
+  Exchange.respond({{Ready ? StatusOk : StatusUnavailable,
+                     {{"Content-Type", "text/plain"}}},
+                    Ready ? "ready\n" : "not ready\n"});
+}
+
+void GatewayDaemon::answerMetrics(HttpExchange &Exchange) const {
+  Exchange.respond({{StatusOk, {{"Content-Type", "text/plain"}}},
+                    m_Registry.expose(RuntimeClock::now())});
+}
+
+void GatewayDaemon::planChanged(const RoutingPlan &Plan) {
+  m_CallerServer.setLimits(callerLimits(m_Settings, Plan.m_Limits));
+  m_HasPlan = true;
+}
+
+void GatewayDaemon::settingsChanged(const std::string &Text) {
+  SettingsWarnings Ignored;
+  const auto Read = parseGatewaySettings(m_SettingsFile, Text, Ignored);
+  if (Read.has_error()) {
+    m_Events.write(Event::SettingsUnusable,
+                   {{"detail", toString(Read.error())}});
+    return;
+  }
+  m_Events.write(Event::SettingsReloaded,
+                 {{"seeds", Read.value().seeds_size()}});
+  m_Watch->setSeeds(seedsOf(Read.value()));
+}
+
+DrainActions GatewayDaemon::drainActions() {
+  DrainActions Actions;
+  Actions.m_Outstanding = [this] { return m_CallerServer.exchangeCount(); };
+  Actions.m_AnnounceLeaving = [this] {
+    m_Events.write(Event::ProcessStopping,
+                   {{"outstanding", m_CallerServer.exchangeCount()}});
+    m_Leaving = true;
+  };
+  Actions.m_CloseListener = [this] { m_CallerServer.closeListener(); };
+  Actions.m_AnnounceLeft = [] {};
+  Actions.m_Exit = [this](std::size_t CutOff) {
+    m_Exit.open(CutOff == 0 ? ExitCode::Ok : ExitCode::Failed);
+  };
+  return Actions;
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Gateway/GatewayFront.cpp
@@ -0,0 +1,80 @@
+// Route, key and service of a request.
+#include "Gateway/GatewayFront.h"
+
+#include "Events/EventLog.h"
+#include "Gateway/DirectRequest.h"
+#include "Gateway/GatewayMetrics.h"
+#include "Gateway/PlanHolder.h"
+
+namespace mangocart {
+
+namespace {
+
+constexpr unsigned StatusUnauthorized = 401;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusUnavailable = 503;
+// The first configuration comes as soon as a voter is reached.
+constexpr Duration RetryAfterNoPlan = std::chrono::milliseconds(500);
+
+} // namespace
+
+std::string GatewayFront::chooseService(const PlannedRoute &Route) {
+  if (Route.m_Services.size() == 1)
+    return Route.m_Services.front().m_Service;
+  std::uint64_t Total = 0;
+  for (const WeightedService &Each : Route.m_Services)
+    Total += Each.m_Weight;
+  const std::lock_guard Lock(m_RandomMutex);
+  std::uint64_t Drawn = uniform(m_Random, 0, Total - 1);
+  for (const WeightedService &Each : Route.m_Services) {
+    if (Drawn < Each.m_Weight)
+      return Each.m_Service;
+    Drawn -= Each.m_Weight;
+  }
+  return Route.m_Services.back().m_Service;
+}
+
+void GatewayFront::turnAway(HttpExchange &Exchange, const CallerRequest &Caller,
+                            unsigned Status, std::string_view Reason,
+                            std::optional<Duration> RetryAfter,
+                            std::uint64_t PlanVersion) {
+  m_Context.m_Metrics.m_TurnedAway.add();
+  m_Context.m_Events.write(Event::RequestTurnedAway,
+                           {{"request", Caller.m_RequestId},
+                            {"status", Status},
+                            {"reason", Reason},
+                            {"host", Caller.m_Host},
+                            {"path", Caller.m_Path},
+                            {"configuration", PlanVersion}});
+  Exchange.respond(m_Context.m_Protocol.ownAnswer(
+      Status, Reason, Caller.m_RequestId, RetryAfter));
+}
+
+void GatewayFront::handle(const std::shared_ptr<HttpExchange> &Exchange) {
+  m_Context.m_Metrics.m_Requests.add();
+  CallerRequest Caller = m_Context.m_Protocol.read(Exchange->request());
+  const RoutingPlanPtr Plan = m_Context.m_Plans.current();
+  if (!Plan)
+    return turnAway(*Exchange, Caller, StatusUnavailable, "no-configuration",
+                    RetryAfterNoPlan, 0);
+  const std::uint64_t Version = Plan->plan().m_Version;
+  const PlannedRoute *Route = Plan->findRoute(Caller.m_Host, Caller.m_Path);
+  if (!Route)
+    return turnAway(*Exchange, Caller, StatusNotFound, "unknown-route",
+                    std::nullopt, Version);
+  const PlannedCustomer *Customer =
+      Caller.m_CustomerKey ? Plan->findCustomer(*Caller.m_CustomerKey) : nullptr;
+  const bool NeedsKey = !Route->m_Public && !Plan->plan().m_Customers.empty();
+  if (NeedsKey && !Customer)
+    return turnAway(*Exchange, Caller, StatusUnauthorized, "unknown-key",
+                    std::nullopt, Version);
+  RoutedCall Call;
+  Call.m_Plan = Plan;
+  Call.m_Route = Route;
+  Call.m_Customer = NeedsKey ? Customer : nullptr;
+  Call.m_Service = chooseService(*Route);
+  Call.m_Caller = std::move(Caller);
+  DirectRequest::start(m_Context, Exchange, std::move(Call));
+}
+
+} // namespace mangocart
--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -15,14 +15,16 @@
 
 struct HttpClient::State : HttpConnectionKeeper,
                            std::enable_shared_from_this<HttpClient::State> {
-  explicit State(boost::asio::io_context &Context) : m_Worker(Context) {}
+  State(boost::asio::io_context &Context, const HttpClientOptions &Options)
+      : m_Worker(Context), m_Options(Options) {}
 
   void keep(std::shared_ptr<HttpClientConnection> Connection) override;
   void forget(HttpClientConnection &Connection) override;
   void start(const HttpTarget &Target,
-             const std::shared_ptr<HttpClientCall> &Call);
+             const std::shared_ptr<HttpClientCall> &Call, Duration MaxIdle);
 
   boost::asio::io_context &m_Worker;
+  const HttpClientOptions m_Options;
   // The connection used last comes first, so that a pool shrinks when it can.
   std::map<HttpTarget, std::vector<std::shared_ptr<HttpClientConnection>>>
       m_Kept;
@@ -46,21 +48,25 @@
 }
 
 void HttpClient::State::start(const HttpTarget &Target,
-                              const std::shared_ptr<HttpClientCall> &Call) {
+                              const std::shared_ptr<HttpClientCall> &Call,
+                              Duration MaxIdle) {
+  const TimePoint Now = RuntimeClock::now();
   const auto Found = m_Kept.find(Target);
   while (Found != m_Kept.end() && !Found->second.empty()) {
     const auto Connection = std::move(Found->second.back());
     Found->second.pop_back();
-    if (Connection->reuseFor(Call))
+    if (Connection->idleTime(Now) <= MaxIdle && Connection->reuseFor(Call))
       return;
     Connection->close();
   }
-  std::make_shared<HttpClientConnection>(m_Worker, Target, weak_from_this())
+  std::make_shared<HttpClientConnection>(m_Worker, Target, m_Options,
+                                         weak_from_this())
       ->connectFor(Call);
 }
 
-HttpClient::HttpClient(boost::asio::io_context &Worker)
-    : m_State(std::make_shared<State>(Worker)) {}
+HttpClient::HttpClient(boost::asio::io_context &Worker,
+                       const HttpClientOptions &Options)
+    : m_State(std::make_shared<State>(Worker, Options)) {}
 
 HttpClient::~HttpClient() {
   for (auto &[Target, Kept] : m_State->m_Kept)
@@ -71,11 +77,12 @@
 std::shared_ptr<HttpCall> HttpClient::send(const HttpTarget &Target,
                                            HttpRequest Request,
                                            Duration Deadline,
-                                           HttpCallHandlers Handlers) {
+                                           HttpCallHandlers Handlers,
+                                           Duration MaxIdle) {
   auto Call = std::make_shared<HttpClientCall>(
       m_State->m_Worker, Target, std::move(Request), std::move(Handlers));
   Call->startDeadline(Deadline);
-  m_State->start(Target, Call);
+  m_State->start(Target, Call, MaxIdle);
   return Call;
 }
 
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -17,8 +17,26 @@
   auto operator<=>(const HttpTarget &) const = default;
 };
 
+struct HttpClientOptions {
+  // For the connection to be made; no byte of the request has left then.
+  Duration m_ConnectTimeout = std::chrono::seconds(1);
+  // Bytes that the server doesn't acknowledge for so long end the connection;
+  // several retransmissions fit in.
+  std::chrono::milliseconds m_UnacknowledgedTimeout{1500};
+  // A kept connection is used again within this time, and within this part of
+  // what the server's Keep-Alive header allows.
+  Duration m_MaxIdle = std::chrono::seconds(4);
+  double m_KeepAlivePart = 0.6;
+
+  bool operator==(const HttpClientOptions &) const = default;
+};
+
 // Handlers run on the call's worker. After m_OnEnd or m_OnError none is called.
 struct HttpCallHandlers {
+  // Whether the answer is one to this call. Another one is read to its end and
+  // dropped, the next one is awaited, and the connection is not kept. Absent:
+  // every answer is.
+  std::function<bool(const HttpHead &)> m_Belongs;
   std::function<void(HttpHead)> m_OnHead;
   std::function<void(std::string_view)> m_OnBody;
   std::function<void()> m_OnEnd;
@@ -38,16 +56,19 @@
 // One client belongs to one worker and is used on it only.
 class HttpClient {
 public:
-  explicit HttpClient(boost::asio::io_context &Worker);
+  explicit HttpClient(boost::asio::io_context &Worker,
+                      const HttpClientOptions &Options = {});
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
 
   // Deadline is for the whole answer. A request is written once; nothing is
   // retried here. A kept connection that the server closed before any byte was
-  // written is replaced silently.
+  // written is replaced silently. MaxIdle bounds the age of a kept connection
+  // further, for a request that must not be lost with it.
   std::shared_ptr<HttpCall> send(const HttpTarget &Target, HttpRequest Request,
-                                 Duration Deadline, HttpCallHandlers Handlers);
+                                 Duration Deadline, HttpCallHandlers Handlers,
+                                 Duration MaxIdle = Duration::max());
 
 private:
   struct State;
--- a/Source/Http/HttpClientCall.cpp
+++ b/Source/Http/HttpClientCall.cpp
@@ -62,6 +62,10 @@
     m_Connection->resumeReading();
 }
 
+bool HttpClientCall::belongs(const HttpHead &Head) const {
+  return !m_Handlers.m_Belongs || m_Handlers.m_Belongs(Head);
+}
+
 bool HttpClientCall::takeHead(HttpHead Head) {
   if (m_Finished)
     return false;
--- a/Source/Http/HttpClientConnection.cpp
+++ b/Source/Http/HttpClientConnection.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 
+#include <netinet/tcp.h>
+
 namespace mangocart {
 
 namespace asio = boost::asio;
@@ -22,9 +24,10 @@
 
 HttpClientConnection::HttpClientConnection(
     asio::io_context &Worker, HttpTarget Target,
+    const HttpClientOptions &Options,
     std::weak_ptr<HttpConnectionKeeper> Keeper)
-    : m_Socket(Worker), m_Target(std::move(Target)),
-      m_Keeper(std::move(Keeper)) {}
+    : m_Socket(Worker), m_Target(std::move(Target)), m_Options(Options),
+      m_Keeper(std::move(Keeper)), m_Timer(Worker) {}
 
 void HttpClientConnection::connectFor(std::shared_ptr<HttpClientCall> Call) {
   m_Call = std::move(Call);
@@ -40,15 +43,25 @@
     });
     return;
   }
+  m_Timer.expires_after(m_Options.m_ConnectTimeout);
+  m_Timer.async_wait([Self = shared_from_this()](error_code Stopped) {
+    if (!Stopped && !Self->m_Closed && !Self->m_Parser)
+      Self->fail(HttpErrorCode::ConnectFailed, "no connection in time");
+  });
   m_Socket.async_connect(
       tcp::endpoint(Ip, m_Target.m_Port),
       [Self = shared_from_this()](error_code Failed) {
         if (Self->m_Closed)
           return;
+        Self->m_Timer.cancel();
         if (Failed)
           return Self->fail(HttpErrorCode::ConnectFailed, Failed.message());
         error_code Ignored;
         Self->m_Socket.set_option(tcp::no_delay(true), Ignored);
+        const int Unacknowledged = static_cast<int>(
+            Self->m_Options.m_UnacknowledgedTimeout.count());
+        setsockopt(Self->m_Socket.native_handle(), IPPROTO_TCP,
+                   TCP_USER_TIMEOUT, &Unacknowledged, sizeof(Unacknowledged));
         Self->m_Socket.non_blocking(true, Ignored);
         if (Self->writeFirst() == FirstWrite::NothingTaken)
           return Self->fail(HttpErrorCode::ConnectionLost,
@@ -62,6 +75,7 @@
   if (m_Closed || !isOpenAtPeer())
     return false;
   m_Call = Call;
+  m_Timer.cancel();
   if (writeFirst() == FirstWrite::NothingTaken) {
     m_Call.reset();
     return false;
@@ -131,10 +145,7 @@
         if (Self->m_Closed)
           return;
         if (Error)
-          return Self->fail(HttpErrorCode::ConnectionLost,
-                            "the server closed the connection before the "
-                            "answer was whole: " +
-                                Error.message());
+          return Self->onEnd(Error);
         Self->onRead(Bytes);
       });
 }
@@ -150,6 +161,24 @@
   read();
 }
 
+void HttpClientConnection::onEnd(const error_code &Error) {
+  if (Error == asio::error::eof && m_Call && m_Parser &&
+      !m_Parser->isForeign() && m_Parser->endOfConnection())
+    return finishCall(false);
+  fail(HttpErrorCode::ConnectionLost,
+       "the server closed the connection before the answer was whole: " +
+           Error.message());
+}
+
+Duration HttpClientConnection::keepTime() const {
+  const auto Seconds = m_Parser->keepAliveSeconds();
+  if (!Seconds)
+    return m_Options.m_MaxIdle;
+  const auto Allowed = std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(*Seconds) * m_Options.m_KeepAlivePart);
+  return std::min(m_Options.m_MaxIdle, Allowed);
+}
+
 void HttpClientConnection::resumeReading() {
   if (!m_Paused)
     return;
@@ -185,8 +214,9 @@
       m_Pending.assign(Bytes);
       return;
     }
-    if (!m_Parser->isInterim())
-      return finishCall(m_Parser->keepAlive() && Bytes.empty());
+    if (!m_Parser->isInterim() && !m_Parser->isForeign())
+      return finishCall(m_Parser->keepAlive() && Bytes.empty() && !m_Tainted);
+    m_Tainted = m_Tainted || m_Parser->isForeign();
     m_Parser.emplace(*m_Call, m_Call->isHead());
   }
 }
@@ -198,8 +228,19 @@
       m_Written == Call->headText().size() + Call->body().size();
   const auto Keeper = m_Keeper.lock();
   m_Paused = false;
-  if (Keep && RequestWhole && Keeper) {
+  const Duration Kept = keepTime();
+  if (Keep && RequestWhole && Keeper && Kept > Duration::zero()) {
     read();
+    m_KeptSince = RuntimeClock::now();
+    m_Timer.expires_after(Kept);
+    m_Timer.async_wait([Weak = weak_from_this()](error_code Stopped) {
+      const auto Self = Weak.lock();
+      if (Stopped || !Self || Self->m_Call)
+        return;
+      if (const auto Live = Self->m_Keeper.lock())
+        Live->forget(*Self);
+      Self->close();
+    });
     Keeper->keep(shared_from_this());
   } else {
     close();
@@ -220,6 +261,7 @@
   if (m_Closed)
     return;
   m_Closed = true;
+  m_Timer.cancel();
   m_Call.reset();
   error_code Ignored;
   m_Socket.close(Ignored);
--- a/Source/Http/HttpClientConnection.h
+++ b/Source/Http/HttpClientConnection.h
@@ -30,6 +30,7 @@
     : public std::enable_shared_from_this<HttpClientConnection> {
 public:
   HttpClientConnection(boost::asio::io_context &Worker, HttpTarget Target,
+                       const HttpClientOptions &Options,
                        std::weak_ptr<HttpConnectionKeeper> Keeper);
 
   const HttpTarget &target() const { return m_Target; }
@@ -39,6 +40,7 @@
   // Writes the call's request on a kept connection. False when the connection
   // was found closed before any byte was written; the call is untouched then.
   bool reuseFor(const std::shared_ptr<HttpClientCall> &Call);
+  Duration idleTime(TimePoint Now) const { return Now - m_KeptSince; }
   void close();
   void pauseReading() { m_Paused = true; }
   void resumeReading();
@@ -54,13 +56,20 @@
   void writeRest();
   void read();
   void onRead(std::size_t Bytes);
+  void onEnd(const boost::system::error_code &Error);
+  // How long the server may be expected to keep the idle connection open.
+  Duration keepTime() const;
   void feed(std::string_view Bytes);
   void finishCall(bool Keep);
   void fail(HttpErrorCode Code, std::string Detail);
 
   boost::asio::ip::tcp::socket m_Socket;
   HttpTarget m_Target;
+  const HttpClientOptions m_Options;
   std::weak_ptr<HttpConnectionKeeper> m_Keeper;
+  // Runs while a connection is made and while it is kept.
+  Timer m_Timer;
+  TimePoint m_KeptSince;
   // Empty while the connection is kept for the next call.
   std::shared_ptr<HttpClientCall> m_Call;
   std::optional<HttpResponseParser> m_Parser;
@@ -73,6 +82,8 @@
   bool m_Reading = false;
   bool m_Paused = false;
   bool m_Closed = false;
+  // An answer to an earlier request came: what follows may be one as well.
+  bool m_Tainted = false;
 };
 
 class HttpClientCall : public HttpCall,
@@ -91,6 +102,7 @@
   void pauseReading() override;
   void resumeReading() override;
 
+  bool belongs(const HttpHead &Head) const override;
   bool takeHead(HttpHead Head) override;
   bool takeBody(std::string_view Piece) override;
   void end();
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -51,8 +51,8 @@
   const auto Remote = m_Socket.remote_endpoint(Ignored);
   m_RemoteAddress = Remote.address().to_string();
   m_Shared->m_Open[m_Worker].insert(this);
-  m_Parser.emplace(m_Shared->m_Limits);
-  setReadDeadline(m_Shared->m_Limits.m_ReadTimeout);
+  m_Parser.emplace(m_Shared->m_Limits[m_Worker]);
+  setReadDeadline(m_Shared->m_Limits[m_Worker].m_ReadTimeout);
   read();
 }
 
@@ -85,7 +85,7 @@
   if (m_Reading || m_Closed)
     return;
   // A client that sends further requests before its answer is held back here.
-  if (m_InExchange && m_Pending.size() > m_Shared->m_Limits.m_MaxHeaderBytes)
+  if (m_InExchange && m_Pending.size() > m_Shared->m_Limits[m_Worker].m_MaxHeaderBytes)
     return;
   m_Reading = true;
   m_Socket.async_read_some(
@@ -140,7 +140,7 @@
       continue;
     }
     if (!WasStarted && m_Parser->started() && m_AnyRequestDone)
-      setReadDeadline(m_Shared->m_Limits.m_ReadTimeout);
+      setReadDeadline(m_Shared->m_Limits[m_Worker].m_ReadTimeout);
     if (m_Parser->takeContinueWish()) {
       m_Queued.append("HTTP/1.1 100 Continue\r\n\r\n");
       flush();
@@ -242,8 +242,8 @@
   flush();
   if (m_Closed || m_CloseAfterWrite)
     return;
-  m_Parser.emplace(m_Shared->m_Limits);
-  setReadDeadline(m_Shared->m_Limits.m_IdleTimeout);
+  m_Parser.emplace(m_Shared->m_Limits[m_Worker]);
+  setReadDeadline(m_Shared->m_Limits[m_Worker].m_IdleTimeout);
   if (m_InProcess)
     return;
   process();
@@ -297,7 +297,7 @@
 
 void HttpConnection::writeRest() {
   m_WriteInProgress = true;
-  m_WriteDeadline = RuntimeClock::now() + m_Shared->m_Limits.m_WriteTimeout;
+  m_WriteDeadline = RuntimeClock::now() + m_Shared->m_Limits[m_Worker].m_WriteTimeout;
   armTimer();
   const auto Rest =
       asio::buffer(m_Writing.data() + m_Written, m_Writing.size() - m_Written);
@@ -394,7 +394,7 @@
   // A connection isn't idle while its last answer is still being taken.
   const bool StillWriting = m_WriteInProgress && !m_Parser->started();
   if (StillWriting && !m_Lingering)
-    return setReadDeadline(m_Shared->m_Limits.m_IdleTimeout);
+    return setReadDeadline(m_Shared->m_Limits[m_Worker].m_IdleTimeout);
   const bool FirstRequest = !m_AnyRequestDone;
   if (m_Lingering || !(FirstRequest || m_Parser->started()))
     return close();
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -23,7 +23,9 @@
 // What all connections of a server share. The sets are touched on their own
 // worker only.
 struct HttpServerShared {
-  HttpLimits m_Limits;
+  std::size_t m_MaxConnections = 0;
+  // By worker; each is changed on its own worker only.
+  std::vector<HttpLimits> m_Limits;
   HttpServer::Handler m_OnRequest;
   std::atomic<std::size_t> m_ConnectionCount{0};
   std::atomic<std::size_t> m_ExchangeCount{0};
--- a/Source/Http/HttpResponseParser.cpp
+++ b/Source/Http/HttpResponseParser.cpp
@@ -1,7 +1,8 @@
-// Answer parsing by Beast's basic_parser. An answer that only the end of the
-// connection would end is refused, because a cut one looks the same.
+// Answer parsing by Beast's basic_parser.
 #include "Http/HttpResponseParser.h"
 
+#include <charconv>
+
 namespace mangocart {
 
 namespace http = boost::beast::http;
@@ -12,6 +13,21 @@
 constexpr int SwitchingProtocols = 101;
 constexpr int FirstFinalStatus = 200;
 
+// The parameter "timeout" of a Keep-Alive header.
+std::optional<unsigned> timeoutOf(std::string_view KeepAlive) {
+  constexpr std::string_view Parameter("timeout=");
+  const std::size_t At = KeepAlive.find(Parameter);
+  unsigned Seconds = 0;
+  if (At == std::string_view::npos)
+    return std::nullopt;
+  const std::string_view Number = KeepAlive.substr(At + Parameter.size());
+  const auto Parsed =
+      std::from_chars(Number.data(), Number.data() + Number.size(), Seconds);
+  if (Parsed.ec != std::errc())
+    return std::nullopt;
+  return Seconds;
+}
+
 } // namespace
 
 HttpResponseParser::HttpResponseParser(HttpResponseSink &Sink,
@@ -48,6 +64,14 @@
   return Progress::NeedMore;
 }
 
+bool HttpResponseParser::endOfConnection() {
+  if (!m_HeadDone || m_Interim || !need_eof())
+    return false;
+  ErrorCode Error;
+  put_eof(Error);
+  return !Error && is_done();
+}
+
 void HttpResponseParser::on_response_impl(int Code, StringView, int,
                                           ErrorCode &Error) {
   m_Head.m_Status = static_cast<unsigned>(Code);
@@ -69,11 +93,11 @@
   m_HeadDone = true;
   if (m_Interim)
     return;
-  if (need_eof()) {
-    m_Detail = "malformed answer: neither Content-Length nor chunked coding";
-    Error = http::error::bad_content_length;
+  if (const auto KeepAlive = findHeader(m_Head.m_Headers, "Keep-Alive"))
+    m_KeepSeconds = timeoutOf(*KeepAlive);
+  m_Foreign = !m_Sink.belongs(m_Head);
+  if (m_Foreign)
     return;
-  }
   m_Stopped = !m_Sink.takeHead(std::move(m_Head));
   if (m_Stopped)
     Error = http::error::end_of_stream;
@@ -81,6 +105,8 @@
 
 std::size_t HttpResponseParser::on_body_impl(StringView Body,
                                              ErrorCode &Error) {
+  if (m_Foreign)
+    return Body.size();
   m_Stopped = !m_Sink.takeBody({Body.data(), Body.size()});
   if (m_Stopped)
     Error = http::error::end_of_stream;
--- a/Source/Http/HttpResponseParser.h
+++ b/Source/Http/HttpResponseParser.h
@@ -9,10 +9,13 @@
 
 namespace mangocart {
 
-// Takes the pieces of an answer. Both functions return false to stop parsing.
+// Takes the pieces of an answer. takeHead() and takeBody() return false to stop
+// parsing.
 class HttpResponseSink {
 public:
   virtual ~HttpResponseSink() = default;
+  // False: the answer isn't the one awaited, its pieces aren't handed over.
+  virtual bool belongs(const HttpHead &Head) const = 0;
   virtual bool takeHead(HttpHead Head) = 0;
   virtual bool takeBody(std::string_view Piece) = 0;
 };
@@ -29,6 +32,13 @@
 
   // True for an answer before the answer (100, 103): another one follows.
   bool isInterim() const { return m_Interim; }
+  // True for an answer that doesn't belong to the call.
+  bool isForeign() const { return m_Foreign; }
+  // The server has ended the connection in good order. True if that was the
+  // end of the answer: its head was read, and gave no length.
+  bool endOfConnection();
+  // Seconds by the Keep-Alive header; nothing if there is none.
+  std::optional<unsigned> keepAliveSeconds() const { return m_KeepSeconds; }
   bool keepAlive() const { return keep_alive(); }
   const std::string &detail() const { return m_Detail; }
 
@@ -54,7 +64,9 @@
   HttpHead m_Head;
   std::string m_Detail;
   bool m_HeadDone = false;
+  std::optional<unsigned> m_KeepSeconds;
   bool m_Interim = false;
+  bool m_Foreign = false;
   bool m_Stopped = false;
 };
 
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -94,7 +94,7 @@
 }
 
 void HttpServer::State::onAccepted(tcp::socket Socket, std::size_t Worker) {
-  const std::size_t Limit = m_Shared->m_Limits.m_MaxConnections;
+  const std::size_t Limit = m_Shared->m_MaxConnections;
   const std::size_t Count = ++m_Shared->m_ConnectionCount;
   if (Count > Limit + MaxRefusedConnections) {
     --m_Shared->m_ConnectionCount;
@@ -116,7 +116,8 @@
 HttpServer::HttpServer(WorkerPool &Workers, HttpLimits Limits,
                        Handler OnRequest)
     : m_State(std::make_shared<State>(Workers)) {
-  m_State->m_Shared->m_Limits = Limits;
+  m_State->m_Shared->m_MaxConnections = Limits.m_MaxConnections;
+  m_State->m_Shared->m_Limits.assign(Workers.size(), Limits);
   m_State->m_Shared->m_OnRequest = std::move(OnRequest);
   m_State->m_Shared->m_Open.resize(Workers.size());
 }
@@ -131,6 +132,14 @@
   return success();
 }
 
+void HttpServer::setLimits(const HttpLimits &Limits) {
+  for (std::size_t I = 0; I < m_State->m_Workers.size(); ++I)
+    asio::post(m_State->m_Workers.worker(I),
+               [Shared = m_State->m_Shared, I, Limits] {
+                 Shared->m_Limits[I] = Limits;
+               });
+}
+
 void HttpServer::closeListener() {
   if (m_State->m_Shared->m_Closing.exchange(true))
     return;
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -99,6 +99,9 @@
                                  std::uint16_t Port);
   // The port in use; useful after listen() with port 0.
   std::uint16_t port() const;
+  // Limits of requests that begin from now on; the number of connections stays
+  // as it was given at the start.
+  void setLimits(const HttpLimits &Limits);
   // Takes no new connection; open ones finish their request, then close.
   void closeListener();
 
--- a/Source/Membership/MembershipTable.cpp
+++ b/Source/Membership/MembershipTable.cpp
@@ -196,6 +196,38 @@
   return StateChanged ? MergeResult::StateChanged : MergeResult::Refreshed;
 }
 
+Member withKnownIncarnation(const MembershipTable &Table, Member Record) {
+  const TableEntry *Known = find(Table, Record.m_BackendServer);
+  if (Known && Record.m_Incarnation == 0 &&
+      Record.m_State == MemberState::Left) {
+    const std::uint64_t Counter = Record.m_Counter;
+    Record = Known->m_Member;
+    Record.m_State = MemberState::Left;
+    Record.m_Counter = std::max(Counter, Record.m_Counter);
+  }
+  return Record;
+}
+
+void forgetReplaced(MembershipTable &Table, const std::string &Joined,
+                    TimePoint Now) {
+  const auto Found = Table.m_Entries.find(Joined);
+  if (Found == Table.m_Entries.end())
+    return;
+  const auto Leave = [&](TableEntry &Entry) {
+    Entry.m_Member.m_State = MemberState::Left;
+    markChanged(Table, Entry, Now);
+  };
+  Member &Own = Found->second.m_Member;
+  for (auto &[Name, Entry] : Table.m_Entries) {
+    const Member &Other = Entry.m_Member;
+    if (Name == Joined || Other.m_State == MemberState::Left ||
+        Other.m_Address != Own.m_Address || Other.m_PeerPort != Own.m_PeerPort)
+      continue;
+    // A late heartbeat of the one before must not drive out the newer one.
+    Leave(Other.m_Incarnation > Own.m_Incarnation ? Found->second : Entry);
+  }
+}
+
 void noteCallFailed(MembershipTable &Table, std::string_view BackendServer,
                     std::uint64_t Incarnation, TimePoint Now) {
   TableEntry *Entry = findIncarnation(Table, BackendServer, Incarnation);
@@ -339,6 +371,7 @@
   Record.m_ReportedLoad = Message.reported_load();
   Record.m_LoadMeasuredAt =
       Now - HeardAgo - milliseconds(Message.report_age_ms());
+  Record.m_Slots = Message.slots();
   return Record;
 }
 
@@ -358,6 +391,7 @@
   const auto Age = duration_cast<milliseconds>(
       std::max(Duration::zero(), Now - Record.m_LoadMeasuredAt));
   Message.set_report_age_ms(static_cast<std::uint32_t>(Age.count()));
+  Message.set_slots(Record.m_Slots);
 }
 
 void differenceToSchema(const Difference &Change, TimePoint Now,
--- a/Source/Membership/MembershipTable.h
+++ b/Source/Membership/MembershipTable.h
@@ -51,6 +51,8 @@
   // Load as the backend server reports it, and when it was measured.
   double m_ReportedLoad = 0.0;
   TimePoint m_LoadMeasuredAt;
+  // Requests that it works on at once; 0: not known.
+  std::uint32_t m_Slots = 0;
 
   bool operator==(const Member &) const = default;
 };
@@ -134,6 +136,15 @@
 MergeResult merge(MembershipTable &Table, const Member &Record,
                   Duration HeardAgo, TimePoint Now);
 
+// A backend server left whose incarnation the one who says so doesn't know: the
+// one that the table holds is meant.
+Member withKnownIncarnation(const MembershipTable &Table, Member Record);
+
+// Two backend servers announce one address: the older incarnation is gone, even
+// if it never said so. To be called after a merge that returned Joined.
+void forgetReplaced(MembershipTable &Table, const std::string &Joined,
+                    TimePoint Now);
+
 // A call to this incarnation failed in a way that speaks against the server: no
 // connection, connection lost, no answer in time. An older incarnation's
 // failures don't count against a newer one.
--- a/Source/Net/PeerClient.cpp
+++ b/Source/Net/PeerClient.cpp
@@ -40,6 +40,11 @@
       connect();
   }
 
+  void disconnect() {
+    if (m_Session)
+      m_Session->close("disconnected");
+  }
+
 private:
   struct WaitingStream {
     std::shared_ptr<SessionStream> m_Stream;
@@ -208,6 +213,12 @@
   });
 }
 
+void PeerClient::disconnect(const PeerEndpoint &From) {
+  const auto Connection = m_State->connectionTo(From);
+  boost::asio::post(Connection->worker(),
+                    [Connection] { Connection->disconnect(); });
+}
+
 PeerClient::Traffic PeerClient::traffic() const {
   return {m_State->m_Traffic->m_BytesSent.load(),
           m_State->m_Traffic->m_BytesReceived.load()};
--- a/Source/Net/PeerStream.h
+++ b/Source/Net/PeerStream.h
@@ -119,6 +119,9 @@
   void call(const PeerEndpoint &To, std::string Method, std::string Message,
             Duration Timeout, UnaryHandler Done);
 
+  // Ends the connection and its streams; the next stream makes a new one.
+  void disconnect(const PeerEndpoint &From);
+
   struct Traffic {
     std::uint64_t m_BytesSent = 0;
     std::uint64_t m_BytesReceived = 0;
--- a/Source/Raft/ProposalForwarder.cpp
+++ b/Source/Raft/ProposalForwarder.cpp
@@ -4,6 +4,7 @@
 #include "Core/Timer.h"
 #include "Core/WorkerPool.h"
 #include "Net/UnaryMethod.h"
+#include "Raft/RaftPeers.h"
 
 #include <boost/asio/post.hpp>
 
@@ -69,19 +70,19 @@
 bool ProposalForwarder::forward(PendingProposal &Proposal,
                                 const std::optional<std::string> &Leader,
                                 std::shared_ptr<Owner> Receiver) {
-  const auto Target = m_Endpoints.find(nextTarget(Leader));
+  const std::string Target = nextTarget(Leader);
+  const auto Endpoint = findEndpoint(m_Endpoints, Target);
   const Duration Left = Proposal.m_Deadline - RuntimeClock::now();
-  if (Target == m_Endpoints.end() || Target->first == m_Self ||
-      Left <= Duration::zero())
+  if (!Endpoint || Target == m_Self || Left <= Duration::zero())
     return false;
-  Proposal.m_Target = Target->first;
+  Proposal.m_Target = Target;
   schema::ProposeRequest Request;
   *Request.mutable_command() = Proposal.m_Command;
   Request.set_timeout_ms(static_cast<std::uint32_t>(
       std::chrono::ceil<std::chrono::milliseconds>(Left).count()));
   // The owner, which holds this object, lives until the answer.
   m_Client.call(
-      Target->second, ProposeMethod, Request.SerializeAsString(), Left,
+      *Endpoint, ProposeMethod, Request.SerializeAsString(), Left,
       [this, Receiver = std::move(Receiver), Sent = std::move(Proposal)](
           const Result<std::string, PeerError> &Bytes) mutable {
         handleReply(std::move(Sent), std::move(Receiver), Bytes);
--- a/Source/Raft/RaftCodec.cpp
+++ b/Source/Raft/RaftCodec.cpp
@@ -82,7 +82,9 @@
     To.set_lease_round(toRound(B.m_LeaseRound));
   }
   void operator()(const JoinRequest &) const { m_Out.mutable_join_request(); }
-  void operator()(const JoinReply &) const { m_Out.mutable_join_reply(); }
+  void operator()(const JoinReply &B) const {
+    m_Out.mutable_join_reply()->set_leader(B.m_Leader);
+  }
 };
 
 AppendRequest fromSchema(schema::AppendRequest &From) {
@@ -143,7 +145,7 @@
     Out.m_Body = JoinRequest{};
     return true;
   case schema::RaftMessage::kJoinReply:
-    Out.m_Body = JoinReply{};
+    Out.m_Body = JoinReply{From.join_reply().leader()};
     return true;
   case schema::RaftMessage::KIND_NOT_SET:
     break;
--- a/Source/Raft/RaftControl.cpp
+++ b/Source/Raft/RaftControl.cpp
@@ -116,7 +116,9 @@
   RaftConfig Config;
   Config.m_Self = {m_Options.m_Name, m_Storage->storageId()};
   Config.m_Voters = m_Voters;
-  Config.m_Bootstrap = m_Voters.empty() ? std::string() : m_Voters.front();
+  if (m_Options.m_MayBootstrap && !m_Voters.empty())
+    Config.m_Bootstrap = m_Voters.front();
+  Config.m_Open = m_Options.m_Open;
   Config.m_Timing = m_Options.m_Timing;
   Config.m_Limits = m_Options.m_Limits;
   const RecoveredState &Recovered = m_Storage->recovered();
--- a/Source/Raft/RaftElection.cpp
+++ b/Source/Raft/RaftElection.cpp
@@ -181,8 +181,13 @@
     becomeLeader(C);
 }
 
-void handleJoinReply(StepContext &C, const RaftMessage &M) {
-  C.m_State.m_EmptyPeers.insert(M.m_From.m_Name);
+void handleJoinReply(StepContext &C, const RaftMessage &M, const JoinReply &B) {
+  RaftState &S = C.m_State;
+  if (B.m_Leader.empty())
+    S.m_EmptyPeers.insert(M.m_From.m_Name);
+  else if (B.m_Leader != S.m_Config.m_Self.m_Name &&
+           !isMember(currentMembers(S), S.m_Config.m_Self))
+    sendBody(C, {B.m_Leader, {}}, JoinRequest{});
 }
 
 } // namespace mangocart
--- a/Source/Raft/RaftLeader.cpp
+++ b/Source/Raft/RaftLeader.cpp
@@ -170,15 +170,77 @@
 }
 
 bool shallVote(const RaftState &S, const std::string &Name) {
+  if (S.m_Config.m_Open)
+    return true;
   const std::vector<std::string> &Voters = S.m_Config.m_Voters;
   return std::find(Voters.begin(), Voters.end(), Name) != Voters.end();
 }
 
+std::size_t intendedVoters(const RaftState &S) {
+  return S.m_Config.m_Open ? S.m_Config.m_Open->m_TargetVoters
+                           : S.m_Config.m_Voters.size();
+}
+
+// Whether the member has answered nothing for so long. A member that never
+// answered counts from the time at which this leader began.
+bool isSilent(const StepContext &C, const RaftMember &M, Duration Since) {
+  const RaftState &S = C.m_State;
+  const TimePoint Heard =
+      std::max(ackedRound(S, M.m_Id, C.m_Now).value_or(S.m_LeaderSince),
+               S.m_LeaderSince);
+  return C.m_Now - Heard > Since;
+}
+
+const RaftMember *findSilent(const StepContext &C, bool Voter, Duration Since) {
+  const RaftMembers &Members = currentMembers(C.m_State);
+  const auto Found =
+      std::find_if(Members.begin(), Members.end(), [&](const RaftMember &M) {
+        return M.m_Voter == Voter && isSilent(C, M, Since);
+      });
+  return Found == Members.end() ? nullptr : &*Found;
+}
+
+// A learner that answers and holds all committed entries.
+const RaftMember *findReadyLearner(const StepContext &C) {
+  const RaftState &S = C.m_State;
+  const RaftMembers &Members = currentMembers(S);
+  const auto Found =
+      std::find_if(Members.begin(), Members.end(), [&](const RaftMember &M) {
+        return !M.m_Voter && hasCaughtUp(S, M.m_Id) &&
+               isRecent(S, ackedRound(S, M.m_Id, C.m_Now), C.m_Now);
+      });
+  return Found == Members.end() ? nullptr : &*Found;
+}
+
+// Brings the number of voters to the target and moves the vote of a silent
+// voter to a learner, one change at a time: the learner votes before the silent
+// voter goes, so that no majority shrinks in between.
+void tendOpenMembers(StepContext &C, const OpenMembership &Open) {
+  const RaftState &S = C.m_State;
+  const RaftMembers &Members = currentMembers(S);
+  const std::size_t Voters = voterCount(Members);
+  const RaftMember *Silent = findSilent(C, true, Open.m_ReplaceSilentAfter);
+  const RaftMember *Ready = findReadyLearner(C);
+  if (Voters > Open.m_TargetVoters && Silent) {
+    changeMembers(C, withoutMember(Members, Silent->m_Id));
+  } else if (Ready && (Voters < Open.m_TargetVoters ||
+                       (Voters == Open.m_TargetVoters && Silent))) {
+    changeMembers(C, withVoter(Members, Ready->m_Id));
+  } else if (const RaftMember *Lost =
+                 findSilent(C, false, Open.m_DropLearnerAfter)) {
+    changeMembers(C, withoutMember(Members, Lost->m_Id));
+  }
+}
+
 // Makes one learner that holds all committed entries a voter.
 void promoteLearner(StepContext &C) {
   RaftState &S = C.m_State;
   if (!mayChangeMembers(S))
     return;
+  if (S.m_Config.m_Open) {
+    tendOpenMembers(C, *S.m_Config.m_Open);
+    return;
+  }
   for (const RaftMember &M : currentMembers(S)) {
     if (M.m_Voter || !shallVote(S, M.m_Id.m_Name) || !hasCaughtUp(S, M.m_Id))
       continue;
@@ -257,7 +319,7 @@
   // Before a majority of the intended voters are voters, one lost disk could
   // take committed entries with it.
   const bool TooFew =
-      voterCount(currentMembers(S)) < S.m_Config.m_Voters.size() / 2 + 1;
+      voterCount(currentMembers(S)) < intendedVoters(S) / 2 + 1;
   if (TooFew || !leaseHeld(S, C.m_Now))
     return RefusalReason::NoQuorum;
   return std::nullopt;
@@ -287,8 +349,12 @@
     becomeFollower(C, S.m_HardState.m_Term, {});
     return;
   }
-  if (C.m_Now >= S.m_HeartbeatDue)
-    sendHeartbeats(C);
+  if (C.m_Now < S.m_HeartbeatDue)
+    return;
+  sendHeartbeats(C);
+  // Silence brings no reply that would ask for a change.
+  if (S.m_Config.m_Open)
+    promoteLearner(C);
 }
 
 void handleAppendReply(StepContext &C, const RaftMessage &M,
@@ -333,9 +399,15 @@
     return;
   if (Members.empty())
     sendBody(C, M.m_From, JoinReply{});
+  else if (S.m_Config.m_Open && S.m_Role != RaftRole::Leader &&
+           !S.m_Leader.empty())
+    sendBody(C, M.m_From, JoinReply{S.m_Leader});
   if (S.m_Role != RaftRole::Leader || !shallVote(S, Name) ||
       isMember(Members, M.m_From))
     return;
+  if (S.m_Config.m_Open && !findByName(Members, Name) &&
+      Members.size() >= S.m_Config.m_Open->m_MaxMembers)
+    return;
   // A member that still answers wasn't replaced: the request is a late one.
   const RaftMember *Held = findByName(Members, Name);
   if (Held && isRecent(S, ackedRound(S, Held->m_Id, C.m_Now), C.m_Now))
--- a/Source/Raft/RaftMembership.cpp
+++ b/Source/Raft/RaftMembership.cpp
@@ -73,6 +73,11 @@
   return Members;
 }
 
+RaftMembers withoutMember(RaftMembers Members, const MemberId &Id) {
+  std::erase_if(Members, [&](const RaftMember &M) { return M.m_Id == Id; });
+  return Members;
+}
+
 RaftMembers withVoter(RaftMembers Members, const MemberId &Id) {
   for (RaftMember &M : Members)
     if (M.m_Id == Id)
--- a/Source/Raft/RaftMembership.h
+++ b/Source/Raft/RaftMembership.h
@@ -26,6 +26,8 @@
 // The list with the machine as a learner under the given storage id, in place
 // of whatever had its name.
 RaftMembers withLearner(RaftMembers Members, const MemberId &Id);
+// The list without the member.
+RaftMembers withoutMember(RaftMembers Members, const MemberId &Id);
 // The list with the member as a voter.
 RaftMembers withVoter(RaftMembers Members, const MemberId &Id);
 
--- a/Source/Raft/RaftNode.cpp
+++ b/Source/Raft/RaftNode.cpp
@@ -61,8 +61,8 @@
   }
   if (M.m_To != S.m_Config.m_Self)
     return;
-  if (std::holds_alternative<JoinReply>(M.m_Body)) {
-    handleJoinReply(C, M);
+  if (const auto *Joined = std::get_if<JoinReply>(&M.m_Body)) {
+    handleJoinReply(C, M, *Joined);
     return;
   }
   if (isReply(M) && !isMember(currentMembers(S), M.m_From))
--- a/Source/Raft/RaftPeers.h
+++ b/Source/Raft/RaftPeers.h
@@ -5,7 +5,9 @@
 #include "Net/PeerStream.h"
 
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mangocart {
@@ -19,6 +21,16 @@
   bool operator==(const RaftPeer &) const = default;
 };
 
+// "IP:PORT" as an endpoint; nothing if the text isn't one.
+std::optional<PeerEndpoint> parseEndpoint(std::string_view Text);
+std::string toString(const PeerEndpoint &Endpoint);
+
+// Where the member listens: as the list says, or, where members aren't known
+// beforehand, as its name says, which is an endpoint then.
+std::optional<PeerEndpoint>
+findEndpoint(const std::map<std::string, PeerEndpoint> &Listed,
+             const std::string &Name);
+
 std::map<std::string, PeerEndpoint>
 endpointsOf(const std::vector<RaftPeer> &Peers);
 
--- a/Source/Raft/RaftRunner.h
+++ b/Source/Raft/RaftRunner.h
@@ -30,6 +30,12 @@
   std::vector<RaftPeer> m_Peers;
   RaftTiming m_Timing;
   RaftLimits m_Limits;
+  // Set: m_Peers are only those known at the start, and every member's name is
+  // its endpoint, see findEndpoint().
+  std::optional<OpenMembership> m_Open;
+  // Whether this may be the first start of the deployment; without it no log
+  // is ever begun, so that a machine that lost its disk can only join.
+  bool m_MayBootstrap = true;
   // Stamp of a command that is proposed in the term; absent: the wall clock.
   std::function<std::uint64_t(Term)> m_CommandTimeMs;
   // A snapshot is taken after so many bytes of log, or after so many applied
--- a/Source/Raft/RaftSteps.h
+++ b/Source/Raft/RaftSteps.h
@@ -49,7 +49,7 @@
 void handleVoteRequest(StepContext &C, const RaftMessage &M,
                        const VoteRequest &B);
 void handleVoteReply(StepContext &C, const RaftMessage &M, const VoteReply &B);
-void handleJoinReply(StepContext &C, const RaftMessage &M);
+void handleJoinReply(StepContext &C, const RaftMessage &M, const JoinReply &B);
 
 // ---- RaftLeader.cpp
 void becomeLeader(StepContext &C);
--- a/Source/Raft/RaftTransport.cpp
+++ b/Source/Raft/RaftTransport.cpp
@@ -2,6 +2,7 @@
 #include "Raft/RaftTransport.h"
 
 #include "Raft/RaftCodec.h"
+#include "Raft/RaftPeers.h"
 
 #include <mutex>
 
@@ -67,15 +68,15 @@
 }
 
 void RaftTransport::send(const RaftMessage &Message, TimePoint Now) {
-  const auto Endpoint = m_Endpoints.find(Message.m_To.m_Name);
-  if (Endpoint == m_Endpoints.end())
+  const auto Endpoint = findEndpoint(m_Endpoints, Message.m_To.m_Name);
+  if (!Endpoint)
     return;
   Link &To = m_Links[Message.m_To.m_Name];
   const bool Usable = To.m_Stream && !*To.m_Lost;
   if (!Usable && To.m_Stream && Now - To.m_Opened < ReopenInterval)
     return;
   if (!Usable)
-    open(To, Endpoint->second, Now);
+    open(To, *Endpoint, Now);
   if (To.m_Stream->queuedBytes() > MaxQueuedBytes)
     return;
   std::string Bytes = encodeMessage(Message);
--- a/Source/Raft/RaftTypes.h
+++ b/Source/Raft/RaftTypes.h
@@ -137,8 +137,12 @@
   bool operator==(const JoinRequest &) const = default;
 };
 
-// Tells the bootstrap member that the sender's data folder is empty.
+// Tells the bootstrap member that the sender's data folder is empty, or the
+// joining one which machine leads.
 struct JoinReply {
+  // Empty: the sender knows no leader.
+  std::string m_Leader;
+
   bool operator==(const JoinReply &) const = default;
 };
 
@@ -268,15 +272,34 @@
   LogIndex m_EntriesKept = 1024;
 };
 
+// A log whose machines aren't known beforehand: any machine may join as a
+// learner, and a learner gets the vote of a voter that has fallen silent.
+struct OpenMembership {
+  // Voters that the leader works towards.
+  std::size_t m_TargetVoters = 3;
+  // Members above this are not taken in, so that the list stays bounded.
+  std::size_t m_MaxMembers = 12;
+  // A voter silent for longer loses its vote to a learner that has caught up.
+  // Longer than the restart of a process, so that a restart changes nothing.
+  Duration m_ReplaceSilentAfter = std::chrono::seconds(3);
+  // A learner silent for longer leaves the list.
+  Duration m_DropLearnerAfter = std::chrono::seconds(20);
+
+  bool operator==(const OpenMembership &) const = default;
+};
+
 struct RaftConfig {
   MemberId m_Self;
   // Machines that shall vote, this one included; learners among them are
-  // promoted once they have caught up.
+  // promoted once they have caught up. With open membership: the machines that
+  // are known at the start.
   std::vector<std::string> m_Voters;
   // The one machine that may begin a new log.
   std::string m_Bootstrap;
   RaftTiming m_Timing;
   RaftLimits m_Limits;
+  // Absent: only m_Voters may become members.
+  std::optional<OpenMembership> m_Open;
 };
 
 // What a data folder holds at the start.
--- a/Source/Settings/SettingsChecks.cpp
+++ b/Source/Settings/SettingsChecks.cpp
@@ -113,4 +113,26 @@
   return Errors;
 }
 
+SettingsErrors checkGatewaySettings(const schema::GatewaySettings &Settings,
+                                    const KeyLines &Lines) {
+  SettingsErrors Errors;
+  if (Settings.caller_endpoint() == Settings.health_endpoint())
+    Errors.push_back(errorAt(Lines, "health_endpoint",
+                             quoted(Settings.health_endpoint()),
+                             "another endpoint than caller_endpoint",
+                             "give the health check a port of its own"));
+  return Errors;
+}
+
+SettingsErrors checkVoterSettings(const schema::VoterSettings &Settings,
+                                  const KeyLines &Lines) {
+  SettingsErrors Errors;
+  if (Settings.peer_port() == Settings.metrics_port())
+    Errors.push_back(errorAt(Lines, "metrics_port",
+                             std::to_string(Settings.metrics_port()),
+                             "another port than peer_port",
+                             "give the metrics page a port of its own"));
+  return Errors;
+}
+
 } // namespace mangocart
--- a/Source/Settings/SettingsChecks.h
+++ b/Source/Settings/SettingsChecks.h
@@ -10,12 +10,18 @@
 namespace schema {
 class AgentSettings;
 class EntrySettings;
+class GatewaySettings;
+class VoterSettings;
 } // namespace schema
 
 SettingsErrors checkEntrySettings(const schema::EntrySettings &Settings,
                                   const KeyLines &Lines);
 SettingsErrors checkAgentSettings(const schema::AgentSettings &Settings,
                                   const KeyLines &Lines);
+SettingsErrors checkGatewaySettings(const schema::GatewaySettings &Settings,
+                                    const KeyLines &Lines);
+SettingsErrors checkVoterSettings(const schema::VoterSettings &Settings,
+                                  const KeyLines &Lines);
 
 } // namespace mangocart
 
--- a/Source/Settings/SettingsReader.cpp
+++ b/Source/Settings/SettingsReader.cpp
@@ -74,6 +74,19 @@
   return parse<schema::AgentSettings>(File, Text, Warnings, checkAgentSettings);
 }
 
+Result<schema::GatewaySettings, SettingsErrors>
+parseGatewaySettings(const std::string &File, std::string_view Text,
+                     SettingsWarnings &Warnings) {
+  return parse<schema::GatewaySettings>(File, Text, Warnings,
+                                        checkGatewaySettings);
+}
+
+Result<schema::VoterSettings, SettingsErrors>
+parseVoterSettings(const std::string &File, std::string_view Text,
+                   SettingsWarnings &Warnings) {
+  return parse<schema::VoterSettings>(File, Text, Warnings, checkVoterSettings);
+}
+
 Result<schema::Questionnaire, SettingsErrors>
 parseQuestionnaire(const std::string &File, std::string_view Text,
                    SettingsWarnings &Warnings) {
@@ -90,6 +103,16 @@
   return read<schema::AgentSettings>(File, Warnings, parseAgentSettings);
 }
 
+Result<schema::GatewaySettings, SettingsErrors>
+readGatewaySettings(const std::string &File, SettingsWarnings &Warnings) {
+  return read<schema::GatewaySettings>(File, Warnings, parseGatewaySettings);
+}
+
+Result<schema::VoterSettings, SettingsErrors>
+readVoterSettings(const std::string &File, SettingsWarnings &Warnings) {
+  return read<schema::VoterSettings>(File, Warnings, parseVoterSettings);
+}
+
 Result<schema::Questionnaire, SettingsErrors>
 readQuestionnaire(const std::string &File, SettingsWarnings &Warnings) {
   return read<schema::Questionnaire>(File, Warnings, parseQuestionnaire);
--- a/Source/Settings/SettingsReader.h
+++ b/Source/Settings/SettingsReader.h
@@ -14,7 +14,9 @@
 namespace schema {
 class AgentSettings;
 class EntrySettings;
+class GatewaySettings;
 class Questionnaire;
+class VoterSettings;
 } // namespace schema
 
 // Warnings are added to the list in either case. On failure the result holds
@@ -23,6 +25,10 @@
 readEntrySettings(const std::string &File, SettingsWarnings &Warnings);
 Result<schema::AgentSettings, SettingsErrors>
 readAgentSettings(const std::string &File, SettingsWarnings &Warnings);
+Result<schema::GatewaySettings, SettingsErrors>
+readGatewaySettings(const std::string &File, SettingsWarnings &Warnings);
+Result<schema::VoterSettings, SettingsErrors>
+readVoterSettings(const std::string &File, SettingsWarnings &Warnings);
 Result<schema::Questionnaire, SettingsErrors>
 readQuestionnaire(const std::string &File, SettingsWarnings &Warnings);
 
@@ -33,6 +39,12 @@
 Result<schema::AgentSettings, SettingsErrors>
 parseAgentSettings(const std::string &File, std::string_view Text,
                    SettingsWarnings &Warnings);
+Result<schema::GatewaySettings, SettingsErrors>
+parseGatewaySettings(const std::string &File, std::string_view Text,
+                     SettingsWarnings &Warnings);
+Result<schema::VoterSettings, SettingsErrors>
+parseVoterSettings(const std::string &File, std::string_view Text,
+                   SettingsWarnings &Warnings);
 Result<schema::Questionnaire, SettingsErrors>
 parseQuestionnaire(const std::string &File, std::string_view Text,
                    SettingsWarnings &Warnings);
--- a/Source/Settings/SettingsReference.cpp
+++ b/Source/Settings/SettingsReference.cpp
@@ -74,6 +74,8 @@
 std::string settingsReference() {
   return settingsReference({schema::EntrySettings::descriptor(),
                             schema::AgentSettings::descriptor(),
+                            schema::GatewaySettings::descriptor(),
+                            schema::VoterSettings::descriptor(),
                             schema::Questionnaire::descriptor()});
 }
 
--- a/Source/Settings/TextForms.cpp
+++ b/Source/Settings/TextForms.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <numeric>
 
 namespace mangocart {
@@ -33,6 +34,17 @@
   return !Failed && !Address.is_unspecified() && !Address.is_multicast();
 }
 
+bool isEndpoint(std::string_view Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos || !isIpNumber(Text.substr(0, Colon)))
+    return false;
+  const std::string_view Number = Text.substr(Colon + 1);
+  std::uint16_t Port = 0;
+  const char *const End = Number.data() + Number.size();
+  const auto Parsed = std::from_chars(Number.data(), End, Port);
+  return Parsed.ec == std::errc() && Parsed.ptr == End && Port > 0;
+}
+
 // Absolute, as the folder that a daemon starts in is the platform's choice.
 bool isFilePath(std::string_view Text) {
   return Text.starts_with('/') &&
@@ -77,12 +89,13 @@
       Text, std::array<std::string_view, 2>{"step-skew", "rebalancing-cost"});
 }
 
-constexpr std::array<TextForm, 8> Forms{{
+constexpr std::array<TextForm, 9> Forms{{
     {"name",
      "a name of lower-case letters, digits and hyphens, at most 63, that "
      "starts with a letter or digit",
      isName},
     {"ip", "an IPv4 or IPv6 number of one VM", isIpNumber},
+    {"endpoint", "an IPv4 or IPv6 number, a colon and a port", isEndpoint},
     {"path", "an absolute path of a file or folder", isFilePath},
     {"route",
      "a path prefix that starts with / and has no trailing /, no // and none "
--- /dev/null
+++ b/Source/Voter/DocumentMachine.cpp
@@ -0,0 +1,56 @@
+// Commands and snapshots of the document.
+#include "Voter/DocumentMachine.h"
+
+#include "Log.pb.h"
+
+namespace mangocart {
+
+DocumentPtr DocumentMachine::document() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Document;
+}
+
+void DocumentMachine::put(std::uint64_t Version, std::string Bytes) {
+  {
+    const std::lock_guard Lock(m_Mutex);
+    if (Version <= m_Document->m_Version)
+      return;
+    m_Document = std::make_shared<const VersionedDocument>(
+        VersionedDocument{Version, std::move(Bytes)});
+  }
+  if (m_OnChange)
+    m_OnChange();
+}
+
+std::string DocumentMachine::apply(std::uint64_t, std::string_view Command) {
+  schema::Command Parsed;
+  schema::CommandReply Reply;
+  if (!Parsed.ParseFromArray(Command.data(), static_cast<int>(Command.size())))
+    return Reply.SerializeAsString();
+  if (Parsed.has_put_document())
+    put(Parsed.put_document().version(),
+        std::move(*Parsed.mutable_put_document()->mutable_document()));
+  const DocumentPtr Kept = document();
+  Reply.mutable_document()->set_version(Kept->m_Version);
+  if (Parsed.read_document())
+    Reply.mutable_document()->set_document(Kept->m_Bytes);
+  return Reply.SerializeAsString();
+}
+
+std::string DocumentMachine::snapshot() const {
+  const DocumentPtr Kept = document();
+  schema::DocumentSnapshot Snapshot;
+  Snapshot.set_version(Kept->m_Version);
+  Snapshot.set_document(Kept->m_Bytes);
+  return Snapshot.SerializeAsString();
+}
+
+void DocumentMachine::restore(std::string_view Snapshot) {
+  schema::DocumentSnapshot Parsed;
+  if (!Parsed.ParseFromArray(Snapshot.data(),
+                             static_cast<int>(Snapshot.size())))
+    return;
+  put(Parsed.version(), std::move(*Parsed.mutable_document()));
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Voter/VoterDaemon.cpp
@@ -0,0 +1,204 @@
+// Start and service of a voter.
+#include "Voter/VoterDaemon.h"
+
+#include "Daemon/StartFailure.h"
+#include "Daemon/StopSignals.h"
+
+#include <algorithm>
+
+namespace mangocart {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr unsigned StatusOk = 200;
+constexpr Duration TendInterval = std::chrono::seconds(1);
+// Operators and backend servers keep few connections.
+constexpr std::size_t MaxConnections = 1024;
+constexpr Duration ReadTimeout = std::chrono::seconds(10);
+// One worker: the machines of voters have a part of a core.
+constexpr std::size_t Workers = 1;
+// Announcements that may be missed before a backend server is suspect, lost.
+constexpr int SuspectAfterAnnouncements = 3;
+constexpr int LostAfterAnnouncements = 6;
+// Entries are whole configurations: few are kept, in memory and on disk.
+constexpr LogIndex EntriesKept = 32;
+constexpr LogIndex SnapshotEntries = 64;
+constexpr std::uint64_t SnapshotLogBytes = std::uint64_t{8} * 1024 * 1024;
+
+HttpLimits controlLimits(const schema::VoterSettings &Settings) {
+  HttpLimits Limits;
+  Limits.m_MaxConnections = MaxConnections;
+  Limits.m_MaxBodyBytes = Settings.max_body_bytes();
+  Limits.m_ReadTimeout = ReadTimeout;
+  return Limits;
+}
+
+MembershipLimits membershipLimits(const schema::VoterSettings &Settings) {
+  const Duration Interval = milliseconds(Settings.announce_interval_ms());
+  MembershipLimits Limits;
+  Limits.m_SuspectAfter = Interval * SuspectAfterAnnouncements;
+  Limits.m_LostAfter = Interval * LostAfterAnnouncements;
+  return Limits;
+}
+
+} // namespace
+
+VoterDaemon::VoterDaemon(schema::VoterSettings Settings,
+                         std::string SettingsFile,
+                         const ControlProtocol &Protocol)
+    : m_Settings(std::move(Settings)), m_Workers(Workers),
+      m_Events({"voter", m_Settings.name(), m_Settings.availability_zone()},
+               std::string(EventLog::StandardOutput)),
+      m_Directory(m_Events, m_Settings.availability_zone(), 1,
+                  RuntimeClock::wallMilliseconds()),
+      m_Peers(m_Workers), m_Server(m_Workers),
+      m_Watchers(std::make_shared<WatchService>(
+          m_Workers.worker(0),
+          WatchSources{m_Events, m_Machine, m_Directory,
+                       [this] { return memberNames(); }})),
+      m_Log(openLog()),
+      m_Front({Protocol, m_Events, m_Machine, *m_Log,
+               [this](const Member &Record) { announced(Record); }}),
+      m_ControlServer(m_Workers, controlLimits(m_Settings),
+                      [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                        m_Front.handle(Exchange);
+                      }),
+      m_MetricsServer(m_Workers, HttpLimits{},
+                      [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                        answerMetrics(*Exchange);
+                      }),
+      m_SettingsWatch(m_Workers.worker(0), std::move(SettingsFile),
+                      [this](const std::string &) {
+                        // A member finds the others by the log; one that isn't
+                        // a member yet started with these seeds.
+                        m_Events.write(Event::SettingsReloaded, {{"seeds", 0}});
+                      }),
+      m_TendTimer(m_Workers.worker(0)) {
+  m_Events.limitRequestLines(m_Settings.log_lines_per_second());
+  m_Directory.setLimits(membershipLimits(m_Settings));
+  m_Directory.onNews([this] { m_Watchers->news(); });
+  addMetrics();
+}
+
+VoterDaemon::~VoterDaemon() { m_Workers.stop(); }
+
+PeerEndpoint VoterDaemon::ownEndpoint() const {
+  const auto Control = parseEndpoint(m_Settings.control_endpoint());
+  return {Control ? Control->m_Address : std::string(),
+          static_cast<std::uint16_t>(m_Settings.peer_port())};
+}
+
+std::unique_ptr<RaftRunner> VoterDaemon::openLog() {
+  m_Machine.onChange([this] { m_Watchers->news(); });
+  RaftRunnerOptions Options;
+  Options.m_Name = toString(ownEndpoint());
+  Options.m_DataFolder = m_Settings.data_folder();
+  for (const std::string &Seed : m_Settings.seeds())
+    if (const auto Control = parseEndpoint(Seed)) {
+      const PeerEndpoint Peer{Control->m_Address,
+                              static_cast<std::uint16_t>(
+                                  m_Settings.peer_port())};
+      Options.m_Peers.push_back({toString(Peer), Peer, true});
+    }
+  OpenMembership Open;
+  Open.m_TargetVoters = 2 * m_Settings.tolerated_losses() + 1;
+  Options.m_Open = Open;
+  Options.m_MayBootstrap = m_Settings.first_start();
+  Options.m_Limits.m_EntriesKept = EntriesKept;
+  Options.m_SnapshotEntries = SnapshotEntries;
+  Options.m_SnapshotLogBytes = SnapshotLogBytes;
+  auto Runner = RaftRunner::start(
+      std::move(Options), m_Machine, m_Workers, m_Peers, m_Server,
+      [this](const StorageError &) { m_Exit.open(ExitCode::Failed); },
+      &m_Events);
+  if (!Runner)
+    throw StartFailure(Runner.error().m_Message);
+  return std::move(Runner).value();
+}
+
+ExitCode VoterDaemon::run() {
+  m_Watchers->serve(m_Server);
+  if (!listen())
+    return ExitCode::Failed;
+  StopSignals Signals(
+      m_Workers.worker(0), [this] { m_Exit.open(ExitCode::Ok); },
+      [this] { m_Exit.open(ExitCode::Failed); });
+  m_SettingsWatch.start();
+  m_Watchers->start();
+  tend();
+  m_Workers.start();
+  m_Events.write(Event::ProcessStarted,
+                 {{"address", m_Settings.control_endpoint()}});
+  const ExitCode Code = m_Exit.wait();
+  m_Events.write(Event::ProcessStopped,
+                 {{"exit_code", static_cast<int>(Code)}});
+  m_Workers.stop();
+  return Code;
+}
+
+bool VoterDaemon::listen() {
+  const auto Report = [this](const std::string &Detail) {
+    m_Events.write(Event::ListenFailed, {{"detail", Detail}});
+    return false;
+  };
+  const PeerEndpoint Own = ownEndpoint();
+  const auto Control = parseEndpoint(m_Settings.control_endpoint());
+  if (const auto Peers = m_Server.listen(Own.m_Address, Own.m_Port); !Peers)
+    return Report(Peers.error().m_Detail);
+  if (const auto Calls =
+          m_ControlServer.listen(Control->m_Address, Control->m_Port);
+      !Calls)
+    return Report(Calls.error().m_Detail);
+  if (const auto Metrics = m_MetricsServer.listen(
+          Own.m_Address,
+          static_cast<std::uint16_t>(m_Settings.metrics_port()));
+      !Metrics)
+    return Report(Metrics.error().m_Detail);
+  return true;
+}
+
+void VoterDaemon::tend() {
+  m_Directory.sweepMembers();
+  m_TendTimer.expires_after(TendInterval);
+  m_TendTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      tend();
+  });
+}
+
+void VoterDaemon::announced(const Member &Record) {
+  m_Directory.announced(Record);
+}
+
+std::vector<std::string> VoterDaemon::memberNames() const {
+  std::vector<std::string> Names;
+  if (!m_Log)
+    return Names;
+  for (const RaftMember &Each : m_Log->status().m_Members)
+    Names.push_back(Each.m_Id.m_Name);
+  return Names;
+}
+
+void VoterDaemon::addMetrics() {
+  m_Registry.gaugeFrom(
+      "mangocart_configuration_version",
+      "Version of the configuration in force.", [this] {
+        return static_cast<double>(m_Machine.document()->m_Version);
+      });
+  m_Registry.gaugeFrom("mangocart_log_leads", "1 while this voter leads.",
+                       [this] { return m_Log->isLeader() ? 1.0 : 0.0; });
+  m_Registry.counterFrom("mangocart_log_syncs_total", "Syncs of the disk.",
+                         [this] { return m_Log->counters().m_Syncs; });
+  m_Registry.counterFrom("mangocart_log_proposals_total",
+                         "Commands appended as leader.",
+                         [this] { return m_Log->counters().m_Proposals; });
+}
+
+void VoterDaemon::answerMetrics(HttpExchange &Exchange) const {
+  Exchange.respond({{StatusOk, {{"Content-Type", "text/plain"}}},
+                    m_Registry.expose(RuntimeClock::now())});
+}
+
+} // namespace mangocart
