--- /dev/null
+++ b/Source/Balancer/BalancerDaemon.cpp
@@ -0,0 +1,200 @@
+// Start and service of a balancer.
+#include "Balancer/BalancerDaemon.h"
+
+#include "Daemon/StopSignals.h"
+#include "Net/UnaryMethod.h"
+#include "Raft/RaftPeers.h"
+#include "Settings/SettingsReader.h"
+
+namespace mangocart {
+
+namespace {
+
+constexpr const char *RankMethod = "/balancer/rank";
+constexpr unsigned StatusOk = 200;
+constexpr Duration TendInterval = std::chrono::seconds(2);
+// One worker: the machine has a part of a core.
+constexpr std::size_t Workers = 1;
+// Announcements that may be missed before a backend server is lost.
+constexpr int LostAfterAnnouncements = 8;
+
+MembershipLimits membershipLimits(const schema::BalancerSettings &Settings) {
+  MembershipLimits Limits;
+  Limits.m_LostAfter =
+      std::chrono::milliseconds(Settings.announce_interval_ms()) *
+      LostAfterAnnouncements;
+  return Limits;
+}
+
+HttpTarget toTarget(const PeerEndpoint &Endpoint) {
+  return {Endpoint.m_Address, Endpoint.m_Port};
+}
+
+} // namespace
+
+BalancerDaemon::BalancerDaemon(schema::BalancerSettings Settings,
+                               std::string SettingsFile,
+                               const CallerProtocol &Callers,
+                               const EngineProtocol &Engines)
+    : m_Settings(std::move(Settings)), m_SettingsFile(std::move(SettingsFile)),
+      m_Replica(
+          parseEndpoint(m_Settings.replica_endpoint()).value_or(PeerEndpoint())),
+      m_Self{m_Replica.m_Address,
+             static_cast<std::uint16_t>(m_Settings.peer_port())},
+      m_Workers(Workers),
+      m_Events({"balancer", m_Settings.name(), m_Settings.availability_zone()},
+               std::string(EventLog::StandardOutput)),
+      m_Plans(Callers, m_Events),
+      m_Directory(m_Events, m_Settings.availability_zone(), 1,
+                  RuntimeClock::wallMilliseconds()),
+      m_Client(m_Workers.worker(0)),
+      m_Service(m_Client, toTarget(m_Replica), Engines, m_Events),
+      m_Peers(m_Workers), m_Server(m_Workers),
+      m_MetricsServer(m_Workers, HttpLimits{},
+                      [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                        Exchange->respond(
+                            {{StatusOk, {{"Content-Type", "text/plain"}}},
+                             m_Registry.expose(RuntimeClock::now())});
+                      }),
+      m_Watch(std::make_shared<VoterWatch>(
+          m_Workers.worker(0), m_Peers,
+          WatchTargets{
+              WatcherKind::Balancer,
+              m_Events,
+              [this](std::uint64_t Version, std::string_view Document) {
+                m_Plans.offer(Version, Document);
+              },
+              m_Directory,
+              [](std::uint32_t) {},
+              m_Settings.availability_zone()},
+          m_Settings.name())),
+      m_Coordinator(std::make_shared<GroupCoordinator>(
+          m_Workers.worker(0),
+          CoordinatorSources{m_Events, m_Service, m_Peers,
+                             [this] { return balancers(); },
+                             [this] { return layout(); }, m_Self},
+          RuntimeClock::wallMilliseconds())),
+      m_SettingsWatch(
+          m_Workers.worker(0), m_SettingsFile,
+          [this](const std::string &Text) { settingsChanged(Text); }),
+      m_TendTimer(m_Workers.worker(0)) {
+  m_Events.limitRequestLines(m_Settings.log_lines_per_second());
+  m_Directory.setLimits(membershipLimits(m_Settings));
+}
+
+BalancerDaemon::~BalancerDaemon() { m_Workers.stop(); }
+
+ExitCode BalancerDaemon::run() {
+  serve();
+  if (!listen())
+    return ExitCode::Failed;
+  StopSignals Signals(
+      m_Workers.worker(0), [this] { m_Exit.open(ExitCode::Ok); },
+      [this] { m_Exit.open(ExitCode::Failed); });
+  m_SettingsWatch.start();
+  m_Watch->start(seeds(m_Settings));
+  m_Coordinator->start();
+  tend();
+  m_Workers.start();
+  m_Events.write(Event::ProcessStarted,
+                 {{"address", m_Settings.replica_endpoint()}});
+  const ExitCode Code = m_Exit.wait();
+  m_Events.write(Event::ProcessStopped,
+                 {{"exit_code", static_cast<int>(Code)}});
+  m_Workers.stop();
+  return Code;
+}
+
+void BalancerDaemon::serve() {
+  addAsyncMethod(
+      m_Server, RankMethod,
+      [this](std::string_view Bytes, const UnaryAnswer &Answer) {
+        schema::RankRequest Request;
+        if (!Request.ParseFromArray(Bytes.data(),
+                                    static_cast<int>(Bytes.size())))
+          return false;
+        m_Coordinator->receive(Request, [Answer](const schema::RankReply &R) {
+          Answer(R.SerializeAsString());
+        });
+        return true;
+      });
+}
+
+bool BalancerDaemon::listen() {
+  const auto Report = [this](const std::string &Detail) {
+    m_Events.write(Event::ListenFailed, {{"detail", Detail}});
+    return false;
+  };
+  if (const auto Peers = m_Server.listen(m_Self.m_Address, m_Self.m_Port);
+      !Peers)
+    return Report(Peers.error().m_Detail);
+  const auto Port = static_cast<std::uint16_t>(m_Settings.metrics_port());
+  if (const auto Metrics = m_MetricsServer.listen(m_Self.m_Address, Port);
+      !Metrics)
+    return Report(Metrics.error().m_Detail);
+  return true;
+}
+
+void BalancerDaemon::tend() {
+  m_Directory.sweepMembers();
+  m_TendTimer.expires_after(TendInterval);
+  m_TendTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      tend();
+  });
+}
+
+std::vector<PeerEndpoint>
+BalancerDaemon::seeds(const schema::BalancerSettings &From) const {
+  std::vector<PeerEndpoint> Seeds;
+  for (const std::string &Seed : From.seeds())
+    if (const auto Endpoint = parseEndpoint(Seed))
+      Seeds.push_back({Endpoint->m_Address, m_Self.m_Port});
+  return Seeds;
+}
+
+// The service that the replica beside this process announces.
+std::string BalancerDaemon::ownService() const {
+  for (const MemberView &Each : m_Directory.members())
+    if (Each.m_Member.m_Address == m_Replica.m_Address &&
+        Each.m_Member.m_PeerPort == m_Replica.m_Port &&
+        Each.m_Member.m_State != MemberState::Left)
+      return Each.m_Member.m_Service;
+  return {};
+}
+
+std::vector<PeerEndpoint> BalancerDaemon::balancers() const {
+  const std::string Service = ownService();
+  std::vector<PeerEndpoint> Found;
+  if (Service.empty())
+    return Found;
+  for (const MemberView &Each : m_Directory.members())
+    if (Each.m_Member.m_Service == Service &&
+        Each.m_Member.m_State != MemberState::Left)
+      Found.push_back({Each.m_Member.m_Address, m_Self.m_Port});
+  return Found;
+}
+
+std::optional<ExpertLayout> BalancerDaemon::layout() const {
+  const RoutingPlanPtr Plan = m_Plans.current();
+  const PlannedService *Service =
+      Plan ? Plan->findService(ownService()) : nullptr;
+  if (!Service || !Service->m_Engine)
+    return std::nullopt;
+  return Service->m_Engine->m_Experts;
+}
+
+void BalancerDaemon::settingsChanged(const std::string &) {
+  SettingsWarnings Ignored;
+  const auto Read = readBalancerSettings(m_SettingsFile, Ignored);
+  if (Read.has_error()) {
+    m_Events.write(Event::SettingsUnusable,
+                   {{"detail", toString(Read.error())}});
+    return;
+  }
+  m_Events.write(Event::SettingsReloaded,
+                 {{"seeds", Read.value().seeds_size()}});
+  m_Watch->setSeeds(seeds(Read.value()));
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -0,0 +1,407 @@
+// Rounds: ask every rank, then decide.
+#include "Balancer/GroupCoordinator.h"
+
+#include "Events/EventLog.h"
+#include "Raft/RaftPeers.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace mangocart {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *RankMethod = "/balancer/rank";
+// Between two rounds while a change is under way, and while none is.
+constexpr Duration BusyInterval = milliseconds(40);
+constexpr Duration IdleInterval = milliseconds(300);
+// A balancer that doesn't coordinate looks at its own replica this often.
+constexpr Duration OwnInterval = milliseconds(1000);
+constexpr Duration RoundLimit = milliseconds(700);
+constexpr Duration CallTimeout = milliseconds(650);
+constexpr Duration DiscoverInterval = milliseconds(1500);
+// Without a question from a lower rank for so long, this one takes over; each
+// further rank waits a little longer.
+constexpr Duration TakeOverAfter = milliseconds(1300);
+constexpr Duration TakeOverStep = milliseconds(400);
+// A new map must lower the slowest ranks' part of a pass by this share of the
+// mean: below, the copies cost more than they bring.
+constexpr double LeastGain = 0.06;
+// What a rank copies for one map takes at most this long, as passes are slower
+// meanwhile and the load may shift before the map is in force.
+constexpr Duration CopyLimit = milliseconds(900);
+constexpr unsigned RandomVersionBits = 10;
+
+// What one expert's copy must take off a pass, as a part of the mean work of
+// the ranks: the copy itself slows passes down, and while the group is hardly
+// busy a faster pass is of little use.
+constexpr double GainPerCopyBusy = 0.004;
+constexpr double GainPerCopyCalm = 0.02;
+// Occupied part of the ranks' places from which the group is hardly busy, and
+// from which it is busy.
+constexpr double CalmOccupancy = 0.35;
+constexpr double BusyOccupancy = 0.75;
+
+double gainPerCopy(double Occupancy) {
+  const double Busy = std::clamp((Occupancy - CalmOccupancy) /
+                                     (BusyOccupancy - CalmOccupancy),
+                                 0.0, 1.0);
+  return GainPerCopyCalm + Busy * (GainPerCopyBusy - GainPerCopyCalm);
+}
+
+PlacementOptions placementOptions(const ExpertLayout &Layout,
+                                  double MeanLoad, double Occupancy) {
+  PlacementOptions Options;
+  // The gate in parts of the mean load, for one pass.
+  Options.m_Gate.m_StepSkewWeight = 1.0;
+  Options.m_Gate.m_RebalancingCostWeight = 1.0;
+  Options.m_Gate.m_SecondsPerToken = 1.0 / MeanLoad;
+  Options.m_Gate.m_HorizonSteps = 1.0;
+  Options.m_Gate.m_SecondsPerWeights = gainPerCopy(Occupancy);
+  Options.m_Gate.m_StoreSecondPrice = 1.0;
+  Options.m_MaxNewPerRankLayer = Layout.m_MaxNewPerLayer;
+  if (Layout.m_CopyTime > Duration::zero())
+    Options.m_MaxNewPerRank = static_cast<std::uint32_t>(
+        std::max<std::int64_t>(1, CopyLimit / Layout.m_CopyTime));
+  return Options;
+}
+
+} // namespace
+
+GroupCoordinator::GroupCoordinator(boost::asio::io_context &Worker,
+                                   CoordinatorSources Sources,
+                                   std::uint64_t Seed)
+    : m_Sources(std::move(Sources)), m_Timer(Worker), m_Random(Seed) {}
+
+void GroupCoordinator::start() {
+  m_Started = RuntimeClock::now();
+  boost::asio::post(m_Timer.get_executor(),
+                    [Self = shared_from_this()] { Self->tick(); });
+}
+
+void GroupCoordinator::receive(const schema::RankRequest &Request,
+                               RankService::Handler Done) {
+  if (m_Own && Request.group() == m_Own->m_Group &&
+      Request.from_rank() < m_Own->m_Rank)
+    m_LowerHeard = RuntimeClock::now();
+  m_Sources.m_Service.ask(Request, std::move(Done));
+}
+
+Duration GroupCoordinator::interval() const {
+  if (!m_Coordinates)
+    return IdleInterval;
+  return m_Switch.m_Phase == SwitchPhase::Idle ||
+                 m_Switch.m_Phase == SwitchPhase::Switching
+             ? IdleInterval
+             : BusyInterval;
+}
+
+bool GroupCoordinator::mayCoordinate(TimePoint Now) const {
+  if (!m_Own || m_Own->m_Size < 2 || !m_Sources.m_Layout())
+    return false;
+  const Duration Wait =
+      m_Own->m_Rank == 0 ? Duration::zero()
+                         : TakeOverAfter + TakeOverStep * m_Own->m_Rank;
+  return Now - std::max(m_LowerHeard, m_Started) >= Wait;
+}
+
+void GroupCoordinator::tick() {
+  const TimePoint Now = RuntimeClock::now();
+  lookForOwn();
+  const bool Coordinates = mayCoordinate(Now);
+  if (Coordinates != m_Coordinates) {
+    m_Coordinates = Coordinates;
+    m_Switch = GroupSwitch();
+    m_Orders.clear();
+    m_WantsExperts = true;
+    m_Map.reset();
+    m_Sources.m_Events.write(Event::CoordinationChanged,
+                             {{"coordinates", Coordinates},
+                              {"group", m_Own ? m_Own->m_Group : ""},
+                              {"rank", m_Own ? m_Own->m_Rank : 0}});
+  }
+  if (m_Coordinates) {
+    discover(Now);
+    poll();
+  }
+  if (m_WaitingFor == 0 || !m_Coordinates) {
+    m_Timer.expires_after(interval());
+    m_Timer.async_wait(
+        [Self = shared_from_this()](boost::system::error_code Error) {
+          if (!Error)
+            Self->tick();
+        });
+  }
+}
+
+void GroupCoordinator::lookForOwn() {
+  const TimePoint Now = RuntimeClock::now();
+  if (m_Coordinates || Now - m_OwnAsked < OwnInterval)
+    return;
+  m_OwnAsked = Now;
+  m_Sources.m_Service.ask({}, [Self = shared_from_this()](
+                                  const schema::RankReply &Reply) {
+    if (Reply.has_report())
+      Self->m_Own = fromSchema(Reply.report());
+  });
+}
+
+void GroupCoordinator::discover(TimePoint Now) {
+  const std::vector<PeerEndpoint> Known = m_Sources.m_Balancers();
+  std::erase_if(m_PeersByEndpoint, [&](const auto &Each) {
+    return std::find(Known.begin(), Known.end(), Each.first) == Known.end();
+  });
+  for (const PeerEndpoint &Each : Known)
+    m_PeersByEndpoint.try_emplace(Each);
+  for (auto &[To, Other] : m_PeersByEndpoint) {
+    const bool Mine = Other.m_State && Other.m_State->m_Group == m_Own->m_Group;
+    if (Mine || Other.m_IsWaiting || Now - Other.m_Asked < DiscoverInterval)
+      continue;
+    schema::RankRequest Request;
+    Request.set_group(m_Own->m_Group);
+    Request.set_from_rank(m_Own->m_Rank);
+    ask(To, std::move(Request));
+  }
+}
+
+// One balancer a rank: the one heard last, as a replica that was replaced may
+// still be listed.
+std::vector<PeerEndpoint> GroupCoordinator::ranksInOrder() const {
+  std::map<std::uint32_t, std::pair<TimePoint, PeerEndpoint>> ByRank;
+  for (const auto &[To, Other] : m_PeersByEndpoint) {
+    if (!Other.m_State || Other.m_State->m_Group != m_Own->m_Group)
+      continue;
+    auto &Place = ByRank[Other.m_State->m_Rank];
+    if (Place.second == PeerEndpoint() || Place.first < Other.m_Heard)
+      Place = {Other.m_Heard, To};
+  }
+  std::vector<PeerEndpoint> Ranks;
+  for (const auto &[Rank, Place] : ByRank)
+    if (Rank == Ranks.size())
+      Ranks.push_back(Place.second);
+  return Ranks;
+}
+
+void GroupCoordinator::poll() {
+  ++m_Round;
+  m_WaitingFor = 0;
+  const std::vector<PeerEndpoint> Ranks = ranksInOrder();
+  const bool WantsCounts = m_Switch.m_Phase == SwitchPhase::Idle;
+  for (std::uint32_t Rank = 0; Rank < Ranks.size(); ++Rank) {
+    if (m_PeersByEndpoint[Ranks[Rank]].m_IsWaiting)
+      continue;
+    schema::RankRequest Request;
+    Request.set_group(m_Own->m_Group);
+    Request.set_from_rank(m_Own->m_Rank);
+    Request.set_wants_counts(WantsCounts);
+    Request.set_wants_experts(m_WantsExperts);
+    if (const auto Order = m_Orders.find(Rank); Order != m_Orders.end())
+      *Request.mutable_order() = toSchema(Order->second);
+    ++m_WaitingFor;
+    ask(Ranks[Rank], std::move(Request));
+  }
+  m_Orders.clear();
+  if (m_WaitingFor == 0)
+    return;
+  m_Timer.expires_after(RoundLimit);
+  m_Timer.async_wait([Self = shared_from_this(), Round = m_Round](
+                         boost::system::error_code Error) {
+    if (!Error && Self->m_Round == Round && Self->m_WaitingFor > 0)
+      Self->endRound();
+  });
+}
+
+void GroupCoordinator::ask(const PeerEndpoint &To,
+                           schema::RankRequest Request) {
+  Peer &Other = m_PeersByEndpoint[To];
+  Other.m_IsWaiting = true;
+  Other.m_Asked = RuntimeClock::now();
+  const auto Take = [Self = shared_from_this(), To,
+                     Round = m_Round](schema::RankReply Reply) {
+    boost::asio::post(Self->m_Timer.get_executor(),
+                      [Self, To, Round, Reply = std::move(Reply)]() mutable {
+                        Self->onReply(To, std::move(Reply));
+                        if (Round == Self->m_Round && Self->m_WaitingFor > 0 &&
+                            --Self->m_WaitingFor == 0)
+                          Self->endRound();
+                      });
+  };
+  if (To == m_Sources.m_Self)
+    return m_Sources.m_Service.ask(Request, Take);
+  m_Sources.m_Peers.call(
+      To, RankMethod, Request.SerializeAsString(), CallTimeout,
+      [Take](const Result<std::string, PeerError> &Bytes) {
+        schema::RankReply Reply;
+        if (Bytes)
+          Reply.ParseFromString(Bytes.value());
+        Take(std::move(Reply));
+      });
+}
+
+void GroupCoordinator::onReply(const PeerEndpoint &From,
+                               schema::RankReply Reply) {
+  const auto Found = m_PeersByEndpoint.find(From);
+  if (Found == m_PeersByEndpoint.end())
+    return;
+  Peer &Other = Found->second;
+  Other.m_IsWaiting = false;
+  Other.m_Reply = std::move(Reply);
+  if (!Other.m_Reply.has_report())
+    return;
+  Other.m_State = fromSchema(Other.m_Reply.report());
+  Other.m_Heard = RuntimeClock::now();
+  if (From == m_Sources.m_Self)
+    m_Own = Other.m_State;
+}
+
+void GroupCoordinator::endRound() {
+  m_WaitingFor = 0;
+  if (m_Coordinates && m_Own)
+    decide(ranksInOrder());
+  m_Timer.expires_after(interval());
+  m_Timer.async_wait(
+      [Self = shared_from_this()](boost::system::error_code Error) {
+        if (!Error)
+          Self->tick();
+      });
+}
+
+void GroupCoordinator::decide(const std::vector<PeerEndpoint> &Ranks) {
+  const TimePoint Now = RuntimeClock::now();
+  if (Ranks.size() != m_Own->m_Size)
+    return;
+  std::vector<RankReport> Reports;
+  for (const PeerEndpoint &Each : Ranks) {
+    const Peer &Other = m_PeersByEndpoint[Each];
+    // Every rank's answer of this round is needed: an old report may hide what
+    // has happened since.
+    if (Other.m_IsWaiting || !Other.m_Reply.has_report()) {
+      m_Sources.m_Events.write(Event::RankUnreachable,
+                               {{"balancer", toString(Each)},
+                                {"phase", toString(m_Switch.m_Phase)}});
+      return;
+    }
+    Reports.push_back(Other.m_State->m_Report);
+  }
+  takeExperts(Ranks);
+  const SwitchPhase Before = m_Switch.m_Phase;
+  if (Before == SwitchPhase::Idle) {
+    std::vector<std::vector<std::uint64_t>> Counts;
+    for (const PeerEndpoint &Each : Ranks) {
+      const auto &Read = m_PeersByEndpoint[Each].m_Reply.counts();
+      Counts.emplace_back(Read.begin(), Read.end());
+    }
+    noteCounts(m_Meter, Counts, Now);
+    plan(Reports, Now);
+  }
+  SwitchSupplies Supplies;
+  Supplies.m_FreshVersion = freshVersion(Reports);
+  Supplies.m_MapInForce = m_Map;
+  for (RankOrder &Order : step(m_Switch, Reports, Supplies, Now))
+    m_Orders[Order.m_Rank] = std::move(Order);
+  if (m_Switch.m_Phase != Before)
+    m_Sources.m_Events.write(Event::SwitchPhaseChanged,
+                             {{"from", toString(Before)},
+                              {"to", toString(m_Switch.m_Phase)},
+                              {"version", m_Switch.m_Version},
+                              {"pass", m_Switch.m_Pass},
+                              {"epoch", m_Switch.m_Epoch}});
+  // The orders go with the next round, which follows at once.
+  const RankReport &First = Reports.front();
+  m_WantsExperts = !m_Map || First.m_MapVersion != m_MapVersion ||
+                   First.m_Epoch != m_MapEpoch;
+}
+
+// Puts the ranks' lists together to the map in force.
+void GroupCoordinator::takeExperts(const std::vector<PeerEndpoint> &Ranks) {
+  const auto Layout = m_Sources.m_Layout();
+  if (!m_WantsExperts || !Layout)
+    return;
+  auto Map = std::make_shared<ExpertMap>();
+  Map->m_Shape = {static_cast<std::uint32_t>(Ranks.size()), Layout->m_Experts,
+                  Layout->m_Layers, Layout->m_SlotsPerRank};
+  Map->m_Slots.assign(std::size_t{Layout->m_Layers} * Ranks.size() *
+                          Layout->m_SlotsPerRank,
+                      EmptySlot);
+  const schema::RankReply &First = m_PeersByEndpoint[Ranks.front()].m_Reply;
+  for (std::uint32_t Rank = 0; Rank < Ranks.size(); ++Rank) {
+    const schema::RankReply &Reply = m_PeersByEndpoint[Ranks[Rank]].m_Reply;
+    if (static_cast<std::uint32_t>(Reply.experts_in_layer_size()) !=
+            Layout->m_Layers ||
+        Reply.experts_version() != First.experts_version() ||
+        Reply.report().epoch() != First.report().epoch())
+      return;
+    int At = 0;
+    for (std::uint32_t Layer = 0; Layer < Layout->m_Layers; ++Layer)
+      for (std::uint32_t Slot = 0;
+           Slot < Reply.experts_in_layer(static_cast<int>(Layer)); ++Slot) {
+        const auto Expert = static_cast<ExpertId>(Reply.experts(At++));
+        if (Slot < Layout->m_SlotsPerRank)
+          Map->m_Slots[slotIndex(Map->m_Shape, Layer, Rank, Slot)] = Expert;
+      }
+  }
+  if (!findFault(*Map).empty())
+    return;
+  m_MapVersion = First.experts_version();
+  m_MapEpoch = First.report().epoch();
+  m_Map = std::move(Map);
+}
+
+std::uint64_t
+GroupCoordinator::freshVersion(const std::vector<RankReport> &Reports) {
+  const std::uint64_t Highest = std::max(
+      {highestVersion(Reports), m_LastVersion,
+       RuntimeClock::wallMilliseconds() << RandomVersionBits});
+  // No other coordinator, nor this one before a restart, can have used it.
+  return ((Highest >> RandomVersionBits) + 1) << RandomVersionBits |
+         uniform(m_Random, 0, (std::uint64_t{1} << RandomVersionBits) - 1);
+}
+
+double GroupCoordinator::occupancy(const ExpertLayout &Layout) const {
+  double Requests = 0;
+  double Places = 0;
+  for (const auto &[To, Other] : m_PeersByEndpoint) {
+    if (!Other.m_State || Other.m_State->m_Group != m_Own->m_Group)
+      continue;
+    Requests += Other.m_State->m_Running + Other.m_State->m_Waiting;
+    Places += Layout.m_RequestSlots;
+  }
+  return Places > 0 ? Requests / Places : 1.0;
+}
+
+void GroupCoordinator::plan(const std::vector<RankReport> &Reports,
+                            TimePoint Now) {
+  const auto Layout = m_Sources.m_Layout();
+  const bool Known = m_Map && Reports.front().m_MapVersion == m_MapVersion &&
+                     Reports.front().m_Epoch == m_MapEpoch;
+  if (!Layout || !Known || !isSettled(Reports) || !isTelling(m_Meter) ||
+      m_Meter.m_Load.m_Tokens.size() !=
+          std::size_t{Layout->m_Layers} * Layout->m_Experts)
+    return;
+  const StepLoad Present = stepLoad(*m_Map, m_Meter.m_Load);
+  if (Present.m_Mean <= 0)
+    return;
+  const ExpertMap Next = placeIncrementally(
+      *m_Map, m_Meter.m_Load, {},
+      placementOptions(*Layout, Present.m_Mean, occupancy(*Layout)));
+  const double Before = Present.skew();
+  const double After = stepLoad(Next, m_Meter.m_Load).skew();
+  if (Before - After < LeastGain)
+    return;
+  const std::uint64_t Version = freshVersion(Reports);
+  m_LastVersion = Version;
+  m_Sources.m_Events.write(Event::MapChangeBegun,
+                           {{"version", Version},
+                            {"replaces", m_MapVersion},
+                            {"skew_before", Before},
+                            {"skew_after", After},
+                            {"weights", weightsMoved(*m_Map, Next)},
+                            {"occupancy", occupancy(*Layout)}});
+  begin(m_Switch, Version, std::make_shared<const ExpertMap>(Next), Reports,
+        Now);
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Balancer/GroupCoordinator.h
@@ -0,0 +1,101 @@
+// Finds the ranks of the replica's group, and coordinates the group where no
+// balancer of a lower rank does: polls the ranks, plans expert maps, and carries
+// out the orders of the switch.
+#ifndef MANGOCART_BALANCER_GROUPCOORDINATOR_H
+#define MANGOCART_BALANCER_GROUPCOORDINATOR_H
+
+#include "Balancer/RankService.h"
+#include "Core/Random.h"
+#include "Core/Timer.h"
+#include "Experts/GroupSwitch.h"
+#include "Experts/LoadMeter.h"
+#include "Experts/Placement.h"
+#include "Gateway/RoutingPlan.h"
+#include "Net/PeerStream.h"
+
+#include <functional>
+#include <map>
+
+namespace mangocart {
+
+class EventLog;
+class HttpClients;
+
+struct CoordinatorSources {
+  EventLog &m_Events;
+  RankService &m_Service;
+  PeerClient &m_Peers;
+  // Balancers beside the replicas of this one's service, this one included.
+  std::function<std::vector<PeerEndpoint>()> m_Balancers;
+  // How the experts of the service may be placed; nothing: it has none.
+  std::function<std::optional<ExpertLayout>()> m_Layout;
+  PeerEndpoint m_Self;
+};
+
+// All functions run on the worker.
+class GroupCoordinator : public std::enable_shared_from_this<GroupCoordinator> {
+public:
+  GroupCoordinator(boost::asio::io_context &Worker, CoordinatorSources Sources,
+                   std::uint64_t Seed);
+
+  void start();
+  // A question of another balancer, or of this one itself.
+  void receive(const schema::RankRequest &Request, RankService::Handler Done);
+
+private:
+  // A balancer of the service and what it said last.
+  struct Peer {
+    std::optional<RankState> m_State;
+    schema::RankReply m_Reply;
+    TimePoint m_Heard;
+    TimePoint m_Asked;
+    bool m_IsWaiting = false;
+  };
+
+  void tick();
+  void lookForOwn();
+  bool mayCoordinate(TimePoint Now) const;
+  // Asks those whose group isn't known, now and then.
+  void discover(TimePoint Now);
+  void poll();
+  void ask(const PeerEndpoint &To, schema::RankRequest Request);
+  void onReply(const PeerEndpoint &From, schema::RankReply Reply);
+  // All answers of the round are there, or its time is over.
+  void endRound();
+  void decide(const std::vector<PeerEndpoint> &Ranks);
+  void plan(const std::vector<RankReport> &Reports, TimePoint Now);
+  // Part of the group's places that is taken.
+  double occupancy(const ExpertLayout &Layout) const;
+  void takeExperts(const std::vector<PeerEndpoint> &Ranks);
+  std::vector<PeerEndpoint> ranksInOrder() const;
+  std::uint64_t freshVersion(const std::vector<RankReport> &Reports);
+  Duration interval() const;
+
+  const CoordinatorSources m_Sources;
+  Timer m_Timer;
+  Random m_Random;
+  TimePoint m_Started;
+  std::optional<RankState> m_Own;
+  TimePoint m_OwnAsked;
+  // When a balancer of a lower rank last asked here.
+  TimePoint m_LowerHeard;
+  std::map<PeerEndpoint, Peer> m_PeersByEndpoint;
+  std::size_t m_WaitingFor = 0;
+  std::uint64_t m_Round = 0;
+  bool m_Coordinates = false;
+
+  GroupSwitch m_Switch;
+  // Orders for the next round, by rank.
+  std::map<std::uint32_t, RankOrder> m_Orders;
+  LoadMeter m_Meter;
+  // The map in force and its version and epoch; null while it isn't known.
+  std::shared_ptr<const ExpertMap> m_Map;
+  std::uint64_t m_MapVersion = 0;
+  std::uint64_t m_MapEpoch = 0;
+  bool m_WantsExperts = true;
+  std::uint64_t m_LastVersion = 0;
+};
+
+} // namespace mangocart
+
+#endif
--- /dev/null
+++ b/Source/Balancer/RankService.h
@@ -0,0 +1,50 @@
+// Asks the replica beside this process: carries out an order, then reads the
+// state, the counts and the experts that were asked for.
+#ifndef MANGOCART_BALANCER_RANKSERVICE_H
+#define MANGOCART_BALANCER_RANKSERVICE_H
+
+#include "Balancer.pb.h"
+#include "Balancer/EngineProtocol.h"
+#include "Http/HttpClient.h"
+
+#include <functional>
+#include <memory>
+
+namespace mangocart {
+
+class EventLog;
+
+schema::RankReport toSchema(const RankState &State);
+RankState fromSchema(const schema::RankReport &Report);
+schema::RankOrder toSchema(const RankOrder &Order);
+RankOrder fromSchema(const schema::RankOrder &Order);
+
+// All functions run on the client's worker.
+class RankService {
+public:
+  using Handler = std::function<void(schema::RankReply)>;
+
+  RankService(HttpClient &Client, HttpTarget Replica,
+              const EngineProtocol &Protocol, EventLog &Events);
+
+  // The reply lacks what the replica didn't answer in time.
+  void ask(const schema::RankRequest &Request, Handler Done);
+
+private:
+  struct Question;
+  void send(const std::shared_ptr<Question> &For, HttpRequest Request,
+            std::function<void(std::string Body)> Next);
+  void askState(const std::shared_ptr<Question> &For);
+  void askCounts(const std::shared_ptr<Question> &For);
+  void askExperts(const std::shared_ptr<Question> &For);
+
+  HttpClient &m_Client;
+  const HttpTarget m_Replica;
+  const EngineProtocol &m_Protocol;
+  EventLog &m_Events;
+  bool m_Reachable = true;
+};
+
+} // namespace mangocart
+
+#endif
--- /dev/null
+++ b/Source/Experts/GroupSwitch.cpp
@@ -0,0 +1,371 @@
+// Phases of a switch.
+#include "Experts/GroupSwitch.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mangocart {
+
+namespace {
+
+using Reports = std::vector<RankReport>;
+using Orders = std::vector<RankOrder>;
+
+class Step {
+public:
+  Step(GroupSwitch &State, const Reports &Ranks, const SwitchSupplies &Supplies,
+       TimePoint Now)
+      : m_S(State), m_Ranks(Ranks), m_Supplies(Supplies), m_Now(Now) {}
+
+  Orders run() {
+    noteRate();
+    if (!inOneEpoch()) {
+      // The group is forming: whatever was prepared, armed or held is gone.
+      reset();
+      return {};
+    }
+    if (m_S.m_Epoch != m_Ranks.front().m_Epoch) {
+      reset();
+      m_S.m_LastPass = 0;
+    }
+    m_S.m_Epoch = m_Ranks.front().m_Epoch;
+    m_S.m_Ordered.resize(m_Ranks.size());
+    switch (m_S.m_Phase) {
+    case SwitchPhase::Idle:
+      lookForForeignHold();
+      break;
+    case SwitchPhase::Preparing:
+      prepare();
+      break;
+    case SwitchPhase::Holding:
+      hold();
+      break;
+    case SwitchPhase::Arming:
+      arm();
+      break;
+    case SwitchPhase::Releasing:
+    case SwitchPhase::Switching:
+      release();
+      break;
+    case SwitchPhase::TakingBack:
+      takeBack();
+      break;
+    }
+    return std::move(m_Orders);
+  }
+
+private:
+  bool inOneEpoch() const {
+    return !m_Ranks.empty() &&
+           std::all_of(m_Ranks.begin(), m_Ranks.end(),
+                       [&](const RankReport &R) {
+                         return R.m_IsOpen &&
+                                R.m_Epoch == m_Ranks.front().m_Epoch;
+                       });
+  }
+
+  void enter(SwitchPhase Phase) {
+    m_S.m_Phase = Phase;
+    m_S.m_PhaseSince = m_Now;
+    // Another kind of order may go at once.
+    m_S.m_Ordered.assign(m_Ranks.size(), TimePoint());
+  }
+
+  void reset() {
+    enter(SwitchPhase::Idle);
+    m_S.m_Pass = 0;
+    m_S.m_AskedPasses.clear();
+    m_S.m_ForeignPass = 0;
+    m_S.m_Map.reset();
+    m_S.m_BarrierMap.reset();
+  }
+
+  bool isOver(Duration Limit) const { return m_Now - m_S.m_PhaseSince > Limit; }
+
+  void noteRate() {
+    constexpr Duration Span = std::chrono::milliseconds(500);
+    constexpr double LeastRate = 2.0;
+    const std::uint64_t Pass = newestPass();
+    if (m_S.m_RateSince == TimePoint() || Pass < m_S.m_RatePass) {
+      m_S.m_RatePass = Pass;
+      m_S.m_RateSince = m_Now;
+      return;
+    }
+    const Duration Passed = m_Now - m_S.m_RateSince;
+    if (Passed < Span)
+      return;
+    const double Rate = static_cast<double>(Pass - m_S.m_RatePass) /
+                        std::chrono::duration<double>(Passed).count();
+    m_S.m_PassesPerSecond = std::max(Rate, LeastRate);
+    m_S.m_RatePass = Pass;
+    m_S.m_RateSince = m_Now;
+  }
+
+  std::uint64_t newestPass() const {
+    std::uint64_t Newest = 0;
+    for (const RankReport &R : m_Ranks)
+      Newest = std::max(Newest, R.m_Pass);
+    return Newest;
+  }
+
+  // An order whose effect doesn't show yet; at most one each m_RepeatAfter.
+  void order(std::uint32_t Rank, RankOrderKind Kind, std::uint64_t Version,
+             std::shared_ptr<const ExpertMap> Map = nullptr) {
+    TimePoint &Last = m_S.m_Ordered[Rank];
+    if (m_Ranks[Rank].m_IsBusy ||
+        (Last != TimePoint() && m_Now - Last < m_S.m_Limits.m_RepeatAfter))
+      return;
+    Last = m_Now;
+    m_Orders.push_back({Rank, Kind, Version, m_S.m_Pass, m_S.m_Epoch,
+                        m_Ranks[Rank].m_Sequence, std::move(Map)});
+  }
+
+  template <class Done, class Act> bool forAll(Done IsDone, Act ActOn) {
+    bool All = true;
+    for (std::uint32_t Rank = 0; Rank < m_Ranks.size(); ++Rank)
+      if (!IsDone(m_Ranks[Rank])) {
+        All = false;
+        ActOn(Rank);
+      }
+    return All;
+  }
+
+  bool isArmed(const RankReport &R) const {
+    return R.m_Armed != 0 && R.m_Armed == m_S.m_Version;
+  }
+  bool areAllArmed() const {
+    return std::all_of(m_Ranks.begin(), m_Ranks.end(),
+                       [&](const RankReport &R) { return isArmed(R); });
+  }
+
+  void prepare() {
+    const auto IsDone = [&](const RankReport &R) {
+      return R.m_Prepared == m_S.m_Version;
+    };
+    // A hold that isn't ours: its owner may be about to arm.
+    const bool Foreign =
+        std::any_of(m_Ranks.begin(), m_Ranks.end(), [](const RankReport &R) {
+          return R.m_HeldPass != 0 || R.m_Armed != 0;
+        });
+    if (Foreign || isOver(m_S.m_Limits.m_PrepareLimit))
+      return reset();
+    const bool All = forAll(IsDone, [&](std::uint32_t Rank) {
+      order(Rank, RankOrderKind::Prepare, m_S.m_Version, m_S.m_Map);
+    });
+    if (!All)
+      return;
+    enter(SwitchPhase::Holding);
+    m_S.m_Pass = 0;
+    hold();
+  }
+
+  void hold() {
+    const RankReport &Holder = m_Ranks[m_S.m_HoldRank];
+    const std::vector<std::uint64_t> &Asked = m_S.m_AskedPasses;
+    if (std::find(Asked.begin(), Asked.end(), Holder.m_HeldPass) !=
+        Asked.end()) {
+      m_S.m_Pass = Holder.m_HeldPass;
+      enter(SwitchPhase::Arming);
+      return arm();
+    }
+    // Somebody else holds here, or a higher version has been prepared.
+    if (Holder.m_HeldPass != 0 || isOver(m_S.m_Limits.m_PrepareLimit))
+      return reset();
+    // Nothing is armed yet: a pass that has gone by without the hold is given
+    // up for a later one.
+    if (newestPass() + 1 >= m_S.m_Pass) {
+      const auto Lead = static_cast<std::uint64_t>(
+          std::ceil(m_S.m_PassesPerSecond *
+                    std::chrono::duration<double>(m_S.m_Limits.m_Lead).count()));
+      m_S.m_Pass =
+          std::max(newestPass() + std::max(m_S.m_Limits.m_LeastLeadPasses, Lead),
+                   m_S.m_LastPass + 1);
+      m_S.m_LastPass = m_S.m_Pass;
+      m_S.m_AskedPasses.push_back(m_S.m_Pass);
+      m_S.m_Ordered[m_S.m_HoldRank] = TimePoint();
+    }
+    order(m_S.m_HoldRank, RankOrderKind::Hold, m_S.m_Version);
+  }
+
+  void arm() {
+    const bool All =
+        forAll([&](const RankReport &R) { return isArmed(R); },
+               [&](std::uint32_t Rank) {
+                 order(Rank, RankOrderKind::Arm, m_S.m_Version);
+               });
+    if (All) {
+      enter(SwitchPhase::Releasing);
+      return release();
+    }
+    if (isOver(m_S.m_Limits.m_ArmLimit))
+      startTakingBack();
+  }
+
+  // Also after the release: a hold that was sent twice may come late and stop
+  // the group again.
+  void release() {
+    if (m_Ranks[m_S.m_HoldRank].m_HeldPass == m_S.m_Pass && m_S.m_Pass != 0) {
+      order(m_S.m_HoldRank, RankOrderKind::Release, m_S.m_Version);
+      return;
+    }
+    const bool Switched =
+        std::all_of(m_Ranks.begin(), m_Ranks.end(), [&](const RankReport &R) {
+          return R.m_Armed == 0 && R.m_HeldPass == 0;
+        });
+    if (Switched)
+      reset();
+    else if (m_S.m_Phase == SwitchPhase::Releasing)
+      enter(SwitchPhase::Switching);
+  }
+
+  void startTakingBack() {
+    if (!m_Supplies.m_MapInForce)
+      return;
+    m_S.m_Barrier = m_Supplies.m_FreshVersion;
+    m_S.m_BarrierMap = m_Supplies.m_MapInForce;
+    enter(SwitchPhase::TakingBack);
+    takeBack();
+  }
+
+  void takeBack() {
+    if (areAllArmed()) {
+      // Nobody can tell any more that it wasn't to be.
+      enter(SwitchPhase::Releasing);
+      return release();
+    }
+    // A higher version bars as well: another coordinator's.
+    const auto IsBarred = [&](const RankReport &R) {
+      return std::max(R.m_Prepared, R.m_MapVersion) >= m_S.m_Barrier &&
+             R.m_Armed == 0;
+    };
+    const auto Bar = [&](std::uint32_t Rank) {
+      order(Rank, RankOrderKind::Prepare, m_S.m_Barrier, m_S.m_BarrierMap);
+    };
+    // First the ranks that aren't armed: with one of them barred, all can
+    // never be armed.
+    const bool AnyBarred =
+        std::any_of(m_Ranks.begin(), m_Ranks.end(), IsBarred);
+    const bool All = forAll(IsBarred, [&](std::uint32_t Rank) {
+      const std::uint64_t Armed = m_Ranks[Rank].m_Armed;
+      if (Armed == 0)
+        Bar(Rank);
+      else if (AnyBarred)
+        order(Rank, RankOrderKind::Disarm, Armed);
+    });
+    if (!All)
+      return;
+    if (m_Ranks[m_S.m_HoldRank].m_HeldPass == m_S.m_Pass && m_S.m_Pass != 0)
+      order(m_S.m_HoldRank, RankOrderKind::Release, m_S.m_Version);
+    else
+      reset();
+  }
+
+  void lookForForeignHold() {
+    const auto Holder =
+        std::find_if(m_Ranks.begin(), m_Ranks.end(),
+                     [](const RankReport &R) { return R.m_HeldPass != 0; });
+    if (Holder == m_Ranks.end()) {
+      m_S.m_ForeignPass = 0;
+      return;
+    }
+    if (m_S.m_ForeignPass != Holder->m_HeldPass) {
+      m_S.m_ForeignPass = Holder->m_HeldPass;
+      m_S.m_ForeignSince = m_Now;
+      return;
+    }
+    if (m_Now - m_S.m_ForeignSince < m_S.m_Limits.m_ForeignHoldLimit)
+      return;
+    m_S.m_HoldRank = static_cast<std::uint32_t>(Holder - m_Ranks.begin());
+    m_S.m_Pass = Holder->m_HeldPass;
+    m_S.m_LastPass = std::max(m_S.m_LastPass, m_S.m_Pass);
+    const auto Armed =
+        std::find_if(m_Ranks.begin(), m_Ranks.end(),
+                     [](const RankReport &R) { return R.m_Armed != 0; });
+    // Armed nowhere: no version can be armed that isn't prepared, and the
+    // barrier replaces what is.
+    m_S.m_Version = Armed == m_Ranks.end() ? 0 : Armed->m_Armed;
+    if (m_S.m_Version != 0 && areAllArmed())
+      return enter(SwitchPhase::Releasing);
+    startTakingBack();
+  }
+
+  GroupSwitch &m_S;
+  const Reports &m_Ranks;
+  const SwitchSupplies &m_Supplies;
+  const TimePoint m_Now;
+  Orders m_Orders;
+};
+
+} // namespace
+
+std::string_view toString(RankOrderKind Kind) {
+  switch (Kind) {
+  case RankOrderKind::Prepare:
+    return "prepare";
+  case RankOrderKind::Arm:
+    return "arm";
+  case RankOrderKind::Disarm:
+    return "disarm";
+  case RankOrderKind::Hold:
+    return "hold";
+  case RankOrderKind::Release:
+    return "release";
+  }
+  return "unknown";
+}
+
+std::string_view toString(SwitchPhase Phase) {
+  switch (Phase) {
+  case SwitchPhase::Idle:
+    return "idle";
+  case SwitchPhase::Preparing:
+    return "preparing";
+  case SwitchPhase::Holding:
+    return "holding";
+  case SwitchPhase::Arming:
+    return "arming";
+  case SwitchPhase::Releasing:
+    return "releasing";
+  case SwitchPhase::Switching:
+    return "switching";
+  case SwitchPhase::TakingBack:
+    return "taking-back";
+  }
+  return "unknown";
+}
+
+std::uint64_t highestVersion(const Reports &Ranks) {
+  std::uint64_t Highest = 0;
+  for (const RankReport &R : Ranks)
+    Highest = std::max({Highest, R.m_MapVersion, R.m_Prepared, R.m_Armed});
+  return Highest;
+}
+
+bool isSettled(const Reports &Ranks) {
+  return !Ranks.empty() &&
+         std::all_of(Ranks.begin(), Ranks.end(), [&](const RankReport &R) {
+           return R.m_IsOpen && R.m_Epoch == Ranks.front().m_Epoch &&
+                  R.m_MapVersion == Ranks.front().m_MapVersion &&
+                  R.m_Armed == 0 && R.m_HeldPass == 0;
+         });
+}
+
+void begin(GroupSwitch &State, std::uint64_t Version,
+           std::shared_ptr<const ExpertMap> Map, const Reports &Ranks,
+           TimePoint Now) {
+  State.m_Phase = SwitchPhase::Preparing;
+  State.m_PhaseSince = Now;
+  State.m_Epoch = Ranks.front().m_Epoch;
+  State.m_Version = Version;
+  State.m_Map = std::move(Map);
+  State.m_Pass = 0;
+  State.m_AskedPasses.clear();
+  State.m_Ordered.assign(Ranks.size(), TimePoint());
+}
+
+std::vector<RankOrder> step(GroupSwitch &State, const Reports &Ranks,
+                            const SwitchSupplies &Supplies, TimePoint Now) {
+  return Step(State, Ranks, Supplies, Now).run();
+}
+
+} // namespace mangocart
--- a/Source/Experts/IncrementalPlacement.cpp
+++ b/Source/Experts/IncrementalPlacement.cpp
@@ -50,6 +50,7 @@
                                               slotIndex(m_Shape, Layer, 0, 0)),
                 Current.m_Slots.begin() + static_cast<std::ptrdiff_t>(slotIndex(
                                               m_Shape, Layer + 1, 0, 0))),
+        m_First(m_Slots), m_New(m_Shape.m_Ranks, 0),
         m_Holders(m_Shape.m_Experts),
         m_Loads(rankLoads(Current, Layer, Load, Slowness)) {
     for (std::uint32_t Rank = 0; Rank < m_Shape.m_Ranks; ++Rank)
@@ -138,7 +139,7 @@
   void consider(Move &Best, std::uint32_t Hot, const Move &Candidate) const {
     // Below this part of a rank's load a gain is rounding.
     constexpr double LeastPart = 1e-9;
-    if (Candidate.m_Weights == 0)
+    if (Candidate.m_Weights == 0 || isOverLimit(Candidate))
       return;
     const double Load = m_Loads[Hot];
     const double Gain = (Load - Candidate.m_Peak) / Candidate.m_Weights;
@@ -148,6 +149,27 @@
       Best = Candidate;
   }
 
+  // Whether the rank held the expert before any move.
+  bool heldFirst(std::uint32_t Rank, ExpertId Expert) const {
+    const auto Begin = m_First.begin() + static_cast<std::ptrdiff_t>(
+                                             std::size_t{Rank} *
+                                             m_Shape.m_SlotsPerRank);
+    const auto End = Begin + m_Shape.m_SlotsPerRank;
+    return std::find(Begin, End, Expert) != End;
+  }
+
+  bool isOverLimit(const Move &Candidate) const {
+    if (m_Options.m_MaxNewPerRankLayer == 0)
+      return false;
+    for (std::uint32_t I = 0; I < Candidate.m_Weights; ++I) {
+      const SlotWrite &Write = Candidate.m_Writes[I];
+      if (!heldFirst(Write.m_Rank, Write.m_Expert) &&
+          m_New[Write.m_Rank] >= m_Options.m_MaxNewPerRankLayer)
+        return true;
+    }
+    return false;
+  }
+
   // One more replica of the hot rank's expert, in place of an expert that has
   // others.
   Move replicate(std::uint32_t Hot, std::uint32_t Slot, std::uint32_t Other,
@@ -212,6 +234,10 @@
       ExpertId &Slot =
           m_Slots[std::size_t{Write.m_Rank} * m_Shape.m_SlotsPerRank +
                   Write.m_Slot];
+      if (Slot != EmptySlot && !heldFirst(Write.m_Rank, Slot))
+        --m_New[Write.m_Rank];
+      if (!heldFirst(Write.m_Rank, Write.m_Expert))
+        ++m_New[Write.m_Rank];
       if (Slot != EmptySlot) {
         addLoad(Slot, -1);
         std::erase(m_Holders[Slot], Write.m_Rank);
@@ -246,6 +272,9 @@
   const PlacementOptions &m_Options;
   const double *m_Tokens;
   std::vector<ExpertId> m_Slots;
+  // Before any move, and how many experts are new to each rank since.
+  const std::vector<ExpertId> m_First;
+  std::vector<std::uint32_t> m_New;
   // Ranks of each expert.
   std::vector<std::vector<std::uint32_t>> m_Holders;
   std::vector<double> m_Loads;
@@ -289,7 +318,7 @@
       ByMoves.m_TokensSaved += Taken.m_Trade.m_TokensSaved;
       ByMoves.m_Weights += Taken.m_Trade.m_Weights;
     }
-    if (!isGoodEnough(Moved, Layer))
+    if (m_Options.m_MaxNewPerRankLayer == 0 && !isGoodEnough(Moved, Layer))
       considerLayout(Chunks, ByMoves, Layer);
     return Chunks;
   }
@@ -336,6 +365,11 @@
   const PlacementOptions &m_Options;
 };
 
+std::uint32_t mostMoved(const ExpertMap &From, const ExpertMap &To) {
+  const std::vector<std::uint32_t> Moved = weightsMovedByRank(From, To);
+  return *std::max_element(Moved.begin(), Moved.end());
+}
+
 } // namespace
 
 ExpertMap placeIncrementally(const ExpertMap &Current, const ExpertLoad &Load,
@@ -353,11 +387,21 @@
                    });
   ExpertMap Next = Current;
   std::uint64_t Weights = 0;
+  // Layers of which a chunk was left out: later ones build on it.
+  std::vector<bool> Ended(Current.m_Shape.m_Layers, false);
   for (const Chunk &Taken : Chunks) {
+    if (Ended[Taken.m_Layer])
+      continue;
     Weights += Taken.m_Trade.m_Weights;
     if (Options.m_MaxWeights > 0 && Weights > Options.m_MaxWeights)
       break;
-    applyChunk(Next, Taken);
+    ExpertMap Tried = Next;
+    applyChunk(Tried, Taken);
+    if (Options.m_MaxNewPerRank > 0 &&
+        mostMoved(Current, Tried) > Options.m_MaxNewPerRank)
+      Ended[Taken.m_Layer] = true;
+    else
+      Next = std::move(Tried);
   }
   return Next;
 }
--- a/Source/Experts/Placement.h
+++ b/Source/Experts/Placement.h
@@ -29,6 +29,11 @@
   double m_RelayoutAffinityPart = 0.05;
   // Incremental: weights that one decision may move; 0: no limit.
   std::uint64_t m_MaxWeights = 0;
+  // Incremental: experts of a layer that are new to one rank; 0: no limit. A
+  // layer is never laid out anew under a limit.
+  std::uint32_t m_MaxNewPerRankLayer = 0;
+  // Incremental: the same over all layers of a rank; 0: no limit.
+  std::uint32_t m_MaxNewPerRank = 0;
 
   bool operator==(const PlacementOptions &) const = default;
 };
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -113,11 +113,18 @@
       m_Peers(m_Workers),
       m_Watch(std::make_shared<VoterWatch>(
           m_Workers.worker(0), m_Peers,
-          WatchTargets{m_Events, m_Plans, m_Directory,
-                       [this](std::uint32_t Count) {
-                         m_Directory.setEntryCount(Count);
-                         m_Repeats.setGateways(Count);
-                       }},
+          WatchTargets{
+              WatcherKind::Gateway,
+              m_Events,
+              [this](std::uint64_t Version, std::string_view Document) {
+                m_Plans.offer(Version, Document);
+              },
+              m_Directory,
+              [this](std::uint32_t Count) {
+                m_Directory.setEntryCount(Count);
+                m_Repeats.setGateways(Count);
+              },
+              {}},
           m_Settings.name())),
       m_SettingsWatch(
           m_Workers.worker(0), m_SettingsFile,
--- a/Source/Gateway/RoutingPlan.h
+++ b/Source/Gateway/RoutingPlan.h
@@ -58,6 +58,23 @@
   bool operator==(const PlannedRoute &) const = default;
 };
 
+// How the experts of a service's rank groups may be placed.
+struct ExpertLayout {
+  // Requests that a rank works on at once.
+  std::uint32_t m_RequestSlots = 0;
+  std::uint32_t m_Layers = 0;
+  std::uint32_t m_Experts = 0;
+  std::uint32_t m_SlotsPerRank = 0;
+  // Experts of a layer that may be new to a rank in one map.
+  std::uint32_t m_MaxNewPerLayer = 0;
+  // Time in which a rank copies one expert's weights of one layer.
+  Duration m_CopyTime = Duration::zero();
+  // Part of a pass's work on tokens that is done by experts.
+  double m_WorkShare = 0.0;
+
+  bool operator==(const ExpertLayout &) const = default;
+};
+
 // A service whose replicas are model engines.
 struct EngineModel {
   std::uint32_t m_Slots = 0;
@@ -70,6 +87,8 @@
   // Duration of a token step, and what each running request adds, milliseconds.
   double m_StepMs = 0.0;
   double m_PerRequestMs = 0.0;
+  // Replicas are ranks of groups.
+  std::optional<ExpertLayout> m_Experts;
 
   bool operator==(const EngineModel &) const = default;
 };
--- a/Source/Gateway/VoterWatch.cpp
+++ b/Source/Gateway/VoterWatch.cpp
@@ -3,7 +3,6 @@
 
 #include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
-#include "Gateway/PlanHolder.h"
 #include "Raft/RaftPeers.h"
 #include "Watch.pb.h"
 
@@ -23,6 +22,18 @@
 // is dead, even if it was never reset.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(2000);
 
+schema::WatchHello::Kind toSchema(WatcherKind Kind) {
+  switch (Kind) {
+  case WatcherKind::Gateway:
+    return schema::WatchHello::GATEWAY;
+  case WatcherKind::Voter:
+    return schema::WatchHello::VOTER;
+  case WatcherKind::Balancer:
+    return schema::WatchHello::BALANCER;
+  }
+  return schema::WatchHello::GATEWAY;
+}
+
 } // namespace
 
 VoterWatch::VoterWatch(boost::asio::io_context &Worker, PeerClient &Client,
@@ -30,7 +41,8 @@
     : m_Client(Client), m_Targets(std::move(Targets)), m_Name(std::move(Name)),
       m_Timer(Worker) {}
 
-void VoterWatch::start(std::vector<PeerEndpoint> Seeds) {
+void VoterWatch::start(std::vector<PeerEndpoint> Seeds, PeerEndpoint Self) {
+  m_Self = std::move(Self);
   m_Seeds.insert(Seeds.begin(), Seeds.end());
   boost::asio::post(m_Timer.get_executor(),
                     [Self = shared_from_this()] { Self->look(); });
@@ -68,14 +80,18 @@
   for (const PeerEndpoint &Member : m_Members)
     m_Links.try_emplace(Member);
   dropUnknown();
+  m_Links.erase(m_Self);
   for (auto &[To, Through] : m_Links) {
     if (Through.m_Stream && Now - Through.m_LastUpdate > SilenceLimit) {
       m_Client.disconnect(To);
       onLost(To, Through.m_Number, "no update in time");
     }
-    if (!Through.m_Stream && Now - Through.m_Opened >= ReopenInterval)
+    if (m_Targets.m_OneOfZone.empty() && !Through.m_Stream &&
+        Now - Through.m_Opened >= ReopenInterval)
       open(To, Through);
   }
+  if (!m_Targets.m_OneOfZone.empty())
+    lookForOne(Now);
   m_Timer.expires_after(LookInterval);
   m_Timer.async_wait([Self = shared_from_this()](boost::system::error_code E) {
     if (!E)
@@ -83,6 +99,32 @@
   });
 }
 
+// The one that was opened longest ago is next.
+void VoterWatch::lookForOne(TimePoint Now) {
+  auto Next = m_Links.end();
+  for (auto Each = m_Links.begin(); Each != m_Links.end(); ++Each) {
+    if (Each->second.m_Stream)
+      return;
+    if (Next == m_Links.end() ||
+        Each->second.m_Opened < Next->second.m_Opened)
+      Next = Each;
+  }
+  if (Next != m_Links.end() && Now - Next->second.m_Opened >= ReopenInterval)
+    open(Next->first, Next->second);
+}
+
+// Whether another voter may be nearer.
+bool VoterWatch::isMisplaced(const schema::WatchUpdate &Update) {
+  if (m_Targets.m_OneOfZone.empty() ||
+      Update.availability_zone() == m_Targets.m_OneOfZone ||
+      m_PassedOver + 1 >= m_Links.size()) {
+    m_PassedOver = 0;
+    return false;
+  }
+  ++m_PassedOver;
+  return true;
+}
+
 void VoterWatch::open(const PeerEndpoint &To, Link &Through) {
   Through.m_Number = ++m_LastNumber;
   Through.m_Opened = Through.m_LastUpdate = RuntimeClock::now();
@@ -109,7 +151,8 @@
   };
   Through.m_Stream = m_Client.open(To, WatchMethod, std::move(Handlers));
   schema::WatchHello Hello;
-  Hello.set_gateway(m_Name);
+  Hello.set_watcher(m_Name);
+  Hello.set_kind(toSchema(m_Targets.m_Kind));
   Through.m_Stream->send(Hello.SerializeAsString());
 }
 
@@ -121,6 +164,8 @@
   schema::WatchUpdate Update;
   if (!Update.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
     return onLost(From, Number, "an update can't be read");
+  if (!Found->second.m_Updated && isMisplaced(Update))
+    return onLost(From, Number, "it is in another availability zone");
   take(From, Found->second, Update);
 }
 
@@ -137,8 +182,8 @@
   for (const schema::MemberRecord &Record : Update.records())
     m_Targets.m_Directory.heard(Record);
   if (!Update.configuration().empty())
-    m_Targets.m_Plans.offer(Update.configuration_version(),
-                            Update.configuration());
+    m_Targets.m_OnConfiguration(Update.configuration_version(),
+                                Update.configuration());
   Through.m_Gateways = Update.gateways();
   std::uint32_t Gateways = 1;
   for (const auto &[To, Each] : m_Links)
--- a/Source/Gateway/VoterWatch.h
+++ b/Source/Gateway/VoterWatch.h
@@ -1,4 +1,4 @@
-// The gateway's streams to all voters: configuration, announcements of backend
+// A process's streams to the voters: configuration, announcements of backend
 // servers and the list of voters come from them. Voters are found by the seeds
 // and by what other voters say.
 #ifndef MANGOCART_GATEWAY_VOTERWATCH_H
@@ -15,6 +15,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mangocart {
@@ -24,14 +25,20 @@
 } // namespace schema
 class EventLog;
 class MembershipDirectory;
-class PlanHolder;
+
+// What the watching process is, see WatchHello.
+enum class WatcherKind { Gateway, Voter, Balancer };
 
 struct WatchTargets {
+  WatcherKind m_Kind = WatcherKind::Gateway;
   EventLog &m_Events;
-  PlanHolder &m_Plans;
+  std::function<void(std::uint64_t Version, std::string_view Document)>
+      m_OnConfiguration;
   MembershipDirectory &m_Directory;
   // How many gateways the voters know of.
   std::function<void(std::uint32_t)> m_OnGateways;
+  // Set: one voter is enough, one of this availability zone if there is one.
+  std::string m_OneOfZone;
 };
 
 // All functions but start() and setSeeds() run on the worker.
@@ -40,7 +47,8 @@
   VoterWatch(boost::asio::io_context &Worker, PeerClient &Client,
              WatchTargets Targets, std::string Name);
 
-  void start(std::vector<PeerEndpoint> Seeds);
+  // Self is no voter to watch.
+  void start(std::vector<PeerEndpoint> Seeds, PeerEndpoint Self = {});
   // The settings name other seeds now; from any thread.
   void setSeeds(std::vector<PeerEndpoint> Seeds);
   // Voters whose first update has come.
@@ -58,6 +66,8 @@
   };
 
   void look();
+  void lookForOne(TimePoint Now);
+  bool isMisplaced(const schema::WatchUpdate &Update);
   void open(const PeerEndpoint &To, Link &Through);
   void onUpdate(const PeerEndpoint &From, std::uint64_t Number,
                 std::string_view Bytes);
@@ -72,11 +82,14 @@
   const WatchTargets m_Targets;
   const std::string m_Name;
   Timer m_Timer;
+  PeerEndpoint m_Self;
   std::set<PeerEndpoint> m_Seeds;
   // As the latest update said.
   std::set<PeerEndpoint> m_Members;
   std::map<PeerEndpoint, Link> m_Links;
   std::uint64_t m_LastNumber = 0;
+  // With m_OneOfZone: voters of other zones that were passed over in a row.
+  std::size_t m_PassedOver = 0;
 };
 
 } // namespace mangocart
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -33,14 +33,14 @@
 
 // Handlers run on the call's worker. After m_OnEnd or m_OnError none is called.
 struct HttpCallHandlers {
-  // Whether the answer is one to this call. Another one is read to its end and
-  // dropped, the next one is awaited, and the connection is not kept. Absent:
-  // every answer is.
-  std::function<bool(const HttpHead &)> m_Belongs;
   std::function<void(HttpHead)> m_OnHead;
   std::function<void(std::string_view)> m_OnBody;
   std::function<void()> m_OnEnd;
   std::function<void(HttpError)> m_OnError;
+  // Whether the answer is one to this call. Another one is read to its end and
+  // dropped, the next one is awaited, and the connection is not kept. Absent:
+  // every answer is.
+  std::function<bool(const HttpHead &)> m_Belongs;
 };
 
 class HttpCall {
--- a/Source/Settings/SettingsReader.cpp
+++ b/Source/Settings/SettingsReader.cpp
@@ -108,6 +108,20 @@
   return read<schema::GatewaySettings>(File, Warnings, parseGatewaySettings);
 }
 
+Result<schema::BalancerSettings, SettingsErrors>
+readBalancerSettings(const std::string &File, SettingsWarnings &Warnings) {
+  return read<schema::BalancerSettings>(
+      File, Warnings,
+      [](const std::string &Name, std::string_view Text,
+         SettingsWarnings &Found) {
+        return parse<schema::BalancerSettings>(
+            Name, Text, Found,
+            [](const schema::BalancerSettings &, const KeyLines &) {
+              return SettingsErrors();
+            });
+      });
+}
+
 Result<schema::VoterSettings, SettingsErrors>
 readVoterSettings(const std::string &File, SettingsWarnings &Warnings) {
   return read<schema::VoterSettings>(File, Warnings, parseVoterSettings);
--- a/Source/Settings/SettingsReader.h
+++ b/Source/Settings/SettingsReader.h
@@ -13,6 +13,7 @@
 
 namespace schema {
 class AgentSettings;
+class BalancerSettings;
 class EntrySettings;
 class GatewaySettings;
 class Questionnaire;
@@ -27,6 +28,8 @@
 readAgentSettings(const std::string &File, SettingsWarnings &Warnings);
 Result<schema::GatewaySettings, SettingsErrors>
 readGatewaySettings(const std::string &File, SettingsWarnings &Warnings);
+Result<schema::BalancerSettings, SettingsErrors>
+readBalancerSettings(const std::string &File, SettingsWarnings &Warnings);
 Result<schema::VoterSettings, SettingsErrors>
 readVoterSettings(const std::string &File, SettingsWarnings &Warnings);
 Result<schema::Questionnaire, SettingsErrors>
--- a/Source/Settings/SettingsReference.cpp
+++ b/Source/Settings/SettingsReference.cpp
@@ -76,6 +76,7 @@
                             schema::AgentSettings::descriptor(),
                             schema::GatewaySettings::descriptor(),
                             schema::VoterSettings::descriptor(),
+                            schema::BalancerSettings::descriptor(),
                             schema::Questionnaire::descriptor()});
 }
 
--- a/Source/Voter/VoterDaemon.cpp
+++ b/Source/Voter/VoterDaemon.cpp
@@ -3,6 +3,7 @@
 
 #include "Daemon/StartFailure.h"
 #include "Daemon/StopSignals.h"
+#include "Settings/SettingsReader.h"
 
 #include <algorithm>
 
@@ -48,18 +49,30 @@
 VoterDaemon::VoterDaemon(schema::VoterSettings Settings,
                          std::string SettingsFile,
                          const ControlProtocol &Protocol)
-    : m_Settings(std::move(Settings)), m_Workers(Workers),
+    : m_Settings(std::move(Settings)), m_SettingsFile(std::move(SettingsFile)),
+      m_Workers(Workers),
       m_Events({"voter", m_Settings.name(), m_Settings.availability_zone()},
                std::string(EventLog::StandardOutput)),
-      m_Directory(m_Events, m_Settings.availability_zone(), 1,
+      m_HeardHere(m_Events, m_Settings.availability_zone(), 1,
                   RuntimeClock::wallMilliseconds()),
+      m_HeardAnywhere(m_Events, m_Settings.availability_zone(), 1,
+                      RuntimeClock::wallMilliseconds()),
       m_Peers(m_Workers), m_Server(m_Workers),
       m_Watchers(std::make_shared<WatchService>(
           m_Workers.worker(0),
-          WatchSources{m_Events, m_Machine, m_Directory,
-                       [this] { return memberNames(); }})),
-      m_Log(openLog()),
-      m_Front({Protocol, m_Events, m_Machine, *m_Log,
+          WatchSources{m_Events, m_Machine, m_HeardHere, m_HeardAnywhere,
+                       [this] { return memberNames(); },
+                       m_Settings.availability_zone()})),
+      m_OtherVoters(std::make_shared<VoterWatch>(
+          m_Workers.worker(0), m_Peers,
+          WatchTargets{WatcherKind::Voter,
+                       m_Events,
+                       [](std::uint64_t, std::string_view) {},
+                       m_HeardAnywhere,
+                       [](std::uint32_t) {},
+                       {}},
+          m_Settings.name())),
+      m_Log(openLog()), m_Front({Protocol, m_Events, m_Machine, *m_Log,
                [this](const Member &Record) { announced(Record); }}),
       m_ControlServer(m_Workers, controlLimits(m_Settings),
                       [this](const std::shared_ptr<HttpExchange> &Exchange) {
@@ -69,16 +82,14 @@
                       [this](const std::shared_ptr<HttpExchange> &Exchange) {
                         answerMetrics(*Exchange);
                       }),
-      m_SettingsWatch(m_Workers.worker(0), std::move(SettingsFile),
-                      [this](const std::string &) {
-                        // A member finds the others by the log; one that isn't
-                        // a member yet started with these seeds.
-                        m_Events.write(Event::SettingsReloaded, {{"seeds", 0}});
-                      }),
+      m_SettingsWatch(
+          m_Workers.worker(0), m_SettingsFile,
+          [this](const std::string &Text) { settingsChanged(Text); }),
       m_TendTimer(m_Workers.worker(0)) {
   m_Events.limitRequestLines(m_Settings.log_lines_per_second());
-  m_Directory.setLimits(membershipLimits(m_Settings));
-  m_Directory.onNews([this] { m_Watchers->news(); });
+  m_HeardHere.setLimits(membershipLimits(m_Settings));
+  m_HeardAnywhere.setLimits(membershipLimits(m_Settings));
+  m_HeardHere.onNews([this] { m_Watchers->news(); });
   addMetrics();
 }
 
@@ -90,18 +101,38 @@
           static_cast<std::uint16_t>(m_Settings.peer_port())};
 }
 
+std::vector<PeerEndpoint>
+VoterDaemon::seeds(const schema::VoterSettings &From) const {
+  std::vector<PeerEndpoint> Seeds;
+  for (const std::string &Seed : From.seeds())
+    if (const auto Control = parseEndpoint(Seed))
+      Seeds.push_back({Control->m_Address,
+                       static_cast<std::uint16_t>(From.peer_port())});
+  return Seeds;
+}
+
+// The log finds its members by itself; a process that isn't a member yet goes on
+// with the seeds of its start.
+void VoterDaemon::settingsChanged(const std::string &Text) {
+  SettingsWarnings Ignored;
+  const auto Read = parseVoterSettings(m_SettingsFile, Text, Ignored);
+  if (Read.has_error()) {
+    m_Events.write(Event::SettingsUnusable,
+                   {{"detail", toString(Read.error())}});
+    return;
+  }
+  m_Events.write(Event::SettingsReloaded,
+                 {{"seeds", Read.value().seeds_size()}});
+  m_OtherVoters->setSeeds(seeds(Read.value()));
+}
+
 std::unique_ptr<RaftRunner> VoterDaemon::openLog() {
   m_Machine.onChange([this] { m_Watchers->news(); });
   RaftRunnerOptions Options;
   Options.m_Name = toString(ownEndpoint());
   Options.m_DataFolder = m_Settings.data_folder();
-  for (const std::string &Seed : m_Settings.seeds())
-    if (const auto Control = parseEndpoint(Seed)) {
-      const PeerEndpoint Peer{Control->m_Address,
-                              static_cast<std::uint16_t>(
-                                  m_Settings.peer_port())};
-      Options.m_Peers.push_back({toString(Peer), Peer, true});
-    }
+  for (const PeerEndpoint &Seed : seeds(m_Settings))
+    Options.m_Peers.push_back({toString(Seed), Seed, true});
   OpenMembership Open;
   Open.m_TargetVoters = 2 * m_Settings.tolerated_losses() + 1;
   Options.m_Open = Open;
@@ -127,6 +158,7 @@
       [this] { m_Exit.open(ExitCode::Failed); });
   m_SettingsWatch.start();
   m_Watchers->start();
+  m_OtherVoters->start(seeds(m_Settings), ownEndpoint());
   tend();
   m_Workers.start();
   m_Events.write(Event::ProcessStarted,
@@ -160,7 +192,8 @@
 }
 
 void VoterDaemon::tend() {
-  m_Directory.sweepMembers();
+  m_HeardHere.sweepMembers();
+  m_HeardAnywhere.sweepMembers();
   m_TendTimer.expires_after(TendInterval);
   m_TendTimer.async_wait([this](boost::system::error_code Error) {
     if (!Error)
@@ -169,7 +202,8 @@
 }
 
 void VoterDaemon::announced(const Member &Record) {
-  m_Directory.announced(Record);
+  m_HeardHere.announced(Record);
+  m_HeardAnywhere.announced(Record);
 }
 
 std::vector<std::string> VoterDaemon::memberNames() const {
--- a/Source/Voter/VoterDaemon.h
+++ b/Source/Voter/VoterDaemon.h
@@ -39,16 +39,22 @@
   void answerMetrics(HttpExchange &Exchange) const;
   void addMetrics();
   PeerEndpoint ownEndpoint() const;
+  std::vector<PeerEndpoint> seeds(const schema::VoterSettings &From) const;
+  void settingsChanged(const std::string &Text);
 
   const schema::VoterSettings m_Settings;
+  const std::string m_SettingsFile;
   WorkerPool m_Workers;
   EventLog m_Events;
   MetricRegistry m_Registry;
-  MembershipDirectory m_Directory;
+  // What backend servers announced here, and to any voter.
+  MembershipDirectory m_HeardHere;
+  MembershipDirectory m_HeardAnywhere;
   DocumentMachine m_Machine;
   PeerClient m_Peers;
   PeerServer m_Server;
   std::shared_ptr<WatchService> m_Watchers;
+  std::shared_ptr<VoterWatch> m_OtherVoters;
   std::unique_ptr<RaftRunner> m_Log;
   ControlFront m_Front;
   HttpServer m_ControlServer;
--- a/Source/Voter/WatchService.cpp
+++ b/Source/Voter/WatchService.cpp
@@ -21,6 +21,17 @@
 constexpr std::size_t MaxQueuedBytes = std::size_t{1024} * 1024;
 constexpr std::size_t MaxRecords = 1000;
 
+WatcherKind fromSchema(schema::WatchHello::Kind Kind) {
+  switch (Kind) {
+  case schema::WatchHello::VOTER:
+    return WatcherKind::Voter;
+  case schema::WatchHello::BALANCER:
+    return WatcherKind::Balancer;
+  default:
+    return WatcherKind::Gateway;
+  }
+}
+
 } // namespace
 
 WatchService::WatchService(boost::asio::io_context &Worker,
@@ -84,8 +95,9 @@
   if (!Parsed.ParseFromArray(Hello.data(), static_cast<int>(Hello.size())))
     return Stream->reset();
   m_Sources.m_Events.write(Event::WatcherJoined,
-                           {{"gateway", Parsed.gateway()}});
-  m_Watchers.push_back({Stream, Parsed.gateway(), 0, 0});
+                           {{"watcher", Parsed.watcher()}});
+  m_Watchers.push_back(
+      {Stream, Parsed.watcher(), fromSchema(Parsed.kind()), 0, 0});
   tell(m_Watchers.back());
 }
 
@@ -96,7 +108,7 @@
   if (Found == m_Watchers.end())
     return;
   m_Sources.m_Events.write(Event::WatcherLost,
-                           {{"gateway", Found->m_Gateway}});
+                           {{"watcher", Found->m_Name}});
   m_Watchers.erase(Found);
 }
 
@@ -105,25 +117,37 @@
     tell(Each);
 }
 
+std::uint32_t WatchService::gatewayCount() const {
+  return static_cast<std::uint32_t>(
+      std::count_if(m_Watchers.begin(), m_Watchers.end(),
+                    [](const Watcher &W) {
+                      return W.m_Kind == WatcherKind::Gateway;
+                    }));
+}
+
 void WatchService::tell(Watcher &To) {
   if (To.m_Stream->queuedBytes() > MaxQueuedBytes)
     return;
   schema::WatchUpdate Update;
   const DocumentPtr Document = m_Sources.m_Machine.document();
   Update.set_configuration_version(Document->m_Version);
-  if (Document->m_Version > To.m_ToldVersion) {
+  if (Document->m_Version > To.m_ToldVersion &&
+      To.m_Kind != WatcherKind::Voter) {
     Update.set_configuration(Document->m_Bytes);
     To.m_ToldVersion = Document->m_Version;
   }
-  const DifferenceBatch News =
-      m_Sources.m_Directory.differences(To.m_ToldChange, MaxRecords);
+  MembershipDirectory &Heard = To.m_Kind == WatcherKind::Balancer
+                                   ? m_Sources.m_HeardAnywhere
+                                   : m_Sources.m_HeardHere;
+  const DifferenceBatch News = Heard.differences(To.m_ToldChange, MaxRecords);
   const TimePoint Now = RuntimeClock::now();
   for (const Difference &Each : News.m_Differences)
     differenceToSchema(Each, Now, *Update.add_records());
   To.m_ToldChange = News.m_Next;
   for (std::string &Member : m_Sources.m_Members())
     Update.add_members(std::move(Member));
-  Update.set_gateways(static_cast<std::uint32_t>(m_Watchers.size()));
+  Update.set_gateways(gatewayCount());
+  Update.set_availability_zone(m_Sources.m_AvailabilityZone);
   To.m_Stream->send(Update.SerializeAsString());
 }
 
--- a/Source/Voter/WatchService.h
+++ b/Source/Voter/WatchService.h
@@ -1,9 +1,10 @@
-// Tells the gateways that watch this voter what is new: configuration, members
+// Tells the processes that watch this voter what is new: configuration, members
 // of the log, announcements of backend servers.
 #ifndef MANGOCART_VOTER_WATCHSERVICE_H
 #define MANGOCART_VOTER_WATCHSERVICE_H
 
 #include "Core/Timer.h"
+#include "Gateway/VoterWatch.h"
 #include "Net/PeerStream.h"
 
 #include <boost/asio/io_context.hpp>
@@ -23,9 +24,13 @@
 struct WatchSources {
   EventLog &m_Events;
   const DocumentMachine &m_Machine;
-  MembershipDirectory &m_Directory;
+  // What backend servers announced here, and to any voter.
+  MembershipDirectory &m_HeardHere;
+  MembershipDirectory &m_HeardAnywhere;
   // Peer endpoints of the members of the log.
   std::function<std::vector<std::string>()> m_Members;
+  // Of this voter.
+  std::string m_AvailabilityZone;
 };
 
 // All functions but news() run on the worker.
@@ -42,8 +47,9 @@
 private:
   struct Watcher {
     std::shared_ptr<PeerStream> m_Stream;
-    std::string m_Gateway;
-    // Of the configuration that the gateway was told.
+    std::string m_Name;
+    WatcherKind m_Kind = WatcherKind::Gateway;
+    // Of the configuration that it was told.
     std::uint64_t m_ToldVersion = 0;
     // Change number of the last announcement that it was told.
     std::uint64_t m_ToldChange = 0;
@@ -54,6 +60,7 @@
   void tick();
   void tellAll();
   void tell(Watcher &To);
+  std::uint32_t gatewayCount() const;
 
   const WatchSources m_Sources;
   Timer m_Timer;
