--- a/Source/Raft/RaftLeader.cpp
+++ b/Source/Raft/RaftLeader.cpp
@@ -107,6 +107,7 @@
   });
   Progress Fresh;
   Fresh.m_Next = S.m_Log.lastIndex() + 1;
+  Fresh.m_TrackedSince = C.m_Now;
   for (const RaftMember &M : Members)
     if (M.m_Id != S.m_Config.m_Self)
       S.m_Progress.try_emplace(M.m_Id, Fresh);
@@ -181,13 +182,15 @@
                            : S.m_Config.m_Voters.size();
 }
 
-// Whether the member has answered nothing for so long. A member that never
-// answered counts from the time at which this leader began.
+// Whether the member has answered nothing for so long, since this leader counts
+// on it.
 bool isSilent(const StepContext &C, const RaftMember &M, Duration Since) {
-  const RaftState &S = C.m_State;
+  const auto Found = C.m_State.m_Progress.find(M.m_Id);
+  if (Found == C.m_State.m_Progress.end())
+    return false;
+  const Progress &P = Found->second;
   const TimePoint Heard =
-      std::max(ackedRound(S, M.m_Id, C.m_Now).value_or(S.m_LeaderSince),
-               S.m_LeaderSince);
+      std::max(P.m_AckedRound.value_or(P.m_TrackedSince), P.m_TrackedSince);
   return C.m_Now - Heard > Since;
 }
 
--- a/Source/Raft/RaftNode.h
+++ b/Source/Raft/RaftNode.h
@@ -29,6 +29,8 @@
   LogIndex m_Next = 1;
   ReplicationMode m_Mode = ReplicationMode::Probe;
   bool m_ProbeSent = false;
+  // When this leader began to count on the member.
+  TimePoint m_TrackedSince;
   // Sending time of the latest message that the member answered.
   std::optional<TimePoint> m_AckedRound;
   // Only in Snapshot mode: the snapshot on its way, bytes acknowledged, time
--- a/Tests/Raft/RaftHarness.cpp
+++ b/Tests/Raft/RaftHarness.cpp
@@ -129,13 +129,23 @@
   ++m_Counts.m_DisksLost;
 }
 
+void RaftHarness::openMembership(const OpenMembership &Open,
+                                 std::size_t KnownAtStart) {
+  m_Open = Open;
+  m_KnownAtStart = KnownAtStart;
+  for (HarnessNode &N : m_Nodes)
+    restart(N);
+}
+
 void RaftHarness::restart(HarnessNode &N) {
   RaftConfig Config;
   Config.m_Self = {N.m_Name, N.m_Disk.m_StorageId};
   for (const HarnessNode &Other : m_Nodes)
-    Config.m_Voters.push_back(Other.m_Name);
+    if (!m_Open || Config.m_Voters.size() < m_KnownAtStart)
+      Config.m_Voters.push_back(Other.m_Name);
   Config.m_Bootstrap = "a";
   Config.m_Limits = m_Limits;
+  Config.m_Open = m_Open;
   N.m_State = makeRaftState(Config, N.m_Disk.m_State, now(N), m_Random);
   N.m_Applied = 0;
   N.m_Digest = 0;
--- a/Tests/Raft/RaftHarness.h
+++ b/Tests/Raft/RaftHarness.h
@@ -56,6 +56,9 @@
   // From now on a snapshot becomes ready only some time after its index was
   // applied, or never.
   void finishSnapshotsLate() { m_LateSnapshots = true; }
+  // Before any other function: only the first machines are known at the start,
+  // and any may join.
+  void openMembership(const OpenMembership &Open, std::size_t KnownAtStart);
   // Random operations and faults.
   void runFaults(int Steps);
   // No faults: true when all machines vote again under the storage ids that
@@ -123,6 +126,9 @@
   Duration m_Time{0};
   bool m_Faults = false;
   bool m_LateSnapshots = false;
+  std::optional<OpenMembership> m_Open;
+  // Machines whose names the others have at the start.
+  std::size_t m_KnownAtStart = 0;
   std::uint64_t m_NextProposal = 1;
   std::uint64_t m_NextStorageId = 1;
   HarnessCounts m_Counts;
