--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -16,8 +16,8 @@
 
 constexpr const char *RankMethod = "/balancer/rank";
 // Between two rounds while a change is under way, and while none is.
-constexpr Duration BusyInterval = milliseconds(40);
-constexpr Duration IdleInterval = milliseconds(300);
+constexpr Duration BusyInterval = milliseconds(30);
+constexpr Duration IdleInterval = milliseconds(120);
 // A balancer that doesn't coordinate looks at its own replica this often.
 constexpr Duration OwnInterval = milliseconds(1000);
 constexpr Duration RoundLimit = milliseconds(700);
@@ -32,7 +32,7 @@
 constexpr double LeastGain = 0.06;
 // What a rank copies for one map takes at most this long, as passes are slower
 // meanwhile and the load may shift before the map is in force.
-constexpr Duration CopyLimit = milliseconds(900);
+constexpr Duration CopyLimit = milliseconds(500);
 constexpr unsigned RandomVersionBits = 10;
 
 // What one expert's copy must take off a pass, as a part of the mean work of
@@ -91,12 +91,8 @@
 }
 
 Duration GroupCoordinator::interval() const {
-  if (!m_Coordinates)
-    return IdleInterval;
-  return m_Switch.m_Phase == SwitchPhase::Idle ||
-                 m_Switch.m_Phase == SwitchPhase::Switching
-             ? IdleInterval
-             : BusyInterval;
+  const bool Busy = m_Coordinates && m_Switch.m_Phase != SwitchPhase::Idle;
+  return Busy ? BusyInterval : IdleInterval;
 }
 
 bool GroupCoordinator::mayCoordinate(TimePoint Now) const {
--- a/Source/Balancer/RankService.cpp
+++ b/Source/Balancer/RankService.cpp
@@ -9,7 +9,7 @@
 
 // The replica is on the same machine; an order that gets no answer in this time
 // may be carried out later, and its effect will show in a later report.
-constexpr Duration CallTimeout = std::chrono::milliseconds(300);
+constexpr Duration CallTimeout = std::chrono::milliseconds(120);
 
 schema::RankOrder::Kind toSchema(RankOrderKind Kind) {
   switch (Kind) {
--- a/Source/Experts/GroupSwitch.h
+++ b/Source/Experts/GroupSwitch.h
@@ -69,8 +69,8 @@
 struct SwitchLimits {
   // Between the present pass and the one to switch at: time for the hold and
   // the orders to arm to be answered, so that the group doesn't wait.
-  Duration m_Lead = std::chrono::milliseconds(400);
-  std::uint64_t m_LeastLeadPasses = 3;
+  Duration m_Lead = std::chrono::milliseconds(200);
+  std::uint64_t m_LeastLeadPasses = 2;
   // A rank that doesn't show an order's effect gets it again after this time.
   Duration m_RepeatAfter = std::chrono::milliseconds(150);
   // Without all ranks prepared for so long, the map is given up.
