Gateway: queues by who can still be on time; loads exchanged; broken groups waited for

Cause: gateways saw only their own requests, so replicas queued while others had room, and in a backlog all answers were late; a broken group was asked again and again. Change: gateways tell each other what they have in flight, a queue a service with the ones that can be on time first, groups from the announcements.

--- a/Source/Balancer/BalancerDaemon.cpp
+++ b/Source/Balancer/BalancerDaemon.cpp
@@ -65,7 +65,8 @@
                 m_Plans.offer(Version, Document);
               },
               m_Directory,
-              [](std::uint32_t) {},
+              [](const std::set<PeerEndpoint> &) {},
+              {},
               m_Settings.availability_zone()},
           m_Settings.name())),
       m_Coordinator(std::make_shared<GroupCoordinator>(
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -1,6 +1,7 @@
 // Choice among the eligible backend servers.
 #include "Entry/MembershipDirectory.h"
 
+#include "Core/Hash.h"
 #include "Events/EventLog.h"
 #include "Peer.pb.h"
 
@@ -35,6 +36,30 @@
   m_Routing.m_EntryCount = std::max<std::uint32_t>(Count, 1);
 }
 
+void MembershipDirectory::othersWork(const std::string &Entry,
+                                     OthersWork Work) {
+  const std::lock_guard Lock(m_Mutex);
+  noteOthersWork(m_Routing, Entry, std::move(Work));
+}
+
+OthersWork MembershipDirectory::ownWork() const {
+  const std::lock_guard Lock(m_Mutex);
+  OthersWork Work;
+  for (const auto &[Name, Own] : m_Routing.m_Own)
+    Work.m_Requests[hash64(Name)] = Own.m_Requests;
+  return Work;
+}
+
+void MembershipDirectory::noteGroupBroken(const BackendTarget &Target) {
+  const std::lock_guard Lock(m_Mutex);
+  mangocart::noteGroupBroken(m_Table, Target.m_Name);
+}
+
+bool MembershipDirectory::isOpen(std::string_view Service) const {
+  const std::lock_guard Lock(m_Mutex);
+  return !eligibleViews(m_Table, Service, RuntimeClock::now()).empty();
+}
+
 void MembershipDirectory::noteReplaced(const BackendTarget &Target) {
   const TimePoint Now = RuntimeClock::now();
   const std::lock_guard Lock(m_Mutex);
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -37,6 +37,13 @@
   void onNews(std::function<void()> Handler) { m_OnNews = std::move(Handler); }
   // Entries among which the places of a server are shared.
   void setEntryCount(std::uint32_t Count);
+  // What another entry has in flight, and what this one has.
+  void othersWork(const std::string &Entry, OthersWork Work);
+  OthersWork ownWork() const;
+  // A rank refused work because its group is broken.
+  void noteGroupBroken(const BackendTarget &Target);
+  // Whether some backend server of the service takes work, full or not.
+  bool isOpen(std::string_view Service) const;
   // Another backend server has answered at the target's address.
   void noteReplaced(const BackendTarget &Target);
 
--- a/Source/Entry/RoutingTable.cpp
+++ b/Source/Entry/RoutingTable.cpp
@@ -20,6 +20,24 @@
   return static_cast<std::uint32_t>(hash64(AvailabilityZone));
 }
 
+// An entry that is silent for longer is gone, and its requests with it.
+constexpr Duration OthersWorkLifetime = std::chrono::seconds(2);
+
+// What other entries have at the server; nothing if none has told.
+std::optional<std::uint32_t> othersRequests(const RoutingTable &Table,
+                                            std::uint64_t Server,
+                                            TimePoint Now) {
+  std::optional<std::uint32_t> Sum;
+  for (const auto &[Entry, Work] : Table.m_Others) {
+    if (Now - Work.m_Heard > OthersWorkLifetime)
+      continue;
+    const auto Found = Work.m_Requests.find(Server);
+    Sum = Sum.value_or(0) +
+          (Found == Work.m_Requests.end() ? 0 : Found->second);
+  }
+  return Sum;
+}
+
 ReplicaCandidate toReplica(RoutingTable &Table, ServiceRouting &Routing,
                            const CandidateView &From,
                            const ChoiceRequest &Request, std::uint32_t Bound,
@@ -36,6 +54,8 @@
   Replica.m_ReportedTokens =
       From.m_Member->m_ReportedLoad * Routing.m_MeanTokens;
   Replica.m_ReportAge = Now - From.m_Member->m_LoadMeasuredAt;
+  Replica.m_OthersRequests =
+      othersRequests(Table, Replica.m_BackendServer, Now);
   if (Request.m_Size.m_PrefixHash != 0)
     Replica.m_CachedTokens = expectedCachedTokens(
         Table.m_Hints, {Replica.m_BackendServer, Request.m_Size.m_PrefixHash},
@@ -95,6 +115,11 @@
   return Found == Table.m_Own.end() ? 0 : Found->second.m_Requests;
 }
 
+void noteOthersWork(RoutingTable &Table, const std::string &Entry,
+                    OthersWork Work) {
+  Table.m_Others[Entry] = std::move(Work);
+}
+
 std::optional<std::size_t>
 chooseCandidate(RoutingTable &Table, std::span<const CandidateView> Candidates,
                 const ChoiceRequest &Request, TimePoint Now) {
--- a/Source/Entry/RoutingTable.h
+++ b/Source/Entry/RoutingTable.h
@@ -25,6 +25,12 @@
   std::uint64_t m_Tokens = 0;
 };
 
+// What another entry has in flight, by hash64() of the backend server's name.
+struct OthersWork {
+  std::map<std::uint64_t, std::uint32_t> m_Requests;
+  TimePoint m_Heard;
+};
+
 struct ServiceRouting {
   Ejection m_Ejection;
   ReplicaChoiceState m_Choice;
@@ -39,6 +45,8 @@
   std::uint32_t m_EntryCount = 1;
   std::map<std::string, OwnWork, std::less<>> m_Own;
   std::map<std::string, ServiceRouting, std::less<>> m_Services;
+  // By the name of the entry; empty where entries don't exchange their loads.
+  std::map<std::string, OthersWork> m_Others;
   CacheHints m_Hints;
   Random m_Random;
 };
@@ -49,6 +57,10 @@
 std::uint32_t ownRequests(const RoutingTable &Table,
                           std::string_view BackendServer);
 
+// Takes in what another entry has in flight.
+void noteOthersWork(RoutingTable &Table, const std::string &Entry,
+                    OthersWork Work);
+
 // Index of the candidate that the request goes to.
 std::optional<std::size_t>
 chooseCandidate(RoutingTable &Table, std::span<const CandidateView> Candidates,
--- a/Source/Gateway/CallerProtocol.h
+++ b/Source/Gateway/CallerProtocol.h
@@ -55,7 +55,9 @@
   // It did not run the request and never will.
   NotRun,
   // Another backend server has the address; the request did not run.
-  OtherServer
+  OtherServer,
+  // It did not run the request, because another rank of its group is missing.
+  GroupBroken
 };
 
 struct PlanError {
@@ -76,7 +78,9 @@
   // Whether the answer names the request as the one that it answers.
   virtual bool answers(const HttpHead &Answer,
                        std::string_view RequestId) const = 0;
-  virtual BackendVerdict judge(const HttpHead &Answer) const = 0;
+  // From is the address that answered, "IP:PORT".
+  virtual BackendVerdict judge(const HttpHead &Answer,
+                               std::string_view From) const = 0;
   // The answer's head as it goes to the caller.
   virtual HttpHead toCaller(const HttpHead &Answer) const = 0;
   // An answer of the gateway's own.
--- a/Source/Gateway/DirectRequest.cpp
+++ b/Source/Gateway/DirectRequest.cpp
@@ -5,6 +5,7 @@
 #include "Events/EventLog.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Http/HttpClients.h"
+#include "Raft/RaftPeers.h"
 #include "Settings.pb.h"
 
 #include <algorithm>
@@ -35,10 +36,9 @@
 // A request that may run once goes only onto a connection that was in use just
 // now, because a lost connection can't be told from a lost answer.
 constexpr Duration MaxIdleUnrepeatable = milliseconds(500);
-// Requests that a replica without announced slots works on and queues.
-constexpr std::uint32_t DefaultSlots = 8;
-// Requests that may wait at a replica, by its slots.
-constexpr std::uint32_t WaitingPerSlot = 2;
+// Requests of all gateways that a plain backend server may have; it queues some
+// of them.
+constexpr std::uint32_t DefaultOutstanding = 16;
 
 bool isSuccess(unsigned Status) {
   return Status >= FirstSuccess && Status < FirstRedirect;
@@ -74,7 +74,7 @@
                              RoutedCall Call)
     : m_Context(Context), m_Exchange(std::move(Exchange)),
       m_Call(std::move(Call)), m_Arrived(RuntimeClock::now()),
-      m_Timer(m_Exchange->executor()), m_Size(sizeOf(m_Call)) {
+      m_Progressed(m_Arrived), m_Timer(m_Exchange->executor()), m_Size(sizeOf(m_Call)) {
   const Duration Waits = m_Call.m_Caller.m_TimeLeft.value_or(DefaultTimeLeft);
   m_Deadline = m_Arrived + std::min(Waits, m_Call.m_Route->m_Timeout);
   m_Known.m_Repeatable = m_Call.m_Route->isRepeatable();
@@ -101,33 +101,70 @@
   return m_Call.m_Route->m_Kind == CallKind::Stream;
 }
 
-std::optional<BackendTarget> DirectRequest::choose() const {
-  const PlannedService *Service =
-      m_Call.m_Plan->findService(m_Call.m_Service);
-  const std::uint32_t Slots =
+GateCall DirectRequest::makeGateCall() const {
+  const PlannedRoute &Route = *m_Call.m_Route;
+  const PlannedService *Service = m_Call.m_Plan->findService(m_Call.m_Service);
+  GateCall Call;
+  Call.m_Service = m_Call.m_Service;
+  Call.m_Size = m_Size;
+  Call.m_MaxOutstanding =
       Service && Service->m_Engine && Service->m_Engine->m_Slots > 0
           ? Service->m_Engine->m_Slots
-          : DefaultSlots;
-  ChoiceRequest Request;
-  Request.m_Service = m_Call.m_Service;
-  Request.m_Policy = "score";
-  Request.m_MaxOutstanding = Slots * (1 + WaitingPerSlot);
-  Request.m_Size = m_Size;
-  Request.m_Tried = &m_Tried;
-  Request.m_FailedZone = m_FailedZone;
-  return m_Context.m_Directory.choose(Request);
+          : DefaultOutstanding;
+  Call.m_Tried = m_Tried;
+  Call.m_FailedZone = m_FailedZone;
+  WaitingCall &Times = Call.m_Times;
+  Times.m_Arrived = m_Arrived;
+  // A caller that comes again has used a part of its time: what it has left is
+  // less than the route's timeout.
+  const Duration Used =
+      std::max(Duration::zero(),
+               Route.m_Timeout -
+                   m_Call.m_Caller.m_TimeLeft.value_or(Route.m_Timeout));
+  Times.m_OnTimeUntil =
+      m_AnswerStarted ? m_Arrived : m_Arrived + Route.m_TargetLatency - Used;
+  Times.m_Deadline = m_Deadline;
+  Times.m_LeavesAt = m_Deadline;
+  if (Route.m_Patience > Duration::zero())
+    Times.m_LeavesAt = std::min(m_Deadline, m_Progressed + Route.m_Patience);
+  Times.m_Priority = m_Call.m_Customer && m_Call.m_Customer->m_Priority
+                         ? *m_Call.m_Customer->m_Priority
+                         : Route.m_Priority;
+  return Call;
 }
 
 // --- Sending
 
 void DirectRequest::attempt() {
-  const Duration Left = timeLeft();
-  if (Left <= Duration::zero())
+  if (timeLeft() <= Duration::zero())
     return onTimeOver();
-  m_Target = choose();
+  m_AtGate = 0;
+  m_AtGate = m_Context.m_Gates.enter(
+      makeGateCall(), m_Exchange->executor(),
+      [Self = shared_from_this()](GateAnswer Answer) {
+        Self->onGate(std::move(Answer));
+      });
+}
+
+void DirectRequest::onGate(GateAnswer Answer) {
+  m_AtGate.reset();
+  m_Target = std::move(Answer.m_Target);
+  if (m_Finished) {
+    // The caller left while the answer was on its way.
+    report(CallResult::Cancelled);
+    return;
+  }
   if (!m_Target)
-    return giveUp(m_Tried.empty() ? "no-backend-server"
-                                  : "no-other-backend-server");
+    return giveUp(toString(Answer.m_Refusal), Answer.m_RetryAfter);
+  send();
+}
+
+void DirectRequest::send() {
+  const Duration Left = timeLeft();
+  if (Left <= Duration::zero()) {
+    report(CallResult::Cancelled);
+    return onTimeOver();
+  }
   ForwardedFacts Facts;
   Facts.m_BackendServer = m_Target->m_Name;
   Facts.m_TimeLeft = Left;
@@ -145,7 +182,6 @@
   m_HeadSeen = false;
   m_Body.clear();
   m_Cutter.dropPending();
-  m_Context.m_Directory.callStarted(*m_Target, m_Size);
   const HttpTarget To{m_Target->m_Agent.m_Address, m_Target->m_Agent.m_Port};
   m_HttpCall = m_Context.m_Clients.on(m_Exchange->executor())
                    .send(To,
@@ -175,7 +211,7 @@
 void DirectRequest::onHead(HttpHead Head) {
   m_Head = std::move(Head);
   m_HeadSeen = true;
-  const bool Ran = m_Context.m_Protocol.judge(m_Head) == BackendVerdict::Ran;
+  const bool Ran = verdict() == BackendVerdict::Ran;
   m_Passing = answerIsStream() && Ran && isSuccess(m_Head.m_Status)
                   ? Passing::Events
                   : Passing::Whole;
@@ -200,6 +236,10 @@
   m_Body.clear();
 }
 
+BackendVerdict DirectRequest::verdict() const {
+  return m_Context.m_Protocol.judge(m_Head, toString(m_Target->m_Agent));
+}
+
 HttpHead DirectRequest::callerHead() const {
   HttpHead Head = m_Context.m_Protocol.toCaller(m_Head);
   if (m_Context.m_Leaving)
@@ -213,6 +253,8 @@
   m_AnswerStarted = true;
   m_Known.m_AnswerBegun = !m_Call.m_Route->m_Resumable;
   m_FirstByte = RuntimeClock::now() - m_Arrived;
+  m_Context.m_Gates.noteFirstByte(m_Call.m_Service,
+                                  RuntimeClock::now() - m_Sent);
   m_Context.m_Metrics.m_FirstByte.observe(
       std::chrono::duration<double>(*m_FirstByte).count(), RuntimeClock::now());
   m_Exchange->startStream(callerHead());
@@ -220,6 +262,7 @@
 
 void DirectRequest::passOn(std::string Bytes) {
   startAnswer();
+  m_Progressed = RuntimeClock::now();
   m_Context.m_Directory.callProgressed(*m_Target);
   m_Exchange->writeChunk(std::move(Bytes));
   if (m_Exchange->queuedBytes() <= MaxQueuedBytes || !m_HttpCall)
@@ -234,9 +277,12 @@
 
 void DirectRequest::onEnd() {
   m_HttpCall.reset();
-  switch (m_Context.m_Protocol.judge(m_Head)) {
+  switch (verdict()) {
   case BackendVerdict::NotRun:
     return endAttempt(AttemptEnd::SaidNotRun, "the backend server refused it");
+  case BackendVerdict::GroupBroken:
+    m_Context.m_Directory.noteGroupBroken(*m_Target);
+    return endAttempt(AttemptEnd::SaidNotRun, "the rank group is broken");
   case BackendVerdict::OtherServer:
     m_Context.m_Directory.noteReplaced(*m_Target);
     return endAttempt(AttemptEnd::SaidNotRun,
@@ -257,6 +303,8 @@
                       "the backend server answered with a failure");
   report(CallResult::Answered);
   m_FirstByte = RuntimeClock::now() - m_Arrived;
+  m_Context.m_Gates.noteFirstByte(m_Call.m_Service,
+                                  RuntimeClock::now() - m_Sent);
   m_Context.m_Metrics.m_FirstByte.observe(
       std::chrono::duration<double>(*m_FirstByte).count(), RuntimeClock::now());
   m_Exchange->respond({callerHead(), std::move(m_Body)});
@@ -286,6 +334,7 @@
   m_Tried.push_back(m_Target->m_Name);
   m_FailedZone = m_Target->m_AvailabilityZone;
   m_Target.reset();
+  m_Context.m_Gates.pump(m_Call.m_Service);
 }
 
 void DirectRequest::endAttempt(AttemptEnd End, std::string_view Detail) {
@@ -316,7 +365,8 @@
   giveUp(toString(End));
 }
 
-void DirectRequest::giveUp(std::string_view Reason) {
+void DirectRequest::giveUp(std::string_view Reason,
+                           std::optional<Duration> RetryAfter) {
   const OwnEnd End = ownEndOf(m_Known);
   const bool Started = m_AnswerStarted;
   unsigned Status = 0;
@@ -342,7 +392,8 @@
   const bool Refused = End == OwnEnd::RefuseNotRun;
   m_Exchange->respond(m_Context.m_Protocol.ownAnswer(
       Status, toString(End), m_Call.m_Caller.m_RequestId,
-      Refused ? std::optional<Duration>(RetryAfterRefusal) : std::nullopt));
+      Refused ? std::optional(RetryAfter.value_or(RetryAfterRefusal))
+              : std::nullopt));
   finish(Reason, Status);
 }
 
@@ -375,6 +426,8 @@
     return;
   m_Finished = true;
   m_Timer.cancel();
+  if (m_AtGate)
+    m_Context.m_Gates.cancel(m_Call.m_Service, *m_AtGate);
   const TimePoint Now = RuntimeClock::now();
   m_Context.m_Metrics.m_Whole.observe(
       std::chrono::duration<double>(Now - m_Arrived).count(), Now);
--- a/Source/Gateway/DirectRequest.h
+++ b/Source/Gateway/DirectRequest.h
@@ -9,6 +9,7 @@
 #include "Gateway/CallerProtocol.h"
 #include "Gateway/EventStreamCutter.h"
 #include "Gateway/GatewayContext.h"
+#include "Gateway/ServiceGates.h"
 #include "Http/HttpClient.h"
 
 #include <memory>
@@ -48,8 +49,11 @@
   };
 
   void begin();
+  // Asks the gate for a backend server.
   void attempt();
-  std::optional<BackendTarget> choose() const;
+  void onGate(GateAnswer Answer);
+  void send();
+  GateCall makeGateCall() const;
   HttpCallHandlers makeHandlers();
 
   void onHead(HttpHead Head);
@@ -65,7 +69,9 @@
   // Counts the attempt as over at the directory.
   void report(CallResult Result);
   void finish(std::string_view Outcome, unsigned Status);
-  void giveUp(std::string_view Reason);
+  void giveUp(std::string_view Reason,
+              std::optional<Duration> RetryAfter = std::nullopt);
+  BackendVerdict verdict() const;
   HttpHead callerHead() const;
   Duration timeLeft() const;
   bool answerIsStream() const;
@@ -74,6 +80,8 @@
   const std::shared_ptr<HttpExchange> m_Exchange;
   const RoutedCall m_Call;
   const TimePoint m_Arrived;
+  // When the caller last got something.
+  TimePoint m_Progressed;
   TimePoint m_Deadline;
   Timer m_Timer;
   CallSize m_Size;
@@ -83,6 +91,8 @@
   std::shared_ptr<HttpCall> m_HttpCall;
   std::optional<BackendTarget> m_Target;
   TimePoint m_Sent;
+  // While the gate decides: the call's number there.
+  std::optional<std::uint64_t> m_AtGate;
   // Names of backend servers that were tried, in order.
   std::vector<std::string> m_Tried;
   std::string m_FailedZone;
--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -21,6 +21,7 @@
 class HttpClients;
 class MembershipDirectory;
 class PlanHolder;
+class ServiceGates;
 struct GatewayMetrics;
 
 // The shares of all services. Safe to use from any thread; its mutex is a leaf
@@ -48,6 +49,7 @@
   PlanHolder &m_Plans;
   MembershipDirectory &m_Directory;
   HttpClients &m_Clients;
+  ServiceGates &m_Gates;
   RepeatBudgets &m_Repeats;
   GatewayMetrics &m_Metrics;
   // Callers are asked to close their connections.
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -17,6 +17,8 @@
 constexpr unsigned StatusUnavailable = 503;
 // Sweeps of membership and ejection; several within a stall's detection.
 constexpr Duration TendInterval = milliseconds(250);
+// Waiting calls are looked at this often, besides when something has changed.
+constexpr Duration PumpInterval = milliseconds(50);
 // Callers' balancer looks once a second and takes a gateway out after two
 // misses; new connections are taken until then.
 constexpr Duration KeepListening = milliseconds(2500);
@@ -80,6 +82,14 @@
   return Seeds;
 }
 
+// For other gateways: the address that callers use, the port that all processes
+// of the system have.
+PeerEndpoint ownEndpoint(const schema::GatewaySettings &Settings) {
+  const auto Callers = parseEndpoint(Settings.caller_endpoint());
+  return {Callers ? Callers->m_Address : std::string(),
+          static_cast<std::uint16_t>(Settings.peer_port())};
+}
+
 } // namespace
 
 GatewayDaemon::GatewayDaemon(schema::GatewaySettings Settings,
@@ -94,9 +104,10 @@
       m_Directory(m_Events, m_Settings.availability_zone(), 1,
                   RuntimeClock::wallMilliseconds()),
       m_Clients(m_Workers, clientOptions()),
+      m_Gates(m_Directory, RuntimeClock::wallMilliseconds()),
       m_Repeats(repeatOptions(m_Settings)),
       m_Context{m_Settings, m_Events,  Protocol, m_Plans,
-                m_Directory, m_Clients, m_Repeats, m_Metrics, m_Leaving},
+                m_Directory, m_Clients, m_Gates,  m_Repeats, m_Metrics, m_Leaving},
       m_Front(m_Context, RuntimeClock::wallMilliseconds()),
       m_CallerServer(m_Workers, callerLimits(m_Settings, {}),
                      [this](const std::shared_ptr<HttpExchange> &Exchange) {
@@ -110,7 +121,10 @@
                       [this](const std::shared_ptr<HttpExchange> &Exchange) {
                         answerMetrics(*Exchange);
                       }),
-      m_Peers(m_Workers),
+      m_Peers(m_Workers), m_PeerServer(m_Workers),
+      m_Loads(std::make_shared<LoadExchange>(
+          m_Workers.worker(0), m_Peers, m_Directory, m_Settings.name(),
+          ownEndpoint(m_Settings), [this] { m_Gates.pump(); })),
       m_Watch(std::make_shared<VoterWatch>(
           m_Workers.worker(0), m_Peers,
           WatchTargets{
@@ -120,19 +134,23 @@
                 m_Plans.offer(Version, Document);
               },
               m_Directory,
-              [this](std::uint32_t Count) {
+              [this](const std::set<PeerEndpoint> &Gateways) {
+                const auto Count = static_cast<std::uint32_t>(Gateways.size());
                 m_Directory.setEntryCount(Count);
                 m_Repeats.setGateways(Count);
+                m_Loads->setGateways(Gateways);
               },
+              toString(ownEndpoint(m_Settings)),
               {}},
           m_Settings.name())),
       m_SettingsWatch(
           m_Workers.worker(0), m_SettingsFile,
           [this](const std::string &Text) { settingsChanged(Text); }),
       m_Drain(m_Workers.worker(0), drainLimits(m_Settings), drainActions()),
-      m_TendTimer(m_Workers.worker(0)) {
+      m_TendTimer(m_Workers.worker(0)), m_GateTimer(m_Workers.worker(0)) {
   m_Events.limitRequestLines(m_Settings.log_lines_per_second());
   m_Directory.setLimits(membershipLimits(m_Settings));
+  m_Directory.onNews([this] { m_Gates.pump(); });
   m_Plans.onChange([this](const RoutingPlan &Plan) { planChanged(Plan); });
 }
 
@@ -146,7 +164,9 @@
       [this] { m_Exit.open(ExitCode::Failed); });
   m_SettingsWatch.start();
   m_Watch->start(seedsOf(m_Settings));
+  m_Loads->start();
   tend();
+  pumpGates();
   m_Workers.start();
   m_Events.write(Event::ProcessStarted,
                  {{"address", m_Settings.caller_endpoint()}});
@@ -168,12 +188,28 @@
       parseEndpoint(m_Settings.caller_endpoint()).value_or(PeerEndpoint());
   const PeerEndpoint Health =
       parseEndpoint(m_Settings.health_endpoint()).value_or(PeerEndpoint());
+  const PeerEndpoint Own = ownEndpoint(m_Settings);
+  m_Loads->serve(m_PeerServer);
+  if (const auto Peers = m_PeerServer.listen(Own.m_Address, Own.m_Port);
+      !Peers) {
+    m_Events.write(Event::ListenFailed, {{"detail", Peers.error().m_Detail}});
+    return false;
+  }
   return Open(m_CallerServer, Callers) && Open(m_HealthServer, Health) &&
          Open(m_MetricsServer,
               {Callers.m_Address,
                static_cast<std::uint16_t>(m_Settings.metrics_port())});
 }
 
+void GatewayDaemon::pumpGates() {
+  m_Gates.pump();
+  m_GateTimer.expires_after(PumpInterval);
+  m_GateTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      pumpGates();
+  });
+}
+
 bool GatewayDaemon::isReady() const { return m_HasPlan && !m_Leaving; }
 
 void GatewayDaemon::tend() {
--- a/Source/Gateway/GatewayDaemon.h
+++ b/Source/Gateway/GatewayDaemon.h
@@ -12,7 +12,9 @@
 #include "Gateway/GatewayContext.h"
 #include "Gateway/GatewayFront.h"
 #include "Gateway/GatewayMetrics.h"
+#include "Gateway/LoadExchange.h"
 #include "Gateway/PlanHolder.h"
+#include "Gateway/ServiceGates.h"
 #include "Gateway/VoterWatch.h"
 #include "Http/HttpClients.h"
 #include "Http/HttpServer.h"
@@ -35,6 +37,7 @@
 private:
   bool listen();
   void tend();
+  void pumpGates();
   bool isReady() const;
   void answerHealth(HttpExchange &Exchange) const;
   void answerMetrics(HttpExchange &Exchange) const;
@@ -51,6 +54,7 @@
   PlanHolder m_Plans;
   MembershipDirectory m_Directory;
   HttpClients m_Clients;
+  ServiceGates m_Gates;
   RepeatBudgets m_Repeats;
   std::atomic<bool> m_Leaving{false};
   GatewayContext m_Context;
@@ -59,10 +63,13 @@
   HttpServer m_HealthServer;
   HttpServer m_MetricsServer;
   PeerClient m_Peers;
+  PeerServer m_PeerServer;
+  std::shared_ptr<LoadExchange> m_Loads;
   std::shared_ptr<VoterWatch> m_Watch;
   SettingsWatch m_SettingsWatch;
   DrainController m_Drain;
   Timer m_TendTimer;
+  Timer m_GateTimer;
   bool m_WasReady = false;
   // When the first plan came; announcements follow on the same streams.
   std::atomic<bool> m_HasPlan{false};
--- a/Source/Gateway/RoutingPlan.h
+++ b/Source/Gateway/RoutingPlan.h
@@ -49,6 +49,8 @@
   bool m_Resumable = false;
   // Longest pause between events that is still on time; zero: not given.
   Duration m_PauseTarget = Duration::zero();
+  // Callers leave when nothing has come for so long; zero: they don't.
+  Duration m_Patience = Duration::zero();
 
   // Whether a request may run more than once.
   bool isRepeatable() const {
--- a/Source/Gateway/VoterWatch.cpp
+++ b/Source/Gateway/VoterWatch.cpp
@@ -153,6 +153,7 @@
   schema::WatchHello Hello;
   Hello.set_watcher(m_Name);
   Hello.set_kind(toSchema(m_Targets.m_Kind));
+  Hello.set_endpoint(m_Targets.m_Endpoint);
   Through.m_Stream->send(Hello.SerializeAsString());
 }
 
@@ -184,11 +185,14 @@
   if (!Update.configuration().empty())
     m_Targets.m_OnConfiguration(Update.configuration_version(),
                                 Update.configuration());
-  Through.m_Gateways = Update.gateways();
-  std::uint32_t Gateways = 1;
+  Through.m_Gateways.clear();
+  for (const std::string &Gateway : Update.gateways())
+    if (const auto Endpoint = parseEndpoint(Gateway))
+      Through.m_Gateways.insert(*Endpoint);
+  std::set<PeerEndpoint> Gateways;
   for (const auto &[To, Each] : m_Links)
     if (Each.m_Stream)
-      Gateways = std::max(Gateways, Each.m_Gateways);
+      Gateways.insert(Each.m_Gateways.begin(), Each.m_Gateways.end());
   m_Targets.m_OnGateways(Gateways);
   if (Update.members().empty())
     return;
--- a/Source/Gateway/VoterWatch.h
+++ b/Source/Gateway/VoterWatch.h
@@ -35,8 +35,10 @@
   std::function<void(std::uint64_t Version, std::string_view Document)>
       m_OnConfiguration;
   MembershipDirectory &m_Directory;
-  // How many gateways the voters know of.
-  std::function<void(std::uint32_t)> m_OnGateways;
+  // The endpoints of the gateways that the voters know of.
+  std::function<void(const std::set<PeerEndpoint> &)> m_OnGateways;
+  // Own endpoint, for a gateway.
+  std::string m_Endpoint;
   // Set: one voter is enough, one of this availability zone if there is one.
   std::string m_OneOfZone;
 };
@@ -62,7 +64,7 @@
     TimePoint m_Opened;
     TimePoint m_LastUpdate;
     bool m_Updated = false;
-    std::uint32_t m_Gateways = 0;
+    std::set<PeerEndpoint> m_Gateways;
   };
 
   void look();
--- a/Source/Membership/MembershipTable.cpp
+++ b/Source/Membership/MembershipTable.cpp
@@ -104,6 +104,28 @@
   return Zones;
 }
 
+struct GroupState {
+  std::uint64_t m_Epoch = 0;
+  bool m_Broken = false;
+};
+using GroupStates = std::map<std::string_view, GroupState>;
+
+// What the ranks of each group say in its newest epoch.
+GroupStates groupStates(const MembershipTable &Table) {
+  GroupStates Groups;
+  for (const auto &[Name, Entry] : Table.m_Entries) {
+    const Member &Rank = Entry.m_Member;
+    if (Rank.m_Group.empty() || Rank.m_State == MemberState::Left)
+      continue;
+    GroupState &Group = Groups[Rank.m_Group];
+    if (Rank.m_GroupEpoch > Group.m_Epoch)
+      Group = {Rank.m_GroupEpoch, Rank.m_GroupBroken};
+    else if (Rank.m_GroupEpoch == Group.m_Epoch)
+      Group.m_Broken = Group.m_Broken || Rank.m_GroupBroken;
+  }
+  return Groups;
+}
+
 void markChanged(MembershipTable &Table, TableEntry &Entry, TimePoint Now) {
   Entry.m_ChangeNumber = ++Table.m_LastChange;
   Entry.m_ChangedAt = Now;
@@ -187,7 +209,11 @@
   if (Record.m_Incarnation > Entry.m_Member.m_Incarnation)
     return insertNew(Table, Record, HeardAt, Now);
 
-  const bool StateChanged = Record.m_State != Entry.m_Member.m_State;
+  const Member &Known = Entry.m_Member;
+  const bool StateChanged =
+      Record.m_State != Known.m_State ||
+      Record.m_GroupEpoch != Known.m_GroupEpoch ||
+      Record.m_GroupBroken != Known.m_GroupBroken;
   if (StateChanged || refreshIsNews(Table, Entry, Record, Now))
     markChanged(Table, Entry, Now);
   Entry.m_Member = Record;
@@ -272,16 +298,31 @@
       .isInDoubt();
 }
 
+bool isGroupBroken(const MembershipTable &Table, std::string_view Group) {
+  const GroupStates Groups = groupStates(Table);
+  const auto Found = Groups.find(Group);
+  return Found != Groups.end() && Found->second.m_Broken;
+}
+
+void noteGroupBroken(MembershipTable &Table, std::string_view BackendServer) {
+  const auto Found = Table.m_Entries.find(BackendServer);
+  if (Found != Table.m_Entries.end() && !Found->second.m_Member.m_Group.empty())
+    Found->second.m_Member.m_GroupBroken = true;
+}
+
 std::vector<CandidateView> eligibleViews(const MembershipTable &Table,
                                          std::string_view Service,
                                          TimePoint Now) {
   const std::vector<ZoneCount> Zones = countZones(Table, Now);
   std::vector<CandidateView> Candidates;
   std::vector<CandidateView> LostOnes;
+  const GroupStates Groups = groupStates(Table);
   for (const auto &[Name, Entry] : Table.m_Entries) {
     const Member &Record = Entry.m_Member;
     if (Record.m_State != MemberState::Serving || Record.m_Service != Service)
       continue;
+    if (!Record.m_Group.empty() && Groups.at(Record.m_Group).m_Broken)
+      continue;
     const Duration Age = silence(Entry, Now);
     const bool IsSilenceExcused = Zones[Entry.m_Zone].isInDoubt() &&
                                   Age < Table.m_Limits.m_ObserverDoubtWindow;
@@ -372,6 +413,9 @@
   Record.m_LoadMeasuredAt =
       Now - HeardAgo - milliseconds(Message.report_age_ms());
   Record.m_Slots = Message.slots();
+  Record.m_Group = Message.group();
+  Record.m_GroupEpoch = Message.group_epoch();
+  Record.m_GroupBroken = Message.group_broken();
   return Record;
 }
 
@@ -392,6 +436,9 @@
       std::max(Duration::zero(), Now - Record.m_LoadMeasuredAt));
   Message.set_report_age_ms(static_cast<std::uint32_t>(Age.count()));
   Message.set_slots(Record.m_Slots);
+  Message.set_group(Record.m_Group);
+  Message.set_group_epoch(Record.m_GroupEpoch);
+  Message.set_group_broken(Record.m_GroupBroken);
 }
 
 void differenceToSchema(const Difference &Change, TimePoint Now,
--- a/Source/Membership/MembershipTable.h
+++ b/Source/Membership/MembershipTable.h
@@ -53,6 +53,12 @@
   TimePoint m_LoadMeasuredAt;
   // Requests that it works on at once; 0: not known.
   std::uint32_t m_Slots = 0;
+  // The rank group that it belongs to; empty: none. A group works only as a
+  // whole: while it is broken, none of its ranks takes requests.
+  std::string m_Group;
+  // Counts how often the group has formed.
+  std::uint64_t m_GroupEpoch = 0;
+  bool m_GroupBroken = false;
 
   bool operator==(const Member &) const = default;
 };
@@ -169,6 +175,14 @@
   bool operator==(const CandidateView &) const = default;
 };
 
+// Whether the group's ranks say that it is broken: some rank does so in the
+// newest epoch that any of them names.
+bool isGroupBroken(const MembershipTable &Table, std::string_view Group);
+
+// A rank refused work because its group is broken in the epoch that the table
+// knows; until news of a later epoch the group counts as broken.
+void noteGroupBroken(MembershipTable &Table, std::string_view BackendServer);
+
 // The servers of a service that new work may go to: serving, and not lost. If
 // more than half of a zone's servers fell silent within the doubt window, the
 // observer is suspected: their silence isn't held against them, failed calls
--- a/Source/Routing/ReplicaChoice.cpp
+++ b/Source/Routing/ReplicaChoice.cpp
@@ -119,6 +119,8 @@
 bool isFull(const ReplicaCandidate &Candidate, std::uint32_t MaxOutstanding,
             std::uint32_t EntryCount) {
   const std::uint32_t Own = Candidate.m_OutstandingRequests;
+  if (Candidate.m_OthersRequests)
+    return Own + *Candidate.m_OthersRequests >= MaxOutstanding;
   const std::uint32_t Part = (MaxOutstanding + EntryCount - 1) / EntryCount;
   if (Own < Part)
     return false;
@@ -131,6 +133,9 @@
   const auto OwnTokens = static_cast<double>(Candidate.m_OutstandingTokens);
   const auto OwnRequests = static_cast<double>(Candidate.m_OutstandingRequests);
   const double Own = OwnTokens + Options.m_RequestTokens * OwnRequests;
+  if (Candidate.m_OthersRequests)
+    return Own + Options.m_RequestTokens *
+                     static_cast<double>(*Candidate.m_OthersRequests);
   const double Others =
       std::max(0.0, Candidate.m_ReportedTokens - OwnTokens) +
       Options.m_RequestTokens *
--- a/Source/Routing/ReplicaChoice.h
+++ b/Source/Routing/ReplicaChoice.h
@@ -33,6 +33,9 @@
   double m_ReportedRequests = 0.0;
   double m_ReportedTokens = 0.0;
   Duration m_ReportAge = Duration::zero();
+  // What the other entries have there by their own word a moment ago. Set: the
+  // reported figures aren't used.
+  std::optional<std::uint32_t> m_OthersRequests;
   // Tokens of the request's prefix that its cache is expected to hold.
   std::uint64_t m_CachedTokens = 0;
   // Share of a healthy server's work that it should get, in (0, 1]; below 1
--- a/Source/Voter/WatchService.cpp
+++ b/Source/Voter/WatchService.cpp
@@ -97,7 +97,8 @@
   m_Sources.m_Events.write(Event::WatcherJoined,
                            {{"watcher", Parsed.watcher()}});
   m_Watchers.push_back(
-      {Stream, Parsed.watcher(), fromSchema(Parsed.kind()), 0, 0});
+      {Stream, Parsed.watcher(), fromSchema(Parsed.kind()), Parsed.endpoint(),
+       0, 0});
   tell(m_Watchers.back());
 }
 
@@ -117,14 +118,6 @@
     tell(Each);
 }
 
-std::uint32_t WatchService::gatewayCount() const {
-  return static_cast<std::uint32_t>(
-      std::count_if(m_Watchers.begin(), m_Watchers.end(),
-                    [](const Watcher &W) {
-                      return W.m_Kind == WatcherKind::Gateway;
-                    }));
-}
-
 void WatchService::tell(Watcher &To) {
   if (To.m_Stream->queuedBytes() > MaxQueuedBytes)
     return;
@@ -146,7 +139,10 @@
   To.m_ToldChange = News.m_Next;
   for (std::string &Member : m_Sources.m_Members())
     Update.add_members(std::move(Member));
-  Update.set_gateways(gatewayCount());
+  if (To.m_Kind == WatcherKind::Gateway)
+    for (const Watcher &Each : m_Watchers)
+      if (Each.m_Kind == WatcherKind::Gateway)
+        Update.add_gateways(Each.m_Endpoint);
   Update.set_availability_zone(m_Sources.m_AvailabilityZone);
   To.m_Stream->send(Update.SerializeAsString());
 }
--- a/Source/Voter/WatchService.h
+++ b/Source/Voter/WatchService.h
@@ -49,6 +49,8 @@
     std::shared_ptr<PeerStream> m_Stream;
     std::string m_Name;
     WatcherKind m_Kind = WatcherKind::Gateway;
+    // Of a gateway.
+    std::string m_Endpoint;
     // Of the configuration that it was told.
     std::uint64_t m_ToldVersion = 0;
     // Change number of the last announcement that it was told.
@@ -60,7 +62,6 @@
   void tick();
   void tellAll();
   void tell(Watcher &To);
-  std::uint32_t gatewayCount() const;
 
   const WatchSources m_Sources;
   Timer m_Timer;
