--- a/Source/Balancer/BalancerDaemon.cpp
+++ b/Source/Balancer/BalancerDaemon.cpp
@@ -164,15 +164,16 @@
   return {};
 }
 
-std::vector<PeerEndpoint> BalancerDaemon::balancers() const {
+std::map<PeerEndpoint, PeerEndpoint> BalancerDaemon::balancers() const {
   const std::string Service = ownService();
-  std::vector<PeerEndpoint> Found;
+  std::map<PeerEndpoint, PeerEndpoint> Found;
   if (Service.empty())
     return Found;
   for (const MemberView &Each : m_Directory.members())
     if (Each.m_Member.m_Service == Service &&
         Each.m_Member.m_State != MemberState::Left)
-      Found.push_back({Each.m_Member.m_Address, m_Self.m_Port});
+      Found[{Each.m_Member.m_Address, m_Self.m_Port}] = {
+          Each.m_Member.m_Address, Each.m_Member.m_PeerPort};
   return Found;
 }
 
--- a/Source/Balancer/BalancerDaemon.h
+++ b/Source/Balancer/BalancerDaemon.h
@@ -35,7 +35,7 @@
   void tend();
   std::vector<PeerEndpoint> seeds(const schema::BalancerSettings &From) const;
   std::string ownService() const;
-  std::vector<PeerEndpoint> balancers() const;
+  std::map<PeerEndpoint, PeerEndpoint> balancers() const;
   std::optional<ExpertLayout> layout() const;
   void settingsChanged(const std::string &Text);
 
--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -20,13 +20,15 @@
 constexpr Duration IdleInterval = milliseconds(120);
 // A balancer that doesn't coordinate looks at its own replica this often.
 constexpr Duration OwnInterval = milliseconds(1000);
-constexpr Duration RoundLimit = milliseconds(700);
-constexpr Duration CallTimeout = milliseconds(650);
+constexpr Duration RoundLimit = milliseconds(600);
+// Of a call to another balancer; a replica whose balancer doesn't answer is
+// asked itself in what is left of the round.
+constexpr Duration CallTimeout = milliseconds(250);
 constexpr Duration DiscoverInterval = milliseconds(1500);
-// Without a question from a lower rank for so long, this one takes over; each
-// further rank waits a little longer.
-constexpr Duration TakeOverAfter = milliseconds(1300);
-constexpr Duration TakeOverStep = milliseconds(400);
+// Without a question from a coordinator for so long, the first rank takes over;
+// each further rank waits a little longer.
+constexpr Duration TakeOverAfter = milliseconds(900);
+constexpr Duration TakeOverStep = milliseconds(300);
 // A new map must lower the slowest ranks' part of a pass by this share of the
 // mean: below, the copies cost more than they bring.
 constexpr double LeastGain = 0.06;
@@ -84,9 +86,11 @@
 
 void GroupCoordinator::receive(const schema::RankRequest &Request,
                                RankService::Handler Done) {
+  // Of two that coordinate, the one of the lower rank goes on.
   if (m_Own && Request.group() == m_Own->m_Group &&
-      Request.from_rank() < m_Own->m_Rank)
-    m_LowerHeard = RuntimeClock::now();
+      (Request.from_rank() < m_Own->m_Rank ||
+       (!m_Coordinates && Request.from_rank() != m_Own->m_Rank)))
+    m_OtherHeard = RuntimeClock::now();
   m_Sources.m_Service.ask(Request, std::move(Done));
 }
 
@@ -98,10 +102,10 @@
 bool GroupCoordinator::mayCoordinate(TimePoint Now) const {
   if (!m_Own || m_Own->m_Size < 2 || !m_Sources.m_Layout())
     return false;
-  const Duration Wait =
-      m_Own->m_Rank == 0 ? Duration::zero()
-                         : TakeOverAfter + TakeOverStep * m_Own->m_Rank;
-  return Now - std::max(m_LowerHeard, m_Started) >= Wait;
+  const TimePoint Heard = std::max(m_OtherHeard, m_Started);
+  if (m_Coordinates)
+    return Now - Heard >= TakeOverAfter;
+  return Now - Heard >= TakeOverAfter + TakeOverStep * m_Own->m_Rank;
 }
 
 void GroupCoordinator::tick() {
@@ -146,12 +150,12 @@
 }
 
 void GroupCoordinator::discover(TimePoint Now) {
-  const std::vector<PeerEndpoint> Known = m_Sources.m_Balancers();
+  const std::map<PeerEndpoint, PeerEndpoint> Known = m_Sources.m_Balancers();
   std::erase_if(m_PeersByEndpoint, [&](const auto &Each) {
-    return std::find(Known.begin(), Known.end(), Each.first) == Known.end();
+    return !Known.contains(Each.first);
   });
-  for (const PeerEndpoint &Each : Known)
-    m_PeersByEndpoint.try_emplace(Each);
+  for (const auto &[Balancer, Replica] : Known)
+    m_PeersByEndpoint[Balancer].m_Replica = Replica;
   for (auto &[To, Other] : m_PeersByEndpoint) {
     const bool Mine = Other.m_State && Other.m_State->m_Group == m_Own->m_Group;
     if (Mine || Other.m_IsWaiting || Now - Other.m_Asked < DiscoverInterval)
@@ -227,13 +231,26 @@
   };
   if (To == m_Sources.m_Self)
     return m_Sources.m_Service.ask(Request, Take);
+  // While the group may stand still, a replica whose balancer is away is asked
+  // from here.
+  std::optional<PeerEndpoint> Direct;
+  if (m_Switch.m_Phase != SwitchPhase::Idle &&
+      m_Switch.m_Phase != SwitchPhase::Preparing)
+    Direct = Other.m_Replica;
   m_Sources.m_Peers.call(
       To, RankMethod, Request.SerializeAsString(), CallTimeout,
-      [Take](const Result<std::string, PeerError> &Bytes) {
+      [Self = shared_from_this(), Take, Direct,
+       Request](const Result<std::string, PeerError> &Bytes) {
         schema::RankReply Reply;
-        if (Bytes)
-          Reply.ParseFromString(Bytes.value());
-        Take(std::move(Reply));
+        if (Bytes && Reply.ParseFromString(Bytes.value()))
+          return Take(std::move(Reply));
+        if (!Direct)
+          return Take({});
+        boost::asio::post(
+            Self->m_Timer.get_executor(), [Self, Take, Direct, Request] {
+              Self->m_Sources.m_Service.askAt(
+                  {Direct->m_Address, Direct->m_Port}, Request, Take);
+            });
       });
 }
 
--- a/Source/Balancer/GroupCoordinator.h
+++ b/Source/Balancer/GroupCoordinator.h
@@ -25,8 +25,9 @@
   EventLog &m_Events;
   RankService &m_Service;
   PeerClient &m_Peers;
-  // Balancers beside the replicas of this one's service, this one included.
-  std::function<std::vector<PeerEndpoint>()> m_Balancers;
+  // Balancers beside the replicas of this one's service, this one included, and
+  // where their replicas answer.
+  std::function<std::map<PeerEndpoint, PeerEndpoint>()> m_Balancers;
   // How the experts of the service may be placed; nothing: it has none.
   std::function<std::optional<ExpertLayout>()> m_Layout;
   PeerEndpoint m_Self;
@@ -45,6 +46,7 @@
 private:
   // A balancer of the service and what it said last.
   struct Peer {
+    PeerEndpoint m_Replica;
     std::optional<RankState> m_State;
     schema::RankReply m_Reply;
     TimePoint m_Heard;
@@ -77,8 +79,8 @@
   TimePoint m_Started;
   std::optional<RankState> m_Own;
   TimePoint m_OwnAsked;
-  // When a balancer of a lower rank last asked here.
-  TimePoint m_LowerHeard;
+  // When a balancer that goes before this one last asked here.
+  TimePoint m_OtherHeard;
   std::map<PeerEndpoint, Peer> m_PeersByEndpoint;
   std::size_t m_WaitingFor = 0;
   std::uint64_t m_Round = 0;
--- a/Source/Balancer/RankService.cpp
+++ b/Source/Balancer/RankService.cpp
@@ -9,7 +9,7 @@
 
 // The replica is on the same machine; an order that gets no answer in this time
 // may be carried out later, and its effect will show in a later report.
-constexpr Duration CallTimeout = std::chrono::milliseconds(120);
+constexpr Duration CallTimeout = std::chrono::milliseconds(60);
 
 schema::RankOrder::Kind toSchema(RankOrderKind Kind) {
   switch (Kind) {
@@ -122,6 +122,7 @@
 }
 
 struct RankService::Question {
+  HttpTarget m_Replica;
   schema::RankRequest m_Request;
   schema::RankReply m_Reply;
   Handler m_Done;
@@ -132,9 +133,10 @@
     : m_Client(Client), m_Replica(std::move(Replica)), m_Protocol(Protocol),
       m_Events(Events) {}
 
-void RankService::ask(const schema::RankRequest &Request, Handler Done) {
+void RankService::askAt(const HttpTarget &Replica,
+                        const schema::RankRequest &Request, Handler Done) {
   auto For = std::make_shared<Question>(
-      Question{Request, {}, std::move(Done)});
+      Question{Replica, Request, {}, std::move(Done)});
   if (!Request.has_order())
     return askState(For);
   send(For, m_Protocol.order(fromSchema(Request.order())),
@@ -177,7 +179,7 @@
           {{"target", Target}, {"status", 0}, {"detail", Error.m_Detail}});
     Next({});
   };
-  m_Client.send(m_Replica, std::move(Request), CallTimeout,
+  m_Client.send(For->m_Replica, std::move(Request), CallTimeout,
                 std::move(Handlers));
 }
 
--- a/Source/Balancer/RankService.h
+++ b/Source/Balancer/RankService.h
@@ -28,7 +28,12 @@
               const EngineProtocol &Protocol, EventLog &Events);
 
   // The reply lacks what the replica didn't answer in time.
-  void ask(const schema::RankRequest &Request, Handler Done);
+  void ask(const schema::RankRequest &Request, Handler Done) {
+    askAt(m_Replica, Request, std::move(Done));
+  }
+  // The same of another replica, whose own balancer doesn't answer.
+  void askAt(const HttpTarget &Replica, const schema::RankRequest &Request,
+             Handler Done);
 
 private:
   struct Question;
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -182,7 +182,9 @@
     m_Events.write(Event::BackendServerState,
                    {{"backend_server", Record.m_BackendServer},
                     {"state", static_cast<unsigned>(Record.m_State)},
-                    {"incarnation", Record.m_Incarnation}});
+                    {"incarnation", Record.m_Incarnation},
+                    {"group_epoch", Record.m_GroupEpoch},
+                    {"group_broken", Record.m_GroupBroken}});
 }
 
 DifferenceBatch MembershipDirectory::differences(std::uint64_t Since,
--- a/Source/Experts/GroupSwitch.cpp
+++ b/Source/Experts/GroupSwitch.cpp
@@ -115,6 +115,8 @@
     if (m_Ranks[Rank].m_IsBusy ||
         (Last != TimePoint() && m_Now - Last < m_S.m_Limits.m_RepeatAfter))
       return;
+    if (Last != TimePoint())
+      m_S.m_LastRepeat = m_Now;
     Last = m_Now;
     m_Orders.push_back({Rank, Kind, Version, m_S.m_Pass, m_S.m_Epoch,
                         m_Ranks[Rank].m_Sequence, std::move(Map)});
@@ -159,6 +161,13 @@
     hold();
   }
 
+  Duration lead() const {
+    const bool Unanswered =
+        m_S.m_LastRepeat &&
+        m_Now - *m_S.m_LastRepeat < m_S.m_Limits.m_RepeatMemory;
+    return Unanswered ? m_S.m_Limits.m_LongLead : m_S.m_Limits.m_Lead;
+  }
+
   void hold() {
     const RankReport &Holder = m_Ranks[m_S.m_HoldRank];
     const std::vector<std::uint64_t> &Asked = m_S.m_AskedPasses;
@@ -176,7 +185,7 @@
     if (newestPass() + 1 >= m_S.m_Pass) {
       const auto Lead = static_cast<std::uint64_t>(
           std::ceil(m_S.m_PassesPerSecond *
-                    std::chrono::duration<double>(m_S.m_Limits.m_Lead).count()));
+                    std::chrono::duration<double>(lead()).count()));
       m_S.m_Pass =
           std::max(newestPass() + std::max(m_S.m_Limits.m_LeastLeadPasses, Lead),
                    m_S.m_LastPass + 1);
--- a/Source/Experts/GroupSwitch.h
+++ b/Source/Experts/GroupSwitch.h
@@ -70,15 +70,20 @@
   // Between the present pass and the one to switch at: time for the hold and
   // the orders to arm to be answered, so that the group doesn't wait.
   Duration m_Lead = std::chrono::milliseconds(200);
+  // The same while orders go without an answer: time to repeat a few, as a group
+  // that waits at the hold is late for all its requests.
+  Duration m_LongLead = std::chrono::milliseconds(700);
+  // An order that had to be repeated counts for so long.
+  Duration m_RepeatMemory = std::chrono::seconds(15);
   std::uint64_t m_LeastLeadPasses = 2;
   // A rank that doesn't show an order's effect gets it again after this time.
-  Duration m_RepeatAfter = std::chrono::milliseconds(150);
+  Duration m_RepeatAfter = std::chrono::milliseconds(60);
   // Without all ranks prepared for so long, the map is given up.
   Duration m_PrepareLimit = std::chrono::seconds(6);
   // Without all ranks armed for so long, the switch is taken back.
   Duration m_ArmLimit = std::chrono::seconds(3);
   // A hold of somebody else is looked after when it has stood for so long.
-  Duration m_ForeignHoldLimit = std::chrono::milliseconds(1200);
+  Duration m_ForeignHoldLimit = std::chrono::milliseconds(300);
 
   bool operator==(const SwitchLimits &) const = default;
 };
@@ -110,6 +115,8 @@
   std::shared_ptr<const ExpertMap> m_BarrierMap;
   // By rank: when the last order went there.
   std::vector<TimePoint> m_Ordered;
+  // When an order had to be repeated last.
+  std::optional<TimePoint> m_LastRepeat;
   // Somebody else's hold, and since when it has been seen.
   std::uint64_t m_ForeignPass = 0;
   TimePoint m_ForeignSince;
--- a/Source/Experts/LoadMeter.cpp
+++ b/Source/Experts/LoadMeter.cpp
@@ -18,6 +18,17 @@
     Meter.m_Updated = Now;
     return;
   }
+  const auto Rose = [&] {
+    for (std::size_t Rank = 0; Rank < Counts.size(); ++Rank)
+      if (Counts[Rank].size() == Size && Counts[Rank] != Meter.m_Counts[Rank])
+        return true;
+    return false;
+  };
+  // An idle or broken group says nothing against what was counted before.
+  if (!Rose()) {
+    Meter.m_Updated = Now;
+    return;
+  }
   const double HalfLives =
       std::chrono::duration<double>(Now - Meter.m_Updated).count() /
       std::chrono::duration<double>(Meter.m_Options.m_HalfLife).count();
--- a/Source/Gateway/ServiceGates.cpp
+++ b/Source/Gateway/ServiceGates.cpp
@@ -80,6 +80,7 @@
   }
   const WaitingCall Times = Entered.m_Call.m_Times;
   const ServiceState State = stateOf(Entered.m_Call.m_Service);
+  noteState(Of.m_Queue, State, Now);
   if (!shouldWait(Of.m_Queue, Times, State, Now)) {
     answer(std::move(Entered), refusal(Of.m_Queue, Times, State, Now));
     return Number;
@@ -122,6 +123,8 @@
 
 void ServiceGates::pumpLocked(const std::string &Service, Gate &Of,
                               TimePoint Now) {
+  const ServiceState State = stateOf(Service);
+  noteState(Of.m_Queue, State, Now);
   while (const auto Next = nextCall(Of.m_Queue, Now)) {
     const std::uint64_t Number = Of.m_Queue.m_Waiting[*Next].m_Number;
     const auto Found = Of.m_Held.find(Number);
@@ -134,9 +137,6 @@
     answer(std::move(Sent), {std::move(Target), GateRefusal::None, {},
                              Of.m_Queue.m_Waiting.size()});
   }
-  if (Of.m_Queue.m_Waiting.empty())
-    return;
-  const ServiceState State = stateOf(Service);
   for (const WaitingCall &Ended : giveUp(Of.m_Queue, State, Now)) {
     const auto Found = Of.m_Held.find(Ended.m_Number);
     Held Refused = std::move(Found->second);
--- a/Source/Gateway/ServiceQueue.cpp
+++ b/Source/Gateway/ServiceQueue.cpp
@@ -45,13 +45,37 @@
 
 } // namespace
 
+void noteState(ServiceQueue &Queue, ServiceState State, TimePoint Now) {
+  if (State == ServiceState::Closed) {
+    if (!Queue.m_ClosedSince)
+      Queue.m_ClosedSince = Now;
+    return;
+  }
+  if (!Queue.m_ClosedSince)
+    return;
+  const Duration Lasted = Now - *Queue.m_ClosedSince;
+  const ServiceQueueOptions &Options = Queue.m_Options;
+  const Duration Before = Queue.m_Outage.value_or(Options.m_FirstOutage);
+  Queue.m_Outage = Before + std::chrono::duration_cast<Duration>(
+                                (Lasted - Before) * Options.m_OutageWeight);
+  Queue.m_ClosedSince.reset();
+}
+
+Duration expectedOutageLeft(const ServiceQueue &Queue, TimePoint Now) {
+  const Duration Lasted =
+      Queue.m_ClosedSince ? Now - *Queue.m_ClosedSince : Duration::zero();
+  return std::max(
+      Queue.m_Outage.value_or(Queue.m_Options.m_FirstOutage) - Lasted,
+      Queue.m_Options.m_LeastOutageLeft);
+}
+
 bool shouldWait(const ServiceQueue &Queue, const WaitingCall &Call,
                 ServiceState State, TimePoint Now) {
   const TimePoint LastStart = Call.m_LeavesAt -
                               Queue.m_Options.m_RefusalMargin -
                               expectedFirst(Queue, Now);
   if (State == ServiceState::Closed)
-    return Now < LastStart;
+    return Now + expectedOutageLeft(Queue, Now) < LastStart;
   const bool OnTime = canBeOnTime(Queue, Call, Now);
   const Duration Wait = timeFor(Queue, callsBefore(Queue, OnTime, Now) + 1);
   return Now + Wait < LastStart;
@@ -110,16 +134,13 @@
                     ServiceState State, TimePoint Now, Random &Generator) {
   const auto Longest = std::chrono::duration_cast<Duration>(
       (Call.m_Deadline - Now) * Queue.m_Options.m_RetryAfterPart);
-  Duration Wait = Longest;
-  if (State == ServiceState::Open)
-    Wait = timeFor(Queue, callsBefore(Queue, false, Now) + 1);
+  const Duration Wait =
+      State == ServiceState::Open
+          ? timeFor(Queue, callsBefore(Queue, false, Now) + 1)
+          : expectedOutageLeft(Queue, Now);
   const double Spread =
       1.0 + Queue.m_Options.m_RetrySpread * uniformReal(Generator);
-  // While nobody knows, the draw spreads the callers below the longest time.
-  const auto Drawn =
-      std::chrono::duration_cast<Duration>(State == ServiceState::Open
-                                               ? Wait * Spread
-                                               : Wait / Spread);
+  const auto Drawn = std::chrono::duration_cast<Duration>(Wait * Spread);
   return std::clamp(Drawn, std::min(Queue.m_Options.m_LeastRetryAfter, Longest),
                     std::max(Longest, Duration::zero()));
 }
--- a/Source/Gateway/ServiceQueue.h
+++ b/Source/Gateway/ServiceQueue.h
@@ -47,6 +47,13 @@
                             std::chrono::seconds(1)};
   FirstTokenOptions m_FirstByte{std::chrono::milliseconds(150), 0.1,
                                 std::chrono::seconds(2)};
+  // Time that a service is closed before any was observed: some stalls of a
+  // rank group.
+  Duration m_FirstOutage = std::chrono::milliseconds(4500);
+  // Weight of a new observation.
+  double m_OutageWeight = 0.3;
+  // A closed service is expected to open no sooner than this.
+  Duration m_LeastOutageLeft = std::chrono::milliseconds(500);
 
   bool operator==(const ServiceQueueOptions &) const = default;
 };
@@ -59,12 +66,22 @@
   ServiceRate m_Rate;
   // From sending a call on to the first byte of its answer.
   FirstTokenTime m_FirstByte;
+  // Since when no backend server of the service takes work.
+  std::optional<TimePoint> m_ClosedSince;
+  // Running mean of the times that the service was closed.
+  std::optional<Duration> m_Outage;
 };
 
-// Whether all backend servers of the service are out of work for a while, so
-// that how fast calls were sent on says nothing of the wait.
+// Closed: no backend server of the service takes work, so that how fast calls
+// were sent on says nothing of the wait.
 enum class ServiceState { Open, Closed };
 
+// To be told before the functions below are asked.
+void noteState(ServiceQueue &Queue, ServiceState State, TimePoint Now);
+
+// How long a closed service is expected to stay so.
+Duration expectedOutageLeft(const ServiceQueue &Queue, TimePoint Now);
+
 // Whether a call that finds no free place should wait.
 bool shouldWait(const ServiceQueue &Queue, const WaitingCall &Call,
                 ServiceState State, TimePoint Now);
--- a/Source/Gateway/VoterWatch.cpp
+++ b/Source/Gateway/VoterWatch.cpp
@@ -165,8 +165,10 @@
   schema::WatchUpdate Update;
   if (!Update.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
     return onLost(From, Number, "an update can't be read");
-  if (!Found->second.m_Updated && isMisplaced(Update))
-    return onLost(From, Number, "it is in another availability zone");
+  if (!Found->second.m_Updated && isMisplaced(Update)) {
+    onLost(From, Number, "it is in another availability zone");
+    return lookForOne(RuntimeClock::now());
+  }
   take(From, Found->second, Update);
 }
 
