--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -16,8 +16,8 @@
 
 constexpr const char *RankMethod = "/balancer/rank";
 // Between two rounds while a change is under way, and while none is.
-constexpr Duration BusyInterval = milliseconds(30);
-constexpr Duration IdleInterval = milliseconds(120);
+constexpr Duration BusyInterval = milliseconds(12);
+constexpr Duration IdleInterval = milliseconds(70);
 // A balancer that doesn't coordinate looks at its own replica this often.
 constexpr Duration OwnInterval = milliseconds(1000);
 constexpr Duration RoundLimit = milliseconds(600);
@@ -33,15 +33,19 @@
 // mean: below, the copies cost more than they bring.
 constexpr double LeastGain = 0.06;
 // What a rank copies for one map takes at most this long, as passes are slower
-// meanwhile and the load may shift before the map is in force.
+// meanwhile and the load may shift before the map is in force; less while the
+// skew is so high that a part of the gain soon is worth more than all of it
+// later.
 constexpr Duration CopyLimit = milliseconds(500);
+constexpr Duration UrgentCopyLimit = milliseconds(300);
+constexpr double UrgentSkew = 1.6;
 constexpr unsigned RandomVersionBits = 10;
 
 // What one expert's copy must take off a pass, as a part of the mean work of
 // the ranks: the copy itself slows passes down, and while the group is hardly
 // busy a faster pass is of little use.
 constexpr double GainPerCopyBusy = 0.004;
-constexpr double GainPerCopyCalm = 0.02;
+constexpr double GainPerCopyCalm = 0.03;
 // Occupied part of the ranks' places from which the group is hardly busy, and
 // from which it is busy.
 constexpr double CalmOccupancy = 0.35;
@@ -55,19 +59,21 @@
 }
 
 PlacementOptions placementOptions(const ExpertLayout &Layout,
-                                  double MeanLoad, double Occupancy) {
+                                  const StepLoad &Present, double Occupancy) {
   PlacementOptions Options;
   // The gate in parts of the mean load, for one pass.
   Options.m_Gate.m_StepSkewWeight = 1.0;
   Options.m_Gate.m_RebalancingCostWeight = 1.0;
-  Options.m_Gate.m_SecondsPerToken = 1.0 / MeanLoad;
+  Options.m_Gate.m_SecondsPerToken = 1.0 / Present.m_Mean;
   Options.m_Gate.m_HorizonSteps = 1.0;
   Options.m_Gate.m_SecondsPerWeights = gainPerCopy(Occupancy);
   Options.m_Gate.m_StoreSecondPrice = 1.0;
   Options.m_MaxNewPerRankLayer = Layout.m_MaxNewPerLayer;
+  const Duration Limit =
+      Present.skew() >= UrgentSkew ? UrgentCopyLimit : CopyLimit;
   if (Layout.m_CopyTime > Duration::zero())
     Options.m_MaxNewPerRank = static_cast<std::uint32_t>(
-        std::max<std::int64_t>(1, CopyLimit / Layout.m_CopyTime));
+        std::max<std::int64_t>(1, Limit / Layout.m_CopyTime));
   return Options;
 }
 
@@ -399,7 +405,7 @@
     return;
   const ExpertMap Next = placeIncrementally(
       *m_Map, m_Meter.m_Load, {},
-      placementOptions(*Layout, Present.m_Mean, occupancy(*Layout)));
+      placementOptions(*Layout, Present, occupancy(*Layout)));
   const double Before = Present.skew();
   const double After = stepLoad(Next, m_Meter.m_Load).skew();
   if (Before - After < LeastGain)
--- a/Source/Experts/GroupSwitch.cpp
+++ b/Source/Experts/GroupSwitch.cpp
@@ -115,7 +115,8 @@
     if (m_Ranks[Rank].m_IsBusy ||
         (Last != TimePoint() && m_Now - Last < m_S.m_Limits.m_RepeatAfter))
       return;
-    if (Last != TimePoint())
+    // Copies take their time; the other orders show at once.
+    if (Last != TimePoint() && Kind != RankOrderKind::Prepare)
       m_S.m_LastRepeat = m_Now;
     Last = m_Now;
     m_Orders.push_back({Rank, Kind, Version, m_S.m_Pass, m_S.m_Epoch,
--- a/Source/Experts/GroupSwitch.h
+++ b/Source/Experts/GroupSwitch.h
@@ -69,7 +69,7 @@
 struct SwitchLimits {
   // Between the present pass and the one to switch at: time for the hold and
   // the orders to arm to be answered, so that the group doesn't wait.
-  Duration m_Lead = std::chrono::milliseconds(200);
+  Duration m_Lead = std::chrono::milliseconds(120);
   // The same while orders go without an answer: time to repeat a few, as a group
   // that waits at the hold is late for all its requests.
   Duration m_LongLead = std::chrono::milliseconds(700);
--- a/Source/Experts/LoadMeter.h
+++ b/Source/Experts/LoadMeter.h
@@ -13,7 +13,7 @@
 
 struct LoadMeterOptions {
   // What was counted so long ago weighs half.
-  Duration m_HalfLife = std::chrono::milliseconds(300);
+  Duration m_HalfLife = std::chrono::milliseconds(150);
   // With fewer choices the load says nothing yet.
   double m_LeastChoices = 2000.0;
 
