--- a/Source/Balancer/BalancerDaemon.cpp
+++ b/Source/Balancer/BalancerDaemon.cpp
@@ -37,8 +37,8 @@
                                const CallerProtocol &Callers,
                                const EngineProtocol &Engines)
     : m_Settings(std::move(Settings)), m_SettingsFile(std::move(SettingsFile)),
-      m_Replica(
-          parseEndpoint(m_Settings.replica_endpoint()).value_or(PeerEndpoint())),
+      m_Replica(parseEndpoint(m_Settings.replica_endpoint())
+                    .value_or(PeerEndpoint())),
       m_Self{m_Replica.m_Address,
              static_cast<std::uint16_t>(m_Settings.peer_port())},
       m_Workers(Workers),
@@ -107,18 +107,18 @@
 }
 
 void BalancerDaemon::serve() {
-  addAsyncMethod(
-      m_Server, RankMethod,
-      [this](std::string_view Bytes, const UnaryAnswer &Answer) {
-        schema::RankRequest Request;
-        if (!Request.ParseFromArray(Bytes.data(),
-                                    static_cast<int>(Bytes.size())))
-          return false;
-        m_Coordinator->receive(Request, [Answer](const schema::RankReply &R) {
-          Answer(R.SerializeAsString());
-        });
-        return true;
-      });
+  addAsyncMethod(m_Server, RankMethod,
+                 [this](std::string_view Bytes, const UnaryAnswer &Answer) {
+                   schema::RankRequest Request;
+                   if (!Request.ParseFromArray(Bytes.data(),
+                                               static_cast<int>(Bytes.size())))
+                     return false;
+                   m_Coordinator->receive(Request,
+                                          [Answer](const schema::RankReply &R) {
+                                            Answer(R.SerializeAsString());
+                                          });
+                   return true;
+                 });
 }
 
 bool BalancerDaemon::listen() {
--- a/Source/Balancer/EngineProtocol.h
+++ b/Source/Balancer/EngineProtocol.h
@@ -1,5 +1,5 @@
-// What a balancer needs to know of the calls to a replica's engine. The names on
-// the wire stand behind this interface only.
+// What a balancer needs to know of the calls to a replica's engine. The names
+// on the wire stand behind this interface only.
 #ifndef MANGOCART_BALANCER_ENGINEPROTOCOL_H
 #define MANGOCART_BALANCER_ENGINEPROTOCOL_H
 
--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -52,9 +52,8 @@
 constexpr double BusyOccupancy = 0.75;
 
 double gainPerCopy(double Occupancy) {
-  const double Busy = std::clamp((Occupancy - CalmOccupancy) /
-                                     (BusyOccupancy - CalmOccupancy),
-                                 0.0, 1.0);
+  const double Busy = std::clamp(
+      (Occupancy - CalmOccupancy) / (BusyOccupancy - CalmOccupancy), 0.0, 1.0);
   return GainPerCopyCalm + Busy * (GainPerCopyBusy - GainPerCopyCalm);
 }
 
@@ -148,18 +147,17 @@
   if (m_Coordinates || Now - m_OwnAsked < OwnInterval)
     return;
   m_OwnAsked = Now;
-  m_Sources.m_Service.ask({}, [Self = shared_from_this()](
-                                  const schema::RankReply &Reply) {
-    if (Reply.has_report())
-      Self->m_Own = fromSchema(Reply.report());
-  });
+  m_Sources.m_Service.ask(
+      {}, [Self = shared_from_this()](const schema::RankReply &Reply) {
+        if (Reply.has_report())
+          Self->m_Own = fromSchema(Reply.report());
+      });
 }
 
 void GroupCoordinator::discover(TimePoint Now) {
   const std::map<PeerEndpoint, PeerEndpoint> Known = m_Sources.m_Balancers();
-  std::erase_if(m_PeersByEndpoint, [&](const auto &Each) {
-    return !Known.contains(Each.first);
-  });
+  std::erase_if(m_PeersByEndpoint,
+                [&](const auto &Each) { return !Known.contains(Each.first); });
   for (const auto &[Balancer, Replica] : Known)
     m_PeersByEndpoint[Balancer].m_Replica = Replica;
   for (auto &[To, Other] : m_PeersByEndpoint) {
@@ -213,8 +211,8 @@
   if (m_WaitingFor == 0)
     return;
   m_Timer.expires_after(RoundLimit);
-  m_Timer.async_wait([Self = shared_from_this(), Round = m_Round](
-                         boost::system::error_code Error) {
+  m_Timer.async_wait([Self = shared_from_this(),
+                      Round = m_Round](boost::system::error_code Error) {
     if (!Error && Self->m_Round == Round && Self->m_WaitingFor > 0)
       Self->endRound();
   });
@@ -252,11 +250,11 @@
           return Take(std::move(Reply));
         if (!Direct)
           return Take({});
-        boost::asio::post(
-            Self->m_Timer.get_executor(), [Self, Take, Direct, Request] {
-              Self->m_Sources.m_Service.askAt(
-                  {Direct->m_Address, Direct->m_Port}, Request, Take);
-            });
+        boost::asio::post(Self->m_Timer.get_executor(), [Self, Take, Direct,
+                                                         Request] {
+          Self->m_Sources.m_Service.askAt({Direct->m_Address, Direct->m_Port},
+                                          Request, Take);
+        });
       });
 }
 
@@ -371,9 +369,9 @@
 
 std::uint64_t
 GroupCoordinator::freshVersion(const std::vector<RankReport> &Reports) {
-  const std::uint64_t Highest = std::max(
-      {highestVersion(Reports), m_LastVersion,
-       RuntimeClock::wallMilliseconds() << RandomVersionBits});
+  const std::uint64_t Highest =
+      std::max({highestVersion(Reports), m_LastVersion,
+                RuntimeClock::wallMilliseconds() << RandomVersionBits});
   // No other coordinator, nor this one before a restart, can have used it.
   return ((Highest >> RandomVersionBits) + 1) << RandomVersionBits |
          uniform(m_Random, 0, (std::uint64_t{1} << RandomVersionBits) - 1);
--- a/Source/Balancer/GroupCoordinator.h
+++ b/Source/Balancer/GroupCoordinator.h
@@ -1,6 +1,6 @@
 // Finds the ranks of the replica's group, and coordinates the group where no
-// balancer of a lower rank does: polls the ranks, plans expert maps, and carries
-// out the orders of the switch.
+// balancer of a lower rank does: polls the ranks, plans expert maps, and
+// carries out the orders of the switch.
 #ifndef MANGOCART_BALANCER_GROUPCOORDINATOR_H
 #define MANGOCART_BALANCER_GROUPCOORDINATOR_H
 
--- a/Source/Balancer/RankService.cpp
+++ b/Source/Balancer/RankService.cpp
@@ -163,10 +163,9 @@
   Handlers.m_OnEnd = [this, For, Got, Next, Target = Request.m_Target] {
     constexpr unsigned FirstFailure = 300;
     if (Got->m_Status >= FirstFailure)
-      m_Events.write(Event::EngineAnswerUnusable,
-                     {{"target", Target},
-                      {"status", Got->m_Status},
-                      {"detail", Got->m_Body}});
+      m_Events.write(Event::EngineAnswerUnusable, {{"target", Target},
+                                                   {"status", Got->m_Status},
+                                                   {"detail", Got->m_Body}});
     m_Reachable = true;
     Next(std::move(Got->m_Body));
   };
--- a/Source/Core/Timer.h
+++ b/Source/Core/Timer.h
@@ -17,8 +17,8 @@
   static constexpr Duration LongestWait = std::chrono::milliseconds(500);
 
   static Duration to_wait_duration(const Duration &Left) {
-    return std::min(Left, RuntimeClock::paused() ? PausedLookInterval
-                                                 : LongestWait);
+    return std::min(Left,
+                    RuntimeClock::paused() ? PausedLookInterval : LongestWait);
   }
   static Duration to_wait_duration(const TimePoint &Due) {
     const TimePoint Now = RuntimeClock::now();
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -166,12 +166,13 @@
   {
     const std::lock_guard Lock(m_Mutex);
     const TimePoint Now = RuntimeClock::now();
-    Result = merge(m_Table, withKnownIncarnation(m_Table, Record), HeardAgo, Now);
+    Result =
+        merge(m_Table, withKnownIncarnation(m_Table, Record), HeardAgo, Now);
     if (Result == MergeResult::Joined)
       forgetReplaced(m_Table, Record.m_BackendServer, Now);
   }
-  if (m_OnNews && (Result == MergeResult::Joined ||
-                   Result == MergeResult::StateChanged))
+  if (m_OnNews &&
+      (Result == MergeResult::Joined || Result == MergeResult::StateChanged))
     m_OnNews();
   if (Result == MergeResult::Joined)
     m_Events.write(Event::BackendServerJoined,
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -66,7 +66,9 @@
 
   // A heartbeat from an agent itself. Returns the highest incarnation known.
   std::uint64_t announced(const schema::Announcement &Message);
-  void announced(const Member &Record) { mergeRecord(Record, Duration::zero()); }
+  void announced(const Member &Record) {
+    mergeRecord(Record, Duration::zero());
+  }
   // A record passed on by another entry.
   void heard(const schema::MemberRecord &Record);
   DifferenceBatch differences(std::uint64_t Since, std::size_t MaxRecords);
--- a/Source/Entry/RoutingTable.cpp
+++ b/Source/Entry/RoutingTable.cpp
@@ -24,16 +24,15 @@
 constexpr Duration OthersWorkLifetime = std::chrono::seconds(2);
 
 // What other entries have at the server; nothing if none has told.
-std::optional<std::uint32_t> othersRequests(const RoutingTable &Table,
-                                            std::uint64_t Server,
-                                            TimePoint Now) {
+std::optional<std::uint32_t>
+othersRequests(const RoutingTable &Table, std::uint64_t Server, TimePoint Now) {
   std::optional<std::uint32_t> Sum;
   for (const auto &[Entry, Work] : Table.m_Others) {
     if (Now - Work.m_Heard > OthersWorkLifetime)
       continue;
     const auto Found = Work.m_Requests.find(Server);
-    Sum = Sum.value_or(0) +
-          (Found == Work.m_Requests.end() ? 0 : Found->second);
+    Sum =
+        Sum.value_or(0) + (Found == Work.m_Requests.end() ? 0 : Found->second);
   }
   return Sum;
 }
@@ -183,8 +182,7 @@
   ServiceRouting &Routing = routingOf(Table, Target.m_Service);
   const bool Failed = Report.m_Result == CallResult::Broken ||
                       Report.m_Result == CallResult::Failed;
-  noteEnd(Routing.m_Ejection, Server, Failed,
-          Report.m_Time,
+  noteEnd(Routing.m_Ejection, Server, Failed, Report.m_Time,
           Answered ? std::max<std::uint64_t>(1, Size.m_Tokens) : 0,
           EjectOptions, Now);
   if (Answered && Size.m_PrefixHash != 0)
--- a/Source/Experts/GroupSwitch.cpp
+++ b/Source/Experts/GroupSwitch.cpp
@@ -57,11 +57,10 @@
 private:
   bool inOneEpoch() const {
     return !m_Ranks.empty() &&
-           std::all_of(m_Ranks.begin(), m_Ranks.end(),
-                       [&](const RankReport &R) {
-                         return R.m_IsOpen &&
-                                R.m_Epoch == m_Ranks.front().m_Epoch;
-                       });
+           std::all_of(
+               m_Ranks.begin(), m_Ranks.end(), [&](const RankReport &R) {
+                 return R.m_IsOpen && R.m_Epoch == m_Ranks.front().m_Epoch;
+               });
   }
 
   void enter(SwitchPhase Phase) {
@@ -163,9 +162,8 @@
   }
 
   Duration lead() const {
-    const bool Unanswered =
-        m_S.m_LastRepeat &&
-        m_Now - *m_S.m_LastRepeat < m_S.m_Limits.m_RepeatMemory;
+    const bool Unanswered = m_S.m_LastRepeat && m_Now - *m_S.m_LastRepeat <
+                                                    m_S.m_Limits.m_RepeatMemory;
     return Unanswered ? m_S.m_Limits.m_LongLead : m_S.m_Limits.m_Lead;
   }
 
@@ -187,9 +185,9 @@
       const auto Lead = static_cast<std::uint64_t>(
           std::ceil(m_S.m_PassesPerSecond *
                     std::chrono::duration<double>(lead()).count()));
-      m_S.m_Pass =
-          std::max(newestPass() + std::max(m_S.m_Limits.m_LeastLeadPasses, Lead),
-                   m_S.m_LastPass + 1);
+      m_S.m_Pass = std::max(newestPass() +
+                                std::max(m_S.m_Limits.m_LeastLeadPasses, Lead),
+                            m_S.m_LastPass + 1);
       m_S.m_LastPass = m_S.m_Pass;
       m_S.m_AskedPasses.push_back(m_S.m_Pass);
       m_S.m_Ordered[m_S.m_HoldRank] = TimePoint();
@@ -198,11 +196,10 @@
   }
 
   void arm() {
-    const bool All =
-        forAll([&](const RankReport &R) { return isArmed(R); },
-               [&](std::uint32_t Rank) {
-                 order(Rank, RankOrderKind::Arm, m_S.m_Version);
-               });
+    const bool All = forAll([&](const RankReport &R) { return isArmed(R); },
+                            [&](std::uint32_t Rank) {
+                              order(Rank, RankOrderKind::Arm, m_S.m_Version);
+                            });
     if (All) {
       enter(SwitchPhase::Releasing);
       return release();
--- a/Source/Experts/GroupSwitch.h
+++ b/Source/Experts/GroupSwitch.h
@@ -7,7 +7,8 @@
 //    rank's report, before any rank is told to arm;
 //  - the hold is released only when every rank's report shows the same version
 //    armed for it, or when no rank can arm it any more;
-//  - a version is made impossible at a rank by preparing a higher one there, and
+//  - a version is made impossible at a rank by preparing a higher one there,
+//  and
 //    at a rank that isn't armed first: until then another coordinator may see
 //    all ranks armed and release the hold.
 //
@@ -70,8 +71,8 @@
   // Between the present pass and the one to switch at: time for the hold and
   // the orders to arm to be answered, so that the group doesn't wait.
   Duration m_Lead = std::chrono::milliseconds(120);
-  // The same while orders go without an answer: time to repeat a few, as a group
-  // that waits at the hold is late for all its requests.
+  // The same while orders go without an answer: time to repeat a few, as a
+  // group that waits at the hold is late for all its requests.
   Duration m_LongLead = std::chrono::milliseconds(700);
   // An order that had to be repeated counts for so long.
   Duration m_RepeatMemory = std::chrono::seconds(15);
@@ -88,7 +89,15 @@
   bool operator==(const SwitchLimits &) const = default;
 };
 
-enum class SwitchPhase { Idle, Preparing, Holding, Arming, Releasing, Switching, TakingBack };
+enum class SwitchPhase {
+  Idle,
+  Preparing,
+  Holding,
+  Arming,
+  Releasing,
+  Switching,
+  TakingBack
+};
 
 std::string_view toString(SwitchPhase Phase);
 
--- a/Source/Experts/IncrementalPlacement.cpp
+++ b/Source/Experts/IncrementalPlacement.cpp
@@ -151,9 +151,9 @@
 
   // Whether the rank held the expert before any move.
   bool heldFirst(std::uint32_t Rank, ExpertId Expert) const {
-    const auto Begin = m_First.begin() + static_cast<std::ptrdiff_t>(
-                                             std::size_t{Rank} *
-                                             m_Shape.m_SlotsPerRank);
+    const auto Begin =
+        m_First.begin() +
+        static_cast<std::ptrdiff_t>(std::size_t{Rank} * m_Shape.m_SlotsPerRank);
     const auto End = Begin + m_Shape.m_SlotsPerRank;
     return std::find(Begin, End, Expert) != End;
   }
--- a/Source/Experts/LoadMeter.h
+++ b/Source/Experts/LoadMeter.h
@@ -31,8 +31,8 @@
   bool operator==(const LoadMeter &) const = default;
 };
 
-// Takes in the counts of all ranks. A rank whose counts fell was restarted: what
-// it counted before is left out.
+// Takes in the counts of all ranks. A rank whose counts fell was restarted:
+// what it counted before is left out.
 void noteCounts(LoadMeter &Meter,
                 const std::vector<std::vector<std::uint64_t>> &Counts,
                 TimePoint Now);
--- a/Source/Gateway/DirectRequest.cpp
+++ b/Source/Gateway/DirectRequest.cpp
@@ -74,7 +74,8 @@
                              RoutedCall Call)
     : m_Context(Context), m_Exchange(std::move(Exchange)),
       m_Call(std::move(Call)), m_Arrived(RuntimeClock::now()),
-      m_Progressed(m_Arrived), m_Timer(m_Exchange->executor()), m_Size(sizeOf(m_Call)) {
+      m_Progressed(m_Arrived), m_Timer(m_Exchange->executor()),
+      m_Size(sizeOf(m_Call)) {
   const Duration Waits = m_Call.m_Caller.m_TimeLeft.value_or(DefaultTimeLeft);
   m_Deadline = m_Arrived + std::min(Waits, m_Call.m_Route->m_Timeout);
   m_Known.m_Repeatable = m_Call.m_Route->isRepeatable();
@@ -117,10 +118,9 @@
   Times.m_Arrived = m_Arrived;
   // A caller that comes again has used a part of its time: what it has left is
   // less than the route's timeout.
-  const Duration Used =
-      std::max(Duration::zero(),
-               Route.m_Timeout -
-                   m_Call.m_Caller.m_TimeLeft.value_or(Route.m_Timeout));
+  const Duration Used = std::max(
+      Duration::zero(),
+      Route.m_Timeout - m_Call.m_Caller.m_TimeLeft.value_or(Route.m_Timeout));
   Times.m_OnTimeUntil =
       m_AnswerStarted ? m_Arrived : m_Arrived + Route.m_TargetLatency - Used;
   Times.m_Deadline = m_Deadline;
@@ -139,11 +139,11 @@
   if (timeLeft() <= Duration::zero())
     return onTimeOver();
   m_AtGate = 0;
-  m_AtGate = m_Context.m_Gates.enter(
-      makeGateCall(), m_Exchange->executor(),
-      [Self = shared_from_this()](GateAnswer Answer) {
-        Self->onGate(std::move(Answer));
-      });
+  m_AtGate =
+      m_Context.m_Gates.enter(makeGateCall(), m_Exchange->executor(),
+                              [Self = shared_from_this()](GateAnswer Answer) {
+                                Self->onGate(std::move(Answer));
+                              });
 }
 
 void DirectRequest::onGate(GateAnswer Answer) {
@@ -183,21 +183,19 @@
   m_Body.clear();
   m_Cutter.dropPending();
   const HttpTarget To{m_Target->m_Agent.m_Address, m_Target->m_Agent.m_Port};
-  m_HttpCall = m_Context.m_Clients.on(m_Exchange->executor())
-                   .send(To,
-                         m_Context.m_Protocol.forward(m_Exchange->request(),
-                                                      Facts),
-                         Left + milliseconds(1), makeHandlers(),
-                         m_Known.m_Repeatable ? Duration::max()
-                                              : MaxIdleUnrepeatable);
+  m_HttpCall =
+      m_Context.m_Clients.on(m_Exchange->executor())
+          .send(To, m_Context.m_Protocol.forward(m_Exchange->request(), Facts),
+                Left + milliseconds(1), makeHandlers(),
+                m_Known.m_Repeatable ? Duration::max() : MaxIdleUnrepeatable);
 }
 
 HttpCallHandlers DirectRequest::makeHandlers() {
   HttpCallHandlers Handlers;
   const auto Self = shared_from_this();
   Handlers.m_Belongs = [Self](const HttpHead &Head) {
-    return Self->m_Context.m_Protocol.answers(Head,
-                                              Self->m_Call.m_Caller.m_RequestId);
+    return Self->m_Context.m_Protocol.answers(
+        Head, Self->m_Call.m_Caller.m_RequestId);
   };
   Handlers.m_OnHead = [Self](HttpHead Head) { Self->onHead(std::move(Head)); };
   Handlers.m_OnBody = [Self](std::string_view Piece) { Self->onBody(Piece); };
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -61,6 +61,7 @@
 HttpClientOptions clientOptions() {
   HttpClientOptions Options;
   Options.m_ConnectTimeout = ConnectTimeout;
+  Options.m_TakesEndByClosing = true;
   return Options;
 }
 
@@ -97,17 +98,18 @@
                              const CallerProtocol &Protocol)
     : m_Settings(std::move(Settings)), m_SettingsFile(std::move(SettingsFile)),
       m_Workers(m_Settings.workers()),
-      m_Events(
-          {"gateway", m_Settings.name(), m_Settings.availability_zone()},
-          std::string(EventLog::StandardOutput)),
+      m_Events({"gateway", m_Settings.name(), m_Settings.availability_zone()},
+               std::string(EventLog::StandardOutput)),
       m_Metrics(m_Registry), m_Plans(Protocol, m_Events),
       m_Directory(m_Events, m_Settings.availability_zone(), 1,
                   RuntimeClock::wallMilliseconds()),
       m_Clients(m_Workers, clientOptions()),
       m_Gates(m_Directory, RuntimeClock::wallMilliseconds()),
-      m_Repeats(repeatOptions(m_Settings)),
-      m_Context{m_Settings, m_Events,  Protocol, m_Plans,
-                m_Directory, m_Clients, m_Gates,  m_Repeats, m_Metrics, m_Leaving},
+      m_Repeats(repeatOptions(m_Settings)), m_Context{m_Settings,  m_Events,
+                                                      Protocol,    m_Plans,
+                                                      m_Directory, m_Clients,
+                                                      m_Gates,     m_Repeats,
+                                                      m_Metrics,   m_Leaving},
       m_Front(m_Context, RuntimeClock::wallMilliseconds()),
       m_CallerServer(m_Workers, callerLimits(m_Settings, {}),
                      [this](const std::shared_ptr<HttpExchange> &Exchange) {
@@ -231,9 +233,9 @@
 
 void GatewayDaemon::answerHealth(HttpExchange &Exchange) const {
   const bool Ready = isReady();
-  Exchange.respond({{Ready ? StatusOk : StatusUnavailable,
-                     {{"Content-Type", "text/plain"}}},
-                    Ready ? "ready\n" : "not ready\n"});
+  Exchange.respond(
+      {{Ready ? StatusOk : StatusUnavailable, {{"Content-Type", "text/plain"}}},
+       Ready ? "ready\n" : "not ready\n"});
 }
 
 void GatewayDaemon::answerMetrics(HttpExchange &Exchange) const {
--- a/Source/Gateway/GatewayFront.cpp
+++ b/Source/Gateway/GatewayFront.cpp
@@ -63,7 +63,8 @@
     return turnAway(*Exchange, Caller, StatusNotFound, "unknown-route",
                     std::nullopt, Version);
   const PlannedCustomer *Customer =
-      Caller.m_CustomerKey ? Plan->findCustomer(*Caller.m_CustomerKey) : nullptr;
+      Caller.m_CustomerKey ? Plan->findCustomer(*Caller.m_CustomerKey)
+                           : nullptr;
   const bool NeedsKey = !Route->m_Public && !Plan->plan().m_Customers.empty();
   if (NeedsKey && !Customer)
     return turnAway(*Exchange, Caller, StatusUnauthorized, "unknown-key",
--- a/Source/Gateway/GatewayFront.h
+++ b/Source/Gateway/GatewayFront.h
@@ -1,5 +1,5 @@
-// Takes callers' requests at a gateway: finds route and customer, and refuses at
-// once what can't be served.
+// Takes callers' requests at a gateway: finds route and customer, and refuses
+// at once what can't be served.
 #ifndef MANGOCART_GATEWAY_GATEWAYFRONT_H
 #define MANGOCART_GATEWAY_GATEWAYFRONT_H
 
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -18,21 +18,19 @@
       m_FailedUnknown(
           Registry.counter("mangocart_gateway_failed_unknown_total",
                            "Requests that failed and may have run.")),
-      m_FailedTimeout(
-          Registry.counter("mangocart_gateway_failed_timeout_total",
-                           "Requests whose time was over.")),
+      m_FailedTimeout(Registry.counter("mangocart_gateway_failed_timeout_total",
+                                       "Requests whose time was over.")),
       m_Cut(Registry.counter("mangocart_gateway_cut_total",
                              "Answers that were cut off.")),
       m_HungUp(Registry.counter("mangocart_gateway_hung_up_total",
                                 "Requests whose caller left.")),
-      m_Resumed(Registry.counter(
-          "mangocart_gateway_resumed_total",
-          "Streams that went on at another backend server.")),
+      m_Resumed(
+          Registry.counter("mangocart_gateway_resumed_total",
+                           "Streams that went on at another backend server.")),
       m_FirstByte(Registry.summary(
           "mangocart_gateway_first_byte_seconds",
           "Time from a request's arrival to the first byte of its answer.")),
-      m_Whole(
-          Registry.summary("mangocart_gateway_whole_seconds",
-                           "Time from a request's arrival to its end.")) {}
+      m_Whole(Registry.summary("mangocart_gateway_whole_seconds",
+                               "Time from a request's arrival to its end.")) {}
 
 } // namespace mangocart
--- a/Source/Gateway/LoadExchange.cpp
+++ b/Source/Gateway/LoadExchange.cpp
@@ -27,25 +27,23 @@
       m_Self(std::move(Self)), m_OnHeard(std::move(OnHeard)), m_Timer(Worker) {}
 
 void LoadExchange::serve(PeerServer &Server) {
-  Server.addMethod(
-      LoadMethod, [Weak = weak_from_this()](
-                      const std::shared_ptr<PeerStream> &Stream) {
-        PeerStreamHandlers Handlers;
-        Handlers.m_OnMessage = [Weak](std::string_view Bytes) {
-          const auto Self = Weak.lock();
-          if (!Self)
-            return;
-          boost::asio::post(Self->m_Timer.get_executor(),
-                            [Self, Copy = std::string(Bytes)] {
-                              Self->heard(Copy);
-                            });
-        };
-        Handlers.m_OnEnd = [Held = std::weak_ptr(Stream)] {
-          if (const auto Live = Held.lock())
-            Live->finish();
-        };
-        Stream->setHandlers(std::move(Handlers));
-      });
+  Server.addMethod(LoadMethod, [Weak = weak_from_this()](
+                                   const std::shared_ptr<PeerStream> &Stream) {
+    PeerStreamHandlers Handlers;
+    Handlers.m_OnMessage = [Weak](std::string_view Bytes) {
+      const auto Self = Weak.lock();
+      if (!Self)
+        return;
+      boost::asio::post(
+          Self->m_Timer.get_executor(),
+          [Self, Copy = std::string(Bytes)] { Self->heard(Copy); });
+    };
+    Handlers.m_OnEnd = [Held = std::weak_ptr(Stream)] {
+      if (const auto Live = Held.lock())
+        Live->finish();
+    };
+    Stream->setHandlers(std::move(Handlers));
+  });
 }
 
 void LoadExchange::start() {
--- a/Source/Gateway/PlanHolder.h
+++ b/Source/Gateway/PlanHolder.h
@@ -14,8 +14,8 @@
 class CallerProtocol;
 class EventLog;
 
-// Safe to use from any thread. The handler runs on the thread that offers, after
-// the lock has been released.
+// Safe to use from any thread. The handler runs on the thread that offers,
+// after the lock has been released.
 class PlanHolder {
 public:
   using ChangeHandler = std::function<void(const RoutingPlan &)>;
--- a/Source/Gateway/RoutingPlan.cpp
+++ b/Source/Gateway/RoutingPlan.cpp
@@ -80,8 +80,8 @@
     m_Services.emplace(Service.m_Name, &Service);
 }
 
-const PlannedRoute *
-RoutingPlanIndex::findRoute(std::string_view Host, std::string_view Path) const {
+const PlannedRoute *RoutingPlanIndex::findRoute(std::string_view Host,
+                                                std::string_view Path) const {
   const auto Routes = m_Routes.find(Host);
   if (Routes == m_Routes.end())
     return nullptr;
--- a/Source/Gateway/RoutingPlan.h
+++ b/Source/Gateway/RoutingPlan.h
@@ -154,7 +154,8 @@
 private:
   RoutingPlan m_Plan;
   // All point into m_Plan. Routes of a host by prefix.
-  std::map<std::string, std::map<std::string, const PlannedRoute *, std::less<>>,
+  std::map<std::string,
+           std::map<std::string, const PlannedRoute *, std::less<>>,
            std::less<>>
       m_Routes;
   std::map<std::string, const PlannedCustomer *, std::less<>> m_Customers;
--- a/Source/Gateway/ServiceGates.cpp
+++ b/Source/Gateway/ServiceGates.cpp
@@ -134,7 +134,9 @@
     noteSentOn(Of.m_Queue, *Next, Now);
     Held Sent = std::move(Found->second);
     Of.m_Held.erase(Found);
-    answer(std::move(Sent), {std::move(Target), GateRefusal::None, {},
+    answer(std::move(Sent), {std::move(Target),
+                             GateRefusal::None,
+                             {},
                              Of.m_Queue.m_Waiting.size()});
   }
   for (const WaitingCall &Ended : giveUp(Of.m_Queue, State, Now)) {
--- a/Source/Gateway/ServiceQueue.cpp
+++ b/Source/Gateway/ServiceQueue.cpp
@@ -64,9 +64,9 @@
 Duration expectedOutageLeft(const ServiceQueue &Queue, TimePoint Now) {
   const Duration Lasted =
       Queue.m_ClosedSince ? Now - *Queue.m_ClosedSince : Duration::zero();
-  return std::max(
-      Queue.m_Outage.value_or(Queue.m_Options.m_FirstOutage) - Lasted,
-      Queue.m_Options.m_LeastOutageLeft);
+  return std::max(Queue.m_Outage.value_or(Queue.m_Options.m_FirstOutage) -
+                      Lasted,
+                  Queue.m_Options.m_LeastOutageLeft);
 }
 
 bool shouldWait(const ServiceQueue &Queue, const WaitingCall &Call,
@@ -88,11 +88,11 @@
 }
 
 std::optional<std::size_t> nextCall(const ServiceQueue &Queue, TimePoint Now) {
-  const auto Best = std::min_element(
-      Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
-      [&](const WaitingCall &A, const WaitingCall &B) {
-        return goesFirst(Queue, A, B, Now);
-      });
+  const auto Best =
+      std::min_element(Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
+                       [&](const WaitingCall &A, const WaitingCall &B) {
+                         return goesFirst(Queue, A, B, Now);
+                       });
   if (Best == Queue.m_Waiting.end())
     return std::nullopt;
   return static_cast<std::size_t>(Best - Queue.m_Waiting.begin());
@@ -111,9 +111,9 @@
 std::vector<WaitingCall> giveUp(ServiceQueue &Queue, ServiceState State,
                                 TimePoint Now) {
   std::vector<WaitingCall> Hopeless;
-  const Duration First =
-      State == ServiceState::Closed ? Duration::zero()
-                                    : expectedFirst(Queue, Now);
+  const Duration First = State == ServiceState::Closed
+                             ? Duration::zero()
+                             : expectedFirst(Queue, Now);
   std::erase_if(Queue.m_Waiting, [&](const WaitingCall &Call) {
     const bool Ends =
         Now + First + Queue.m_Options.m_RefusalMargin >= Call.m_LeavesAt;
@@ -134,10 +134,9 @@
                     ServiceState State, TimePoint Now, Random &Generator) {
   const auto Longest = std::chrono::duration_cast<Duration>(
       (Call.m_Deadline - Now) * Queue.m_Options.m_RetryAfterPart);
-  const Duration Wait =
-      State == ServiceState::Open
-          ? timeFor(Queue, callsBefore(Queue, false, Now) + 1)
-          : expectedOutageLeft(Queue, Now);
+  const Duration Wait = State == ServiceState::Open
+                            ? timeFor(Queue, callsBefore(Queue, false, Now) + 1)
+                            : expectedOutageLeft(Queue, Now);
   const double Spread =
       1.0 + Queue.m_Options.m_RetrySpread * uniformReal(Generator);
   const auto Drawn = std::chrono::duration_cast<Duration>(Wait * Spread);
--- a/Source/Gateway/VoterWatch.cpp
+++ b/Source/Gateway/VoterWatch.cpp
@@ -49,11 +49,11 @@
 }
 
 void VoterWatch::setSeeds(std::vector<PeerEndpoint> Seeds) {
-  boost::asio::post(m_Timer.get_executor(), [Self = shared_from_this(),
-                                             Seeds = std::move(Seeds)] {
-    Self->m_Seeds.clear();
-    Self->m_Seeds.insert(Seeds.begin(), Seeds.end());
-  });
+  boost::asio::post(m_Timer.get_executor(),
+                    [Self = shared_from_this(), Seeds = std::move(Seeds)] {
+                      Self->m_Seeds.clear();
+                      Self->m_Seeds.insert(Seeds.begin(), Seeds.end());
+                    });
 }
 
 std::size_t VoterWatch::connected() const {
@@ -105,8 +105,7 @@
   for (auto Each = m_Links.begin(); Each != m_Links.end(); ++Each) {
     if (Each->second.m_Stream)
       return;
-    if (Next == m_Links.end() ||
-        Each->second.m_Opened < Next->second.m_Opened)
+    if (Next == m_Links.end() || Each->second.m_Opened < Next->second.m_Opened)
       Next = Each;
   }
   if (Next != m_Links.end() && Now - Next->second.m_Opened >= ReopenInterval)
@@ -141,7 +140,8 @@
     });
   };
   Handlers.m_OnEnd = [Self = shared_from_this(), Post, To, Number] {
-    Post([Self, To, Number] { Self->onLost(To, Number, "the voter ended it"); });
+    Post(
+        [Self, To, Number] { Self->onLost(To, Number, "the voter ended it"); });
   };
   Handlers.m_OnError = [Self = shared_from_this(), Post, To,
                         Number](const PeerError &Error) {
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -27,6 +27,10 @@
   // what the server's Keep-Alive header allows.
   Duration m_MaxIdle = std::chrono::seconds(4);
   double m_KeepAlivePart = 0.6;
+  // Whether an answer without length and chunks, which only the end of the
+  // connection ends, is whole when the server closes in good order. Refused
+  // otherwise, as a server that dies may leave the same behind.
+  bool m_TakesEndByClosing = false;
 
   bool operator==(const HttpClientOptions &) const = default;
 };
--- a/Source/Http/HttpClientConnection.cpp
+++ b/Source/Http/HttpClientConnection.cpp
@@ -58,8 +58,8 @@
           return Self->fail(HttpErrorCode::ConnectFailed, Failed.message());
         error_code Ignored;
         Self->m_Socket.set_option(tcp::no_delay(true), Ignored);
-        const int Unacknowledged = static_cast<int>(
-            Self->m_Options.m_UnacknowledgedTimeout.count());
+        const int Unacknowledged =
+            static_cast<int>(Self->m_Options.m_UnacknowledgedTimeout.count());
         setsockopt(Self->m_Socket.native_handle(), IPPROTO_TCP,
                    TCP_USER_TIMEOUT, &Unacknowledged, sizeof(Unacknowledged));
         Self->m_Socket.non_blocking(true, Ignored);
@@ -101,7 +101,7 @@
     return FirstWrite::NothingTaken;
   if (m_Written > 0)
     m_Call->markSent();
-  m_Parser.emplace(*m_Call, m_Call->isHead());
+  m_Parser.emplace(*m_Call, m_Call->isHead(), m_Options.m_TakesEndByClosing);
   m_Paused = false;
   m_HeldBytes = 0;
   if (m_Written < asio::buffer_size(Request))
@@ -217,7 +217,7 @@
     if (!m_Parser->isInterim() && !m_Parser->isForeign())
       return finishCall(m_Parser->keepAlive() && Bytes.empty() && !m_Tainted);
     m_Tainted = m_Tainted || m_Parser->isForeign();
-    m_Parser.emplace(*m_Call, m_Call->isHead());
+    m_Parser.emplace(*m_Call, m_Call->isHead(), m_Options.m_TakesEndByClosing);
   }
 }
 
--- a/Source/Http/HttpClients.cpp
+++ b/Source/Http/HttpClients.cpp
@@ -7,7 +7,8 @@
 
 namespace mangocart {
 
-HttpClients::HttpClients(WorkerPool &Workers, const HttpClientOptions &Options) {
+HttpClients::HttpClients(WorkerPool &Workers,
+                         const HttpClientOptions &Options) {
   for (std::size_t I = 0; I < Workers.size(); ++I) {
     boost::asio::io_context &Worker = Workers.worker(I);
     m_Clients.emplace(&Worker, std::make_unique<HttpClient>(Worker, Options));
--- a/Source/Http/HttpClients.h
+++ b/Source/Http/HttpClients.h
@@ -15,7 +15,8 @@
 
 class HttpClients {
 public:
-  explicit HttpClients(WorkerPool &Workers, const HttpClientOptions &Options = {});
+  explicit HttpClients(WorkerPool &Workers,
+                       const HttpClientOptions &Options = {});
   HttpClient &on(const boost::asio::any_io_executor &Executor);
 
 private:
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -85,7 +85,8 @@
   if (m_Reading || m_Closed)
     return;
   // A client that sends further requests before its answer is held back here.
-  if (m_InExchange && m_Pending.size() > m_Shared->m_Limits[m_Worker].m_MaxHeaderBytes)
+  if (m_InExchange &&
+      m_Pending.size() > m_Shared->m_Limits[m_Worker].m_MaxHeaderBytes)
     return;
   m_Reading = true;
   m_Socket.async_read_some(
@@ -297,7 +298,8 @@
 
 void HttpConnection::writeRest() {
   m_WriteInProgress = true;
-  m_WriteDeadline = RuntimeClock::now() + m_Shared->m_Limits[m_Worker].m_WriteTimeout;
+  m_WriteDeadline =
+      RuntimeClock::now() + m_Shared->m_Limits[m_Worker].m_WriteTimeout;
   armTimer();
   const auto Rest =
       asio::buffer(m_Writing.data() + m_Written, m_Writing.size() - m_Written);
--- a/Source/Http/HttpResponseParser.cpp
+++ b/Source/Http/HttpResponseParser.cpp
@@ -31,8 +31,9 @@
 } // namespace
 
 HttpResponseParser::HttpResponseParser(HttpResponseSink &Sink,
-                                       bool IsAnswerToHead)
-    : m_Sink(Sink) {
+                                       bool IsAnswerToHead,
+                                       bool TakesEndByClosing)
+    : m_Sink(Sink), m_TakesEndByClosing(TakesEndByClosing) {
   eager(true);
   header_limit(MaxHeadBytes);
   body_limit(boost::none);
@@ -93,6 +94,11 @@
   m_HeadDone = true;
   if (m_Interim)
     return;
+  if (need_eof() && !m_TakesEndByClosing) {
+    m_Detail = "malformed answer: neither Content-Length nor chunked coding";
+    Error = http::error::bad_content_length;
+    return;
+  }
   if (const auto KeepAlive = findHeader(m_Head.m_Headers, "Keep-Alive"))
     m_KeepSeconds = timeoutOf(*KeepAlive);
   m_Foreign = !m_Sink.belongs(m_Head);
--- a/Source/Http/HttpResponseParser.h
+++ b/Source/Http/HttpResponseParser.h
@@ -23,7 +23,8 @@
 class HttpResponseParser : private boost::beast::http::basic_parser<false> {
 public:
   // An answer to HEAD has no body whatever its headers say.
-  HttpResponseParser(HttpResponseSink &Sink, bool IsAnswerToHead);
+  HttpResponseParser(HttpResponseSink &Sink, bool IsAnswerToHead,
+                     bool TakesEndByClosing);
 
   enum class Progress { NeedMore, Done, Malformed, Stopped };
 
@@ -61,6 +62,7 @@
   void on_finish_impl(ErrorCode &) override {}
 
   HttpResponseSink &m_Sink;
+  const bool m_TakesEndByClosing;
   HttpHead m_Head;
   std::string m_Detail;
   bool m_HeadDone = false;
--- a/Source/Membership/MembershipTable.cpp
+++ b/Source/Membership/MembershipTable.cpp
@@ -210,10 +210,9 @@
     return insertNew(Table, Record, HeardAt, Now);
 
   const Member &Known = Entry.m_Member;
-  const bool StateChanged =
-      Record.m_State != Known.m_State ||
-      Record.m_GroupEpoch != Known.m_GroupEpoch ||
-      Record.m_GroupBroken != Known.m_GroupBroken;
+  const bool StateChanged = Record.m_State != Known.m_State ||
+                            Record.m_GroupEpoch != Known.m_GroupEpoch ||
+                            Record.m_GroupBroken != Known.m_GroupBroken;
   if (StateChanged || refreshIsNews(Table, Entry, Record, Now))
     markChanged(Table, Entry, Now);
   Entry.m_Member = Record;
--- a/Source/Raft/RaftLeader.cpp
+++ b/Source/Raft/RaftLeader.cpp
@@ -321,8 +321,7 @@
     return RefusalReason::NotLeader;
   // Before a majority of the intended voters are voters, one lost disk could
   // take committed entries with it.
-  const bool TooFew =
-      voterCount(currentMembers(S)) < intendedVoters(S) / 2 + 1;
+  const bool TooFew = voterCount(currentMembers(S)) < intendedVoters(S) / 2 + 1;
   if (TooFew || !leaseHeld(S, C.m_Now))
     return RefusalReason::NoQuorum;
   return std::nullopt;
--- a/Source/Voter/ControlFront.cpp
+++ b/Source/Voter/ControlFront.cpp
@@ -67,10 +67,9 @@
   m_Targets.m_Log.propose(
       std::move(Command), ProposeTimeout,
       [this, For](Result<schema::CommandReply, ProposeError> Reply) {
-        boost::asio::dispatch(For->executor(),
-                              [this, For, Reply = std::move(Reply)] {
-                                answerRead(For, Reply);
-                              });
+        boost::asio::dispatch(
+            For->executor(),
+            [this, For, Reply = std::move(Reply)] { answerRead(For, Reply); });
       });
 }
 
--- a/Source/Voter/VoterDaemon.cpp
+++ b/Source/Voter/VoterDaemon.cpp
@@ -73,7 +73,8 @@
                        {},
                        {}},
           m_Settings.name())),
-      m_Log(openLog()), m_Front({Protocol, m_Events, m_Machine, *m_Log,
+      m_Log(openLog()),
+      m_Front({Protocol, m_Events, m_Machine, *m_Log,
                [this](const Member &Record) { announced(Record); }}),
       m_ControlServer(m_Workers, controlLimits(m_Settings),
                       [this](const std::shared_ptr<HttpExchange> &Exchange) {
@@ -107,13 +108,13 @@
   std::vector<PeerEndpoint> Seeds;
   for (const std::string &Seed : From.seeds())
     if (const auto Control = parseEndpoint(Seed))
-      Seeds.push_back({Control->m_Address,
-                       static_cast<std::uint16_t>(From.peer_port())});
+      Seeds.push_back(
+          {Control->m_Address, static_cast<std::uint16_t>(From.peer_port())});
   return Seeds;
 }
 
-// The log finds its members by itself; a process that isn't a member yet goes on
-// with the seeds of its start.
+// The log finds its members by itself; a process that isn't a member yet goes
+// on with the seeds of its start.
 void VoterDaemon::settingsChanged(const std::string &Text) {
   SettingsWarnings Ignored;
   const auto Read = parseVoterSettings(m_SettingsFile, Text, Ignored);
@@ -185,8 +186,7 @@
       !Calls)
     return Report(Calls.error().m_Detail);
   if (const auto Metrics = m_MetricsServer.listen(
-          Own.m_Address,
-          static_cast<std::uint16_t>(m_Settings.metrics_port()));
+          Own.m_Address, static_cast<std::uint16_t>(m_Settings.metrics_port()));
       !Metrics)
     return Report(Metrics.error().m_Detail);
   return true;
@@ -219,9 +219,8 @@
 void VoterDaemon::addMetrics() {
   m_Registry.gaugeFrom(
       "mangocart_configuration_version",
-      "Version of the configuration in force.", [this] {
-        return static_cast<double>(m_Machine.document()->m_Version);
-      });
+      "Version of the configuration in force.",
+      [this] { return static_cast<double>(m_Machine.document()->m_Version); });
   m_Registry.gaugeFrom("mangocart_log_leads", "1 while this voter leads.",
                        [this] { return m_Log->isLeader() ? 1.0 : 0.0; });
   m_Registry.counterFrom("mangocart_log_syncs_total", "Syncs of the disk.",
--- a/Source/Voter/VoterProgram.cpp
+++ b/Source/Voter/VoterProgram.cpp
@@ -11,9 +11,10 @@
 
 ExitCode runVoter(int Argc, const char *const *Argv,
                   const ControlProtocol &Protocol) {
-  const DaemonCommandLine Line = parseDaemonCommandLine(
-      Argc, Argv, "keeps the configuration and the backend servers' "
-                  "announcements");
+  const DaemonCommandLine Line =
+      parseDaemonCommandLine(Argc, Argv,
+                             "keeps the configuration and the backend servers' "
+                             "announcements");
   if (!Line.m_Arguments)
     return Line.m_ExitCode;
   const std::string &File = Line.m_Arguments->m_SettingsFile;
--- a/Source/Voter/WatchService.cpp
+++ b/Source/Voter/WatchService.cpp
@@ -39,31 +39,30 @@
     : m_Sources(std::move(Sources)), m_Timer(Worker) {}
 
 void WatchService::serve(PeerServer &Server) {
-  Server.addMethod(
-      WatchMethod, [Weak = weak_from_this()](
-                       const std::shared_ptr<PeerStream> &Stream) {
-        const auto Post = [Weak](std::function<void(WatchService &)> Task) {
-          if (const auto Self = Weak.lock())
-            boost::asio::post(Self->m_Timer.get_executor(),
-                              [Self, Task = std::move(Task)] { Task(*Self); });
-        };
-        const std::weak_ptr<PeerStream> Held = Stream;
-        const PeerStream *Key = Stream.get();
-        PeerStreamHandlers Handlers;
-        Handlers.m_OnMessage = [Post, Held](std::string_view Bytes) {
-          Post([Held, Hello = std::string(Bytes)](WatchService &Self) {
-            if (const auto Live = Held.lock())
-              Self.join(Live, Hello);
-          });
-        };
-        Handlers.m_OnEnd = [Post, Key] {
-          Post([Key](WatchService &Self) { Self.leave(Key); });
-        };
-        Handlers.m_OnError = [Post, Key](const PeerError &) {
-          Post([Key](WatchService &Self) { Self.leave(Key); });
-        };
-        Stream->setHandlers(std::move(Handlers));
+  Server.addMethod(WatchMethod, [Weak = weak_from_this()](
+                                    const std::shared_ptr<PeerStream> &Stream) {
+    const auto Post = [Weak](std::function<void(WatchService &)> Task) {
+      if (const auto Self = Weak.lock())
+        boost::asio::post(Self->m_Timer.get_executor(),
+                          [Self, Task = std::move(Task)] { Task(*Self); });
+    };
+    const std::weak_ptr<PeerStream> Held = Stream;
+    const PeerStream *Key = Stream.get();
+    PeerStreamHandlers Handlers;
+    Handlers.m_OnMessage = [Post, Held](std::string_view Bytes) {
+      Post([Held, Hello = std::string(Bytes)](WatchService &Self) {
+        if (const auto Live = Held.lock())
+          Self.join(Live, Hello);
       });
+    };
+    Handlers.m_OnEnd = [Post, Key] {
+      Post([Key](WatchService &Self) { Self.leave(Key); });
+    };
+    Handlers.m_OnError = [Post, Key](const PeerError &) {
+      Post([Key](WatchService &Self) { Self.leave(Key); });
+    };
+    Stream->setHandlers(std::move(Handlers));
+  });
 }
 
 void WatchService::start() {
@@ -96,20 +95,19 @@
     return Stream->reset();
   m_Sources.m_Events.write(Event::WatcherJoined,
                            {{"watcher", Parsed.watcher()}});
-  m_Watchers.push_back(
-      {Stream, Parsed.watcher(), fromSchema(Parsed.kind()), Parsed.endpoint(),
-       0, 0});
+  m_Watchers.push_back({Stream, Parsed.watcher(), fromSchema(Parsed.kind()),
+                        Parsed.endpoint(), 0, 0});
   tell(m_Watchers.back());
 }
 
 void WatchService::leave(const PeerStream *Stream) {
   const auto Found =
-      std::find_if(m_Watchers.begin(), m_Watchers.end(),
-                   [&](const Watcher &W) { return W.m_Stream.get() == Stream; });
+      std::find_if(m_Watchers.begin(), m_Watchers.end(), [&](const Watcher &W) {
+        return W.m_Stream.get() == Stream;
+      });
   if (Found == m_Watchers.end())
     return;
-  m_Sources.m_Events.write(Event::WatcherLost,
-                           {{"watcher", Found->m_Name}});
+  m_Sources.m_Events.write(Event::WatcherLost, {{"watcher", Found->m_Name}});
   m_Watchers.erase(Found);
 }
 
--- a/Tests/Experts/testPlacement.cpp
+++ b/Tests/Experts/testPlacement.cpp
@@ -135,3 +135,43 @@
     CHECK(Tokens[5] < 0.9 * Sum / static_cast<double>(Tokens.size()));
   }
 }
+
+TEST_CASE("limits on what is new to a rank hold, and the map keeps its "
+          "invariants") {
+  for (std::uint64_t Seed = 1; Seed <= SeedCount; ++Seed) {
+    World W = makeWorld(Seed);
+    INFO("seed " << Seed);
+    Random Generator(Seed + SeedCount);
+    W.m_Options.m_MaxNewPerRankLayer =
+        static_cast<std::uint32_t>(uniform(Generator, 1, 4));
+    W.m_Options.m_MaxNewPerRank =
+        static_cast<std::uint32_t>(uniform(Generator, 0, 5));
+    const ExpertMap Next =
+        placeIncrementally(W.m_Map, W.m_Load, W.m_Slowness, W.m_Options);
+    REQUIRE(findFault(Next) == "");
+    REQUIRE(stepLoad(Next, W.m_Load, W.m_Slowness).m_Slowest <=
+            stepLoad(W.m_Map, W.m_Load, W.m_Slowness).m_Slowest * (1 + 1e-9));
+    const GroupShape &Shape = W.m_Map.m_Shape;
+    for (std::uint32_t Rank = 0; Rank < Shape.m_Ranks; ++Rank) {
+      std::uint32_t NewToRank = 0;
+      for (std::uint32_t Layer = 0; Layer < Shape.m_Layers; ++Layer) {
+        std::uint32_t NewToLayer = 0;
+        const auto Old =
+            W.m_Map.m_Slots.begin() +
+            static_cast<std::ptrdiff_t>(slotIndex(Shape, Layer, Rank, 0));
+        for (std::uint32_t Slot = 0; Slot < Shape.m_SlotsPerRank; ++Slot) {
+          const ExpertId Expert =
+              Next.m_Slots[slotIndex(Shape, Layer, Rank, Slot)];
+          if (Expert != EmptySlot &&
+              std::find(Old, Old + Shape.m_SlotsPerRank, Expert) ==
+                  Old + Shape.m_SlotsPerRank)
+            ++NewToLayer;
+        }
+        REQUIRE(NewToLayer <= W.m_Options.m_MaxNewPerRankLayer);
+        NewToRank += NewToLayer;
+      }
+      if (W.m_Options.m_MaxNewPerRank > 0)
+        REQUIRE(NewToRank <= W.m_Options.m_MaxNewPerRank);
+    }
+  }
+}
--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -27,15 +27,16 @@
 // Runs calls on a worker of its own and waits for each.
 class ClientFixture {
 public:
-  ClientFixture() : m_Workers(1), m_Client(m_Workers.worker(0)) {
+  explicit ClientFixture(const HttpClientOptions &Options = {})
+      : m_Workers(1), m_Client(m_Workers.worker(0), Options) {
     m_Workers.start();
   }
   ~ClientFixture() { m_Workers.stop(); }
   ClientFixture(const ClientFixture &) = delete;
   ClientFixture &operator=(const ClientFixture &) = delete;
 
-  Outcome call(std::uint16_t Port, HttpRequest Request,
-               Duration Deadline = 20s) {
+  Outcome call(std::uint16_t Port, HttpRequest Request, Duration Deadline = 20s,
+               const std::function<bool(const HttpHead &)> &Belongs = {}) {
     std::promise<void> Done;
     Outcome Result;
     boost::asio::post(m_Workers.worker(0), [&] {
@@ -50,7 +51,8 @@
            [&](HttpError Error) {
              Result.m_Error = std::move(Error);
              Done.set_value();
-           }});
+           },
+           Belongs});
     });
     Done.get_future().wait();
     return Result;
@@ -264,3 +266,62 @@
   CHECK(Taken == AnswerBytes);
   Workers.stop();
 }
+
+TEST_CASE(
+    "an answer that the connection ends is whole only where it may be, and "
+    "only in good order") {
+  HttpClientOptions Options;
+  Options.m_TakesEndByClosing = true;
+  ClientFixture Client(Options);
+  struct Row {
+    const char *m_Name;
+    std::string m_Answer;
+    bool m_Whole;
+  };
+  const Row Rows[] = {
+      {"closed after the body", "HTTP/1.1 200 OK\r\n\r\nhi", true},
+      {"closed within the head", "HTTP/1.1 200 OK\r\nA: b", false},
+      {"short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi",
+       false},
+      {"no final chunk",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n",
+       false},
+  };
+  for (const Row &Row : Rows) {
+    INFO(Row.m_Name);
+    ScriptedServer Server({Row.m_Answer});
+    const Outcome Result = Client.call(Server.port(), {"GET", "/"});
+    CHECK(Result.m_Ended == Row.m_Whole);
+    if (Row.m_Whole)
+      CHECK(Result.m_Body == "hi");
+  }
+}
+
+TEST_CASE("an answer to an earlier request is read past") {
+  const std::string Foreign =
+      "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nother";
+  const std::string Own =
+      "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nown";
+  ScriptedServer Server({Foreign + Own});
+  ClientFixture Client;
+  const Outcome Result =
+      Client.call(Server.port(), {"GET", "/"}, 20s, [](const HttpHead &Head) {
+        return findHeader(Head.m_Headers, "Id") == "2";
+      });
+  CHECK(Result.m_Ended);
+  CHECK(Result.m_Body == "own");
+}
+
+TEST_CASE("only answers to other requests are no answer") {
+  ScriptedServer Server(
+      {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nother"});
+  ClientFixture Client;
+  const Outcome Result =
+      Client.call(Server.port(), {"GET", "/"}, 20s, [](const HttpHead &Head) {
+        return findHeader(Head.m_Headers, "Id") == "2";
+      });
+  CHECK_FALSE(Result.m_Ended);
+  REQUIRE(Result.m_Error);
+  CHECK(Result.m_Error->m_Code == HttpErrorCode::ConnectionLost);
+  CHECK(Result.m_Body.empty());
+}
--- a/Tests/Membership/testMembershipTable.cpp
+++ b/Tests/Membership/testMembershipTable.cpp
@@ -287,3 +287,82 @@
               << Passed.count() << " us\n";
   }
 }
+
+namespace {
+
+Member rank(const std::string &Name, std::uint64_t Counter, std::uint64_t Epoch,
+            bool Broken) {
+  Member Record = member(Name, 1, Counter);
+  Record.m_Group = "g";
+  Record.m_GroupEpoch = Epoch;
+  Record.m_GroupBroken = Broken;
+  return Record;
+}
+
+} // namespace
+
+TEST_CASE("a broken rank group takes no work until it has formed anew") {
+  MembershipTable Table;
+  merge(Table, rank("a1", 1, 1, false), 0s, Begin);
+  merge(Table, rank("a2", 1, 1, false), 0s, Begin);
+  merge(Table, member("b1"), 0s, Begin);
+  CHECK(candidates(Table, Begin) == "a1 a2 b1");
+  CHECK(merge(Table, rank("a2", 2, 1, true), 0s, Begin) ==
+        MergeResult::StateChanged);
+  CHECK(isGroupBroken(Table, "g"));
+  CHECK(candidates(Table, Begin) == "b1");
+  // A rank that hasn't noticed yet.
+  merge(Table, rank("a1", 2, 1, false), 0s, Begin);
+  CHECK(candidates(Table, Begin) == "b1");
+  merge(Table, rank("a1", 3, 2, false), 0s, Begin);
+  CHECK_FALSE(isGroupBroken(Table, "g"));
+  CHECK(candidates(Table, Begin) == "a1 a2 b1");
+}
+
+TEST_CASE("a refusal tells of a broken group before the announcements do") {
+  MembershipTable Table;
+  merge(Table, rank("a1", 1, 1, false), 0s, Begin);
+  merge(Table, rank("a2", 1, 1, false), 0s, Begin);
+  noteGroupBroken(Table, "a1");
+  CHECK(candidates(Table, Begin) == "");
+  merge(Table, rank("a2", 2, 2, false), 0s, Begin);
+  CHECK(candidates(Table, Begin) == "a1 a2");
+  // A server without a group.
+  merge(Table, member("b1"), 0s, Begin);
+  noteGroupBroken(Table, "b1");
+  CHECK(candidates(Table, Begin) == "a1 a2 b1");
+}
+
+TEST_CASE("two servers at one address: the older incarnation is gone") {
+  MembershipTable Table;
+  Member Old = member("a1", 5);
+  Old.m_Address = "10.1.0.9";
+  Old.m_PeerPort = 80;
+  Member New = Old;
+  New.m_BackendServer = "a2";
+  New.m_Incarnation = 9;
+  REQUIRE(merge(Table, Old, 0s, Begin) == MergeResult::Joined);
+  REQUIRE(merge(Table, New, 0s, Begin) == MergeResult::Joined);
+  forgetReplaced(Table, "a2", Begin);
+  CHECK(candidates(Table, Begin) == "a2");
+  // A heartbeat that was held up, of a server that nobody knew.
+  Member Late = Old;
+  Late.m_BackendServer = "a3";
+  Late.m_Incarnation = 7;
+  REQUIRE(merge(Table, Late, 0s, Begin) == MergeResult::Joined);
+  forgetReplaced(Table, "a3", Begin);
+  CHECK(candidates(Table, Begin) == "a2");
+}
+
+TEST_CASE("a server leaves though who says so doesn't know its incarnation") {
+  MembershipTable Table;
+  merge(Table, member("a", 7, 4), 0s, Begin);
+  Member Gone = member("a", 0, 0, MemberState::Left);
+  merge(Table, withKnownIncarnation(Table, Gone), 0s, Begin);
+  CHECK(candidates(Table, Begin) == "");
+  // A late heartbeat of the same start doesn't bring it back, a new start does.
+  merge(Table, member("a", 7, 5), 0s, Begin);
+  CHECK(candidates(Table, Begin) == "");
+  merge(Table, member("a", 8, 1), 0s, Begin);
+  CHECK(candidates(Table, Begin) == "a");
+}
--- /dev/null
+++ b/Tests/Platform/testPlatformCallerProtocol.cpp
@@ -0,0 +1,148 @@
+// Headers of the platform, to the inside and back.
+#include "PlatformCallerProtocol.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mangocart;
+using namespace mangocart::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+HttpRequest request() {
+  return {"POST",
+          "/rows/4?x=1",
+          {{"Host", "Farm.example:8080"},
+           {"X-Mangocart-Request-Id", "9c41"},
+           {"x-mangocart-deadline-ms", "8000"},
+           {"X-Mangocart-Key", "k1"},
+           {"X-Mangocart-Token-Count", "1460,80"},
+           {"X-Mangocart-Length-Hint", "60"},
+           {"X-Mangocart-Prompt-Prefix", "5c:800,91:660"},
+           {"X-Mangocart-Tenant", "forged"},
+           {"X-Mangocart-Expect-Instance", "forged"},
+           {"Last-Event-Id", "12"},
+           {"Connection", "keep-alive, X-Hop"},
+           {"X-Hop", "1"},
+           {"Expect", "100-continue"},
+           {"X-Other", "kept"}},
+          "body",
+          {}};
+}
+
+std::string header(const HttpRequest &Of, std::string_view Name) {
+  return std::string(findHeader(Of.m_Headers, Name).value_or("none"));
+}
+
+} // namespace
+
+TEST_CASE("a caller's request by its headers") {
+  const CallerRequest Read = PlatformCallerProtocol().read(request());
+  CHECK(Read.m_RequestId == "9c41");
+  CHECK(Read.m_Host == "farm.example");
+  CHECK(Read.m_Path == "/rows/4");
+  CHECK(Read.m_TimeLeft == 8s);
+  CHECK(Read.m_CustomerKey == "k1");
+  CHECK(Read.m_LastEventId == "12");
+  CHECK(Read.m_PromptTokens == 1460);
+  CHECK(Read.m_MaxOutputTokens == 80);
+  CHECK(Read.m_LikelyOutputTokens == 60);
+}
+
+TEST_CASE("headers that can't be read count as absent") {
+  HttpRequest Request = request();
+  Request.m_Headers = {{"X-Mangocart-Deadline-Ms", "soon"},
+                       {"X-Mangocart-Token-Count", "many"}};
+  const CallerRequest Read = PlatformCallerProtocol().read(Request);
+  CHECK_FALSE(Read.m_TimeLeft);
+  CHECK_FALSE(Read.m_CustomerKey);
+  CHECK(Read.m_PromptTokens == 0);
+  CHECK(Read.m_MaxOutputTokens == 0);
+}
+
+TEST_CASE("a request goes on unchanged but for what concerns the gateway") {
+  ForwardedFacts Facts;
+  Facts.m_BackendServer = "i-7";
+  Facts.m_TimeLeft = 7500ms;
+  Facts.m_Customer = "school";
+  Facts.m_LastEventId = "20";
+  const HttpRequest Out = PlatformCallerProtocol().forward(request(), Facts);
+  CHECK(Out.m_Method == "POST");
+  CHECK(Out.m_Target == "/rows/4?x=1");
+  CHECK(Out.m_Body == "body");
+  CHECK(header(Out, "Host") == "Farm.example:8080");
+  CHECK(header(Out, "X-Mangocart-Request-Id") == "9c41");
+  CHECK(header(Out, "X-Mangocart-Token-Count") == "1460,80");
+  CHECK(header(Out, "X-Mangocart-Prompt-Prefix") == "5c:800,91:660");
+  CHECK(header(Out, "X-Other") == "kept");
+  CHECK(header(Out, "X-Mangocart-Deadline-Ms") == "7500");
+  CHECK(header(Out, "X-Mangocart-Expect-Instance") == "i-7");
+  CHECK(header(Out, "X-Mangocart-Tenant") == "school");
+  CHECK(header(Out, "Last-Event-Id") == "20");
+  for (const char *Dropped :
+       {"X-Mangocart-Key", "Connection", "X-Hop", "Expect"})
+    CHECK(header(Out, Dropped) == "none");
+  CHECK(std::count_if(Out.m_Headers.begin(), Out.m_Headers.end(),
+                      [](const HttpHeader &H) {
+                        return H.m_Value == "forged" || H.m_Value == "12";
+                      }) == 0);
+}
+
+TEST_CASE("a public route's request bears no customer, not even a forged one") {
+  const HttpRequest Out = PlatformCallerProtocol().forward(request(), {});
+  CHECK(header(Out, "X-Mangocart-Tenant") == "none");
+}
+
+TEST_CASE("what an answer says of the request") {
+  struct Case {
+    const char *m_Name;
+    HttpHead m_Head;
+    BackendVerdict m_Verdict;
+  };
+  const Case Cases[] = {
+      {"success", {200, {}}, BackendVerdict::Ran},
+      {"own failure", {500, {}}, BackendVerdict::Ran},
+      {"failure without a word", {503, {}}, BackendVerdict::Ran},
+      {"full", {503, {{"X-Mangocart-Not-Run", "1"}}}, BackendVerdict::NotRun},
+      {"full, names itself",
+       {503, {{"X-Mangocart-Not-Run", "1"}, {"At-Server", "10.1.0.3:80"}}},
+       BackendVerdict::NotRun},
+      {"another rank is at fault",
+       {503, {{"X-Mangocart-Not-Run", "1"}, {"At-Server", "10.1.0.9:80"}}},
+       BackendVerdict::GroupBroken},
+      {"another server", {421, {}}, BackendVerdict::OtherServer},
+  };
+  for (const Case &Each : Cases) {
+    INFO(Each.m_Name);
+    CHECK(PlatformCallerProtocol().judge(Each.m_Head, "10.1.0.3:80") ==
+          Each.m_Verdict);
+  }
+}
+
+TEST_CASE("an answer belongs to the request that it names") {
+  const PlatformCallerProtocol P;
+  CHECK(P.answers({200, {{"X-Mangocart-Request-Id", "9c41"}}}, "9c41"));
+  CHECK_FALSE(P.answers({200, {{"X-Mangocart-Request-Id", "77"}}}, "9c41"));
+  CHECK(P.answers({503, {}}, "9c41"));
+}
+
+TEST_CASE("an answer's head goes back without what concerns one connection") {
+  const HttpHead Out =
+      PlatformCallerProtocol().toCaller({200,
+                                         {{"X-Mangocart-Server-Stamp", "s"},
+                                          {"Connection", "close, X-Hop"},
+                                          {"X-Hop", "1"},
+                                          {"Keep-Alive", "timeout=5"}}});
+  CHECK(Out.m_Headers ==
+        std::vector<HttpHeader>{{"X-Mangocart-Server-Stamp", "s"}});
+}
+
+TEST_CASE(
+    "the gateway's own answers bear no stamp, and say when to come back") {
+  const HttpResponse Out =
+      PlatformCallerProtocol().ownAnswer(503, "busy", "9c41", 1250ms);
+  CHECK(Out.m_Head.m_Status == 503);
+  CHECK(findHeader(Out.m_Head.m_Headers, "Retry-After") == "1.250");
+  CHECK(findHeader(Out.m_Head.m_Headers, "X-Mangocart-Request-Id") == "9c41");
+  CHECK_FALSE(findHeader(Out.m_Head.m_Headers, "X-Mangocart-Server-Stamp"));
+}
--- /dev/null
+++ b/Tests/Platform/testPlatformControlProtocol.cpp
@@ -0,0 +1,91 @@
+// Calls of operators and backend servers at the control endpoint.
+#include "PlatformControlProtocol.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mangocart;
+using namespace mangocart::platform;
+
+namespace {
+
+constexpr const char *Whole =
+    R"({"service":"llm","address":"10.1.0.9:8080","zone":"a","version":"v1",)"
+    R"("slots":12,"state":"ready","sequence":4,"born":1774452219052,)"
+    R"("group":{"name":"g0","epoch":3,"rank":5,"state":"broken"},"size":12})";
+
+HttpRequest call(std::string Method, std::string Target,
+                 std::string Body = {}) {
+  return {std::move(Method), std::move(Target), {}, std::move(Body), {}};
+}
+
+ControlCall read(const HttpRequest &Request) {
+  return PlatformControlProtocol().read(Request);
+}
+
+unsigned statusOf(const ControlCall &Call) {
+  const auto *Bad = std::get_if<BadCall>(&Call);
+  return Bad ? Bad->m_Answer.m_Head.m_Status : 0;
+}
+
+} // namespace
+
+TEST_CASE("an announcement as a member's record") {
+  const ControlCall Call = read(call("PUT", "/instances/i-7", Whole));
+  REQUIRE(std::holds_alternative<AnnounceServer>(Call));
+  const Member &Record = std::get<AnnounceServer>(Call).m_Record;
+  CHECK(Record.m_BackendServer == "i-7");
+  CHECK(Record.m_Service == "llm");
+  CHECK(Record.m_Address == "10.1.0.9");
+  CHECK(Record.m_PeerPort == 8080);
+  CHECK(Record.m_State == MemberState::Serving);
+  CHECK(Record.m_Incarnation == 1774452219052);
+  CHECK(Record.m_Counter == 4);
+  CHECK(Record.m_Slots == 12);
+  CHECK(Record.m_Group == "g0");
+  CHECK(Record.m_GroupEpoch == 3);
+  CHECK(Record.m_GroupBroken);
+}
+
+TEST_CASE("announcements of another writer name no backend server") {
+  const char *Bodies[] = {
+      "",
+      "[]",
+      "{\"service\":",
+      "\xff\xfe",
+      R"({"address":"10.1.0.9:8080","zone":"a","slots":1,"state":"ready","sequence":4})",
+      R"({"service":"llm","address":"somewhere","zone":"a","slots":1,"state":"ready","sequence":4})",
+      R"({"service":"llm","address":"10.1.0.9:8080","zone":"a","slots":1,"state":"asleep","sequence":4})",
+      R"({"service":"llm","address":"10.1.0.9:8080","zone":"a","slots":"1","state":"ready","sequence":4})",
+      R"({"service":"llm","address":"10.1.0.9:8080","zone":"a","slots":1,"state":"ready","sequence":-4})",
+      R"({"service":"llm","address":"10.1.0.9:8080","zone":"a","slots":1,"state":"ready","sequence":4,"born":1.5})",
+      R"({"service":7,"address":"10.1.0.9:8080","zone":"a","slots":1,"state":"ready","sequence":4})",
+  };
+  for (const char *Body : Bodies) {
+    INFO(Body);
+    CHECK(statusOf(read(call("PUT", "/instances/i-7", Body))) == 400);
+  }
+  CHECK(statusOf(read(call("PUT", "/instances/", Whole))) == 404);
+  CHECK(statusOf(read(call("POST", "/instances/i-7", Whole))) == 405);
+}
+
+TEST_CASE("leaving, with and without a body") {
+  const ControlCall Bare = read(call("DELETE", "/instances/i-7"));
+  REQUIRE(std::holds_alternative<AnnounceServer>(Bare));
+  CHECK(std::get<AnnounceServer>(Bare).m_Record.m_State == MemberState::Left);
+  CHECK(std::get<AnnounceServer>(Bare).m_Record.m_Incarnation == 0);
+  const ControlCall Told =
+      read(call("DELETE", "/instances/i-7", R"({"born":5,"sequence":9})"));
+  CHECK(std::get<AnnounceServer>(Told).m_Record.m_Incarnation == 5);
+}
+
+TEST_CASE("the operator's calls") {
+  CHECK(
+      std::holds_alternative<ReadConfiguration>(read(call("GET", "/config"))));
+  const std::string Valid = R"({"version":3,"routes":[],"services":[]})";
+  const ControlCall Put = read(call("PUT", "/config", Valid));
+  REQUIRE(std::holds_alternative<PutConfiguration>(Put));
+  CHECK(std::get<PutConfiguration>(Put) == PutConfiguration{3, Valid});
+  CHECK(statusOf(read(call("PUT", "/config", "{"))) == 400);
+  CHECK(statusOf(read(call("DELETE", "/config"))) == 405);
+  CHECK(statusOf(read(call("GET", "/elsewhere"))) == 404);
+}
--- a/Tests/Raft/testOpenMembership.cpp
+++ b/Tests/Raft/testOpenMembership.cpp
@@ -37,8 +37,8 @@
 
 bool votes(RaftHarness &H, const HarnessNode &N) {
   const HarnessNode *L = H.leader();
-  return L && isVoter(currentMembers(*L->m_State),
-                      {N.m_Name, N.m_Disk.m_StorageId});
+  return L &&
+         isVoter(currentMembers(*L->m_State), {N.m_Name, N.m_Disk.m_StorageId});
 }
 
 } // namespace
--- a/Tests/Routing/testReplicaChoice.cpp
+++ b/Tests/Routing/testReplicaChoice.cpp
@@ -234,3 +234,17 @@
     CHECK(expectedCachedTokens(Hints, {1, 7}, TimePoint(), Options) == 0);
   }
 }
+
+TEST_CASE("what other entries say a moment ago goes before late reports") {
+  ReplicaCandidate Candidate;
+  Candidate.m_OutstandingRequests = 2;
+  // The report knows nothing yet; the entries do.
+  Candidate.m_ReportedRequests = 0;
+  Candidate.m_OthersRequests = 9;
+  CHECK_FALSE(isFull(Candidate, 12, 4));
+  Candidate.m_OthersRequests = 10;
+  CHECK(isFull(Candidate, 12, 4));
+  ReplicaCandidate Idle = Candidate;
+  Idle.m_OthersRequests = 0;
+  CHECK(expectedLoad(Idle, {}) < expectedLoad(Candidate, {}));
+}
