--- a/Source/Gateway/DirectRequest.cpp
+++ b/Source/Gateway/DirectRequest.cpp
@@ -254,7 +254,7 @@
   m_Context.m_Gates.noteFirstByte(m_Call.m_Service,
                                   RuntimeClock::now() - m_Sent);
   m_Context.m_Metrics.m_FirstByte.observe(
-      std::chrono::duration<double>(*m_FirstByte).count(), RuntimeClock::now());
+      std::chrono::duration<double>(*m_FirstByte).count());
   m_Exchange->startStream(callerHead());
 }
 
@@ -304,7 +304,7 @@
   m_Context.m_Gates.noteFirstByte(m_Call.m_Service,
                                   RuntimeClock::now() - m_Sent);
   m_Context.m_Metrics.m_FirstByte.observe(
-      std::chrono::duration<double>(*m_FirstByte).count(), RuntimeClock::now());
+      std::chrono::duration<double>(*m_FirstByte).count());
   m_Exchange->respond({callerHead(), std::move(m_Body)});
   finish("answered", m_Head.m_Status);
 }
@@ -428,7 +428,7 @@
     m_Context.m_Gates.cancel(m_Call.m_Service, *m_AtGate);
   const TimePoint Now = RuntimeClock::now();
   m_Context.m_Metrics.m_Whole.observe(
-      std::chrono::duration<double>(Now - m_Arrived).count(), Now);
+      std::chrono::duration<double>(Now - m_Arrived).count());
   m_Context.m_Events.write(
       Event::RequestEnded,
       {{"request", m_Call.m_Caller.m_RequestId},
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -27,10 +27,11 @@
       m_Resumed(
           Registry.counter("mangocart_gateway_resumed_total",
                            "Streams that went on at another backend server.")),
-      m_FirstByte(Registry.summary(
+      m_FirstByte(Registry.histogram(
           "mangocart_gateway_first_byte_seconds",
           "Time from a request's arrival to the first byte of its answer.")),
-      m_Whole(Registry.summary("mangocart_gateway_whole_seconds",
-                               "Time from a request's arrival to its end.")) {}
+      m_Whole(Registry.histogram("mangocart_gateway_whole_seconds",
+                                 "Time from a request's arrival to its end.")) {
+}
 
 } // namespace mangocart
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -21,8 +21,8 @@
   Counter &m_Resumed;
   // Seconds from the request's arrival to the first byte of its answer, and to
   // its end.
-  QuantileSummary &m_FirstByte;
-  QuantileSummary &m_Whole;
+  Histogram &m_FirstByte;
+  Histogram &m_Whole;
 };
 
 } // namespace mangocart
--- a/Source/Metrics/MetricRegistry.cpp
+++ b/Source/Metrics/MetricRegistry.cpp
@@ -168,6 +168,16 @@
   return *Own.m_Summary;
 }
 
+Histogram &MetricRegistry::histogram(std::string_view Name,
+                                     std::string_view Help,
+                                     const Labels &Labels) {
+  const std::lock_guard Lock(m_Mutex);
+  Series &Own = series(Kind::Histogram, Name, Help, Labels);
+  if (!Own.m_Histogram)
+    Own.m_Histogram = std::make_unique<Histogram>();
+  return *Own.m_Histogram;
+}
+
 std::string_view MetricRegistry::kindName(Kind Of) {
   switch (Of) {
   case Kind::Counter:
@@ -176,6 +186,8 @@
     return "gauge";
   case Kind::Summary:
     return "summary";
+  case Kind::Histogram:
+    return "histogram";
   }
   return "untyped";
 }
@@ -194,6 +206,12 @@
   if (Each.m_ReadGauge)
     Text +=
         fmt::format("{}{} {}\n", Name, Shown, renderValue(Each.m_ReadGauge()));
+  if (Each.m_Histogram) {
+    std::string Inner = renderLabels(Of);
+    if (!Inner.empty())
+      Inner = Inner.substr(1, Inner.size() - 2);
+    Text += Each.m_Histogram->expose(Name, Inner);
+  }
   if (!Each.m_Summary)
     return;
   const SummarySnapshot Values = Each.m_Summary->snapshot(ShownQuantiles, Now);
--- a/Source/Metrics/MetricRegistry.h
+++ b/Source/Metrics/MetricRegistry.h
@@ -5,6 +5,7 @@
 
 #include "Core/RuntimeClock.h"
 #include "Metrics/Counter.h"
+#include "Metrics/Histogram.h"
 #include "Metrics/Label.h"
 #include "Metrics/QuantileSummary.h"
 
@@ -50,6 +51,10 @@
   QuantileSummary &summary(std::string_view Name, std::string_view Help,
                            const Labels &Labels = {});
 
+  // Latencies that are added up over processes.
+  Histogram &histogram(std::string_view Name, std::string_view Help,
+                       const Labels &Labels = {});
+
   // For a value that is kept elsewhere. Read runs at each exposition, on its
   // thread, and must not use the registry; it stays valid as long as the
   // registry is exposed. A series that exists already is a programming error.
@@ -64,13 +69,14 @@
   std::string expose(TimePoint Now) const;
 
 private:
-  enum class Kind { Counter, Gauge, Summary };
+  enum class Kind { Counter, Gauge, Summary, Histogram };
 
   // One of them is set.
   struct Series {
     std::unique_ptr<Counter> m_Counter;
     std::unique_ptr<Gauge> m_Gauge;
     std::unique_ptr<QuantileSummary> m_Summary;
+    std::unique_ptr<Histogram> m_Histogram;
     std::function<std::uint64_t()> m_ReadCounter;
     std::function<double()> m_ReadGauge;
   };
--- a/Utilities/check-lint.sh
+++ b/Utilities/check-lint.sh
@@ -27,7 +27,7 @@
   local File=$1 Headers Key Stamp
   Headers=$(grep -m1 "^$File\( \|\$\)" "$Stamps/dependencies" || true)
   if [ -z "$Headers" ]; then
-    Headers="$File $(git ls-files 'Source/*.h' 'Tests/*.h')"
+    Headers="$File $(git ls-files 'Source/*.h' 'Tests/*.h' 'platform/*.h')"
   fi
   # shellcheck disable=SC2086
   Key=$(cat .clang-tidy $Headers 2>/dev/null | sha256sum | cut -c1-24)
@@ -38,5 +38,5 @@
 }
 export -f lintOne
 export Stamps
-git ls-files 'Source/*.cpp' 'Tests/*.cpp' | grep -v '/Generated/' |
+git ls-files 'Source/*.cpp' 'Tests/*.cpp' 'platform/*.cpp' | grep -v '/Generated/' |
   xargs -P "${MANGOCART_JOBS:-$(nproc)}" -I{} bash -c 'lintOne {}'
--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -5,6 +5,7 @@
 Utilities/install.sh
 Utilities/check-style.sh
 Utilities/check-schema.sh
+Utilities/check-platform-names.sh
 cmake --preset dev >/dev/null
 cmake --build --preset dev
 Utilities/check-lint.sh build/dev
