--- a/Source/Experts/GroupSwitch.cpp
+++ b/Source/Experts/GroupSwitch.cpp
@@ -135,9 +135,12 @@
   bool isArmed(const RankReport &R) const {
     return R.m_Armed != 0 && R.m_Armed == m_S.m_Version;
   }
-  bool areAllArmed() const {
-    return std::all_of(m_Ranks.begin(), m_Ranks.end(),
-                       [&](const RankReport &R) { return isArmed(R); });
+  bool areAllArmedAlike() const {
+    const std::uint64_t Version = m_Ranks.front().m_Armed;
+    return Version != 0 && std::all_of(m_Ranks.begin(), m_Ranks.end(),
+                                       [&](const RankReport &R) {
+                                         return R.m_Armed == Version;
+                                       });
   }
 
   void prepare() {
@@ -215,11 +218,13 @@
       order(m_S.m_HoldRank, RankOrderKind::Release, m_S.m_Version);
       return;
     }
-    const bool Switched =
+    // What is armed or held from now on is somebody else's.
+    const bool Begun = newestPass() >= m_S.m_Pass;
+    const bool Free =
         std::all_of(m_Ranks.begin(), m_Ranks.end(), [&](const RankReport &R) {
           return R.m_Armed == 0 && R.m_HeldPass == 0;
         });
-    if (Switched)
+    if (Begun || Free)
       reset();
     else if (m_S.m_Phase == SwitchPhase::Releasing)
       enter(SwitchPhase::Switching);
@@ -235,11 +240,12 @@
   }
 
   void takeBack() {
-    if (areAllArmed()) {
-      // Nobody can tell any more that it wasn't to be.
-      enter(SwitchPhase::Releasing);
-      return release();
-    }
+    // The pass has begun without us, or all ranks are armed with one version,
+    // this or another coordinator's: a pass begins with one map either way.
+    if (newestPass() >= m_S.m_Pass)
+      return reset();
+    if (areAllArmedAlike())
+      return releaseOrEnd();
     // A higher version bars as well: another coordinator's.
     const auto IsBarred = [&](const RankReport &R) {
       return std::max(R.m_Prepared, R.m_MapVersion) >= m_S.m_Barrier &&
@@ -259,9 +265,12 @@
       else if (AnyBarred)
         order(Rank, RankOrderKind::Disarm, Armed);
     });
-    if (!All)
-      return;
-    if (m_Ranks[m_S.m_HoldRank].m_HeldPass == m_S.m_Pass && m_S.m_Pass != 0)
+    if (All)
+      releaseOrEnd();
+  }
+
+  void releaseOrEnd() {
+    if (m_Ranks[m_S.m_HoldRank].m_HeldPass == m_S.m_Pass)
       order(m_S.m_HoldRank, RankOrderKind::Release, m_S.m_Version);
     else
       reset();
@@ -291,7 +300,7 @@
     // Armed nowhere: no version can be armed that isn't prepared, and the
     // barrier replaces what is.
     m_S.m_Version = Armed == m_Ranks.end() ? 0 : Armed->m_Armed;
-    if (m_S.m_Version != 0 && areAllArmed())
+    if (areAllArmedAlike())
       return enter(SwitchPhase::Releasing);
     startTakingBack();
   }
--- a/Tests/Experts/testGroupSwitch.cpp
+++ b/Tests/Experts/testGroupSwitch.cpp
@@ -229,9 +229,20 @@
         return m_Fault;
     }
     const bool Free = isSettled(m_Group.reports());
-    return Free ? std::string()
-                : "the group is not free: " +
-                      std::string(toString(m_Coordinators[0].m_Switch.m_Phase));
+    return Free ? std::string() : "the group is not free: " + describe();
+  }
+
+  std::string describe() const {
+    std::ostringstream Text;
+    const GroupSwitch &S = m_Coordinators[0].m_Switch;
+    Text << toString(S.m_Phase) << ", version " << S.m_Version << ", pass "
+         << S.m_Pass << " held at rank " << S.m_HoldRank << "; pass "
+         << m_Group.m_Pass;
+    for (const Engine &E : m_Group.m_Ranks)
+      Text << "\n  map " << E.m_Report.m_MapVersion << ", prepared "
+           << E.m_Report.m_Prepared << ", armed " << E.m_Report.m_Armed
+           << " for " << E.m_ArmedPass << ", held " << E.m_Report.m_HeldPass;
+    return Text.str();
   }
 
   Random m_Random;
@@ -276,7 +287,21 @@
 // carried out at once or late, passes in between.
 class Exhaustive {
 public:
+  // Between two rounds: longer than an order waits for its repetition.
+  static constexpr Duration Step = 100ms;
+
   struct State {
+    // Small, so that each way out is taken within a few rounds.
+    static constexpr SwitchLimits Limits{.m_Lead = 50ms,
+                                         .m_LongLead = 50ms,
+                                         .m_LeastLeadPasses = 2,
+                                         .m_ArmLimit = 150ms,
+                                         .m_ForeignHoldLimit = 50ms};
+    State() {
+      for (Coordinator &C : m_Coordinators)
+        C.m_Switch.m_Limits = Limits;
+    }
+
     Group m_Group;
     Coordinator m_Coordinators[2];
     std::vector<RankOrder> m_Late;
@@ -307,8 +332,7 @@
       return;
     State Next = S;
     Coordinator &C = Next.m_Coordinators[I];
-    // Long enough that every order may be repeated and no limit is reached.
-    Next.m_Now += 100ms;
+    Next.m_Now += Step;
     const auto Reports = Next.m_Group.reports();
     if (C.m_Switch.m_Phase == SwitchPhase::Idle && isSettled(Reports))
       begin(C.m_Switch, ++Next.m_LastVersion, m_Map, Reports, Next.m_Now);
@@ -369,7 +393,10 @@
     for (const Coordinator &C : S.m_Coordinators) {
       Key << '/' << static_cast<int>(C.m_Switch.m_Phase) << ','
           << C.m_Switch.m_Version << ',' << C.m_Switch.m_Pass << ','
-          << C.m_Switch.m_Barrier << ',' << C.m_Switch.m_LastPass;
+          << C.m_Switch.m_Barrier << ',' << C.m_Switch.m_LastPass << ','
+          << C.m_Switch.m_ForeignPass << ','
+          << (S.m_Now - C.m_Switch.m_ForeignSince) / Step << ','
+          << (S.m_Now - C.m_Switch.m_PhaseSince) / Step;
       std::for_each(C.m_OnTheWay.begin(), C.m_OnTheWay.end(), Add);
     }
     Key << '~';
@@ -411,10 +438,10 @@
     SwitchPhase m_From;
     int m_Depth;
   };
-  const Case Cases[] = {{SwitchPhase::Preparing, 11},
-                        {SwitchPhase::Holding, 11},
-                        {SwitchPhase::Arming, 11},
-                        {SwitchPhase::Releasing, 11}};
+  const Case Cases[] = {{SwitchPhase::Preparing, 13},
+                        {SwitchPhase::Holding, 13},
+                        {SwitchPhase::Arming, 13},
+                        {SwitchPhase::Releasing, 13}};
   for (const Case &Each : Cases) {
     INFO("from " << toString(Each.m_From));
     const long States = Exhaustive().run(stateAt(Each.m_From), Each.m_Depth);
