--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -1,11 +1,10 @@
 // Rounds: ask every rank, then decide.
 #include "Balancer/GroupCoordinator.h"
 
+#include "Core/PostTask.h"
 #include "Events/EventLog.h"
 #include "Raft/RaftPeers.h"
 
-#include <boost/asio/post.hpp>
-
 #include <algorithm>
 
 namespace mangocart {
@@ -85,8 +84,8 @@
 
 void GroupCoordinator::start() {
   m_Started = RuntimeClock::now();
-  boost::asio::post(m_Timer.get_executor(),
-                    [Self = shared_from_this()] { Self->tick(); });
+  postTask(m_Timer.get_executor(),
+           [Self = shared_from_this()] { Self->tick(); });
 }
 
 void GroupCoordinator::receive(const schema::RankRequest &Request,
@@ -167,7 +166,7 @@
     schema::RankRequest Request;
     Request.set_group(m_Own->m_Group);
     Request.set_from_rank(m_Own->m_Rank);
-    ask(To, std::move(Request));
+    ask(To, Request);
   }
 }
 
@@ -205,7 +204,7 @@
     if (const auto Order = m_Orders.find(Rank); Order != m_Orders.end())
       *Request.mutable_order() = toSchema(Order->second);
     ++m_WaitingFor;
-    ask(Ranks[Rank], std::move(Request));
+    ask(Ranks[Rank], Request);
   }
   m_Orders.clear();
   if (m_WaitingFor == 0)
@@ -219,19 +218,19 @@
 }
 
 void GroupCoordinator::ask(const PeerEndpoint &To,
-                           schema::RankRequest Request) {
+                           const schema::RankRequest &Request) {
   Peer &Other = m_PeersByEndpoint[To];
   Other.m_IsWaiting = true;
   Other.m_Asked = RuntimeClock::now();
   const auto Take = [Self = shared_from_this(), To,
                      Round = m_Round](schema::RankReply Reply) {
-    boost::asio::post(Self->m_Timer.get_executor(),
-                      [Self, To, Round, Reply = std::move(Reply)]() mutable {
-                        Self->onReply(To, std::move(Reply));
-                        if (Round == Self->m_Round && Self->m_WaitingFor > 0 &&
-                            --Self->m_WaitingFor == 0)
-                          Self->endRound();
-                      });
+    postTask(Self->m_Timer.get_executor(),
+             [Self, To, Round, Reply = std::move(Reply)]() mutable {
+               Self->onReply(To, std::move(Reply));
+               if (Round == Self->m_Round && Self->m_WaitingFor > 0 &&
+                   --Self->m_WaitingFor == 0)
+                 Self->endRound();
+             });
   };
   if (To == m_Sources.m_Self)
     return m_Sources.m_Service.ask(Request, Take);
@@ -250,8 +249,7 @@
           return Take(std::move(Reply));
         if (!Direct)
           return Take({});
-        boost::asio::post(Self->m_Timer.get_executor(), [Self, Take, Direct,
-                                                         Request] {
+        postTask(Self->m_Timer.get_executor(), [Self, Take, Direct, Request] {
           Self->m_Sources.m_Service.askAt({Direct->m_Address, Direct->m_Port},
                                           Request, Take);
         });
@@ -268,6 +266,7 @@
   Other.m_Reply = std::move(Reply);
   if (!Other.m_Reply.has_report())
     return;
+  Other.m_IsMissed = false;
   Other.m_State = fromSchema(Other.m_Reply.report());
   Other.m_Heard = RuntimeClock::now();
   if (From == m_Sources.m_Self)
@@ -292,13 +291,14 @@
     return;
   std::vector<RankReport> Reports;
   for (const PeerEndpoint &Each : Ranks) {
-    const Peer &Other = m_PeersByEndpoint[Each];
+    Peer &Other = m_PeersByEndpoint[Each];
     // Every rank's answer of this round is needed: an old report may hide what
     // has happened since.
     if (Other.m_IsWaiting || !Other.m_Reply.has_report()) {
-      m_Sources.m_Events.write(Event::RankUnreachable,
-                               {{"balancer", toString(Each)},
-                                {"phase", toString(m_Switch.m_Phase)}});
+      if (!std::exchange(Other.m_IsMissed, true))
+        m_Sources.m_Events.write(Event::RankUnreachable,
+                                 {{"balancer", toString(Each)},
+                                  {"phase", toString(m_Switch.m_Phase)}});
       return;
     }
     Reports.push_back(Other.m_State->m_Report);
--- a/Source/Balancer/GroupCoordinator.h
+++ b/Source/Balancer/GroupCoordinator.h
@@ -52,6 +52,8 @@
     TimePoint m_Heard;
     TimePoint m_Asked;
     bool m_IsWaiting = false;
+    // Logged as unreachable; once until it reports again.
+    bool m_IsMissed = false;
   };
 
   void tick();
@@ -60,7 +62,7 @@
   // Asks those whose group isn't known, now and then.
   void discover(TimePoint Now);
   void poll();
-  void ask(const PeerEndpoint &To, schema::RankRequest Request);
+  void ask(const PeerEndpoint &To, const schema::RankRequest &Request);
   void onReply(const PeerEndpoint &From, schema::RankReply Reply);
   // All answers of the round are there, or its time is over.
   void endRound();
--- a/Source/Balancer/RankService.cpp
+++ b/Source/Balancer/RankService.cpp
@@ -147,7 +147,7 @@
 // state alone.
 void RankService::send(const std::shared_ptr<Question> &For,
                        HttpRequest Request,
-                       std::function<void(std::string Body)> Next) {
+                       const std::function<void(std::string Body)> &Next) {
   struct Answer {
     std::string m_Body;
     unsigned m_Status = 0;
--- a/Source/Balancer/RankService.h
+++ b/Source/Balancer/RankService.h
@@ -38,7 +38,7 @@
 private:
   struct Question;
   void send(const std::shared_ptr<Question> &For, HttpRequest Request,
-            std::function<void(std::string Body)> Next);
+            const std::function<void(std::string Body)> &Next);
   void askState(const std::shared_ptr<Question> &For);
   void askCounts(const std::shared_ptr<Question> &For);
   void askExperts(const std::shared_ptr<Question> &For);
--- /dev/null
+++ b/Source/Gateway/BackendConnections.h
@@ -0,0 +1,13 @@
+// How a gateway connects to backend servers.
+#ifndef MANGOCART_GATEWAY_BACKENDCONNECTIONS_H
+#define MANGOCART_GATEWAY_BACKENDCONNECTIONS_H
+
+#include "Http/HttpClient.h"
+
+namespace mangocart {
+
+HttpClientOptions backendConnections();
+
+} // namespace mangocart
+
+#endif
--- a/Source/Gateway/DirectRequest.cpp
+++ b/Source/Gateway/DirectRequest.cpp
@@ -33,9 +33,6 @@
 constexpr std::size_t MaxHeldBytes = std::size_t{256} * 1024;
 // Above this the caller reads too slowly and the backend server is not read.
 constexpr std::size_t MaxQueuedBytes = std::size_t{64} * 1024;
-// A request that may run once goes only onto a connection that was in use just
-// now, because a lost connection can't be told from a lost answer.
-constexpr Duration MaxIdleUnrepeatable = milliseconds(500);
 // Requests of all gateways that a plain backend server may have; it queues some
 // of them.
 constexpr std::uint32_t DefaultOutstanding = 16;
@@ -186,8 +183,7 @@
   m_HttpCall =
       m_Context.m_Clients.on(m_Exchange->executor())
           .send(To, m_Context.m_Protocol.forward(m_Exchange->request(), Facts),
-                Left + milliseconds(1), makeHandlers(),
-                m_Known.m_Repeatable ? Duration::max() : MaxIdleUnrepeatable);
+                Left + milliseconds(1), makeHandlers());
 }
 
 HttpCallHandlers DirectRequest::makeHandlers() {
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -2,6 +2,7 @@
 #include "Gateway/GatewayDaemon.h"
 
 #include "Daemon/StopSignals.h"
+#include "Gateway/BackendConnections.h"
 #include "Raft/RaftPeers.h"
 #include "Settings/SettingsReader.h"
 
@@ -27,9 +28,6 @@
 // Announcements that may be missed before a backend server is suspect, lost.
 constexpr int SuspectAfterAnnouncements = 3;
 constexpr int LostAfterAnnouncements = 6;
-// First tries in a zone are many: connections to backend servers are made
-// within a few milliseconds, and a lost packet is sent again after a second.
-constexpr Duration ConnectTimeout = milliseconds(300);
 
 HttpLimits callerLimits(const schema::GatewaySettings &Settings,
                         const CallerLimits &Limits) {
@@ -58,13 +56,6 @@
   return Options;
 }
 
-HttpClientOptions clientOptions() {
-  HttpClientOptions Options;
-  Options.m_ConnectTimeout = ConnectTimeout;
-  Options.m_TakesEndByClosing = true;
-  return Options;
-}
-
 DrainLimits drainLimits(const schema::GatewaySettings &Settings) {
   DrainLimits Limits;
   Limits.m_KeepListening = KeepListening;
@@ -103,7 +94,7 @@
       m_Metrics(m_Registry), m_Plans(Protocol, m_Events),
       m_Directory(m_Events, m_Settings.availability_zone(), 1,
                   RuntimeClock::wallMilliseconds()),
-      m_Clients(m_Workers, clientOptions()),
+      m_Clients(m_Workers, backendConnections()),
       m_Gates(m_Directory, RuntimeClock::wallMilliseconds()),
       m_Repeats(repeatOptions(m_Settings)), m_Context{m_Settings,  m_Events,
                                                       Protocol,    m_Plans,
--- a/Source/Gateway/LoadExchange.cpp
+++ b/Source/Gateway/LoadExchange.cpp
@@ -1,6 +1,7 @@
 // Streams of load reports.
 #include "Gateway/LoadExchange.h"
 
+#include "Core/PostTask.h"
 #include "Entry/MembershipDirectory.h"
 #include "Gateway.pb.h"
 
@@ -34,9 +35,8 @@
       const auto Self = Weak.lock();
       if (!Self)
         return;
-      boost::asio::post(
-          Self->m_Timer.get_executor(),
-          [Self, Copy = std::string(Bytes)] { Self->heard(Copy); });
+      postTask(Self->m_Timer.get_executor(),
+               [Self, Copy = std::string(Bytes)] { Self->heard(Copy); });
     };
     Handlers.m_OnEnd = [Held = std::weak_ptr(Stream)] {
       if (const auto Live = Held.lock())
@@ -47,8 +47,8 @@
 }
 
 void LoadExchange::start() {
-  boost::asio::post(m_Timer.get_executor(),
-                    [Self = shared_from_this()] { Self->tick(); });
+  postTask(m_Timer.get_executor(),
+           [Self = shared_from_this()] { Self->tick(); });
 }
 
 void LoadExchange::setGateways(const std::set<PeerEndpoint> &Gateways) {
@@ -100,7 +100,7 @@
     Through.m_Opened = Now;
     Through.m_Lost = std::make_shared<bool>(false);
     const auto Lose = [Lost = Through.m_Lost, Self = shared_from_this()] {
-      boost::asio::post(Self->m_Timer.get_executor(), [Lost] { *Lost = true; });
+      postTask(Self->m_Timer.get_executor(), [Lost] { *Lost = true; });
     };
     PeerStreamHandlers Handlers;
     Handlers.m_OnMessage = [](std::string_view) {};
--- a/Source/Gateway/VoterWatch.cpp
+++ b/Source/Gateway/VoterWatch.cpp
@@ -1,13 +1,12 @@
 // Opening, reading and losing of streams.
 #include "Gateway/VoterWatch.h"
 
+#include "Core/PostTask.h"
 #include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
 #include "Raft/RaftPeers.h"
 #include "Watch.pb.h"
 
-#include <boost/asio/post.hpp>
-
 #include <algorithm>
 
 namespace mangocart {
@@ -44,16 +43,16 @@
 void VoterWatch::start(std::vector<PeerEndpoint> Seeds, PeerEndpoint Self) {
   m_Self = std::move(Self);
   m_Seeds.insert(Seeds.begin(), Seeds.end());
-  boost::asio::post(m_Timer.get_executor(),
-                    [Self = shared_from_this()] { Self->look(); });
+  postTask(m_Timer.get_executor(),
+           [Self = shared_from_this()] { Self->look(); });
 }
 
 void VoterWatch::setSeeds(std::vector<PeerEndpoint> Seeds) {
-  boost::asio::post(m_Timer.get_executor(),
-                    [Self = shared_from_this(), Seeds = std::move(Seeds)] {
-                      Self->m_Seeds.clear();
-                      Self->m_Seeds.insert(Seeds.begin(), Seeds.end());
-                    });
+  postTask(m_Timer.get_executor(),
+           [Self = shared_from_this(), Seeds = std::move(Seeds)] {
+             Self->m_Seeds.clear();
+             Self->m_Seeds.insert(Seeds.begin(), Seeds.end());
+           });
 }
 
 std::size_t VoterWatch::connected() const {
@@ -129,7 +128,7 @@
   Through.m_Opened = Through.m_LastUpdate = RuntimeClock::now();
   Through.m_Updated = false;
   const auto Post = [Self = shared_from_this()](std::function<void()> Task) {
-    boost::asio::post(Self->m_Timer.get_executor(), std::move(Task));
+    postTask(Self->m_Timer.get_executor(), std::move(Task));
   };
   PeerStreamHandlers Handlers;
   const std::uint64_t Number = Through.m_Number;
--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -55,7 +55,7 @@
   while (Found != m_Kept.end() && !Found->second.empty()) {
     const auto Connection = std::move(Found->second.back());
     Found->second.pop_back();
-    if (Connection->idleTime(Now) <= MaxIdle && Connection->reuseFor(Call))
+    if (Connection->isFresh(Now, MaxIdle) && Connection->reuseFor(Call))
       return;
     Connection->close();
   }
--- a/Source/Http/HttpClientConnection.cpp
+++ b/Source/Http/HttpClientConnection.cpp
@@ -170,6 +170,10 @@
            Error.message());
 }
 
+bool HttpClientConnection::isFresh(TimePoint Now, Duration MaxIdle) const {
+  return Now - m_KeptSince <= std::min(MaxIdle, m_KeptFor);
+}
+
 Duration HttpClientConnection::keepTime() const {
   const auto Seconds = m_Parser->keepAliveSeconds();
   if (!Seconds)
@@ -228,11 +232,11 @@
       m_Written == Call->headText().size() + Call->body().size();
   const auto Keeper = m_Keeper.lock();
   m_Paused = false;
-  const Duration Kept = keepTime();
-  if (Keep && RequestWhole && Keeper && Kept > Duration::zero()) {
+  m_KeptFor = keepTime();
+  if (Keep && RequestWhole && Keeper && m_KeptFor > Duration::zero()) {
     read();
     m_KeptSince = RuntimeClock::now();
-    m_Timer.expires_after(Kept);
+    m_Timer.expires_after(m_KeptFor);
     m_Timer.async_wait([Weak = weak_from_this()](error_code Stopped) {
       const auto Self = Weak.lock();
       if (Stopped || !Self || Self->m_Call)
--- a/Source/Http/HttpClientConnection.h
+++ b/Source/Http/HttpClientConnection.h
@@ -40,7 +40,9 @@
   // Writes the call's request on a kept connection. False when the connection
   // was found closed before any byte was written; the call is untouched then.
   bool reuseFor(const std::shared_ptr<HttpClientCall> &Call);
-  Duration idleTime(TimePoint Now) const { return Now - m_KeptSince; }
+  // While kept: whether it has rested no longer than MaxIdle and than the time
+  // that it is kept for. The timer that closes it may come late.
+  bool isFresh(TimePoint Now, Duration MaxIdle) const;
   void close();
   void pauseReading() { m_Paused = true; }
   void resumeReading();
@@ -70,6 +72,7 @@
   // Runs while a connection is made and while it is kept.
   Timer m_Timer;
   TimePoint m_KeptSince;
+  Duration m_KeptFor{};
   // Empty while the connection is kept for the next call.
   std::shared_ptr<HttpClientCall> m_Call;
   std::optional<HttpResponseParser> m_Parser;
--- a/Source/Voter/WatchService.cpp
+++ b/Source/Voter/WatchService.cpp
@@ -1,12 +1,12 @@
 // Streams of updates.
 #include "Voter/WatchService.h"
 
+#include "Core/PostTask.h"
 #include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
 #include "Voter/DocumentMachine.h"
 #include "Watch.pb.h"
 
-#include <boost/asio/post.hpp>
 
 #include <algorithm>
 
@@ -43,8 +43,8 @@
                                     const std::shared_ptr<PeerStream> &Stream) {
     const auto Post = [Weak](std::function<void(WatchService &)> Task) {
       if (const auto Self = Weak.lock())
-        boost::asio::post(Self->m_Timer.get_executor(),
-                          [Self, Task = std::move(Task)] { Task(*Self); });
+        postTask(Self->m_Timer.get_executor(),
+                 [Self, Task = std::move(Task)] { Task(*Self); });
     };
     const std::weak_ptr<PeerStream> Held = Stream;
     const PeerStream *Key = Stream.get();
@@ -66,14 +66,14 @@
 }
 
 void WatchService::start() {
-  boost::asio::post(m_Timer.get_executor(),
-                    [Self = shared_from_this()] { Self->tick(); });
+  postTask(m_Timer.get_executor(),
+           [Self = shared_from_this()] { Self->tick(); });
 }
 
 void WatchService::news() {
   if (m_NewsPosted.exchange(true))
     return;
-  boost::asio::post(m_Timer.get_executor(), [Self = shared_from_this()] {
+  postTask(m_Timer.get_executor(), [Self = shared_from_this()] {
     Self->m_NewsPosted = false;
     Self->tellAll();
   });
