--- a/Source/Voter/WatchService.cpp
+++ b/Source/Voter/WatchService.cpp
@@ -7,7 +7,6 @@
 #include "Voter/DocumentMachine.h"
 #include "Watch.pb.h"
 
-
 #include <algorithm>
 
 namespace mangocart {
