--- a/Source/Gateway/DirectRequest.cpp
+++ b/Source/Gateway/DirectRequest.cpp
@@ -241,16 +241,20 @@
   return Head;
 }
 
+void DirectRequest::noteFirstByte() {
+  const TimePoint Now = RuntimeClock::now();
+  m_FirstByte = Now - m_Arrived;
+  m_Context.m_Gates.noteFirstByte(m_Call.m_Service, Now - m_Sent);
+  m_Context.m_Metrics.m_FirstByte.observe(
+      std::chrono::duration<double>(*m_FirstByte).count());
+}
+
 void DirectRequest::startAnswer() {
   if (m_AnswerStarted)
     return;
   m_AnswerStarted = true;
   m_Known.m_AnswerBegun = !m_Call.m_Route->m_Resumable;
-  m_FirstByte = RuntimeClock::now() - m_Arrived;
-  m_Context.m_Gates.noteFirstByte(m_Call.m_Service,
-                                  RuntimeClock::now() - m_Sent);
-  m_Context.m_Metrics.m_FirstByte.observe(
-      std::chrono::duration<double>(*m_FirstByte).count());
+  noteFirstByte();
   m_Exchange->startStream(callerHead());
 }
 
@@ -296,11 +300,7 @@
     return endAttempt(AttemptEnd::AnsweredFailure,
                       "the backend server answered with a failure");
   report(CallResult::Answered);
-  m_FirstByte = RuntimeClock::now() - m_Arrived;
-  m_Context.m_Gates.noteFirstByte(m_Call.m_Service,
-                                  RuntimeClock::now() - m_Sent);
-  m_Context.m_Metrics.m_FirstByte.observe(
-      std::chrono::duration<double>(*m_FirstByte).count());
+  noteFirstByte();
   m_Exchange->respond({callerHead(), std::move(m_Body)});
   finish("answered", m_Head.m_Status);
 }
--- a/Source/Gateway/DirectRequest.h
+++ b/Source/Gateway/DirectRequest.h
@@ -64,6 +64,7 @@
   void onCallerGone();
 
   void passOn(std::string Bytes);
+  void noteFirstByte();
   void startAnswer();
   void endAttempt(AttemptEnd End, std::string_view Detail);
   // Counts the attempt as over at the directory.
--- a/Tests/Experts/testGroupSwitch.cpp
+++ b/Tests/Experts/testGroupSwitch.cpp
@@ -310,7 +310,7 @@
   };
 
   // Number of different states seen; negative if a pass began with two maps.
-  long run(State From, int Depth) {
+  long run(const State &From, int Depth) {
     explore(From, Depth);
     return m_Broken ? -1 : static_cast<long>(m_Seen.size());
   }
--- a/Tests/Platform/testPlatformConfiguration.cpp
+++ b/Tests/Platform/testPlatformConfiguration.cpp
@@ -33,7 +33,7 @@
  "tenants":[{"name":"school","api_keys":["k1","k2"],"priority":1},
   {"name":"family","api_keys":["k3"]}]})";
 
-std::string with(std::string From, const std::string &To) {
+std::string with(const std::string &From, const std::string &To) {
   std::string Text = Document;
   const std::size_t At = Text.find(From);
   REQUIRE(At != std::string::npos);
