--- a/Tests/Voter/testControlFront.cpp
+++ b/Tests/Voter/testControlFront.cpp
@@ -10,7 +10,6 @@
 #include <trompeloeil.hpp>
 
 using namespace mangocart;
-using trompeloeil::_;
 
 namespace {
 
@@ -68,8 +67,8 @@
                  [this](const Member &Record) { m_Announced = Record; }}),
         m_Exchange(std::make_shared<AnsweredExchange>(m_Context)) {}
 
-  HttpResponse handle(ControlCall Call) {
-    REQUIRE_CALL(m_Protocol, read(_)).RETURN(Call);
+  HttpResponse handle(const ControlCall &Call) {
+    REQUIRE_CALL(m_Protocol, read(trompeloeil::_)).RETURN(Call);
     m_Front.handle(m_Exchange);
     m_Context.run();
     REQUIRE(m_Exchange->m_Answer);
@@ -97,7 +96,7 @@
 
 TEST_CASE("a newer configuration is acknowledged when it is committed") {
   Fixture F;
-  REQUIRE_CALL(F.m_Log, propose(_, _, _))
+  REQUIRE_CALL(F.m_Log, propose(trompeloeil::_, trompeloeil::_, trompeloeil::_))
       .WITH(_1.put_document().version() == 7 &&
             _1.put_document().document() == "seven")
       .SIDE_EFFECT(schema::CommandReply Reply;
@@ -109,7 +108,8 @@
   for (const ProposeErrorCode Code :
        {ProposeErrorCode::NoQuorum, ProposeErrorCode::InDoubt}) {
     Fixture F;
-    REQUIRE_CALL(F.m_Log, propose(_, _, _))
+    REQUIRE_CALL(F.m_Log,
+                 propose(trompeloeil::_, trompeloeil::_, trompeloeil::_))
         .SIDE_EFFECT(_3(ProposeError{Code, "no leader"}));
     CHECK(F.handle(PutConfiguration{7, "seven"}).m_Head.m_Status == 503);
   }
@@ -118,7 +118,7 @@
 TEST_CASE("a configuration that isn't newer is acknowledged without the log") {
   Fixture F;
   F.apply(9, "nine");
-  FORBID_CALL(F.m_Log, propose(_, _, _));
+  FORBID_CALL(F.m_Log, propose(trompeloeil::_, trompeloeil::_, trompeloeil::_));
   CHECK(F.handle(PutConfiguration{9, "another nine"}).m_Body == "accepted");
   CHECK(F.m_Machine.document()->m_Bytes == "nine");
 }
@@ -127,7 +127,7 @@
   Fixture F;
   // What this voter has applied may be old.
   F.apply(3, "three");
-  REQUIRE_CALL(F.m_Log, propose(_, _, _))
+  REQUIRE_CALL(F.m_Log, propose(trompeloeil::_, trompeloeil::_, trompeloeil::_))
       .WITH(_1.read_document())
       .SIDE_EFFECT(schema::CommandReply Reply;
                    Reply.mutable_document()->set_version(9);
@@ -138,7 +138,7 @@
 TEST_CASE("a read without a majority answers nothing old") {
   Fixture F;
   F.apply(3, "three");
-  REQUIRE_CALL(F.m_Log, propose(_, _, _))
+  REQUIRE_CALL(F.m_Log, propose(trompeloeil::_, trompeloeil::_, trompeloeil::_))
       .SIDE_EFFECT(_3(ProposeError{ProposeErrorCode::NoQuorum, "no leader"}));
   CHECK(F.handle(ReadConfiguration{}).m_Head.m_Status == 503);
 }
