--- a/Tests/Processes/Deployment.cpp
+++ b/Tests/Processes/Deployment.cpp
@@ -1,6 +1,8 @@
 // Settings, start and observation of the test deployment.
 #include "Processes/Deployment.h"
 
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
 #include <fmt/format.h>
 
 #include <csignal>
@@ -252,10 +254,17 @@
 bool Deployment::accept(const std::string &Entry, unsigned Share,
                         const std::string &OperationId) const {
   std::string Plan;
-  return eventually([&] { return !(Plan = plan(Entry, Share)).empty(); }) &&
-         eventually([&] {
-           return acceptPlan(Entry, Plan, OperationId, nullptr) == 0;
-         });
+  std::string Said = "no plan";
+  const bool Accepted =
+      eventually([&] { return !(Plan = plan(Entry, Share)).empty(); }) &&
+      eventually(
+          [&] { return acceptPlan(Entry, Plan, OperationId, &Said) == 0; });
+  // The folder with all outputs is gone when a failure is looked at.
+  if (!Accepted)
+    UNSCOPED_INFO("accept " << OperationId << " at " << Entry
+                            << " said last: " << Said << "; status there: "
+                            << boost::json::serialize(status(Entry)));
+  return Accepted;
 }
 
 std::unique_ptr<ChildProcess>
