--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -3,6 +3,7 @@
 
 #include "Agent/CallCarrier.h"
 #include "Agent/OrderService.h"
+#include "Daemon/DaemonParts.h"
 #include "Daemon/StartEvents.h"
 #include "Daemon/StopSignals.h"
 #include "Net/UnaryMethod.h"
@@ -77,26 +78,17 @@
   m_Events.write(Event::ProcessStarted, {{"address", m_Settings.address()},
                                          {"peer_port", m_Settings.peer_port()},
                                          {"service", m_Settings.service()}});
-  const ExitCode Code = m_Exit.wait();
-  m_Events.write(Event::ProcessStopped,
-                 {{"exit_code", static_cast<int>(Code)}});
-  m_Workers.stop();
-  return Code;
+  return serveUntilExit(m_Exit, m_Events, m_Workers);
 }
 
 bool AgentDaemon::listen() {
-  const auto Peers = m_Server.listen(
-      m_Settings.address(), static_cast<std::uint16_t>(m_Settings.peer_port()));
-  if (!Peers) {
-    m_Events.write(Event::ListenFailed, {{"detail", Peers.error().m_Detail}});
-    return false;
-  }
-  const auto Admin =
-      m_Admin.listen(m_Settings.address(),
-                     static_cast<std::uint16_t>(m_Settings.admin_port()));
-  if (!Admin)
-    m_Events.write(Event::ListenFailed, {{"detail", Admin.error().m_Detail}});
-  return Admin.has_value();
+  const auto Open = [this](auto &Server, std::uint32_t Port) {
+    return isListening(
+        m_Events,
+        Server.listen(m_Settings.address(), static_cast<std::uint16_t>(Port)));
+  };
+  return Open(m_Server, m_Settings.peer_port()) &&
+         Open(m_Admin, m_Settings.admin_port());
 }
 
 void AgentDaemon::addMethods() {
--- a/Source/Balancer/BalancerDaemon.cpp
+++ b/Source/Balancer/BalancerDaemon.cpp
@@ -1,6 +1,7 @@
 // Start and service of a balancer.
 #include "Balancer/BalancerDaemon.h"
 
+#include "Daemon/DaemonParts.h"
 #include "Daemon/StopSignals.h"
 #include "Net/UnaryMethod.h"
 #include "Raft/RaftPeers.h"
@@ -10,8 +11,6 @@
 
 namespace {
 
-constexpr const char *RankMethod = "/balancer/rank";
-constexpr unsigned StatusOk = 200;
 constexpr Duration TendInterval = std::chrono::seconds(2);
 // One worker: the machine has a part of a core.
 constexpr std::size_t Workers = 1;
@@ -39,8 +38,8 @@
     : m_Settings(std::move(Settings)), m_SettingsFile(std::move(SettingsFile)),
       m_Replica(parseEndpoint(m_Settings.replica_endpoint())
                     .value_or(PeerEndpoint())),
-      m_Self{m_Replica.m_Address,
-             static_cast<std::uint16_t>(m_Settings.peer_port())},
+      m_Self(peerBehind(m_Settings.replica_endpoint(), m_Settings.peer_port())
+                 .value_or(PeerEndpoint())),
       m_Workers(Workers),
       m_Events({"balancer", m_Settings.name(), m_Settings.availability_zone()},
                std::string(EventLog::StandardOutput)),
@@ -52,9 +51,7 @@
       m_Peers(m_Workers), m_Server(m_Workers),
       m_MetricsServer(m_Workers, HttpLimits{},
                       [this](const std::shared_ptr<HttpExchange> &Exchange) {
-                        Exchange->respond(
-                            {{StatusOk, {{"Content-Type", "text/plain"}}},
-                             m_Registry.expose(RuntimeClock::now())});
+                        answerMetrics(*Exchange, m_Registry);
                       }),
       m_Watch(std::make_shared<VoterWatch>(
           m_Workers.worker(0), m_Peers,
@@ -93,17 +90,13 @@
       m_Workers.worker(0), [this] { m_Exit.open(ExitCode::Ok); },
       [this] { m_Exit.open(ExitCode::Failed); });
   m_SettingsWatch.start();
-  m_Watch->start(seeds(m_Settings));
+  m_Watch->start(peersBehind(m_Settings.seeds(), m_Settings.peer_port()));
   m_Coordinator->start();
   tend();
   m_Workers.start();
   m_Events.write(Event::ProcessStarted,
                  {{"address", m_Settings.replica_endpoint()}});
-  const ExitCode Code = m_Exit.wait();
-  m_Events.write(Event::ProcessStopped,
-                 {{"exit_code", static_cast<int>(Code)}});
-  m_Workers.stop();
-  return Code;
+  return serveUntilExit(m_Exit, m_Events, m_Workers);
 }
 
 void BalancerDaemon::serve() {
@@ -122,18 +115,10 @@
 }
 
 bool BalancerDaemon::listen() {
-  const auto Report = [this](const std::string &Detail) {
-    m_Events.write(Event::ListenFailed, {{"detail", Detail}});
-    return false;
-  };
-  if (const auto Peers = m_Server.listen(m_Self.m_Address, m_Self.m_Port);
-      !Peers)
-    return Report(Peers.error().m_Detail);
   const auto Port = static_cast<std::uint16_t>(m_Settings.metrics_port());
-  if (const auto Metrics = m_MetricsServer.listen(m_Self.m_Address, Port);
-      !Metrics)
-    return Report(Metrics.error().m_Detail);
-  return true;
+  return isListening(m_Events,
+                     m_Server.listen(m_Self.m_Address, m_Self.m_Port)) &&
+         isListening(m_Events, m_MetricsServer.listen(m_Self.m_Address, Port));
 }
 
 void BalancerDaemon::tend() {
@@ -145,18 +130,10 @@
   });
 }
 
-std::vector<PeerEndpoint>
-BalancerDaemon::seeds(const schema::BalancerSettings &From) const {
-  std::vector<PeerEndpoint> Seeds;
-  for (const std::string &Seed : From.seeds())
-    if (const auto Endpoint = parseEndpoint(Seed))
-      Seeds.push_back({Endpoint->m_Address, m_Self.m_Port});
-  return Seeds;
-}
-
 // The service that the replica beside this process announces.
-std::string BalancerDaemon::ownService() const {
-  for (const MemberView &Each : m_Directory.members())
+std::string
+BalancerDaemon::ownService(const std::vector<MemberView> &Members) const {
+  for (const MemberView &Each : Members)
     if (Each.m_Member.m_Address == m_Replica.m_Address &&
         Each.m_Member.m_PeerPort == m_Replica.m_Port &&
         Each.m_Member.m_State != MemberState::Left)
@@ -165,11 +142,12 @@
 }
 
 std::map<PeerEndpoint, PeerEndpoint> BalancerDaemon::balancers() const {
-  const std::string Service = ownService();
+  const std::vector<MemberView> Members = m_Directory.members();
+  const std::string Service = ownService(Members);
   std::map<PeerEndpoint, PeerEndpoint> Found;
   if (Service.empty())
     return Found;
-  for (const MemberView &Each : m_Directory.members())
+  for (const MemberView &Each : Members)
     if (Each.m_Member.m_Service == Service &&
         Each.m_Member.m_State != MemberState::Left)
       Found[{Each.m_Member.m_Address, m_Self.m_Port}] = {
@@ -180,23 +158,16 @@
 std::optional<ExpertLayout> BalancerDaemon::layout() const {
   const RoutingPlanPtr Plan = m_Plans.current();
   const PlannedService *Service =
-      Plan ? Plan->findService(ownService()) : nullptr;
+      Plan ? Plan->findService(ownService(m_Directory.members())) : nullptr;
   if (!Service || !Service->m_Engine)
     return std::nullopt;
   return Service->m_Engine->m_Experts;
 }
 
-void BalancerDaemon::settingsChanged(const std::string &) {
-  SettingsWarnings Ignored;
-  const auto Read = readBalancerSettings(m_SettingsFile, Ignored);
-  if (Read.has_error()) {
-    m_Events.write(Event::SettingsUnusable,
-                   {{"detail", toString(Read.error())}});
-    return;
-  }
-  m_Events.write(Event::SettingsReloaded,
-                 {{"seeds", Read.value().seeds_size()}});
-  m_Watch->setSeeds(seeds(Read.value()));
+void BalancerDaemon::settingsChanged(const std::string &Text) {
+  if (const auto Changed =
+          settingsAgain(parseBalancerSettings, m_SettingsFile, Text, m_Events))
+    m_Watch->setSeeds(peersBehind(Changed->seeds(), m_Self.m_Port));
 }
 
 } // namespace mangocart
--- a/Source/Balancer/BalancerDaemon.h
+++ b/Source/Balancer/BalancerDaemon.h
@@ -33,8 +33,7 @@
   bool listen();
   void serve();
   void tend();
-  std::vector<PeerEndpoint> seeds(const schema::BalancerSettings &From) const;
-  std::string ownService() const;
+  std::string ownService(const std::vector<MemberView> &Members) const;
   std::map<PeerEndpoint, PeerEndpoint> balancers() const;
   std::optional<ExpertLayout> layout() const;
   void settingsChanged(const std::string &Text);
--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -13,7 +13,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr const char *RankMethod = "/balancer/rank";
 // Between two rounds while a change is under way, and while none is.
 constexpr Duration BusyInterval = milliseconds(12);
 constexpr Duration IdleInterval = milliseconds(70);
@@ -131,14 +130,17 @@
     discover(Now);
     poll();
   }
-  if (m_WaitingFor == 0 || !m_Coordinates) {
-    m_Timer.expires_after(interval());
-    m_Timer.async_wait(
-        [Self = shared_from_this()](boost::system::error_code Error) {
-          if (!Error)
-            Self->tick();
-        });
-  }
+  if (m_WaitingFor == 0 || !m_Coordinates)
+    scheduleTick();
+}
+
+void GroupCoordinator::scheduleTick() {
+  m_Timer.expires_after(interval());
+  m_Timer.async_wait(
+      [Self = shared_from_this()](boost::system::error_code Error) {
+        if (!Error)
+          Self->tick();
+      });
 }
 
 void GroupCoordinator::lookForOwn() {
@@ -277,12 +279,7 @@
   m_WaitingFor = 0;
   if (m_Coordinates && m_Own)
     decide(ranksInOrder());
-  m_Timer.expires_after(interval());
-  m_Timer.async_wait(
-      [Self = shared_from_this()](boost::system::error_code Error) {
-        if (!Error)
-          Self->tick();
-      });
+  scheduleTick();
 }
 
 void GroupCoordinator::decide(const std::vector<PeerEndpoint> &Ranks) {
@@ -401,9 +398,10 @@
   const StepLoad Present = stepLoad(*m_Map, m_Meter.m_Load);
   if (Present.m_Mean <= 0)
     return;
-  const ExpertMap Next = placeIncrementally(
-      *m_Map, m_Meter.m_Load, {},
-      placementOptions(*Layout, Present, occupancy(*Layout)));
+  const double Occupancy = occupancy(*Layout);
+  const ExpertMap Next =
+      placeIncrementally(*m_Map, m_Meter.m_Load, {},
+                         placementOptions(*Layout, Present, Occupancy));
   const double Before = Present.skew();
   const double After = stepLoad(Next, m_Meter.m_Load).skew();
   if (Before - After < LeastGain)
@@ -416,7 +414,7 @@
                             {"skew_before", Before},
                             {"skew_after", After},
                             {"weights", weightsMoved(*m_Map, Next)},
-                            {"occupancy", occupancy(*Layout)}});
+                            {"occupancy", Occupancy}});
   begin(m_Switch, Version, std::make_shared<const ExpertMap>(Next), Reports,
         Now);
 }
--- a/Source/Balancer/GroupCoordinator.h
+++ b/Source/Balancer/GroupCoordinator.h
@@ -33,6 +33,9 @@
   PeerEndpoint m_Self;
 };
 
+// Balancers ask each other by it: a RankRequest, answered with a RankReply.
+inline constexpr const char *RankMethod = "/balancer/rank";
+
 // All functions run on the worker.
 class GroupCoordinator : public std::enable_shared_from_this<GroupCoordinator> {
 public:
@@ -57,6 +60,7 @@
   };
 
   void tick();
+  void scheduleTick();
   void lookForOwn();
   bool mayCoordinate(TimePoint Now) const;
   // Asks those whose group isn't known, now and then.
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -1,6 +1,7 @@
 // Start, service and drain of an entry.
 #include "Entry/EntryDaemon.h"
 
+#include "Daemon/DaemonParts.h"
 #include "Daemon/StartEvents.h"
 #include "Daemon/StopSignals.h"
 #include "Entry/OrderFront.h"
@@ -133,34 +134,18 @@
                   {"caller_port", m_Settings.caller_port()},
                   {"admin_port", m_Settings.admin_port()},
                   {"peer_port", m_Settings.peer_port()}});
-  const ExitCode Code = m_Exit.wait();
-  m_Events.write(Event::ProcessStopped,
-                 {{"exit_code", static_cast<int>(Code)}});
-  m_Workers.stop();
-  return Code;
+  return serveUntilExit(m_Exit, m_Events, m_Workers);
 }
 
 bool EntryDaemon::listen() {
-  const auto Report = [this](const std::string &Detail) {
-    m_Events.write(Event::ListenFailed, {{"detail", Detail}});
-    return false;
+  const auto Open = [this](auto &Server, std::uint32_t Port) {
+    return isListening(
+        m_Events,
+        Server.listen(m_Settings.address(), static_cast<std::uint16_t>(Port)));
   };
-  const std::string &Address = m_Settings.address();
-  const auto Port = [](std::uint32_t Number) {
-    return static_cast<std::uint16_t>(Number);
-  };
-  if (const auto Peers = m_Server.listen(Address, Port(m_Settings.peer_port()));
-      !Peers)
-    return Report(Peers.error().m_Detail);
-  if (const auto Admin =
-          m_AdminServer.listen(Address, Port(m_Settings.admin_port()));
-      !Admin)
-    return Report(Admin.error().m_Detail);
-  if (const auto Callers =
-          m_CallerServer.listen(Address, Port(m_Settings.caller_port()));
-      !Callers)
-    return Report(Callers.error().m_Detail);
-  return true;
+  return Open(m_Server, m_Settings.peer_port()) &&
+         Open(m_AdminServer, m_Settings.admin_port()) &&
+         Open(m_CallerServer, m_Settings.caller_port());
 }
 
 void EntryDaemon::tendGate() {
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -55,11 +55,6 @@
   mangocart::noteGroupBroken(m_Table, Target.m_Name);
 }
 
-bool MembershipDirectory::isOpen(std::string_view Service) const {
-  const std::lock_guard Lock(m_Mutex);
-  return !eligibleViews(m_Table, Service, RuntimeClock::now()).empty();
-}
-
 void MembershipDirectory::noteReplaced(const BackendTarget &Target) {
   const TimePoint Now = RuntimeClock::now();
   const std::lock_guard Lock(m_Mutex);
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -42,8 +42,6 @@
   OthersWork ownWork() const;
   // A rank refused work because its group is broken.
   void noteGroupBroken(const BackendTarget &Target);
-  // Whether some backend server of the service takes work, full or not.
-  bool isOpen(std::string_view Service) const;
   // Another backend server has answered at the target's address.
   void noteReplaced(const BackendTarget &Target);
 
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -1,8 +1,10 @@
 // Start, service and drain of a gateway.
 #include "Gateway/GatewayDaemon.h"
 
+#include "Daemon/DaemonParts.h"
 #include "Daemon/StopSignals.h"
 #include "Gateway/BackendConnections.h"
+#include "Membership/AnnounceLimits.h"
 #include "Raft/RaftPeers.h"
 #include "Settings/SettingsReader.h"
 
@@ -25,9 +27,6 @@
 constexpr Duration KeepListening = milliseconds(2500);
 // Of the time until the process is killed, what remains for its end.
 constexpr Duration ExitMargin = milliseconds(300);
-// Announcements that may be missed before a backend server is suspect, lost.
-constexpr int SuspectAfterAnnouncements = 3;
-constexpr int LostAfterAnnouncements = 6;
 
 HttpLimits callerLimits(const schema::GatewaySettings &Settings,
                         const CallerLimits &Limits) {
@@ -40,14 +39,6 @@
   return Out;
 }
 
-MembershipLimits membershipLimits(const schema::GatewaySettings &Settings) {
-  const Duration Interval = milliseconds(Settings.announce_interval_ms());
-  MembershipLimits Limits;
-  Limits.m_SuspectAfter = Interval * SuspectAfterAnnouncements;
-  Limits.m_LostAfter = Interval * LostAfterAnnouncements;
-  return Limits;
-}
-
 RepeatOptions repeatOptions(const schema::GatewaySettings &Settings) {
   RepeatOptions Options;
   Options.m_Ratio = Settings.retry_ratio();
@@ -64,22 +55,11 @@
   return Limits;
 }
 
-// The voter behind a control endpoint: the peer port is the same everywhere.
-std::vector<PeerEndpoint> seedsOf(const schema::GatewaySettings &Settings) {
-  std::vector<PeerEndpoint> Seeds;
-  for (const std::string &Seed : Settings.seeds())
-    if (const auto Endpoint = parseEndpoint(Seed))
-      Seeds.push_back({Endpoint->m_Address,
-                       static_cast<std::uint16_t>(Settings.peer_port())});
-  return Seeds;
-}
-
 // For other gateways: the address that callers use, the port that all processes
 // of the system have.
 PeerEndpoint ownEndpoint(const schema::GatewaySettings &Settings) {
-  const auto Callers = parseEndpoint(Settings.caller_endpoint());
-  return {Callers ? Callers->m_Address : std::string(),
-          static_cast<std::uint16_t>(Settings.peer_port())};
+  return peerBehind(Settings.caller_endpoint(), Settings.peer_port())
+      .value_or(PeerEndpoint());
 }
 
 } // namespace
@@ -112,7 +92,7 @@
                      }),
       m_MetricsServer(m_Workers, HttpLimits{},
                       [this](const std::shared_ptr<HttpExchange> &Exchange) {
-                        answerMetrics(*Exchange);
+                        answerMetrics(*Exchange, m_Registry);
                       }),
       m_Peers(m_Workers), m_PeerServer(m_Workers),
       m_Loads(std::make_shared<LoadExchange>(
@@ -142,7 +122,8 @@
       m_Drain(m_Workers.worker(0), drainLimits(m_Settings), drainActions()),
       m_TendTimer(m_Workers.worker(0)), m_GateTimer(m_Workers.worker(0)) {
   m_Events.limitRequestLines(m_Settings.log_lines_per_second());
-  m_Directory.setLimits(membershipLimits(m_Settings));
+  m_Directory.setLimits(
+      announceLimits(milliseconds(m_Settings.announce_interval_ms())));
   m_Directory.onNews([this] { m_Gates.pump(); });
   m_Plans.onChange([this](const RoutingPlan &Plan) { planChanged(Plan); });
 }
@@ -156,26 +137,19 @@
       m_Workers.worker(0), [this] { m_Drain.request(); },
       [this] { m_Exit.open(ExitCode::Failed); });
   m_SettingsWatch.start();
-  m_Watch->start(seedsOf(m_Settings));
+  m_Watch->start(peersBehind(m_Settings.seeds(), m_Settings.peer_port()));
   m_Loads->start();
   tend();
   pumpGates();
   m_Workers.start();
   m_Events.write(Event::ProcessStarted,
                  {{"address", m_Settings.caller_endpoint()}});
-  const ExitCode Code = m_Exit.wait();
-  m_Events.write(Event::ProcessStopped,
-                 {{"exit_code", static_cast<int>(Code)}});
-  m_Workers.stop();
-  return Code;
+  return serveUntilExit(m_Exit, m_Events, m_Workers);
 }
 
 bool GatewayDaemon::listen() {
   const auto Open = [this](HttpServer &Server, const PeerEndpoint &At) {
-    const auto Done = Server.listen(At.m_Address, At.m_Port);
-    if (Done.has_error())
-      m_Events.write(Event::ListenFailed, {{"detail", Done.error().m_Detail}});
-    return !Done.has_error();
+    return isListening(m_Events, Server.listen(At.m_Address, At.m_Port));
   };
   const PeerEndpoint Callers =
       parseEndpoint(m_Settings.caller_endpoint()).value_or(PeerEndpoint());
@@ -183,12 +157,9 @@
       parseEndpoint(m_Settings.health_endpoint()).value_or(PeerEndpoint());
   const PeerEndpoint Own = ownEndpoint(m_Settings);
   m_Loads->serve(m_PeerServer);
-  if (const auto Peers = m_PeerServer.listen(Own.m_Address, Own.m_Port);
-      !Peers) {
-    m_Events.write(Event::ListenFailed, {{"detail", Peers.error().m_Detail}});
-    return false;
-  }
-  return Open(m_CallerServer, Callers) && Open(m_HealthServer, Health) &&
+  return isListening(m_Events,
+                     m_PeerServer.listen(Own.m_Address, Own.m_Port)) &&
+         Open(m_CallerServer, Callers) && Open(m_HealthServer, Health) &&
          Open(m_MetricsServer,
               {Callers.m_Address,
                static_cast<std::uint16_t>(m_Settings.metrics_port())});
@@ -203,7 +174,8 @@
   });
 }
 
-bool GatewayDaemon::isReady() const { return m_HasPlan && !m_Leaving; }
+// Announcements follow the first plan on the same streams.
+bool GatewayDaemon::isReady() const { return m_Plans.current() && !m_Leaving; }
 
 void GatewayDaemon::tend() {
   m_Directory.sweepMembers();
@@ -229,27 +201,14 @@
        Ready ? "ready\n" : "not ready\n"});
 }
 
-void GatewayDaemon::answerMetrics(HttpExchange &Exchange) const {
-  Exchange.respond({{StatusOk, {{"Content-Type", "text/plain"}}},
-                    m_Registry.expose(RuntimeClock::now())});
-}
-
 void GatewayDaemon::planChanged(const RoutingPlan &Plan) {
   m_CallerServer.setLimits(callerLimits(m_Settings, Plan.m_Limits));
-  m_HasPlan = true;
 }
 
 void GatewayDaemon::settingsChanged(const std::string &Text) {
-  SettingsWarnings Ignored;
-  const auto Read = parseGatewaySettings(m_SettingsFile, Text, Ignored);
-  if (Read.has_error()) {
-    m_Events.write(Event::SettingsUnusable,
-                   {{"detail", toString(Read.error())}});
-    return;
-  }
-  m_Events.write(Event::SettingsReloaded,
-                 {{"seeds", Read.value().seeds_size()}});
-  m_Watch->setSeeds(seedsOf(Read.value()));
+  if (const auto Changed =
+          settingsAgain(parseGatewaySettings, m_SettingsFile, Text, m_Events))
+    m_Watch->setSeeds(peersBehind(Changed->seeds(), Changed->peer_port()));
 }
 
 DrainActions GatewayDaemon::drainActions() {
--- a/Source/Gateway/GatewayDaemon.h
+++ b/Source/Gateway/GatewayDaemon.h
@@ -40,7 +40,6 @@
   void pumpGates();
   bool isReady() const;
   void answerHealth(HttpExchange &Exchange) const;
-  void answerMetrics(HttpExchange &Exchange) const;
   void planChanged(const RoutingPlan &Plan);
   void settingsChanged(const std::string &Text);
   DrainActions drainActions();
@@ -71,8 +70,6 @@
   Timer m_TendTimer;
   Timer m_GateTimer;
   bool m_WasReady = false;
-  // When the first plan came; announcements follow on the same streams.
-  std::atomic<bool> m_HasPlan{false};
   ExitGate m_Exit;
 };
 
--- a/Source/Gateway/GatewayFront.cpp
+++ b/Source/Gateway/GatewayFront.cpp
@@ -21,11 +21,8 @@
 std::string GatewayFront::chooseService(const PlannedRoute &Route) {
   if (Route.m_Services.size() == 1)
     return Route.m_Services.front().m_Service;
-  std::uint64_t Total = 0;
-  for (const WeightedService &Each : Route.m_Services)
-    Total += Each.m_Weight;
   const std::lock_guard Lock(m_RandomMutex);
-  std::uint64_t Drawn = uniform(m_Random, 0, Total - 1);
+  std::uint64_t Drawn = uniform(m_Random, 0, totalWeight(Route) - 1);
   for (const WeightedService &Each : Route.m_Services) {
     if (Drawn < Each.m_Weight)
       return Each.m_Service;
--- a/Source/Gateway/LoadExchange.cpp
+++ b/Source/Gateway/LoadExchange.cpp
@@ -5,8 +5,6 @@
 #include "Entry/MembershipDirectory.h"
 #include "Gateway.pb.h"
 
-#include <boost/asio/post.hpp>
-
 namespace mangocart {
 
 namespace {
--- a/Source/Gateway/RoutingPlan.cpp
+++ b/Source/Gateway/RoutingPlan.cpp
@@ -9,13 +9,6 @@
 
 namespace {
 
-std::uint64_t totalWeight(const PlannedRoute &Route) {
-  std::uint64_t Sum = 0;
-  for (const WeightedService &Each : Route.m_Services)
-    Sum += Each.m_Weight;
-  return Sum;
-}
-
 std::optional<std::string> findFault(const PlannedRoute &Route,
                                      const std::set<std::string> &Services) {
   for (const WeightedService &Each : Route.m_Services)
@@ -43,6 +36,13 @@
 
 } // namespace
 
+std::uint64_t totalWeight(const PlannedRoute &Route) {
+  std::uint64_t Sum = 0;
+  for (const WeightedService &Each : Route.m_Services)
+    Sum += Each.m_Weight;
+  return Sum;
+}
+
 std::string_view toString(CallKind Kind) {
   switch (Kind) {
   case CallKind::Idempotent:
--- a/Source/Gateway/RoutingPlan.h
+++ b/Source/Gateway/RoutingPlan.h
@@ -60,6 +60,9 @@
   bool operator==(const PlannedRoute &) const = default;
 };
 
+// Sum of the weights of the route's services.
+std::uint64_t totalWeight(const PlannedRoute &Route);
+
 // How the experts of a service's rank groups may be placed.
 struct ExpertLayout {
   // Requests that a rank works on at once.
--- a/Source/Gateway/ServiceGates.cpp
+++ b/Source/Gateway/ServiceGates.cpp
@@ -42,8 +42,8 @@
 }
 
 ServiceState ServiceGates::stateOf(const std::string &Service) const {
-  return m_Directory.isOpen(Service) ? ServiceState::Open
-                                     : ServiceState::Closed;
+  return m_Directory.eligibleCount(Service) > 0 ? ServiceState::Open
+                                                : ServiceState::Closed;
 }
 
 void ServiceGates::answer(Held Of, GateAnswer With) {
--- a/Source/Gateway/VoterWatch.cpp
+++ b/Source/Gateway/VoterWatch.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr const char *WatchMethod = "/voter/watch";
 constexpr Duration LookInterval = std::chrono::milliseconds(250);
 // A stream that was lost is not opened again sooner.
 constexpr Duration ReopenInterval = std::chrono::milliseconds(500);
--- a/Source/Gateway/VoterWatch.h
+++ b/Source/Gateway/VoterWatch.h
@@ -26,6 +26,9 @@
 class EventLog;
 class MembershipDirectory;
 
+// A stream to a voter: a WatchHello, then WatchUpdates back.
+inline constexpr const char *WatchMethod = "/voter/watch";
+
 // What the watching process is, see WatchHello.
 enum class WatcherKind { Gateway, Voter, Balancer };
 
--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -21,7 +21,7 @@
   void keep(std::shared_ptr<HttpClientConnection> Connection) override;
   void forget(HttpClientConnection &Connection) override;
   void start(const HttpTarget &Target,
-             const std::shared_ptr<HttpClientCall> &Call, Duration MaxIdle);
+             const std::shared_ptr<HttpClientCall> &Call);
 
   boost::asio::io_context &m_Worker;
   const HttpClientOptions m_Options;
@@ -48,14 +48,13 @@
 }
 
 void HttpClient::State::start(const HttpTarget &Target,
-                              const std::shared_ptr<HttpClientCall> &Call,
-                              Duration MaxIdle) {
+                              const std::shared_ptr<HttpClientCall> &Call) {
   const TimePoint Now = RuntimeClock::now();
   const auto Found = m_Kept.find(Target);
   while (Found != m_Kept.end() && !Found->second.empty()) {
     const auto Connection = std::move(Found->second.back());
     Found->second.pop_back();
-    if (Connection->isFresh(Now, MaxIdle) && Connection->reuseFor(Call))
+    if (Connection->isFresh(Now) && Connection->reuseFor(Call))
       return;
     Connection->close();
   }
@@ -77,12 +76,11 @@
 std::shared_ptr<HttpCall> HttpClient::send(const HttpTarget &Target,
                                            HttpRequest Request,
                                            Duration Deadline,
-                                           HttpCallHandlers Handlers,
-                                           Duration MaxIdle) {
+                                           HttpCallHandlers Handlers) {
   auto Call = std::make_shared<HttpClientCall>(
       m_State->m_Worker, Target, std::move(Request), std::move(Handlers));
   Call->startDeadline(Deadline);
-  m_State->start(Target, Call, MaxIdle);
+  m_State->start(Target, Call);
   return Call;
 }
 
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -68,11 +68,9 @@
 
   // Deadline is for the whole answer. A request is written once; nothing is
   // retried here. A kept connection that the server closed before any byte was
-  // written is replaced silently. MaxIdle bounds the age of a kept connection
-  // further, for a request that must not be lost with it.
+  // written is replaced silently.
   std::shared_ptr<HttpCall> send(const HttpTarget &Target, HttpRequest Request,
-                                 Duration Deadline, HttpCallHandlers Handlers,
-                                 Duration MaxIdle = Duration::max());
+                                 Duration Deadline, HttpCallHandlers Handlers);
 
 private:
   struct State;
--- a/Source/Http/HttpClientConnection.cpp
+++ b/Source/Http/HttpClientConnection.cpp
@@ -170,10 +170,6 @@
            Error.message());
 }
 
-bool HttpClientConnection::isFresh(TimePoint Now, Duration MaxIdle) const {
-  return Now - m_KeptSince <= std::min(MaxIdle, m_KeptFor);
-}
-
 Duration HttpClientConnection::keepTime() const {
   const auto Seconds = m_Parser->keepAliveSeconds();
   if (!Seconds)
--- a/Source/Http/HttpClientConnection.h
+++ b/Source/Http/HttpClientConnection.h
@@ -40,9 +40,9 @@
   // Writes the call's request on a kept connection. False when the connection
   // was found closed before any byte was written; the call is untouched then.
   bool reuseFor(const std::shared_ptr<HttpClientCall> &Call);
-  // While kept: whether it has rested no longer than MaxIdle and than the time
-  // that it is kept for. The timer that closes it may come late.
-  bool isFresh(TimePoint Now, Duration MaxIdle) const;
+  // While kept: whether it has rested no longer than the time that it is kept
+  // for. The timer that closes it may come late.
+  bool isFresh(TimePoint Now) const { return Now - m_KeptSince <= m_KeptFor; }
   void close();
   void pauseReading() { m_Paused = true; }
   void resumeReading();
--- a/Source/Raft/RaftPeers.cpp
+++ b/Source/Raft/RaftPeers.cpp
@@ -28,6 +28,14 @@
   return Endpoint.m_Address + ":" + std::to_string(Endpoint.m_Port);
 }
 
+std::optional<PeerEndpoint> peerBehind(std::string_view Text,
+                                       std::uint32_t PeerPort) {
+  auto Endpoint = parseEndpoint(Text);
+  if (Endpoint)
+    Endpoint->m_Port = static_cast<std::uint16_t>(PeerPort);
+  return Endpoint;
+}
+
 std::optional<PeerEndpoint>
 findEndpoint(const std::map<std::string, PeerEndpoint> &Listed,
              const std::string &Name) {
--- a/Source/Raft/RaftPeers.h
+++ b/Source/Raft/RaftPeers.h
@@ -25,6 +25,21 @@
 std::optional<PeerEndpoint> parseEndpoint(std::string_view Text);
 std::string toString(const PeerEndpoint &Endpoint);
 
+// The peer port of the process that has one of its other ports at "IP:PORT":
+// peer ports are the same on all VMs. Nothing if the text isn't an endpoint.
+std::optional<PeerEndpoint> peerBehind(std::string_view Text,
+                                       std::uint32_t PeerPort);
+// The same of several; texts that aren't endpoints are left out.
+template <class Texts>
+std::vector<PeerEndpoint> peersBehind(const Texts &Endpoints,
+                                      std::uint32_t PeerPort) {
+  std::vector<PeerEndpoint> Peers;
+  for (const std::string &Each : Endpoints)
+    if (auto Peer = peerBehind(Each, PeerPort))
+      Peers.push_back(*std::move(Peer));
+  return Peers;
+}
+
 // Where the member listens: as the list says, or, where members aren't known
 // beforehand, as its name says, which is an endpoint then.
 std::optional<PeerEndpoint>
--- a/Source/Settings/SettingsReader.cpp
+++ b/Source/Settings/SettingsReader.cpp
@@ -81,6 +81,16 @@
                                         checkGatewaySettings);
 }
 
+Result<schema::BalancerSettings, SettingsErrors>
+parseBalancerSettings(const std::string &File, std::string_view Text,
+                      SettingsWarnings &Warnings) {
+  return parse<schema::BalancerSettings>(
+      File, Text, Warnings,
+      [](const schema::BalancerSettings &, const KeyLines &) {
+        return SettingsErrors();
+      });
+}
+
 Result<schema::VoterSettings, SettingsErrors>
 parseVoterSettings(const std::string &File, std::string_view Text,
                    SettingsWarnings &Warnings) {
@@ -110,16 +120,7 @@
 
 Result<schema::BalancerSettings, SettingsErrors>
 readBalancerSettings(const std::string &File, SettingsWarnings &Warnings) {
-  return read<schema::BalancerSettings>(
-      File, Warnings,
-      [](const std::string &Name, std::string_view Text,
-         SettingsWarnings &Found) {
-        return parse<schema::BalancerSettings>(
-            Name, Text, Found,
-            [](const schema::BalancerSettings &, const KeyLines &) {
-              return SettingsErrors();
-            });
-      });
+  return read<schema::BalancerSettings>(File, Warnings, parseBalancerSettings);
 }
 
 Result<schema::VoterSettings, SettingsErrors>
--- a/Source/Settings/SettingsReader.h
+++ b/Source/Settings/SettingsReader.h
@@ -45,6 +45,9 @@
 Result<schema::GatewaySettings, SettingsErrors>
 parseGatewaySettings(const std::string &File, std::string_view Text,
                      SettingsWarnings &Warnings);
+Result<schema::BalancerSettings, SettingsErrors>
+parseBalancerSettings(const std::string &File, std::string_view Text,
+                      SettingsWarnings &Warnings);
 Result<schema::VoterSettings, SettingsErrors>
 parseVoterSettings(const std::string &File, std::string_view Text,
                    SettingsWarnings &Warnings);
--- a/Source/Voter/VoterDaemon.cpp
+++ b/Source/Voter/VoterDaemon.cpp
@@ -1,8 +1,11 @@
 // Start and service of a voter.
 #include "Voter/VoterDaemon.h"
 
+#include "Daemon/DaemonParts.h"
 #include "Daemon/StartFailure.h"
 #include "Daemon/StopSignals.h"
+#include "Membership/AnnounceLimits.h"
+#include "Raft/RaftPeers.h"
 #include "Settings/SettingsReader.h"
 
 #include <algorithm>
@@ -13,16 +16,12 @@
 
 using std::chrono::milliseconds;
 
-constexpr unsigned StatusOk = 200;
 constexpr Duration TendInterval = std::chrono::seconds(1);
 // Operators and backend servers keep few connections.
 constexpr std::size_t MaxConnections = 1024;
 constexpr Duration ReadTimeout = std::chrono::seconds(10);
 // One worker: the machines of voters have a part of a core.
 constexpr std::size_t Workers = 1;
-// Announcements that may be missed before a backend server is suspect, lost.
-constexpr int SuspectAfterAnnouncements = 3;
-constexpr int LostAfterAnnouncements = 6;
 // Entries are whole configurations: few are kept, in memory and on disk.
 constexpr LogIndex EntriesKept = 32;
 constexpr LogIndex SnapshotEntries = 64;
@@ -36,14 +35,6 @@
   return Limits;
 }
 
-MembershipLimits membershipLimits(const schema::VoterSettings &Settings) {
-  const Duration Interval = milliseconds(Settings.announce_interval_ms());
-  MembershipLimits Limits;
-  Limits.m_SuspectAfter = Interval * SuspectAfterAnnouncements;
-  Limits.m_LostAfter = Interval * LostAfterAnnouncements;
-  return Limits;
-}
-
 } // namespace
 
 VoterDaemon::VoterDaemon(schema::VoterSettings Settings,
@@ -82,15 +73,17 @@
                       }),
       m_MetricsServer(m_Workers, HttpLimits{},
                       [this](const std::shared_ptr<HttpExchange> &Exchange) {
-                        answerMetrics(*Exchange);
+                        answerMetrics(*Exchange, m_Registry);
                       }),
       m_SettingsWatch(
           m_Workers.worker(0), m_SettingsFile,
           [this](const std::string &Text) { settingsChanged(Text); }),
       m_TendTimer(m_Workers.worker(0)) {
   m_Events.limitRequestLines(m_Settings.log_lines_per_second());
-  m_HeardHere.setLimits(membershipLimits(m_Settings));
-  m_HeardAnywhere.setLimits(membershipLimits(m_Settings));
+  const MembershipLimits Limits =
+      announceLimits(milliseconds(m_Settings.announce_interval_ms()));
+  m_HeardHere.setLimits(Limits);
+  m_HeardAnywhere.setLimits(Limits);
   m_HeardHere.onNews([this] { m_Watchers->news(); });
   addMetrics();
 }
@@ -98,34 +91,21 @@
 VoterDaemon::~VoterDaemon() { m_Workers.stop(); }
 
 PeerEndpoint VoterDaemon::ownEndpoint() const {
-  const auto Control = parseEndpoint(m_Settings.control_endpoint());
-  return {Control ? Control->m_Address : std::string(),
-          static_cast<std::uint16_t>(m_Settings.peer_port())};
+  return peerBehind(m_Settings.control_endpoint(), m_Settings.peer_port())
+      .value_or(PeerEndpoint());
 }
 
-std::vector<PeerEndpoint>
-VoterDaemon::seeds(const schema::VoterSettings &From) const {
-  std::vector<PeerEndpoint> Seeds;
-  for (const std::string &Seed : From.seeds())
-    if (const auto Control = parseEndpoint(Seed))
-      Seeds.push_back(
-          {Control->m_Address, static_cast<std::uint16_t>(From.peer_port())});
-  return Seeds;
+std::vector<PeerEndpoint> VoterDaemon::seeds() const {
+  return peersBehind(m_Settings.seeds(), m_Settings.peer_port());
 }
 
 // The log finds its members by itself; a process that isn't a member yet goes
 // on with the seeds of its start.
 void VoterDaemon::settingsChanged(const std::string &Text) {
-  SettingsWarnings Ignored;
-  const auto Read = parseVoterSettings(m_SettingsFile, Text, Ignored);
-  if (Read.has_error()) {
-    m_Events.write(Event::SettingsUnusable,
-                   {{"detail", toString(Read.error())}});
-    return;
-  }
-  m_Events.write(Event::SettingsReloaded,
-                 {{"seeds", Read.value().seeds_size()}});
-  m_OtherVoters->setSeeds(seeds(Read.value()));
+  if (const auto Changed =
+          settingsAgain(parseVoterSettings, m_SettingsFile, Text, m_Events))
+    m_OtherVoters->setSeeds(
+        peersBehind(Changed->seeds(), Changed->peer_port()));
 }
 
 std::unique_ptr<RaftRunner> VoterDaemon::openLog() {
@@ -133,7 +113,7 @@
   RaftRunnerOptions Options;
   Options.m_Name = toString(ownEndpoint());
   Options.m_DataFolder = m_Settings.data_folder();
-  for (const PeerEndpoint &Seed : seeds(m_Settings))
+  for (const PeerEndpoint &Seed : seeds())
     Options.m_Peers.push_back({toString(Seed), Seed, true});
   OpenMembership Open;
   Open.m_TargetVoters = 2 * m_Settings.tolerated_losses() + 1;
@@ -160,36 +140,25 @@
       [this] { m_Exit.open(ExitCode::Failed); });
   m_SettingsWatch.start();
   m_Watchers->start();
-  m_OtherVoters->start(seeds(m_Settings), ownEndpoint());
+  m_OtherVoters->start(seeds(), ownEndpoint());
   tend();
   m_Workers.start();
   m_Events.write(Event::ProcessStarted,
                  {{"address", m_Settings.control_endpoint()}});
-  const ExitCode Code = m_Exit.wait();
-  m_Events.write(Event::ProcessStopped,
-                 {{"exit_code", static_cast<int>(Code)}});
-  m_Workers.stop();
-  return Code;
+  return serveUntilExit(m_Exit, m_Events, m_Workers);
 }
 
 bool VoterDaemon::listen() {
-  const auto Report = [this](const std::string &Detail) {
-    m_Events.write(Event::ListenFailed, {{"detail", Detail}});
-    return false;
-  };
   const PeerEndpoint Own = ownEndpoint();
-  const auto Control = parseEndpoint(m_Settings.control_endpoint());
-  if (const auto Peers = m_Server.listen(Own.m_Address, Own.m_Port); !Peers)
-    return Report(Peers.error().m_Detail);
-  if (const auto Calls =
-          m_ControlServer.listen(Control->m_Address, Control->m_Port);
-      !Calls)
-    return Report(Calls.error().m_Detail);
-  if (const auto Metrics = m_MetricsServer.listen(
-          Own.m_Address, static_cast<std::uint16_t>(m_Settings.metrics_port()));
-      !Metrics)
-    return Report(Metrics.error().m_Detail);
-  return true;
+  const PeerEndpoint Control =
+      parseEndpoint(m_Settings.control_endpoint()).value_or(PeerEndpoint());
+  return isListening(m_Events, m_Server.listen(Own.m_Address, Own.m_Port)) &&
+         isListening(m_Events, m_ControlServer.listen(Control.m_Address,
+                                                      Control.m_Port)) &&
+         isListening(m_Events,
+                     m_MetricsServer.listen(Own.m_Address,
+                                            static_cast<std::uint16_t>(
+                                                m_Settings.metrics_port())));
 }
 
 void VoterDaemon::tend() {
@@ -230,9 +199,4 @@
                          [this] { return m_Log->counters().m_Proposals; });
 }
 
-void VoterDaemon::answerMetrics(HttpExchange &Exchange) const {
-  Exchange.respond({{StatusOk, {{"Content-Type", "text/plain"}}},
-                    m_Registry.expose(RuntimeClock::now())});
-}
-
 } // namespace mangocart
--- a/Source/Voter/VoterDaemon.h
+++ b/Source/Voter/VoterDaemon.h
@@ -36,10 +36,9 @@
   void tend();
   void announced(const Member &Record);
   std::vector<std::string> memberNames() const;
-  void answerMetrics(HttpExchange &Exchange) const;
   void addMetrics();
   PeerEndpoint ownEndpoint() const;
-  std::vector<PeerEndpoint> seeds(const schema::VoterSettings &From) const;
+  std::vector<PeerEndpoint> seeds() const;
   void settingsChanged(const std::string &Text);
 
   const schema::VoterSettings m_Settings;
--- a/Source/Voter/WatchService.cpp
+++ b/Source/Voter/WatchService.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr const char *WatchMethod = "/voter/watch";
 // Also without news, so that a gateway notices a dead connection.
 constexpr Duration TellInterval = std::chrono::milliseconds(500);
 // A gateway that reads too slowly is told later.
