Balancer: an order without an answer is sent again beside the rank

Cause: with half of the orders unanswered a hold stood for 0.6 s a switch, as each repetition took a round of the coordinator; a machine that freezes then keeps the group held. An order is now repeated by the balancer of its rank while the rank's report shows the same sequence: the engine carries out one of them at most. Ruled out: repeating with a newer sequence, which another coordinator's order may have moved.

--- a/Source/Balancer/RankService.cpp
+++ b/Source/Balancer/RankService.cpp
@@ -7,9 +7,13 @@
 
 namespace {
 
-// The replica is on the same machine; an order that gets no answer in this time
-// may be carried out later, and its effect will show in a later report.
+// The replica is on the same machine and answers within a few ms.
 constexpr Duration CallTimeout = std::chrono::milliseconds(60);
+// An order that gets no answer in this time may be carried out later, and its
+// effect will show in a later report.
+constexpr Duration OrderTimeout = std::chrono::milliseconds(25);
+// Sends of one order, all within a coordinator's wait for the reply.
+constexpr unsigned MaxOrderSends = 5;
 
 schema::RankOrder::Kind toSchema(RankOrderKind Kind) {
   switch (Kind) {
@@ -126,6 +130,10 @@
   schema::RankRequest m_Request;
   schema::RankReply m_Reply;
   Handler m_Done;
+  // Null without an order.
+  std::optional<RankOrder> m_Order;
+  unsigned m_OrderSends = 0;
+  bool m_OrderAnswered = false;
 };
 
 RankService::RankService(HttpClient &Client, HttpTarget Replica,
@@ -136,18 +144,27 @@
 void RankService::askAt(const HttpTarget &Replica,
                         const schema::RankRequest &Request, Handler Done) {
   auto For = std::make_shared<Question>(
-      Question{Replica, Request, {}, std::move(Done)});
+      Question{Replica, Request, {}, std::move(Done), {}});
   if (!Request.has_order())
     return askState(For);
-  send(For, m_Protocol.order(fromSchema(Request.order())),
-       [this, For](const std::string &) { askState(For); });
+  For->m_Order = fromSchema(Request.order());
+  sendOrder(For);
+}
+
+void RankService::sendOrder(const std::shared_ptr<Question> &For) {
+  ++For->m_OrderSends;
+  send(For, m_Protocol.order(*For->m_Order), OrderTimeout,
+       [this, For](bool Answered, const std::string &) {
+         For->m_OrderAnswered = Answered;
+         askState(For);
+       });
 }
 
 // An answer that doesn't come is an empty one: what follows is decided by the
 // state alone.
 void RankService::send(const std::shared_ptr<Question> &For,
-                       HttpRequest Request,
-                       const std::function<void(std::string Body)> &Next) {
+                       HttpRequest Request, Duration Timeout,
+                       const AnswerHandler &Next) {
   struct Answer {
     std::string m_Body;
     unsigned m_Status = 0;
@@ -167,7 +184,7 @@
                                                    {"status", Got->m_Status},
                                                    {"detail", Got->m_Body}});
     m_Reachable = true;
-    Next(std::move(Got->m_Body));
+    Next(true, Got->m_Body);
   };
   Handlers.m_OnError = [this, For, Next,
                         Target = Request.m_Target](const HttpError &Error) {
@@ -176,45 +193,53 @@
       m_Events.write(
           Event::EngineAnswerUnusable,
           {{"target", Target}, {"status", 0}, {"detail", Error.m_Detail}});
-    Next({});
+    Next(false, {});
   };
-  m_Client.send(For->m_Replica, std::move(Request), CallTimeout,
+  m_Client.send(For->m_Replica, std::move(Request), Timeout,
                 std::move(Handlers));
 }
 
 void RankService::askState(const std::shared_ptr<Question> &For) {
-  send(For, m_Protocol.askState(), [this, For](const std::string &Body) {
-    if (const auto State = m_Protocol.readState(Body))
-      *For->m_Reply.mutable_report() = toSchema(*State);
-    askCounts(For);
-  });
+  send(For, m_Protocol.askState(), CallTimeout,
+       [this, For](bool, const std::string &Body) {
+         const auto State = m_Protocol.readState(Body);
+         if (State)
+           *For->m_Reply.mutable_report() = toSchema(*State);
+         if (State && For->m_Order && !For->m_OrderAnswered &&
+             For->m_OrderSends < MaxOrderSends &&
+             canRepeat(*For->m_Order, State->m_Report))
+           return sendOrder(For);
+         askCounts(For);
+       });
 }
 
 void RankService::askCounts(const std::shared_ptr<Question> &For) {
   if (!For->m_Request.wants_counts() || !For->m_Reply.has_report())
     return askExperts(For);
-  send(For, m_Protocol.askCounts(), [this, For](const std::string &Body) {
-    if (const auto Counts = m_Protocol.readCounts(Body))
-      For->m_Reply.mutable_counts()->Add(Counts->begin(), Counts->end());
-    askExperts(For);
-  });
+  send(For, m_Protocol.askCounts(), CallTimeout,
+       [this, For](bool, const std::string &Body) {
+         if (const auto Counts = m_Protocol.readCounts(Body))
+           For->m_Reply.mutable_counts()->Add(Counts->begin(), Counts->end());
+         askExperts(For);
+       });
 }
 
 void RankService::askExperts(const std::shared_ptr<Question> &For) {
   if (!For->m_Request.wants_experts() || !For->m_Reply.has_report())
     return For->m_Done(std::move(For->m_Reply));
-  send(For, m_Protocol.askExperts(), [this, For](const std::string &Body) {
-    if (const auto Experts = m_Protocol.readExperts(Body)) {
-      For->m_Reply.set_experts_version(Experts->m_MapVersion);
-      for (const auto &Layer : Experts->m_ByLayer) {
-        For->m_Reply.add_experts_in_layer(
-            static_cast<std::uint32_t>(Layer.size()));
-        for (const ExpertId Expert : Layer)
-          For->m_Reply.add_experts(Expert);
-      }
-    }
-    For->m_Done(std::move(For->m_Reply));
-  });
+  send(For, m_Protocol.askExperts(), CallTimeout,
+       [this, For](bool, const std::string &Body) {
+         if (const auto Experts = m_Protocol.readExperts(Body)) {
+           For->m_Reply.set_experts_version(Experts->m_MapVersion);
+           for (const auto &Layer : Experts->m_ByLayer) {
+             For->m_Reply.add_experts_in_layer(
+                 static_cast<std::uint32_t>(Layer.size()));
+             for (const ExpertId Expert : Layer)
+               For->m_Reply.add_experts(Expert);
+           }
+         }
+         For->m_Done(std::move(For->m_Reply));
+       });
 }
 
 } // namespace mangocart
--- a/Source/Balancer/RankService.h
+++ b/Source/Balancer/RankService.h
@@ -1,5 +1,5 @@
-// Asks the replica beside this process: carries out an order, then reads the
-// state, the counts and the experts that were asked for.
+// Asks the replica beside this process: sends an order, again if it was lost,
+// then reads the state, the counts and the experts that were asked for.
 #ifndef MANGOCART_BALANCER_RANKSERVICE_H
 #define MANGOCART_BALANCER_RANKSERVICE_H
 
@@ -37,8 +37,11 @@
 
 private:
   struct Question;
+  // Whether an answer came, and its body.
+  using AnswerHandler = std::function<void(bool, const std::string &)>;
   void send(const std::shared_ptr<Question> &For, HttpRequest Request,
-            const std::function<void(std::string Body)> &Next);
+            Duration Timeout, const AnswerHandler &Next);
+  void sendOrder(const std::shared_ptr<Question> &For);
   void askState(const std::shared_ptr<Question> &For);
   void askCounts(const std::shared_ptr<Question> &For);
   void askExperts(const std::shared_ptr<Question> &For);
--- a/Source/Experts/GroupSwitch.h
+++ b/Source/Experts/GroupSwitch.h
@@ -67,6 +67,11 @@
   bool operator==(const RankOrder &) const = default;
 };
 
+// Whether an order that got no answer has had no effect by the report, and
+// nothing else has begun at the rank since it was decided on: sending it once
+// more is the same act then, as the engine carries out one of the two at most.
+bool canRepeat(const RankOrder &Order, const RankReport &Report);
+
 struct SwitchLimits {
   // Between the present pass and the one to switch at: time for the hold and
   // the orders to arm to be answered, so that the group doesn't wait.
