--- a/Source/Balancer/BalancerDaemon.cpp
+++ b/Source/Balancer/BalancerDaemon.cpp
@@ -87,7 +87,8 @@
   if (!listen())
     return ExitCode::Failed;
   StopSignals Signals(
-      m_Workers.worker(0), [this] { m_Exit.open(ExitCode::Ok); },
+      m_Workers.worker(0),
+      [this] { m_Coordinator->finish([this] { m_Exit.open(ExitCode::Ok); }); },
       [this] { m_Exit.open(ExitCode::Failed); });
   m_SettingsWatch.start();
   m_Watch->start(peersBehind(m_Settings.seeds(), m_Settings.peer_port()));
--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -6,6 +6,7 @@
 #include "Raft/RaftPeers.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace mangocart {
 
@@ -25,11 +26,18 @@
 constexpr Duration DiscoverInterval = milliseconds(1500);
 // Without a question from a coordinator for so long, the first rank takes over;
 // each further rank waits a little longer.
-constexpr Duration TakeOverAfter = milliseconds(900);
-constexpr Duration TakeOverStep = milliseconds(300);
+constexpr Duration TakeOverAfter = milliseconds(700);
+constexpr Duration TakeOverStep = milliseconds(150);
+// The same while the coordinator may hold a pass. It asks each 20 ms then, each
+// 150 ms while orders go unanswered; callers that leave while the group stands
+// still keep their places in the engines.
+constexpr Duration TakeOverHeldAfter = milliseconds(300);
+constexpr Duration TakeOverHeldStep = milliseconds(50);
 // A new map must lower the slowest ranks' part of a pass by this share of the
-// mean: below, the copies cost more than they bring.
+// mean: below, the copies cost more than they bring; and more while orders go
+// unanswered, as a change holds the group for longer then.
 constexpr double LeastGain = 0.06;
+constexpr double LeastGainUnanswered = 0.15;
 // What a rank copies for one map takes at most this long, as passes are slower
 // meanwhile and the load may shift before the map is in force; less while the
 // skew is so high that a part of the gain soon is worth more than all of it
@@ -38,6 +46,9 @@
 constexpr Duration UrgentCopyLimit = milliseconds(300);
 constexpr double UrgentSkew = 1.6;
 constexpr unsigned RandomVersionBits = 10;
+// A process that is to end waits so long for the end of a switch: ten rounds
+// with orders that have to be repeated.
+constexpr Duration FinishLimit = milliseconds(1500);
 
 // What one expert's copy must take off a pass, as a part of the mean work of
 // the ranks: the copy itself slows passes down, and while the group is hardly
@@ -87,18 +98,35 @@
            [Self = shared_from_this()] { Self->tick(); });
 }
 
+void GroupCoordinator::finish(std::function<void()> Done) {
+  postTask(m_Timer.get_executor(),
+           [Self = shared_from_this(), Done = std::move(Done)]() mutable {
+             Self->m_OnFinished = std::move(Done);
+             Self->m_FinishBy = RuntimeClock::now() + FinishLimit;
+           });
+}
+
 void GroupCoordinator::receive(const schema::RankRequest &Request,
                                RankService::Handler Done) {
   // Of two that coordinate, the one of the lower rank goes on.
   if (m_Own && Request.group() == m_Own->m_Group &&
-      (Request.from_rank() < m_Own->m_Rank ||
-       (!m_Coordinates && Request.from_rank() != m_Own->m_Rank)))
-    m_OtherHeard = RuntimeClock::now();
+      Request.from_rank() != m_Own->m_Rank) {
+    if (!m_Coordinates || Request.from_rank() < m_Own->m_Rank)
+      m_OtherHeard = RuntimeClock::now();
+    m_Told.reset();
+    if (Request.has_notice())
+      m_Told = SwitchNotice{Request.from_rank(), Request.notice().epoch(),
+                            Request.notice().version()};
+  }
   m_Sources.m_Service.ask(Request, std::move(Done));
 }
 
 Duration GroupCoordinator::interval() const {
-  const bool Busy = m_Coordinates && m_Switch.m_Phase != SwitchPhase::Idle;
+  // Each ms counts between the hold and the release.
+  if (!m_Orders.empty())
+    return Duration::zero();
+  const bool Busy =
+      m_Coordinates && (m_Switch.m_Phase != SwitchPhase::Idle || m_Told);
   return Busy ? BusyInterval : IdleInterval;
 }
 
@@ -106,18 +134,24 @@
   if (!m_Own || m_Own->m_Size < 2 || !m_Sources.m_Layout())
     return false;
   const TimePoint Heard = std::max(m_OtherHeard, m_Started);
+  const Duration Silence = m_Told ? TakeOverHeldAfter : TakeOverAfter;
+  const Duration Step = m_Told ? TakeOverHeldStep : TakeOverStep;
   if (m_Coordinates)
-    return Now - Heard >= TakeOverAfter;
-  return Now - Heard >= TakeOverAfter + TakeOverStep * m_Own->m_Rank;
+    return Now - Heard >= Silence;
+  return Now - Heard >= Silence + Step * m_Own->m_Rank;
 }
 
 void GroupCoordinator::tick() {
   const TimePoint Now = RuntimeClock::now();
+  const bool MayHold = m_Coordinates && noticeOf(m_Switch);
+  if (m_OnFinished && (!MayHold || Now >= m_FinishBy))
+    return std::exchange(m_OnFinished, nullptr)();
   lookForOwn();
   const bool Coordinates = mayCoordinate(Now);
   if (Coordinates != m_Coordinates) {
     m_Coordinates = Coordinates;
     m_Switch = GroupSwitch();
+    m_Switch.m_OwnRank = m_Own ? m_Own->m_Rank : 0;
     m_Orders.clear();
     m_WantsExperts = true;
     m_Map.reset();
@@ -168,45 +202,53 @@
     schema::RankRequest Request;
     Request.set_group(m_Own->m_Group);
     Request.set_from_rank(m_Own->m_Rank);
-    ask(To, Request);
+    ask(To, Request, false);
   }
 }
 
 // One balancer a rank: the one heard last, as a replica that was replaced may
 // still be listed.
-std::vector<PeerEndpoint> GroupCoordinator::ranksInOrder() const {
-  std::map<std::uint32_t, std::pair<TimePoint, PeerEndpoint>> ByRank;
+std::vector<std::optional<PeerEndpoint>> GroupCoordinator::ranks() const {
+  std::vector<std::optional<PeerEndpoint>> Ranks(m_Own->m_Size);
+  std::vector<TimePoint> Heard(m_Own->m_Size);
   for (const auto &[To, Other] : m_PeersByEndpoint) {
-    if (!Other.m_State || Other.m_State->m_Group != m_Own->m_Group)
+    if (!Other.m_State || Other.m_State->m_Group != m_Own->m_Group ||
+        Other.m_State->m_Rank >= Ranks.size())
       continue;
-    auto &Place = ByRank[Other.m_State->m_Rank];
-    if (Place.second == PeerEndpoint() || Place.first < Other.m_Heard)
-      Place = {Other.m_Heard, To};
+    const std::uint32_t Rank = Other.m_State->m_Rank;
+    if (!Ranks[Rank] || Heard[Rank] < Other.m_Heard) {
+      Ranks[Rank] = To;
+      Heard[Rank] = Other.m_Heard;
+    }
   }
-  std::vector<PeerEndpoint> Ranks;
-  for (const auto &[Rank, Place] : ByRank)
-    if (Rank == Ranks.size())
-      Ranks.push_back(Place.second);
   return Ranks;
 }
 
 void GroupCoordinator::poll() {
   ++m_Round;
   m_WaitingFor = 0;
-  const std::vector<PeerEndpoint> Ranks = ranksInOrder();
+  const auto Ranks = ranks();
   const bool WantsCounts = m_Switch.m_Phase == SwitchPhase::Idle;
+  const std::optional<SwitchNotice> Notice = noticeOf(m_Switch);
   for (std::uint32_t Rank = 0; Rank < Ranks.size(); ++Rank) {
-    if (m_PeersByEndpoint[Ranks[Rank]].m_IsWaiting)
+    if (!Ranks[Rank] || m_PeersByEndpoint[*Ranks[Rank]].m_IsWaiting)
       continue;
     schema::RankRequest Request;
     Request.set_group(m_Own->m_Group);
     Request.set_from_rank(m_Own->m_Rank);
     Request.set_wants_counts(WantsCounts);
     Request.set_wants_experts(m_WantsExperts);
+    if (Notice) {
+      Request.mutable_notice()->set_epoch(Notice->m_Epoch);
+      Request.mutable_notice()->set_version(Notice->m_Version);
+    }
     if (const auto Order = m_Orders.find(Rank); Order != m_Orders.end())
       *Request.mutable_order() = toSchema(Order->second);
-    ++m_WaitingFor;
-    ask(Ranks[Rank], Request);
+    // A rank that didn't answer the last time isn't waited for.
+    const bool Counted = !m_PeersByEndpoint[*Ranks[Rank]].m_IsMissed;
+    if (Counted)
+      ++m_WaitingFor;
+    ask(*Ranks[Rank], Request, Counted);
   }
   m_Orders.clear();
   if (m_WaitingFor == 0)
@@ -220,28 +262,45 @@
 }
 
 void GroupCoordinator::ask(const PeerEndpoint &To,
-                           const schema::RankRequest &Request) {
+                           const schema::RankRequest &Request, bool Counted) {
   Peer &Other = m_PeersByEndpoint[To];
   Other.m_IsWaiting = true;
   Other.m_Asked = RuntimeClock::now();
-  const auto Take = [Self = shared_from_this(), To,
+  const auto Take = [Self = shared_from_this(), To, Counted,
                      Round = m_Round](schema::RankReply Reply) {
     postTask(Self->m_Timer.get_executor(),
-             [Self, To, Round, Reply = std::move(Reply)]() mutable {
+             [Self, To, Counted, Round, Reply = std::move(Reply)]() mutable {
                Self->onReply(To, std::move(Reply));
-               if (Round == Self->m_Round && Self->m_WaitingFor > 0 &&
-                   --Self->m_WaitingFor == 0)
+               if (Counted && Round == Self->m_Round &&
+                   Self->m_WaitingFor > 0 && --Self->m_WaitingFor == 0)
                  Self->endRound();
              });
   };
   if (To == m_Sources.m_Self)
     return m_Sources.m_Service.ask(Request, Take);
+  // A hold depends on the machines of this balancer and of the replica alone.
+  const bool ByItself = Request.order().kind() == schema::RankOrder::HOLD ||
+                        Request.order().kind() == schema::RankOrder::RELEASE;
+  if (!ByItself)
+    return call(To, Request, Take);
+  schema::RankRequest Rest = Request;
+  Rest.clear_order();
+  m_Sources.m_Service.orderAt(
+      {Other.m_Replica.m_Address, Other.m_Replica.m_Port}, Request.order(),
+      [Self = shared_from_this(), To, Rest, Take] {
+        Self->call(To, Rest, Take);
+      });
+}
+
+void GroupCoordinator::call(const PeerEndpoint &To,
+                            const schema::RankRequest &Request,
+                            const RankService::Handler &Take) {
   // While the group may stand still, a replica whose balancer is away is asked
   // from here.
   std::optional<PeerEndpoint> Direct;
   if (m_Switch.m_Phase != SwitchPhase::Idle &&
       m_Switch.m_Phase != SwitchPhase::Preparing)
-    Direct = Other.m_Replica;
+    Direct = m_PeersByEndpoint[To].m_Replica;
   m_Sources.m_Peers.call(
       To, RankMethod, Request.SerializeAsString(), CallTimeout,
       [Self = shared_from_this(), Take, Direct,
@@ -266,6 +325,8 @@
   Peer &Other = Found->second;
   Other.m_IsWaiting = false;
   Other.m_Reply = std::move(Reply);
+  if (Other.m_Reply.order_sends() > 1)
+    m_Switch.m_LastRepeat = RuntimeClock::now();
   if (!Other.m_Reply.has_report())
     return;
   Other.m_IsMissed = false;
@@ -278,96 +339,176 @@
 void GroupCoordinator::endRound() {
   m_WaitingFor = 0;
   if (m_Coordinates && m_Own)
-    decide(ranksInOrder());
+    decide();
   scheduleTick();
 }
 
-void GroupCoordinator::decide(const std::vector<PeerEndpoint> &Ranks) {
+// An old report may hide what has happened since.
+std::vector<std::optional<RankReport>> GroupCoordinator::reportsOfRound() {
+  std::vector<std::optional<RankReport>> Reports;
+  for (const std::optional<PeerEndpoint> &Each : ranks()) {
+    Reports.emplace_back();
+    if (!Each)
+      continue;
+    Peer &Other = m_PeersByEndpoint[*Each];
+    if (!Other.m_IsWaiting && Other.m_Reply.has_report())
+      Reports.back() = Other.m_State->m_Report;
+    else if (!std::exchange(Other.m_IsMissed, true))
+      m_Sources.m_Events.write(Event::RankUnreachable,
+                               {{"balancer", toString(*Each)},
+                                {"phase", toString(m_Switch.m_Phase)}});
+  }
+  return Reports;
+}
+
+void GroupCoordinator::decide() {
   const TimePoint Now = RuntimeClock::now();
-  if (Ranks.size() != m_Own->m_Size)
-    return;
+  const std::vector<std::optional<RankReport>> Found = reportsOfRound();
+  if (std::any_of(Found.begin(), Found.end(),
+                  [](const auto &Each) { return !Each; }))
+    return decideWithout(Found);
   std::vector<RankReport> Reports;
-  for (const PeerEndpoint &Each : Ranks) {
-    Peer &Other = m_PeersByEndpoint[Each];
-    // Every rank's answer of this round is needed: an old report may hide what
-    // has happened since.
-    if (Other.m_IsWaiting || !Other.m_Reply.has_report()) {
-      if (!std::exchange(Other.m_IsMissed, true))
-        m_Sources.m_Events.write(Event::RankUnreachable,
-                                 {{"balancer", toString(Each)},
-                                  {"phase", toString(m_Switch.m_Phase)}});
-      return;
-    }
-    Reports.push_back(Other.m_State->m_Report);
-  }
-  takeExperts(Ranks);
+  for (const std::optional<RankReport> &Each : Found)
+    Reports.push_back(*Each);
+  takeExperts();
   const SwitchPhase Before = m_Switch.m_Phase;
   if (Before == SwitchPhase::Idle) {
     std::vector<std::vector<std::uint64_t>> Counts;
-    for (const PeerEndpoint &Each : Ranks) {
-      const auto &Read = m_PeersByEndpoint[Each].m_Reply.counts();
+    for (const std::optional<PeerEndpoint> &Each : ranks()) {
+      const auto &Read = m_PeersByEndpoint[*Each].m_Reply.counts();
       Counts.emplace_back(Read.begin(), Read.end());
     }
     noteCounts(m_Meter, Counts, Now);
     plan(Reports, Now);
   }
   SwitchSupplies Supplies;
-  Supplies.m_FreshVersion = freshVersion(Reports);
+  Supplies.m_FreshVersion = freshVersion(highestVersion(Reports));
   Supplies.m_MapInForce = m_Map;
-  for (RankOrder &Order : step(m_Switch, Reports, Supplies, Now))
-    m_Orders[Order.m_Rank] = std::move(Order);
-  if (m_Switch.m_Phase != Before)
-    m_Sources.m_Events.write(Event::SwitchPhaseChanged,
-                             {{"from", toString(Before)},
-                              {"to", toString(m_Switch.m_Phase)},
-                              {"version", m_Switch.m_Version},
-                              {"pass", m_Switch.m_Pass},
-                              {"epoch", m_Switch.m_Epoch}});
+  queueOrders(step(m_Switch, Reports, Supplies, Now));
+  noteProgress(Before);
   // The orders go with the next round, which follows at once.
   const RankReport &First = Reports.front();
   m_WantsExperts = !m_Map || First.m_MapVersion != m_MapVersion ||
                    First.m_Epoch != m_MapEpoch;
 }
 
-// Puts the ranks' lists together to the map in force.
-void GroupCoordinator::takeExperts(const std::vector<PeerEndpoint> &Ranks) {
-  const auto Layout = m_Sources.m_Layout();
-  if (!m_WantsExperts || !Layout)
+void GroupCoordinator::decideWithout(
+    const std::vector<std::optional<RankReport>> &Reports) {
+  std::vector<RankReport> Present;
+  for (const std::optional<RankReport> &Each : Reports)
+    if (Each)
+      Present.push_back(*Each);
+  if (Present.empty())
     return;
+  const SwitchPhase Before = m_Switch.m_Phase;
+  SwitchSupplies Supplies;
+  Supplies.m_FreshVersion = freshVersion(highestVersion(Present));
+  // Also a coordinator that has just taken over needs one.
+  Supplies.m_MapInForce = mapFromLists();
+  m_WantsExperts =
+      std::any_of(Present.begin(), Present.end(),
+                  [](const RankReport &R) { return R.m_HeldPass != 0; });
+  queueOrders(
+      stepWithout(m_Switch, Reports, m_Told, Supplies, RuntimeClock::now()));
+  noteProgress(Before);
+}
+
+void GroupCoordinator::queueOrders(std::vector<RankOrder> Orders) {
+  for (RankOrder &Order : Orders) {
+    const std::uint32_t Rank = Order.m_Rank;
+    m_Orders[Rank] = std::move(Order);
+  }
+}
+
+void GroupCoordinator::noteProgress(SwitchPhase Before) {
+  if (m_Switch.m_Phase != Before)
+    m_Sources.m_Events.write(
+        Event::SwitchPhaseChanged,
+        {{"from", toString(Before)},
+         {"to", toString(m_Switch.m_Phase)},
+         {"version", m_Switch.m_Version},
+         {"pass", m_Switch.m_Pass},
+         {"epoch", m_Switch.m_Epoch},
+         {"absent", m_Switch.m_AbsentRank
+                        ? std::to_string(*m_Switch.m_AbsentRank)
+                        : ""}});
+}
+
+std::shared_ptr<const ExpertMap> GroupCoordinator::mapFromLists() const {
+  const auto Layout = m_Sources.m_Layout();
+  const auto Ranks = ranks();
+  if (!Layout)
+    return nullptr;
   auto Map = std::make_shared<ExpertMap>();
   Map->m_Shape = {static_cast<std::uint32_t>(Ranks.size()), Layout->m_Experts,
                   Layout->m_Layers, Layout->m_SlotsPerRank};
   Map->m_Slots.assign(std::size_t{Layout->m_Layers} * Ranks.size() *
                           Layout->m_SlotsPerRank,
                       EmptySlot);
-  const schema::RankReply &First = m_PeersByEndpoint[Ranks.front()].m_Reply;
+  std::vector<std::uint32_t> Silent;
+  std::vector<bool> IsHeld(std::size_t{Layout->m_Layers} * Layout->m_Experts);
   for (std::uint32_t Rank = 0; Rank < Ranks.size(); ++Rank) {
-    const schema::RankReply &Reply = m_PeersByEndpoint[Ranks[Rank]].m_Reply;
-    if (static_cast<std::uint32_t>(Reply.experts_in_layer_size()) !=
-            Layout->m_Layers ||
-        Reply.experts_version() != First.experts_version() ||
-        Reply.report().epoch() != First.report().epoch())
-      return;
+    const Peer *Other =
+        Ranks[Rank] ? &m_PeersByEndpoint.at(*Ranks[Rank]) : nullptr;
+    if (!Other || Other->m_IsWaiting ||
+        static_cast<std::uint32_t>(Other->m_Reply.experts_in_layer_size()) !=
+            Layout->m_Layers) {
+      Silent.push_back(Rank);
+      continue;
+    }
     int At = 0;
     for (std::uint32_t Layer = 0; Layer < Layout->m_Layers; ++Layer)
       for (std::uint32_t Slot = 0;
-           Slot < Reply.experts_in_layer(static_cast<int>(Layer)); ++Slot) {
-        const auto Expert = static_cast<ExpertId>(Reply.experts(At++));
-        if (Slot < Layout->m_SlotsPerRank)
-          Map->m_Slots[slotIndex(Map->m_Shape, Layer, Rank, Slot)] = Expert;
+           Slot < Other->m_Reply.experts_in_layer(static_cast<int>(Layer));
+           ++Slot) {
+        const auto Expert = static_cast<ExpertId>(Other->m_Reply.experts(At++));
+        if (Slot >= Layout->m_SlotsPerRank || Expert >= Layout->m_Experts)
+          continue;
+        Map->m_Slots[slotIndex(Map->m_Shape, Layer, Rank, Slot)] = Expert;
+        IsHeld[std::size_t{Layer} * Layout->m_Experts + Expert] = true;
       }
   }
-  if (!findFault(*Map).empty())
+  for (std::uint32_t Layer = 0; Layer < Layout->m_Layers; ++Layer) {
+    std::uint32_t Next = 0;
+    for (std::uint32_t Expert = 0; Expert < Layout->m_Experts; ++Expert) {
+      if (IsHeld[std::size_t{Layer} * Layout->m_Experts + Expert])
+        continue;
+      if (Next == Silent.size() * Layout->m_SlotsPerRank)
+        return nullptr;
+      Map->m_Slots[slotIndex(
+          Map->m_Shape, Layer, Silent[Next / Layout->m_SlotsPerRank],
+          Next % Layout->m_SlotsPerRank)] = static_cast<ExpertId>(Expert);
+      ++Next;
+    }
+  }
+  return findFault(*Map).empty() ? Map : nullptr;
+}
+
+// Puts the ranks' lists together to the map in force.
+void GroupCoordinator::takeExperts() {
+  const auto Layout = m_Sources.m_Layout();
+  if (!m_WantsExperts || !Layout)
+    return;
+  std::optional<std::pair<std::uint64_t, std::uint64_t>> VersionAndEpoch;
+  for (const std::optional<PeerEndpoint> &Each : ranks()) {
+    const schema::RankReply &Reply = m_PeersByEndpoint[*Each].m_Reply;
+    const std::pair Own{Reply.experts_version(), Reply.report().epoch()};
+    if (static_cast<std::uint32_t>(Reply.experts_in_layer_size()) !=
+            Layout->m_Layers ||
+        (VersionAndEpoch && *VersionAndEpoch != Own))
+      return;
+    VersionAndEpoch = Own;
+  }
+  auto Map = mapFromLists();
+  if (!Map || !VersionAndEpoch)
     return;
-  m_MapVersion = First.experts_version();
-  m_MapEpoch = First.report().epoch();
+  std::tie(m_MapVersion, m_MapEpoch) = *VersionAndEpoch;
   m_Map = std::move(Map);
 }
 
-std::uint64_t
-GroupCoordinator::freshVersion(const std::vector<RankReport> &Reports) {
+std::uint64_t GroupCoordinator::freshVersion(std::uint64_t Above) {
   const std::uint64_t Highest =
-      std::max({highestVersion(Reports), m_LastVersion,
+      std::max({Above, m_LastVersion,
                 RuntimeClock::wallMilliseconds() << RandomVersionBits});
   // No other coordinator, nor this one before a restart, can have used it.
   return ((Highest >> RandomVersionBits) + 1) << RandomVersionBits |
@@ -391,7 +532,8 @@
   const auto Layout = m_Sources.m_Layout();
   const bool Known = m_Map && Reports.front().m_MapVersion == m_MapVersion &&
                      Reports.front().m_Epoch == m_MapEpoch;
-  if (!Layout || !Known || !isSettled(Reports) || !isTelling(m_Meter) ||
+  if (m_OnFinished || !Layout || !Known || !isSettled(Reports) ||
+      !isTelling(m_Meter) ||
       m_Meter.m_Load.m_Tokens.size() !=
           std::size_t{Layout->m_Layers} * Layout->m_Experts)
     return;
@@ -404,9 +546,10 @@
                          placementOptions(*Layout, Present, Occupancy));
   const double Before = Present.skew();
   const double After = stepLoad(Next, m_Meter.m_Load).skew();
-  if (Before - After < LeastGain)
+  const bool Unanswered = areOrdersUnanswered(m_Switch, Now);
+  if (Before - After < (Unanswered ? LeastGainUnanswered : LeastGain))
     return;
-  const std::uint64_t Version = freshVersion(Reports);
+  const std::uint64_t Version = freshVersion(highestVersion(Reports));
   m_LastVersion = Version;
   m_Sources.m_Events.write(Event::MapChangeBegun,
                            {{"version", Version},
--- a/Source/Balancer/GroupCoordinator.h
+++ b/Source/Balancer/GroupCoordinator.h
@@ -43,6 +43,9 @@
                    std::uint64_t Seed);
 
   void start();
+  // Begins no more changes of the map; Done is called once no pass is held by
+  // this balancer, or after 1.5 s.
+  void finish(std::function<void()> Done);
   // A question of another balancer, or of this one itself.
   void receive(const schema::RankRequest &Request, RankService::Handler Done);
 
@@ -66,17 +69,30 @@
   // Asks those whose group isn't known, now and then.
   void discover(TimePoint Now);
   void poll();
-  void ask(const PeerEndpoint &To, const schema::RankRequest &Request);
+  // Counted: the round waits for the answer.
+  void ask(const PeerEndpoint &To, const schema::RankRequest &Request,
+           bool Counted);
+  void call(const PeerEndpoint &To, const schema::RankRequest &Request,
+            const RankService::Handler &Take);
   void onReply(const PeerEndpoint &From, schema::RankReply Reply);
   // All answers of the round are there, or its time is over.
   void endRound();
-  void decide(const std::vector<PeerEndpoint> &Ranks);
+  void decide();
+  // Of this round, by rank; nothing for a rank that didn't answer.
+  std::vector<std::optional<RankReport>> reportsOfRound();
+  void decideWithout(const std::vector<std::optional<RankReport>> &Reports);
+  void queueOrders(std::vector<RankOrder> Orders);
+  void noteProgress(SwitchPhase Before);
   void plan(const std::vector<RankReport> &Reports, TimePoint Now);
   // Part of the group's places that is taken.
   double occupancy(const ExpertLayout &Layout) const;
-  void takeExperts(const std::vector<PeerEndpoint> &Ranks);
-  std::vector<PeerEndpoint> ranksInOrder() const;
-  std::uint64_t freshVersion(const std::vector<RankReport> &Reports);
+  void takeExperts();
+  // Experts that the ranks hold and, at the ranks that don't say, those that
+  // nobody else holds; null if that isn't a map.
+  std::shared_ptr<const ExpertMap> mapFromLists() const;
+  // By rank; nothing for one that was never heard of.
+  std::vector<std::optional<PeerEndpoint>> ranks() const;
+  std::uint64_t freshVersion(std::uint64_t Above);
   Duration interval() const;
 
   const CoordinatorSources m_Sources;
@@ -85,12 +101,17 @@
   TimePoint m_Started;
   std::optional<RankState> m_Own;
   TimePoint m_OwnAsked;
-  // When a balancer that goes before this one last asked here.
+  // When a balancer that goes before this one last asked here, and what it told
+  // then.
   TimePoint m_OtherHeard;
+  std::optional<SwitchNotice> m_Told;
   std::map<PeerEndpoint, Peer> m_PeersByEndpoint;
   std::size_t m_WaitingFor = 0;
   std::uint64_t m_Round = 0;
   bool m_Coordinates = false;
+  // Set while the process is to end.
+  std::function<void()> m_OnFinished;
+  TimePoint m_FinishBy;
 
   GroupSwitch m_Switch;
   // Orders for the next round, by rank.
--- a/Source/Balancer/RankService.cpp
+++ b/Source/Balancer/RankService.cpp
@@ -11,9 +11,9 @@
 constexpr Duration CallTimeout = std::chrono::milliseconds(60);
 // An order that gets no answer in this time may be carried out later, and its
 // effect will show in a later report.
-constexpr Duration OrderTimeout = std::chrono::milliseconds(25);
+constexpr Duration OrderTimeout = std::chrono::milliseconds(15);
 // Sends of one order, all within a coordinator's wait for the reply.
-constexpr unsigned MaxOrderSends = 5;
+constexpr unsigned MaxOrderSends = 8;
 
 schema::RankOrder::Kind toSchema(RankOrderKind Kind) {
   switch (Kind) {
@@ -151,8 +151,17 @@
   sendOrder(For);
 }
 
+void RankService::orderAt(const HttpTarget &Replica,
+                          const schema::RankOrder &Order,
+                          const std::function<void()> &Done) {
+  const auto For =
+      std::make_shared<Question>(Question{Replica, {}, {}, {}, {}});
+  send(For, m_Protocol.order(fromSchema(Order)), OrderTimeout,
+       [Done](bool, const std::string &) { Done(); });
+}
+
 void RankService::sendOrder(const std::shared_ptr<Question> &For) {
-  ++For->m_OrderSends;
+  For->m_Reply.set_order_sends(++For->m_OrderSends);
   send(For, m_Protocol.order(*For->m_Order), OrderTimeout,
        [this, For](bool Answered, const std::string &) {
          For->m_OrderAnswered = Answered;
--- a/Source/Balancer/RankService.h
+++ b/Source/Balancer/RankService.h
@@ -31,9 +31,13 @@
   void ask(const schema::RankRequest &Request, Handler Done) {
     askAt(m_Replica, Request, std::move(Done));
   }
-  // The same of another replica, whose own balancer doesn't answer.
+  // The same of another replica, whose own balancer doesn't answer. What it
+  // says may be some hundred ms old.
   void askAt(const HttpTarget &Replica, const schema::RankRequest &Request,
              Handler Done);
+  // Sends the order to another replica, once.
+  void orderAt(const HttpTarget &Replica, const schema::RankOrder &Order,
+               const std::function<void()> &Done);
 
 private:
   struct Question;
--- a/Source/Experts/GroupSwitch.cpp
+++ b/Source/Experts/GroupSwitch.cpp
@@ -13,23 +13,16 @@
 
 class Step {
 public:
-  Step(GroupSwitch &State, const Reports &Ranks, const SwitchSupplies &Supplies,
-       TimePoint Now)
-      : m_S(State), m_Ranks(Ranks), m_Supplies(Supplies), m_Now(Now) {}
+  // Ranks that gave no report have an empty one and are marked as missing.
+  Step(GroupSwitch &State, const Reports &Ranks, std::vector<bool> IsMissing,
+       const SwitchSupplies &Supplies, TimePoint Now)
+      : m_S(State), m_Ranks(Ranks), m_IsMissing(std::move(IsMissing)),
+        m_Supplies(Supplies), m_Now(Now) {}
 
   Orders run() {
-    noteRate();
-    if (!inOneEpoch()) {
-      // The group is forming: whatever was prepared, armed or held is gone.
-      reset();
+    if (!enterEpoch())
       return {};
-    }
-    if (m_S.m_Epoch != m_Ranks.front().m_Epoch) {
-      reset();
-      m_S.m_LastPass = 0;
-    }
-    m_S.m_Epoch = m_Ranks.front().m_Epoch;
-    m_S.m_Ordered.resize(m_Ranks.size());
+    m_S.m_AbsentRank.reset();
     switch (m_S.m_Phase) {
     case SwitchPhase::Idle:
       lookForForeignHold();
@@ -54,13 +47,75 @@
     return std::move(m_Orders);
   }
 
+  Orders runWithout(const std::optional<SwitchNotice> &Told) {
+    if (!enterEpoch())
+      return {};
+    switch (m_S.m_Phase) {
+    case SwitchPhase::Idle:
+      lookForAbsentCoordinator(Told);
+      break;
+    case SwitchPhase::Preparing:
+      if (isOver(m_S.m_Limits.m_PrepareLimit))
+        reset();
+      break;
+    case SwitchPhase::Holding:
+      abandonHold();
+      break;
+    case SwitchPhase::Arming:
+      arm();
+      break;
+    case SwitchPhase::Releasing:
+      if (isHeldByUs())
+        release();
+      break;
+    case SwitchPhase::Switching:
+      break;
+    case SwitchPhase::TakingBack:
+      takeBackWithout();
+      break;
+    }
+    return std::move(m_Orders);
+  }
+
 private:
-  bool inOneEpoch() const {
-    return !m_Ranks.empty() &&
-           std::all_of(
-               m_Ranks.begin(), m_Ranks.end(), [&](const RankReport &R) {
-                 return R.m_IsOpen && R.m_Epoch == m_Ranks.front().m_Epoch;
-               });
+  // False while the group is forming: whatever was prepared, armed or held is
+  // gone.
+  bool enterEpoch() {
+    noteRate();
+    const RankReport *Any = nullptr;
+    for (std::uint32_t Rank = 0; Rank < m_Ranks.size(); ++Rank) {
+      const RankReport &R = m_Ranks[Rank];
+      if (m_IsMissing[Rank])
+        continue;
+      if (!R.m_IsOpen || (Any && R.m_Epoch != Any->m_Epoch)) {
+        reset();
+        return false;
+      }
+      Any = &R;
+    }
+    if (!Any)
+      return false;
+    if (m_S.m_Epoch != Any->m_Epoch) {
+      reset();
+      m_S.m_LastPass = 0;
+    }
+    m_S.m_Epoch = Any->m_Epoch;
+    m_S.m_Ordered.resize(m_Ranks.size());
+    m_S.m_SeenArmed.resize(m_Ranks.size());
+    return true;
+  }
+
+  bool isAnyMissing() const {
+    return std::find(m_IsMissing.begin(), m_IsMissing.end(), true) !=
+           m_IsMissing.end();
+  }
+
+  // Whether the test holds for all ranks that gave a report.
+  template <class Test> bool allPresent(Test Holds) const {
+    for (std::uint32_t Rank = 0; Rank < m_Ranks.size(); ++Rank)
+      if (!m_IsMissing[Rank] && !Holds(m_Ranks[Rank]))
+        return false;
+    return true;
   }
 
   void enter(SwitchPhase Phase) {
@@ -74,6 +129,9 @@
     enter(SwitchPhase::Idle);
     m_S.m_Pass = 0;
     m_S.m_AskedPasses.clear();
+    m_S.m_AbandonedPass = 0;
+    m_S.m_SeenArmed.assign(m_Ranks.size(), false);
+    m_S.m_AbsentRank.reset();
     m_S.m_ForeignPass = 0;
     m_S.m_Map.reset();
     m_S.m_BarrierMap.reset();
@@ -125,7 +183,7 @@
   template <class Done, class Act> bool forAll(Done IsDone, Act ActOn) {
     bool All = true;
     for (std::uint32_t Rank = 0; Rank < m_Ranks.size(); ++Rank)
-      if (!IsDone(m_Ranks[Rank])) {
+      if (!m_IsMissing[Rank] && !IsDone(m_Ranks[Rank])) {
         All = false;
         ActOn(Rank);
       }
@@ -165,13 +223,19 @@
   }
 
   Duration lead() const {
-    const bool Unanswered = m_S.m_LastRepeat && m_Now - *m_S.m_LastRepeat <
-                                                    m_S.m_Limits.m_RepeatMemory;
-    return Unanswered ? m_S.m_Limits.m_LongLead : m_S.m_Limits.m_Lead;
+    return areOrdersUnanswered(m_S, m_Now) ? m_S.m_Limits.m_LongLead
+                                           : m_S.m_Limits.m_Lead;
   }
 
   void hold() {
     const RankReport &Holder = m_Ranks[m_S.m_HoldRank];
+    if (m_S.m_AbandonedPass != 0 && Holder.m_HeldPass == m_S.m_AbandonedPass) {
+      // Somebody else has prepared another map: it is looked after like any
+      // other hold.
+      if (!isOursAlone() || isOver(m_S.m_Limits.m_PrepareLimit))
+        return reset();
+      return abandonHold();
+    }
     const std::vector<std::uint64_t> &Asked = m_S.m_AskedPasses;
     if (std::find(Asked.begin(), Asked.end(), Holder.m_HeldPass) !=
         Asked.end()) {
@@ -198,33 +262,78 @@
     order(m_S.m_HoldRank, RankOrderKind::Hold, m_S.m_Version);
   }
 
+  bool isHeldByUs() const {
+    return !m_IsMissing[m_S.m_HoldRank] && m_S.m_Pass != 0 &&
+           m_Ranks[m_S.m_HoldRank].m_HeldPass == m_S.m_Pass;
+  }
+
+  bool isOursAlone() const {
+    return allPresent([&](const RankReport &R) {
+      return R.m_Prepared == m_S.m_Version && R.m_Armed == 0;
+    });
+  }
+
+  // While no rank has been told to arm, the hold protects nothing, and a rank
+  // that doesn't answer may stay away for long. Another coordinator may have
+  // asked for the same pass: where all are prepared for this change, it can't
+  // arm any.
+  void abandonHold() {
+    const RankReport &Holder = m_Ranks[m_S.m_HoldRank];
+    const std::vector<std::uint64_t> &Asked = m_S.m_AskedPasses;
+    if (m_IsMissing[m_S.m_HoldRank] || !isOursAlone() ||
+        std::find(Asked.begin(), Asked.end(), Holder.m_HeldPass) == Asked.end())
+      return;
+    // Another kind of order may go at once.
+    if (m_S.m_AbandonedPass != Holder.m_HeldPass)
+      m_S.m_Ordered[m_S.m_HoldRank] = TimePoint();
+    m_S.m_AbandonedPass = m_S.m_Pass = Holder.m_HeldPass;
+    order(m_S.m_HoldRank, RankOrderKind::Release, m_S.m_Version);
+    // Another pass is asked for.
+    m_S.m_Pass = 0;
+  }
+
+  // A rank that doesn't answer counts as armed if it was seen so: it is
+  // disarmed only after another rank was barred, which then isn't armed.
   void arm() {
-    const bool All = forAll([&](const RankReport &R) { return isArmed(R); },
-                            [&](std::uint32_t Rank) {
-                              order(Rank, RankOrderKind::Arm, m_S.m_Version);
-                            });
-    if (All) {
+    bool AreOthersArmed = true;
+    for (std::uint32_t Rank = 0; Rank < m_Ranks.size(); ++Rank) {
+      if (!m_IsMissing[Rank])
+        m_S.m_SeenArmed[Rank] = isArmed(m_Ranks[Rank]);
+      if (m_S.m_SeenArmed[Rank] || Rank == m_S.m_OwnRank)
+        continue;
+      AreOthersArmed = false;
+      if (!m_IsMissing[Rank])
+        order(Rank, RankOrderKind::Arm, m_S.m_Version);
+    }
+    if (AreOthersArmed && m_S.m_SeenArmed[m_S.m_OwnRank]) {
       enter(SwitchPhase::Releasing);
-      return release();
+      if (!isAnyMissing() || isHeldByUs())
+        release();
+      return;
     }
-    if (isOver(m_S.m_Limits.m_ArmLimit))
+    if (AreOthersArmed && !m_IsMissing[m_S.m_OwnRank])
+      order(m_S.m_OwnRank, RankOrderKind::Arm, m_S.m_Version);
+    if (isOver(m_S.m_Limits.m_ArmLimit) && !isAnyMissing())
       startTakingBack();
   }
 
   // Also after the release: a hold that was sent twice may come late and stop
   // the group again.
   void release() {
-    if (m_Ranks[m_S.m_HoldRank].m_HeldPass == m_S.m_Pass && m_S.m_Pass != 0) {
+    if (isHeldByUs()) {
       order(m_S.m_HoldRank, RankOrderKind::Release, m_S.m_Version);
       return;
     }
     // What is armed or held from now on is somebody else's.
     const bool Begun = newestPass() >= m_S.m_Pass;
-    const bool Free =
-        std::all_of(m_Ranks.begin(), m_Ranks.end(), [&](const RankReport &R) {
-          return R.m_Armed == 0 && R.m_HeldPass == 0;
-        });
-    if (Begun || Free)
+    const auto IsHeld = [](const RankReport &R) { return R.m_HeldPass != 0; };
+    const bool Held = std::any_of(m_Ranks.begin(), m_Ranks.end(), IsHeld);
+    const bool Armed =
+        std::any_of(m_Ranks.begin(), m_Ranks.end(),
+                    [](const RankReport &R) { return R.m_Armed != 0; });
+    // Another hold that stands for long is looked after like any other.
+    const bool Blocked = Held && isOver(m_S.m_Limits.m_ForeignHoldLimit);
+    if (Begun || (!Armed && !Held) || Blocked)
       reset();
     else if (m_S.m_Phase == SwitchPhase::Releasing)
       enter(SwitchPhase::Switching);
@@ -246,18 +355,14 @@
       return reset();
     if (areAllArmedAlike())
       return releaseOrEnd();
-    // A higher version bars as well: another coordinator's.
-    const auto IsBarred = [&](const RankReport &R) {
-      return std::max(R.m_Prepared, R.m_MapVersion) >= m_S.m_Barrier &&
-             R.m_Armed == 0;
-    };
+    const auto IsBarred = [&](const RankReport &R) { return isBarred(R); };
     const auto Bar = [&](std::uint32_t Rank) {
       order(Rank, RankOrderKind::Prepare, m_S.m_Barrier, m_S.m_BarrierMap);
     };
     // First the ranks that aren't armed: with one of them barred, all can
     // never be armed.
     const bool AnyBarred =
-        std::any_of(m_Ranks.begin(), m_Ranks.end(), IsBarred);
+        !allPresent([&](const RankReport &R) { return !isBarred(R); });
     const bool All = forAll(IsBarred, [&](std::uint32_t Rank) {
       const std::uint64_t Armed = m_Ranks[Rank].m_Armed;
       if (Armed == 0)
@@ -269,6 +374,12 @@
       releaseOrEnd();
   }
 
+  // A higher version bars as well: another coordinator's.
+  bool isBarred(const RankReport &R) const {
+    return std::max(R.m_Prepared, R.m_MapVersion) >= m_S.m_Barrier &&
+           R.m_Armed == 0;
+  }
+
   void releaseOrEnd() {
     if (m_Ranks[m_S.m_HoldRank].m_HeldPass == m_S.m_Pass)
       order(m_S.m_HoldRank, RankOrderKind::Release, m_S.m_Version);
@@ -305,8 +416,61 @@
     startTakingBack();
   }
 
+  bool isMissingAlone(std::uint32_t Rank) const {
+    return Rank < m_IsMissing.size() && m_IsMissing[Rank] &&
+           std::count(m_IsMissing.begin(), m_IsMissing.end(), true) == 1;
+  }
+
+  // The coordinator of the hold can't be reached: its rank isn't armed while
+  // some other rank isn't, unless something else is going on than its switch.
+  void lookForAbsentCoordinator(const std::optional<SwitchNotice> &Told) {
+    std::uint32_t Holder = 0;
+    while (Holder < m_Ranks.size() && m_Ranks[Holder].m_HeldPass == 0)
+      ++Holder;
+    if (Holder == m_Ranks.size()) {
+      m_S.m_ForeignPass = 0;
+      return;
+    }
+    if (m_S.m_ForeignPass != m_Ranks[Holder].m_HeldPass) {
+      m_S.m_ForeignPass = m_Ranks[Holder].m_HeldPass;
+      m_S.m_ForeignSince = m_Now;
+      return;
+    }
+    if (m_Now - m_S.m_ForeignSince < m_S.m_Limits.m_AbsentHoldLimit || !Told ||
+        Told->m_Epoch != m_S.m_Epoch ||
+        !isMissingAlone(Told->m_CoordinatorRank))
+      return;
+    m_S.m_Version = Told->m_Version;
+    m_S.m_Barrier = m_Supplies.m_FreshVersion;
+    if (!isOnlyOursUnderWay() ||
+        allPresent([](const RankReport &R) { return R.m_Armed != 0; }))
+      return;
+    m_S.m_HoldRank = Holder;
+    m_S.m_Pass = m_Ranks[Holder].m_HeldPass;
+    m_S.m_LastPass = std::max(m_S.m_LastPass, m_S.m_Pass);
+    startTakingBack();
+    if (m_S.m_Phase == SwitchPhase::TakingBack)
+      m_S.m_AbsentRank = Told->m_CoordinatorRank;
+  }
+
+  bool isOnlyOursUnderWay() const {
+    return allPresent([&](const RankReport &R) {
+      return R.m_Armed == m_S.m_Version ||
+             (R.m_Armed == 0 && R.m_Prepared == m_S.m_Version) || isBarred(R);
+    });
+  }
+
+  void takeBackWithout() {
+    // Once all others are armed, the absent rank may be, too.
+    if (m_S.m_AbsentRank && isMissingAlone(*m_S.m_AbsentRank) &&
+        isOnlyOursUnderWay() &&
+        !allPresent([](const RankReport &R) { return R.m_Armed != 0; }))
+      takeBack();
+  }
+
   GroupSwitch &m_S;
   const Reports &m_Ranks;
+  const std::vector<bool> m_IsMissing;
   const SwitchSupplies &m_Supplies;
   const TimePoint m_Now;
   Orders m_Orders;
@@ -376,6 +540,11 @@
   return Highest;
 }
 
+bool areOrdersUnanswered(const GroupSwitch &State, TimePoint Now) {
+  return State.m_LastRepeat &&
+         Now - *State.m_LastRepeat < State.m_Limits.m_RepeatMemory;
+}
+
 bool isSettled(const Reports &Ranks) {
   return !Ranks.empty() &&
          std::all_of(Ranks.begin(), Ranks.end(), [&](const RankReport &R) {
@@ -395,12 +564,49 @@
   State.m_Map = std::move(Map);
   State.m_Pass = 0;
   State.m_AskedPasses.clear();
+  State.m_AbandonedPass = 0;
+  State.m_SeenArmed.assign(Ranks.size(), false);
+  // The same for all coordinators, as a rank has one hold at a time.
+  const auto Last = static_cast<std::uint32_t>(Ranks.size() - 1);
+  State.m_HoldRank = State.m_OwnRank == Last ? 0 : Last;
   State.m_Ordered.assign(Ranks.size(), TimePoint());
 }
 
 std::vector<RankOrder> step(GroupSwitch &State, const Reports &Ranks,
                             const SwitchSupplies &Supplies, TimePoint Now) {
-  return Step(State, Ranks, Supplies, Now).run();
+  return Step(State, Ranks, std::vector<bool>(Ranks.size(), false), Supplies,
+              Now)
+      .run();
+}
+
+std::vector<RankOrder>
+stepWithout(GroupSwitch &State,
+            const std::vector<std::optional<RankReport>> &Found,
+            const std::optional<SwitchNotice> &Told,
+            const SwitchSupplies &Supplies, TimePoint Now) {
+  Reports Ranks;
+  std::vector<bool> IsMissing;
+  for (const std::optional<RankReport> &Each : Found) {
+    Ranks.push_back(Each.value_or(RankReport()));
+    IsMissing.push_back(!Each);
+  }
+  return Step(State, Ranks, std::move(IsMissing), Supplies, Now)
+      .runWithout(Told);
+}
+
+std::optional<SwitchNotice> noticeOf(const GroupSwitch &State) {
+  switch (State.m_Phase) {
+  case SwitchPhase::Holding:
+  case SwitchPhase::Arming:
+  case SwitchPhase::Releasing:
+    return SwitchNotice{State.m_OwnRank, State.m_Epoch, State.m_Version};
+  case SwitchPhase::Idle:
+  case SwitchPhase::Preparing:
+  case SwitchPhase::Switching:
+  case SwitchPhase::TakingBack:
+    return std::nullopt;
+  }
+  return std::nullopt;
 }
 
 } // namespace mangocart
--- a/Source/Experts/GroupSwitch.h
+++ b/Source/Experts/GroupSwitch.h
@@ -8,9 +8,12 @@
 //  - the hold is released only when every rank's report shows the same version
 //    armed for it, or when no rank can arm it any more;
 //  - a version is made impossible at a rank by preparing a higher one there,
-//  and
-//    at a rank that isn't armed first: until then another coordinator may see
-//    all ranks armed and release the hold.
+//    and at a rank that isn't armed first: until then another coordinator may
+//    see all ranks armed and release the hold;
+//  - the coordinator's own rank is armed after all others. While it can't be
+//    reached and some other rank isn't armed, it isn't either, so that somebody
+//    else can take the switch back without it. The hold is at another rank for
+//    the same reason.
 //
 // Every act follows from what reports show, not from answers: an order without
 // an answer may come seconds later. Any number of coordinators may act at once.
@@ -83,13 +86,15 @@
   Duration m_RepeatMemory = std::chrono::seconds(15);
   std::uint64_t m_LeastLeadPasses = 2;
   // A rank that doesn't show an order's effect gets it again after this time.
-  Duration m_RepeatAfter = std::chrono::milliseconds(60);
+  Duration m_RepeatAfter = std::chrono::milliseconds(40);
   // Without all ranks prepared for so long, the map is given up.
   Duration m_PrepareLimit = std::chrono::seconds(6);
   // Without all ranks armed for so long, the switch is taken back.
   Duration m_ArmLimit = std::chrono::seconds(3);
   // A hold of somebody else is looked after when it has stood for so long.
   Duration m_ForeignHoldLimit = std::chrono::milliseconds(300);
+  // The same where its coordinator can't be reached.
+  Duration m_AbsentHoldLimit = std::chrono::milliseconds(80);
 
   bool operator==(const SwitchLimits &) const = default;
 };
@@ -106,9 +111,21 @@
 
 std::string_view toString(SwitchPhase Phase);
 
+// What a coordinator tells the other balancers from the hold on: all ranks have
+// prepared the version, and its own is armed last.
+struct SwitchNotice {
+  std::uint32_t m_CoordinatorRank = 0;
+  std::uint64_t m_Epoch = 0;
+  std::uint64_t m_Version = 0;
+
+  bool operator==(const SwitchNotice &) const = default;
+};
+
 struct GroupSwitch {
   SwitchLimits m_Limits;
   SwitchPhase m_Phase = SwitchPhase::Idle;
+  // Rank of the replica beside the coordinator.
+  std::uint32_t m_OwnRank = 0;
   std::uint64_t m_Epoch = 0;
   // The version that is brought into force, and its map.
   std::uint64_t m_Version = 0;
@@ -119,10 +136,17 @@
   // All passes that holds were asked for in this change: an order that comes
   // late may bring an earlier one into force.
   std::vector<std::uint64_t> m_AskedPasses;
+  // A hold that was told to go, whether or not that has shown: no rank is armed
+  // under it any more, as the release may come late. 0: none.
+  std::uint64_t m_AbandonedPass = 0;
+  // By rank: whether its newest report in this change showed m_Version armed.
+  std::vector<bool> m_SeenArmed;
   // The highest pass that was ever held or asked for in this epoch; a late
   // release of an earlier hold must not meet a hold of the same pass.
   std::uint64_t m_LastPass = 0;
   TimePoint m_PhaseSince;
+  // The coordinator whose switch is taken back without it.
+  std::optional<std::uint32_t> m_AbsentRank;
   // Taking back: the version that makes m_Version impossible, and the map that
   // is in force, which it carries.
   std::uint64_t m_Barrier = 0;
@@ -143,6 +167,9 @@
 // The highest version that any report shows.
 std::uint64_t highestVersion(const std::vector<RankReport> &Reports);
 
+// Whether an order had to be repeated within the limits' memory.
+bool areOrdersUnanswered(const GroupSwitch &State, TimePoint Now);
+
 // Whether all ranks are open in one epoch with one map in force, and nothing is
 // armed or held: the moment to begin a change.
 bool isSettled(const std::vector<RankReport> &Reports);
@@ -157,7 +184,8 @@
 struct SwitchSupplies {
   // A version never used before, above all that the reports show.
   std::uint64_t m_FreshVersion = 0;
-  // The map in force; null while it isn't known.
+  // The map in force, or one that copies nothing at the ranks that answer; null
+  // while it isn't known.
   std::shared_ptr<const ExpertMap> m_MapInForce;
 };
 
@@ -166,6 +194,17 @@
                             const std::vector<RankReport> &Reports,
                             const SwitchSupplies &Supplies, TimePoint Now);
 
+// The same after a round in which some ranks gave no report. Told: the last
+// notice of the coordinator that was heard before.
+std::vector<RankOrder>
+stepWithout(GroupSwitch &State,
+            const std::vector<std::optional<RankReport>> &Reports,
+            const std::optional<SwitchNotice> &Told,
+            const SwitchSupplies &Supplies, TimePoint Now);
+
+// What the other balancers are to be told; nothing while no pass may be held.
+std::optional<SwitchNotice> noticeOf(const GroupSwitch &State);
+
 } // namespace mangocart
 
 #endif
--- a/Tests/Experts/testGroupSwitch.cpp
+++ b/Tests/Experts/testGroupSwitch.cpp
@@ -128,8 +128,22 @@
   GroupSwitch m_Switch;
   // Orders of the last round that are on their way.
   std::vector<RankOrder> m_OnTheWay;
+  // What the other one told last.
+  std::optional<SwitchNotice> m_Told;
+
+  explicit Coordinator(std::uint32_t Rank = 0) { m_Switch.m_OwnRank = Rank; }
 };
 
+// The reports with one missing.
+std::vector<std::optional<RankReport>> reportsWithout(const Group &G,
+                                                      std::uint32_t Missing) {
+  std::vector<std::optional<RankReport>> Found;
+  for (const RankReport &R : G.reports())
+    Found.emplace_back(R);
+  Found[Missing].reset();
+  return Found;
+}
+
 // Everything that can happen, chosen by one seed.
 class World {
 public:
@@ -152,9 +166,14 @@
 
   void act() {
     const std::uint64_t Kind = uniform(m_Random, 0, 99);
-    Coordinator &C = m_Coordinators[uniform(m_Random, 0, 1)];
-    if (Kind < 30)
-      round(C);
+    const std::uint32_t Which = uniform(m_Random, 0, 1);
+    Coordinator &C = m_Coordinators[Which];
+    // A machine that stands still takes its coordinator along.
+    const bool StandsStill = m_Frozen == Which;
+    if (Kind < 28)
+      StandsStill ? void() : round(Which);
+    else if (Kind < 30)
+      freezeOrWake();
     else if (Kind < 65)
       deliverOne(C);
     else if (Kind < 73)
@@ -164,21 +183,37 @@
     else if (Kind < 98)
       m_Now += 500ms;
     else if (Kind < 99)
-      C = Coordinator();
+      C = Coordinator(Which);
     else if (chance(20))
       m_Group.formAnew();
   }
 
-  void round(Coordinator &C) {
+  void freezeOrWake() {
+    if (m_Frozen)
+      m_Frozen.reset();
+    else if (chance(25))
+      m_Frozen = static_cast<std::uint32_t>(uniform(m_Random, 0, Ranks - 1));
+  }
+
+  void round(std::uint32_t Which) {
+    Coordinator &C = m_Coordinators[Which];
     // The answers of the round before are awaited.
     if (!C.m_OnTheWay.empty())
       return;
     m_Now += RoundTime;
-    const std::vector<RankReport> Reports = m_Group.reports();
-    if (C.m_Switch.m_Phase == SwitchPhase::Idle && isSettled(Reports) &&
-        chance(60))
-      begin(C.m_Switch, fresh(), m_Map, Reports, m_Now);
-    C.m_OnTheWay = step(C.m_Switch, Reports, {fresh(), m_Map}, m_Now);
+    if (m_Frozen) {
+      C.m_OnTheWay = stepWithout(C.m_Switch, reportsWithout(m_Group, *m_Frozen),
+                                 C.m_Told, {fresh(), m_Map}, m_Now);
+    } else {
+      const std::vector<RankReport> Reports = m_Group.reports();
+      if (C.m_Switch.m_Phase == SwitchPhase::Idle && isSettled(Reports) &&
+          chance(60))
+        begin(C.m_Switch, fresh(), m_Map, Reports, m_Now);
+      C.m_OnTheWay = step(C.m_Switch, Reports, {fresh(), m_Map}, m_Now);
+    }
+    const std::uint32_t Other = 1 - Which;
+    if (m_Frozen != Other && chance(80))
+      m_Coordinators[Other].m_Told = noticeOf(C.m_Switch);
   }
 
   std::uint64_t fresh() { return ++m_LastVersion; }
@@ -189,6 +224,9 @@
     const std::size_t I = uniform(m_Random, 0, C.m_OnTheWay.size() - 1);
     const RankOrder Order = C.m_OnTheWay[I];
     C.m_OnTheWay.erase(C.m_OnTheWay.begin() + static_cast<std::ptrdiff_t>(I));
+    // What is on its way to a machine that stands still waits there.
+    if (m_Frozen == Order.m_Rank)
+      return m_Late.push_back(Order);
     // One without an answer is sent again beside the rank.
     while (chance(30)) {
       m_Late.push_back(Order);
@@ -219,8 +257,9 @@
 
   // Without faults one coordinator must free a group that is held.
   std::string settle() {
+    m_Frozen.reset();
     m_Coordinators[0].m_OnTheWay.clear();
-    m_Coordinators[1] = Coordinator();
+    m_Coordinators[1] = Coordinator(1);
     for (int I = 0; I < 400; ++I) {
       Coordinator &C = m_Coordinators[0];
       m_Now += RoundTime;
@@ -252,7 +291,8 @@
   Random m_Random;
   TimePoint m_Now{1000s};
   Group m_Group;
-  Coordinator m_Coordinators[2];
+  Coordinator m_Coordinators[2] = {Coordinator(0), Coordinator(1)};
+  std::optional<std::uint32_t> m_Frozen;
   std::vector<RankOrder> m_Late;
   std::uint64_t m_LastVersion = 0;
   std::shared_ptr<const ExpertMap> m_Map = std::make_shared<ExpertMap>();
@@ -300,17 +340,21 @@
                                          .m_LongLead = 50ms,
                                          .m_LeastLeadPasses = 2,
                                          .m_ArmLimit = 150ms,
-                                         .m_ForeignHoldLimit = 50ms};
+                                         .m_ForeignHoldLimit = 50ms,
+                                         .m_AbsentHoldLimit = 50ms};
     State() {
       for (Coordinator &C : m_Coordinators)
         C.m_Switch.m_Limits = Limits;
     }
 
     Group m_Group;
-    Coordinator m_Coordinators[2];
+    Coordinator m_Coordinators[2] = {Coordinator(0), Coordinator(1)};
     std::vector<RankOrder> m_Late;
     std::uint64_t m_LastVersion = 0;
     TimePoint m_Now{1000s};
+    // The machine of the first coordinator stands still; once.
+    bool m_IsFrozen = false;
+    bool m_MayFreeze = false;
   };
 
   // Number of different states seen; negative if a pass began with two maps.
@@ -329,22 +373,43 @@
     }
     late(S, Depth);
     pass(S, Depth);
+    freezeOrWake(S, Depth);
+  }
+
+  void freezeOrWake(const State &S, int Depth) {
+    if (!S.m_IsFrozen && !S.m_MayFreeze)
+      return;
+    State Next = S;
+    Next.m_IsFrozen = !S.m_IsFrozen;
+    Next.m_MayFreeze = false;
+    explore(Next, Depth - 1);
   }
 
   void round(const State &S, int I, int Depth) {
-    if (!S.m_Coordinators[I].m_OnTheWay.empty())
+    if (!S.m_Coordinators[I].m_OnTheWay.empty() || (S.m_IsFrozen && I == 0))
       return;
     State Next = S;
     Coordinator &C = Next.m_Coordinators[I];
     Next.m_Now += Step;
+    if (S.m_IsFrozen)
+      C.m_OnTheWay =
+          stepWithout(C.m_Switch, reportsWithout(Next.m_Group, 0), C.m_Told,
+                      {Next.m_LastVersion + 1, m_Map}, Next.m_Now);
+    else
+      roundOfAll(Next, C);
+    if (C.m_Switch.m_Barrier > Next.m_LastVersion)
+      Next.m_LastVersion = C.m_Switch.m_Barrier;
+    if (I == 0)
+      Next.m_Coordinators[1].m_Told = noticeOf(C.m_Switch);
+    explore(Next, Depth - 1);
+  }
+
+  void roundOfAll(State &Next, Coordinator &C) {
     const auto Reports = Next.m_Group.reports();
     if (C.m_Switch.m_Phase == SwitchPhase::Idle && isSettled(Reports))
       begin(C.m_Switch, ++Next.m_LastVersion, m_Map, Reports, Next.m_Now);
     C.m_OnTheWay =
         step(C.m_Switch, Reports, {Next.m_LastVersion + 1, m_Map}, Next.m_Now);
-    if (C.m_Switch.m_Barrier > Next.m_LastVersion)
-      Next.m_LastVersion = C.m_Switch.m_Barrier;
-    explore(Next, Depth - 1);
   }
 
   void deliver(const State &S, int I, int Depth) {
@@ -353,6 +418,9 @@
     for (const bool Late : {false, true}) {
       if (Late && S.m_Late.size() >= 2)
         continue;
+      if (!Late && S.m_IsFrozen &&
+          S.m_Coordinators[I].m_OnTheWay.back().m_Rank == 0)
+        continue;
       State Next = S;
       auto &OnTheWay = Next.m_Coordinators[I].m_OnTheWay;
       const RankOrder Order = OnTheWay.back();
@@ -385,7 +453,8 @@
   // A state that was explored to the same depth or further isn't again.
   bool isNew(const State &S, int Depth) {
     std::ostringstream Key;
-    Key << S.m_Group.m_Pass << ' ' << S.m_LastVersion;
+    Key << S.m_Group.m_Pass << ' ' << S.m_LastVersion << ' ' << S.m_IsFrozen
+        << S.m_MayFreeze;
     for (const Engine &E : S.m_Group.m_Ranks)
       Key << '|' << E.m_Report.m_Sequence << ',' << E.m_Report.m_MapVersion
           << ',' << E.m_Report.m_Prepared << ',' << E.m_Report.m_Armed << ','
@@ -398,8 +467,12 @@
       Key << '/' << static_cast<int>(C.m_Switch.m_Phase) << ','
           << C.m_Switch.m_Version << ',' << C.m_Switch.m_Pass << ','
           << C.m_Switch.m_Barrier << ',' << C.m_Switch.m_LastPass << ','
-          << C.m_Switch.m_ForeignPass << ','
-          << (S.m_Now - C.m_Switch.m_ForeignSince) / Step << ','
+          << C.m_Switch.m_ForeignPass << ',' << C.m_Switch.m_AbandonedPass
+          << ',' << C.m_Switch.m_AbsentRank.value_or(Ranks) << ','
+          << (C.m_Told ? C.m_Told->m_Version : 0) << ',';
+      for (const bool Seen : C.m_Switch.m_SeenArmed)
+        Key << Seen;
+      Key << ',' << (S.m_Now - C.m_Switch.m_ForeignSince) / Step << ','
           << (S.m_Now - C.m_Switch.m_PhaseSince) / Step;
       std::for_each(C.m_OnTheWay.begin(), C.m_OnTheWay.end(), Add);
     }
@@ -454,6 +527,107 @@
   }
 }
 
+TEST_CASE("a coordinator that stands still leaves one map a pass") {
+  struct Case {
+    SwitchPhase m_From;
+    int m_Depth;
+  };
+  const Case Cases[] = {{SwitchPhase::Holding, 13},
+                        {SwitchPhase::Arming, 13},
+                        {SwitchPhase::Releasing, 13}};
+  for (const Case &Each : Cases) {
+    INFO("from " << toString(Each.m_From));
+    Exhaustive::State From = stateAt(Each.m_From);
+    From.m_MayFreeze = true;
+    From.m_Coordinators[1].m_Told = noticeOf(From.m_Coordinators[0].m_Switch);
+    const long States = Exhaustive().run(From, Each.m_Depth);
+    INFO("states " << States);
+    CHECK(States > 1000);
+  }
+}
+
+namespace {
+
+// A switch of the coordinator beside rank 0, until the phase; the other ranks'
+// orders of that round are carried out as Carry says.
+struct HeldSwitch {
+  Group m_Group;
+  GroupSwitch m_First;
+  TimePoint m_Now{1000s};
+  std::shared_ptr<const ExpertMap> m_Map = std::make_shared<const ExpertMap>();
+
+  template <class Carry> HeldSwitch(SwitchPhase Until, Carry CarriesOut) {
+    begin(m_First, 1, m_Map, m_Group.reports(), m_Now);
+    while (m_First.m_Phase != Until) {
+      m_Now += RoundTime;
+      for (const RankOrder &Order :
+           step(m_First, m_Group.reports(), {100, m_Map}, m_Now))
+        if (m_First.m_Phase != Until || CarriesOut(Order))
+          m_Group.carryOut(Order);
+    }
+    while (!m_Group.isHeld())
+      m_Group.beginPass();
+  }
+};
+
+} // namespace
+
+TEST_CASE("a hold of a coordinator that stands still is freed by another") {
+  struct Case {
+    const char *m_Name;
+    bool m_ArmsOneRank;
+  };
+  for (const Case &Each :
+       {Case{"before any rank was armed", false}, Case{"in between", true}}) {
+    INFO(Each.m_Name);
+    HeldSwitch W(SwitchPhase::Arming, [&](const RankOrder &Order) {
+      return Each.m_ArmsOneRank && Order.m_Rank == 1;
+    });
+    GroupSwitch Second;
+    Second.m_OwnRank = 1;
+    const TimePoint Stopped = W.m_Now;
+    while (W.m_Group.isHeld()) {
+      W.m_Now += RoundTime;
+      // The work of a caller that has left must end within 0.5 s.
+      REQUIRE(W.m_Now - Stopped < 500ms);
+      for (const RankOrder &Order :
+           stepWithout(Second, reportsWithout(W.m_Group, 0),
+                       noticeOf(W.m_First), {200, W.m_Map}, W.m_Now))
+        W.m_Group.carryOut(Order);
+    }
+    CHECK(W.m_Group.beginPass());
+  }
+}
+
+TEST_CASE("a rank that stands still doesn't keep the group held") {
+  SECTION("before it was told to arm") {
+    HeldSwitch W(SwitchPhase::Holding, [](const RankOrder &) { return true; });
+    W.m_Now += RoundTime;
+    for (const RankOrder &Order :
+         stepWithout(W.m_First, reportsWithout(W.m_Group, 1), std::nullopt,
+                     {200, W.m_Map}, W.m_Now))
+      W.m_Group.carryOut(Order);
+    CHECK_FALSE(W.m_Group.isHeld());
+  }
+  SECTION("after it was seen armed") {
+    HeldSwitch W(SwitchPhase::Arming, [](const RankOrder &) { return true; });
+    W.m_Now += RoundTime;
+    // The coordinator's own rank is told last.
+    for (const RankOrder &Order :
+         step(W.m_First, W.m_Group.reports(), {200, W.m_Map}, W.m_Now))
+      W.m_Group.carryOut(Order);
+    for (int Round = 0; Round < 2; ++Round) {
+      W.m_Now += RoundTime;
+      for (const RankOrder &Order :
+           stepWithout(W.m_First, reportsWithout(W.m_Group, 1), std::nullopt,
+                       {200, W.m_Map}, W.m_Now))
+        W.m_Group.carryOut(Order);
+    }
+    CHECK_FALSE(W.m_Group.isHeld());
+    CHECK(W.m_Group.beginPass());
+  }
+}
+
 TEST_CASE("a group left held by a coordinator that died is freed") {
   Group G;
   TimePoint Now{1000s};
