Gateway: attempts at engines that give no sign of life go elsewhere

Cause: a request at the replica of a machine that stands still was waited for until its caller left; its work went on when the machine woke (GONE). A machine that stands still takes connections, so a connection is no sign; the engine's report is. Change: an engine that is silent while others of its service answer is asked for its report; without one in 300 ms, its attempts that may be repeated go elsewhere, within attempts and budget, a stream after its last event.

--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -37,7 +37,7 @@
 // mean: below, the copies cost more than they bring; and more while orders go
 // unanswered, as a change holds the group for longer then.
 constexpr double LeastGain = 0.06;
-constexpr double LeastGainUnanswered = 0.15;
+constexpr double LeastGainUnanswered = 0.1;
 // What a rank copies for one map takes at most this long, as passes are slower
 // meanwhile and the load may shift before the map is in force; less while the
 // skew is so high that a part of the gain soon is worth more than all of it
@@ -325,7 +325,8 @@
   Peer &Other = Found->second;
   Other.m_IsWaiting = false;
   Other.m_Reply = std::move(Reply);
-  if (Other.m_Reply.order_sends() > 1)
+  // One send more may be due to a process that was late.
+  if (Other.m_Reply.order_sends() > 2)
     m_Switch.m_LastRepeat = RuntimeClock::now();
   if (!Other.m_Reply.has_report())
     return;
--- a/Source/Experts/GroupSwitch.cpp
+++ b/Source/Experts/GroupSwitch.cpp
@@ -229,13 +229,12 @@
 
   void hold() {
     const RankReport &Holder = m_Ranks[m_S.m_HoldRank];
-    if (m_S.m_AbandonedPass != 0 && Holder.m_HeldPass == m_S.m_AbandonedPass) {
-      // Somebody else has prepared another map: it is looked after like any
-      // other hold.
-      if (!isOursAlone() || isOver(m_S.m_Limits.m_PrepareLimit))
-        return reset();
+    // Somebody else has prepared another map: what is held is looked after like
+    // any other hold.
+    if (!isOursAlone())
+      return reset();
+    if (m_S.m_AbandonedPass != 0 && Holder.m_HeldPass == m_S.m_AbandonedPass)
       return abandonHold();
-    }
     const std::vector<std::uint64_t> &Asked = m_S.m_AskedPasses;
     if (std::find(Asked.begin(), Asked.end(), Holder.m_HeldPass) !=
         Asked.end()) {
@@ -313,7 +312,11 @@
     }
     if (AreOthersArmed && !m_IsMissing[m_S.m_OwnRank])
       order(m_S.m_OwnRank, RankOrderKind::Arm, m_S.m_Version);
-    if (isOver(m_S.m_Limits.m_ArmLimit) && !isAnyMissing())
+    // A rank with a higher version can't be armed any more.
+    const bool Hopeless = !allPresent([&](const RankReport &R) {
+      return R.m_Armed != 0 || R.m_Prepared == m_S.m_Version;
+    });
+    if ((Hopeless || isOver(m_S.m_Limits.m_ArmLimit)) && !isAnyMissing())
       startTakingBack();
   }
 
--- a/Source/Experts/GroupSwitch.h
+++ b/Source/Experts/GroupSwitch.h
@@ -79,9 +79,9 @@
   // Between the present pass and the one to switch at: time for the hold and
   // the orders to arm to be answered, so that the group doesn't wait.
   Duration m_Lead = std::chrono::milliseconds(120);
-  // The same while orders go without an answer: time to repeat a few, as a
-  // group that waits at the hold is late for all its requests.
-  Duration m_LongLead = std::chrono::milliseconds(700);
+  // The same while orders go without an answer: time to repeat a few beside the
+  // ranks, as a group that waits at the hold is late for all its requests.
+  Duration m_LongLead = std::chrono::milliseconds(300);
   // An order that had to be repeated counts for so long.
   Duration m_RepeatMemory = std::chrono::seconds(15);
   std::uint64_t m_LeastLeadPasses = 2;
--- a/Source/Gateway/CallerProtocol.h
+++ b/Source/Gateway/CallerProtocol.h
@@ -75,6 +75,8 @@
   // came, without the headers that concern one connection only.
   virtual HttpRequest forward(const HttpRequest &Request,
                               const ForwardedFacts &Facts) const = 0;
+  // A call that an engine answers at once, however busy it is.
+  virtual HttpRequest lifeSign() const = 0;
   // Whether the answer names the request as the one that it answers.
   virtual bool answers(const HttpHead &Answer,
                        std::string_view RequestId) const = 0;
--- a/Source/Gateway/DirectRequest.cpp
+++ b/Source/Gateway/DirectRequest.cpp
@@ -3,6 +3,7 @@
 
 #include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
+#include "Gateway/AttemptWatch.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Http/HttpClients.h"
 #include "Raft/RaftPeers.h"
@@ -184,6 +185,18 @@
       m_Context.m_Clients.on(m_Exchange->executor())
           .send(To, m_Context.m_Protocol.forward(m_Exchange->request(), Facts),
                 Left + milliseconds(1), makeHandlers());
+  watch();
+}
+
+void DirectRequest::watch() {
+  const PlannedService *Service = m_Call.m_Plan->findService(m_Call.m_Service);
+  if (!m_Known.m_Repeatable || !Service || !Service->m_Engine)
+    return;
+  m_Watched = m_Context.m_Watch.begin(*m_Target, m_Exchange->executor(),
+                                      [Weak = weak_from_this()] {
+                                        if (const auto Self = Weak.lock())
+                                          Self->onServerSilent();
+                                      });
 }
 
 HttpCallHandlers DirectRequest::makeHandlers() {
@@ -205,6 +218,7 @@
 void DirectRequest::onHead(HttpHead Head) {
   m_Head = std::move(Head);
   m_HeadSeen = true;
+  m_Context.m_Watch.heard(*m_Target);
   const bool Ran = verdict() == BackendVerdict::Ran;
   m_Passing = answerIsStream() && Ran && isSuccess(m_Head.m_Status)
                   ? Passing::Events
@@ -212,6 +226,7 @@
 }
 
 void DirectRequest::onBody(std::string_view Piece) {
+  m_Context.m_Watch.heard(*m_Target);
   if (m_Passing == Passing::Events) {
     std::string Events = m_Cutter.take(Piece);
     if (!Events.empty())
@@ -323,6 +338,8 @@
 void DirectRequest::report(CallResult Result) {
   if (!m_Target)
     return;
+  if (const std::uint64_t Number = std::exchange(m_Watched, 0))
+    m_Context.m_Watch.end(*m_Target, Number);
   m_Context.m_Directory.callEnded(*m_Target, m_Size,
                                   {Result, RuntimeClock::now() - m_Sent});
   m_Tried.push_back(m_Target->m_Name);
@@ -331,8 +348,8 @@
   m_Context.m_Gates.pump(m_Call.m_Service);
 }
 
-void DirectRequest::endAttempt(AttemptEnd End, std::string_view Detail) {
-  m_Known.m_MayHaveRun = m_Known.m_MayHaveRun || mayHaveRun(End);
+void DirectRequest::writeAttemptEnd(AttemptEnd End,
+                                    std::string_view Detail) const {
   m_Context.m_Events.write(
       Event::AttemptEnded,
       {{"request", m_Call.m_Caller.m_RequestId},
@@ -342,6 +359,11 @@
        {"status", m_HeadSeen ? m_Head.m_Status : 0U},
        {"sent", m_Known.m_Sent},
        {"attempt_ms", wholeMs(RuntimeClock::now() - m_Sent)}});
+}
+
+void DirectRequest::endAttempt(AttemptEnd End, std::string_view Detail) {
+  m_Known.m_MayHaveRun = m_Known.m_MayHaveRun || mayHaveRun(End);
+  writeAttemptEnd(End, Detail);
   if (End == AttemptEnd::AnsweredFailure)
     report(CallResult::Failed);
   else if (End == AttemptEnd::SaidNotRun)
@@ -404,6 +426,22 @@
   giveUp("time-over");
 }
 
+void DirectRequest::onServerSilent() {
+  if (m_Finished || !m_HttpCall || !m_Target)
+    return;
+  RequestKnowledge After = m_Known;
+  After.m_MayHaveRun = true;
+  if (!mayTryAgain(After) || !m_Context.m_Repeats.takeRepeat(m_Call.m_Service))
+    return;
+  m_HttpCall->cancel();
+  m_HttpCall.reset();
+  m_Known = After;
+  writeAttemptEnd(m_AnswerStarted ? AttemptEnd::CutOff : AttemptEnd::Lost,
+                  "its machine doesn't answer");
+  report(CallResult::Broken);
+  attempt();
+}
+
 void DirectRequest::onCallerGone() {
   if (m_Finished)
     return;
--- a/Source/Gateway/DirectRequest.h
+++ b/Source/Gateway/DirectRequest.h
@@ -62,11 +62,16 @@
   void onError(const HttpError &Error);
   void onTimeOver();
   void onCallerGone();
+  // The machine of the backend server doesn't answer: another one is tried
+  // where the request may be repeated, else the answer is waited for.
+  void onServerSilent();
+  void watch();
 
   void passOn(std::string Bytes);
   void noteFirstByte();
   void startAnswer();
   void endAttempt(AttemptEnd End, std::string_view Detail);
+  void writeAttemptEnd(AttemptEnd End, std::string_view Detail) const;
   // Counts the attempt as over at the directory.
   void report(CallResult Result);
   void finish(std::string_view Outcome, unsigned Status);
@@ -92,6 +97,8 @@
   std::shared_ptr<HttpCall> m_HttpCall;
   std::optional<BackendTarget> m_Target;
   TimePoint m_Sent;
+  // Of the attempt at the watch; 0: not watched.
+  std::uint64_t m_Watched = 0;
   // While the gate decides: the call's number there.
   std::optional<std::uint64_t> m_AtGate;
   // Names of backend servers that were tried, in order.
--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -16,6 +16,7 @@
 namespace schema {
 class GatewaySettings;
 } // namespace schema
+class AttemptWatch;
 class CallerProtocol;
 class EventLog;
 class HttpClients;
@@ -51,6 +52,7 @@
   HttpClients &m_Clients;
   ServiceGates &m_Gates;
   RepeatBudgets &m_Repeats;
+  AttemptWatch &m_Watch;
   GatewayMetrics &m_Metrics;
   // Callers are asked to close their connections.
   std::atomic<bool> &m_Leaving;
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -76,11 +76,12 @@
                   RuntimeClock::wallMilliseconds()),
       m_Clients(m_Workers, backendConnections()),
       m_Gates(m_Directory, RuntimeClock::wallMilliseconds()),
-      m_Repeats(repeatOptions(m_Settings)), m_Context{m_Settings,  m_Events,
-                                                      Protocol,    m_Plans,
-                                                      m_Directory, m_Clients,
-                                                      m_Gates,     m_Repeats,
-                                                      m_Metrics,   m_Leaving},
+      m_Repeats(repeatOptions(m_Settings)),
+      m_Attempts(std::make_shared<AttemptWatch>(m_Workers.worker(0), m_Clients,
+                                                Protocol, m_Events)),
+      m_Context{m_Settings,  m_Events,  Protocol, m_Plans,
+                m_Directory, m_Clients, m_Gates,  m_Repeats,
+                *m_Attempts, m_Metrics, m_Leaving},
       m_Front(m_Context, RuntimeClock::wallMilliseconds()),
       m_CallerServer(m_Workers, callerLimits(m_Settings, {}),
                      [this](const std::shared_ptr<HttpExchange> &Exchange) {
@@ -139,6 +140,7 @@
   m_SettingsWatch.start();
   m_Watch->start(peersBehind(m_Settings.seeds(), m_Settings.peer_port()));
   m_Loads->start();
+  m_Attempts->start();
   tend();
   pumpGates();
   m_Workers.start();
--- a/Source/Gateway/GatewayDaemon.h
+++ b/Source/Gateway/GatewayDaemon.h
@@ -9,6 +9,7 @@
 #include "Daemon/SettingsWatch.h"
 #include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
+#include "Gateway/AttemptWatch.h"
 #include "Gateway/GatewayContext.h"
 #include "Gateway/GatewayFront.h"
 #include "Gateway/GatewayMetrics.h"
@@ -55,6 +56,7 @@
   HttpClients m_Clients;
   ServiceGates m_Gates;
   RepeatBudgets m_Repeats;
+  const std::shared_ptr<AttemptWatch> m_Attempts;
   std::atomic<bool> m_Leaving{false};
   GatewayContext m_Context;
   GatewayFront m_Front;
--- a/Tests/Experts/testGroupSwitch.cpp
+++ b/Tests/Experts/testGroupSwitch.cpp
@@ -599,6 +599,31 @@
   }
 }
 
+TEST_CASE(
+    "a coordinator that wakes up doesn't go on with what was taken back") {
+  for (const SwitchPhase Phase : {SwitchPhase::Holding, SwitchPhase::Arming}) {
+    INFO(toString(Phase));
+    HeldSwitch W(Phase, [](const RankOrder &) { return true; });
+    // Meanwhile another one has barred all ranks and released the hold.
+    for (Engine &E : W.m_Group.m_Ranks) {
+      E.m_Report.m_Prepared = E.m_HighestVersion = 50;
+      E.m_Report.m_Armed = E.m_ArmedPass = E.m_Report.m_HeldPass = 0;
+      ++E.m_Report.m_Sequence;
+    }
+    W.m_Now += 3s;
+    for (int Round = 0; Round < 5; ++Round) {
+      W.m_Now += RoundTime;
+      for (const RankOrder &Order :
+           step(W.m_First, W.m_Group.reports(), {100, W.m_Map}, W.m_Now)) {
+        CHECK(Order.m_Kind != RankOrderKind::Hold);
+        W.m_Group.carryOut(Order);
+      }
+      CHECK(W.m_Group.beginPass());
+    }
+    CHECK(W.m_First.m_Phase == SwitchPhase::Idle);
+  }
+}
+
 TEST_CASE("a rank that stands still doesn't keep the group held") {
   SECTION("before it was told to arm") {
     HeldSwitch W(SwitchPhase::Holding, [](const RankOrder &) { return true; });
