Experts: a copy is weighed by its time, and small gains are left while the group isn't busy

Pattern: other experts come into demand every few seconds, in a group of many layers whose weights are copied fast. Cause: one copy had to bring a fixed part of a pass, measured with 3 layers and copies of 142 ms. Change: the price of a copy is that of its time. Counts go as increments, also while a map is copied.

--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -3,6 +3,7 @@
 
 #include "Core/PostTask.h"
 #include "Events/EventLog.h"
+#include "Experts/CopyCost.h"
 #include "Raft/RaftPeers.h"
 
 #include <algorithm>
@@ -33,58 +34,11 @@
 // still keep their places in the engines.
 constexpr Duration TakeOverHeldAfter = milliseconds(300);
 constexpr Duration TakeOverHeldStep = milliseconds(50);
-// A new map must lower the slowest ranks' part of a pass by this share of the
-// mean: below, the copies cost more than they bring; and more while orders go
-// unanswered, as a change holds the group for longer then.
-constexpr double LeastGain = 0.06;
-constexpr double LeastGainUnanswered = 0.1;
-// What a rank copies for one map takes at most this long, as passes are slower
-// meanwhile and the load may shift before the map is in force; less while the
-// skew is so high that a part of the gain soon is worth more than all of it
-// later.
-constexpr Duration CopyLimit = milliseconds(500);
-constexpr Duration UrgentCopyLimit = milliseconds(300);
-constexpr double UrgentSkew = 1.6;
 constexpr unsigned RandomVersionBits = 10;
 // A process that is to end waits so long for the end of a switch: ten rounds
 // with orders that have to be repeated.
 constexpr Duration FinishLimit = milliseconds(1500);
 
-// What one expert's copy must take off a pass, as a part of the mean work of
-// the ranks: the copy itself slows passes down, and while the group is hardly
-// busy a faster pass is of little use.
-constexpr double GainPerCopyBusy = 0.004;
-constexpr double GainPerCopyCalm = 0.03;
-// Occupied part of the ranks' places from which the group is hardly busy, and
-// from which it is busy.
-constexpr double CalmOccupancy = 0.35;
-constexpr double BusyOccupancy = 0.75;
-
-double gainPerCopy(double Occupancy) {
-  const double Busy = std::clamp(
-      (Occupancy - CalmOccupancy) / (BusyOccupancy - CalmOccupancy), 0.0, 1.0);
-  return GainPerCopyCalm + Busy * (GainPerCopyBusy - GainPerCopyCalm);
-}
-
-PlacementOptions placementOptions(const ExpertLayout &Layout,
-                                  const StepLoad &Present, double Occupancy) {
-  PlacementOptions Options;
-  // The gate in parts of the mean load, for one pass.
-  Options.m_Gate.m_StepSkewWeight = 1.0;
-  Options.m_Gate.m_RebalancingCostWeight = 1.0;
-  Options.m_Gate.m_SecondsPerToken = 1.0 / Present.m_Mean;
-  Options.m_Gate.m_HorizonSteps = 1.0;
-  Options.m_Gate.m_SecondsPerWeights = gainPerCopy(Occupancy);
-  Options.m_Gate.m_StoreSecondPrice = 1.0;
-  Options.m_MaxNewPerRankLayer = Layout.m_MaxNewPerLayer;
-  const Duration Limit =
-      Present.skew() >= UrgentSkew ? UrgentCopyLimit : CopyLimit;
-  if (Layout.m_CopyTime > Duration::zero())
-    Options.m_MaxNewPerRank = static_cast<std::uint32_t>(
-        std::max<std::int64_t>(1, Limit / Layout.m_CopyTime));
-  return Options;
-}
-
 } // namespace
 
 GroupCoordinator::GroupCoordinator(boost::asio::io_context &Worker,
@@ -224,11 +178,34 @@
   return Ranks;
 }
 
+// Also while a map is copied, so that the next one follows at once.
+bool GroupCoordinator::wantsCounts() {
+  const SwitchPhase Phase = m_Switch.m_Phase;
+  const TimePoint Now = RuntimeClock::now();
+  if ((Phase != SwitchPhase::Idle && Phase != SwitchPhase::Preparing) ||
+      Now - m_CountsAsked < IdleInterval)
+    return false;
+  m_CountsAsked = Now;
+  return true;
+}
+
+void GroupCoordinator::takeCounts(TimePoint Now) {
+  std::vector<std::vector<std::uint64_t>> Counts;
+  bool Any = false;
+  for (const std::optional<PeerEndpoint> &Each : ranks()) {
+    const auto &Read = m_PeersByEndpoint[*Each].m_Reply.counts();
+    Any = Any || !Read.empty();
+    Counts.emplace_back(Read.begin(), Read.end());
+  }
+  if (Any)
+    noteCounts(m_Meter, Counts, Now);
+}
+
 void GroupCoordinator::poll() {
   ++m_Round;
   m_WaitingFor = 0;
   const auto Ranks = ranks();
-  const bool WantsCounts = m_Switch.m_Phase == SwitchPhase::Idle;
+  const bool WantsCounts = wantsCounts();
   const std::optional<SwitchNotice> Notice = noticeOf(m_Switch);
   for (std::uint32_t Rank = 0; Rank < Ranks.size(); ++Rank) {
     if (!Ranks[Rank] || m_PeersByEndpoint[*Ranks[Rank]].m_IsWaiting)
@@ -373,15 +350,9 @@
     Reports.push_back(*Each);
   takeExperts();
   const SwitchPhase Before = m_Switch.m_Phase;
-  if (Before == SwitchPhase::Idle) {
-    std::vector<std::vector<std::uint64_t>> Counts;
-    for (const std::optional<PeerEndpoint> &Each : ranks()) {
-      const auto &Read = m_PeersByEndpoint[*Each].m_Reply.counts();
-      Counts.emplace_back(Read.begin(), Read.end());
-    }
-    noteCounts(m_Meter, Counts, Now);
+  takeCounts(Now);
+  if (Before == SwitchPhase::Idle)
     plan(Reports, Now);
-  }
   SwitchSupplies Supplies;
   Supplies.m_FreshVersion = freshVersion(highestVersion(Reports));
   Supplies.m_MapInForce = m_Map;
@@ -542,13 +513,13 @@
   if (Present.m_Mean <= 0)
     return;
   const double Occupancy = occupancy(*Layout);
-  const ExpertMap Next =
-      placeIncrementally(*m_Map, m_Meter.m_Load, {},
-                         placementOptions(*Layout, Present, Occupancy));
+  const ExpertMap Next = placeIncrementally(
+      *m_Map, m_Meter.m_Load, {},
+      copyingPlacement({Layout->m_CopyTime, Layout->m_MaxNewPerLayer}, Present,
+                       Occupancy));
   const double Before = Present.skew();
   const double After = stepLoad(Next, m_Meter.m_Load).skew();
-  const bool Unanswered = areOrdersUnanswered(m_Switch, Now);
-  if (Before - After < (Unanswered ? LeastGainUnanswered : LeastGain))
+  if (Before - After < leastGain(Occupancy, areOrdersUnanswered(m_Switch, Now)))
     return;
   const std::uint64_t Version = freshVersion(highestVersion(Reports));
   m_LastVersion = Version;
--- a/Source/Balancer/GroupCoordinator.h
+++ b/Source/Balancer/GroupCoordinator.h
@@ -69,6 +69,8 @@
   // Asks those whose group isn't known, now and then.
   void discover(TimePoint Now);
   void poll();
+  bool wantsCounts();
+  void takeCounts(TimePoint Now);
   // Counted: the round waits for the answer.
   void ask(const PeerEndpoint &To, const schema::RankRequest &Request,
            bool Counted);
@@ -117,6 +119,7 @@
   // Orders for the next round, by rank.
   std::map<std::uint32_t, RankOrder> m_Orders;
   LoadMeter m_Meter;
+  TimePoint m_CountsAsked;
   // The map in force and its version and epoch; null while it isn't known.
   std::shared_ptr<const ExpertMap> m_Map;
   std::uint64_t m_MapVersion = 0;
--- a/Source/Balancer/RankService.cpp
+++ b/Source/Balancer/RankService.cpp
@@ -227,8 +227,10 @@
     return askExperts(For);
   send(For, m_Protocol.askCounts(), CallTimeout,
        [this, For](bool, const std::string &Body) {
-         if (const auto Counts = m_Protocol.readCounts(Body))
-           For->m_Reply.mutable_counts()->Add(Counts->begin(), Counts->end());
+         if (auto Counts = m_Protocol.readCounts(Body)) {
+           const auto New = takeNew(m_Counts, *std::move(Counts));
+           For->m_Reply.mutable_counts()->Add(New.begin(), New.end());
+         }
          askExperts(For);
        });
 }
--- a/Source/Balancer/RankService.h
+++ b/Source/Balancer/RankService.h
@@ -5,6 +5,7 @@
 
 #include "Balancer.pb.h"
 #include "Balancer/EngineProtocol.h"
+#include "Experts/LoadMeter.h"
 #include "Http/HttpClient.h"
 
 #include <functional>
@@ -55,6 +56,7 @@
   const EngineProtocol &m_Protocol;
   EventLog &m_Events;
   bool m_Reachable = true;
+  CountReader m_Counts;
 };
 
 } // namespace mangocart
--- a/Source/Experts/LoadMeter.h
+++ b/Source/Experts/LoadMeter.h
@@ -22,8 +22,6 @@
 
 struct LoadMeter {
   LoadMeterOptions m_Options;
-  // By rank: the counts last read.
-  std::vector<std::vector<std::uint64_t>> m_Counts;
   // By layer and expert.
   ExpertLoad m_Load;
   TimePoint m_Updated;
@@ -31,10 +29,23 @@
   bool operator==(const LoadMeter &) const = default;
 };
 
-// Takes in the counts of all ranks. A rank whose counts fell was restarted:
-// what it counted before is left out.
+// Running counts of one rank, of which only what is new is told.
+struct CountReader {
+  // Last read; empty before the first time.
+  std::vector<std::uint64_t> m_Counts;
+
+  bool operator==(const CountReader &) const = default;
+};
+
+// What was counted since the last time; nothing the first time. A rank whose
+// counts fell was restarted: nothing of it counts before the next time.
+std::vector<std::uint64_t> takeNew(CountReader &Reader,
+                                   std::vector<std::uint64_t> Counts);
+
+// Takes in what all ranks have counted since the last time; a rank that has
+// nothing to tell has an empty list.
 void noteCounts(LoadMeter &Meter,
-                const std::vector<std::vector<std::uint64_t>> &Counts,
+                const std::vector<std::vector<std::uint64_t>> &New,
                 TimePoint Now);
 
 // Whether enough was counted to place experts by it.
