Gateway: an attempt at an engine that brings nothing is left in time for another one

Pattern: an engine hangs with good health while the others answer. Cause: its requests waited until their callers left after 2 s, and each new one went there again. Change: after four times the mean time to a first byte, 0.6 s at least, the request goes elsewhere within attempts and budget, and the engine is avoided for a while; not where all are so slow that another attempt would be too late.

--- a/Source/Gateway/AttemptOutcome.cpp
+++ b/Source/Gateway/AttemptOutcome.cpp
@@ -1,8 +1,20 @@
 // The table as code.
 #include "Gateway/AttemptOutcome.h"
 
+#include <algorithm>
+
 namespace mangocart {
 
+namespace {
+
+// Times to a first byte vary by prompts and queues; hardly any takes this many
+// times the mean.
+constexpr int PatienceFactor = 4;
+// A pass of a group that was held or stalls for a moment.
+constexpr Duration LeastPatience = std::chrono::milliseconds(600);
+
+} // namespace
+
 std::string_view toString(AttemptEnd End) {
   switch (End) {
   case AttemptEnd::NeverSent:
@@ -52,4 +64,14 @@
   return Known.m_TimeOver ? OwnEnd::FailTimeout : OwnEnd::FailUnknown;
 }
 
+std::optional<Duration> attemptPatience(Duration ExpectedFirst,
+                                        Duration CallersPatience) {
+  const Duration Patience =
+      std::max(LeastPatience, PatienceFactor * ExpectedFirst);
+  if (CallersPatience > Duration::zero() &&
+      Patience + ExpectedFirst > CallersPatience)
+    return std::nullopt;
+  return Patience;
+}
+
 } // namespace mangocart
--- a/Source/Gateway/AttemptOutcome.h
+++ b/Source/Gateway/AttemptOutcome.h
@@ -3,7 +3,10 @@
 #ifndef MANGOCART_GATEWAY_ATTEMPTOUTCOME_H
 #define MANGOCART_GATEWAY_ATTEMPTOUTCOME_H
 
+#include "Core/RuntimeClock.h"
+
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace mangocart {
@@ -65,6 +68,13 @@
 
 OwnEnd ownEndOf(const RequestKnowledge &Known);
 
+// How long an attempt at an engine may bring nothing before the request goes
+// elsewhere. ExpectedFirst is the mean time to a first byte, CallersPatience
+// the time after which the caller leaves; 0: it doesn't. Nothing: it waits, as
+// all engines are so slow that another one would be too late as well.
+std::optional<Duration> attemptPatience(Duration ExpectedFirst,
+                                        Duration CallersPatience);
+
 } // namespace mangocart
 
 #endif
--- a/Source/Gateway/DirectRequest.cpp
+++ b/Source/Gateway/DirectRequest.cpp
@@ -73,7 +73,7 @@
     : m_Context(Context), m_Exchange(std::move(Exchange)),
       m_Call(std::move(Call)), m_Arrived(RuntimeClock::now()),
       m_Progressed(m_Arrived), m_Timer(m_Exchange->executor()),
-      m_Size(sizeOf(m_Call)) {
+      m_PatienceTimer(m_Exchange->executor()), m_Size(sizeOf(m_Call)) {
   const Duration Waits = m_Call.m_Caller.m_TimeLeft.value_or(DefaultTimeLeft);
   m_Deadline = m_Arrived + std::min(Waits, m_Call.m_Route->m_Timeout);
   m_Known.m_Repeatable = m_Call.m_Route->isRepeatable();
@@ -178,6 +178,7 @@
   ++m_Known.m_Sent;
   m_Sent = RuntimeClock::now();
   m_HeadSeen = false;
+  m_Brought = false;
   m_Body.clear();
   m_Cutter.dropPending();
   const HttpTarget To{m_Target->m_Agent.m_Address, m_Target->m_Agent.m_Port};
@@ -192,11 +193,23 @@
   const PlannedService *Service = m_Call.m_Plan->findService(m_Call.m_Service);
   if (!m_Known.m_Repeatable || !Service || !Service->m_Engine)
     return;
-  m_Watched = m_Context.m_Watch.begin(*m_Target, m_Exchange->executor(),
-                                      [Weak = weak_from_this()] {
-                                        if (const auto Self = Weak.lock())
-                                          Self->onServerSilent();
-                                      });
+  m_Watched = m_Context.m_Watch.begin(
+      *m_Target, m_Exchange->executor(), [Weak = weak_from_this()] {
+        if (const auto Self = Weak.lock())
+          Self->goElsewhere("its machine doesn't answer");
+      });
+  const auto Patience =
+      attemptPatience(m_Context.m_Gates.expectedFirstByte(m_Call.m_Service),
+                      m_Call.m_Route->m_Patience);
+  if (!Patience)
+    return;
+  m_PatienceTimer.expires_after(*Patience);
+  m_PatienceTimer.async_wait([Weak = weak_from_this(), Attempt = m_Watched](
+                                 boost::system::error_code Error) {
+    const auto Self = Weak.lock();
+    if (!Error && Self && Self->m_Watched == Attempt && !Self->m_Brought)
+      Self->goElsewhere("nothing came from it");
+  });
 }
 
 HttpCallHandlers DirectRequest::makeHandlers() {
@@ -274,6 +287,7 @@
 }
 
 void DirectRequest::passOn(std::string Bytes) {
+  m_Brought = true;
   startAnswer();
   m_Progressed = RuntimeClock::now();
   m_Context.m_Directory.callProgressed(*m_Target);
@@ -426,7 +440,7 @@
   giveUp("time-over");
 }
 
-void DirectRequest::onServerSilent() {
+void DirectRequest::goElsewhere(std::string_view Detail) {
   if (m_Finished || !m_HttpCall || !m_Target)
     return;
   RequestKnowledge After = m_Known;
@@ -437,7 +451,7 @@
   m_HttpCall.reset();
   m_Known = After;
   writeAttemptEnd(m_AnswerStarted ? AttemptEnd::CutOff : AttemptEnd::Lost,
-                  "its machine doesn't answer");
+                  Detail);
   report(CallResult::Broken);
   attempt();
 }
@@ -458,6 +472,7 @@
     return;
   m_Finished = true;
   m_Timer.cancel();
+  m_PatienceTimer.cancel();
   if (m_AtGate)
     m_Context.m_Gates.cancel(m_Call.m_Service, *m_AtGate);
   const TimePoint Now = RuntimeClock::now();
--- a/Source/Gateway/DirectRequest.h
+++ b/Source/Gateway/DirectRequest.h
@@ -62,9 +62,9 @@
   void onError(const HttpError &Error);
   void onTimeOver();
   void onCallerGone();
-  // The machine of the backend server doesn't answer: another one is tried
-  // where the request may be repeated, else the answer is waited for.
-  void onServerSilent();
+  // Another backend server is tried where the request may be repeated, else
+  // the answer is waited for.
+  void goElsewhere(std::string_view Detail);
   void watch();
 
   void passOn(std::string Bytes);
@@ -90,6 +90,8 @@
   TimePoint m_Progressed;
   TimePoint m_Deadline;
   Timer m_Timer;
+  // Ends an attempt that brings nothing.
+  Timer m_PatienceTimer;
   CallSize m_Size;
   RequestKnowledge m_Known;
 
@@ -108,6 +110,8 @@
   // The answer: its head, and what is held back of its body.
   HttpHead m_Head;
   bool m_HeadSeen = false;
+  // The attempt has brought something for the caller.
+  bool m_Brought = false;
   std::string m_Body;
   Passing m_Passing = Passing::Whole;
   EventStreamCutter m_Cutter;
--- a/Source/Gateway/ServiceGates.cpp
+++ b/Source/Gateway/ServiceGates.cpp
@@ -108,6 +108,14 @@
   mangocart::noteFirstByte(gateOf(Service, Now).m_Queue, Observed, Now);
 }
 
+Duration ServiceGates::expectedFirstByte(const std::string &Service) {
+  const TimePoint Now = RuntimeClock::now();
+  const std::lock_guard Lock(m_Mutex);
+  const ServiceQueue &Queue = gateOf(Service, Now).m_Queue;
+  return expectedFirstToken(Queue.m_FirstByte, Queue.m_Options.m_FirstByte,
+                            Now);
+}
+
 void ServiceGates::pump() {
   const TimePoint Now = RuntimeClock::now();
   const std::lock_guard Lock(m_Mutex);
--- a/Source/Gateway/ServiceGates.h
+++ b/Source/Gateway/ServiceGates.h
@@ -66,6 +66,8 @@
   // The caller has gone; the handler is not called unless it is on its way.
   void cancel(const std::string &Service, std::uint64_t Number);
   void noteFirstByte(const std::string &Service, Duration Observed);
+  // Mean time from sending a call on to the first byte of its answer.
+  Duration expectedFirstByte(const std::string &Service);
   // Places may have become free, or time has passed.
   void pump();
   void pump(const std::string &Service);
--- a/Tests/Gateway/testAttemptOutcome.cpp
+++ b/Tests/Gateway/testAttemptOutcome.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 using namespace mangocart;
+using namespace std::chrono_literals;
 
 TEST_CASE(
     "only an attempt that never left, or a refusal, proves that nothing ran") {
@@ -91,3 +92,23 @@
         CHECK_FALSE(mayTryAgain(Known));
     }
 }
+
+TEST_CASE("an attempt that brings nothing is left in time for another one") {
+  struct Case {
+    const char *m_Name;
+    Duration m_ExpectedFirst;
+    Duration m_CallersPatience;
+    std::optional<Duration> m_Patience;
+  };
+  const Case Cases[] = {
+      {"one engine hangs, the others answer", 200ms, 2s, 800ms},
+      {"fast engines", 50ms, 2s, 600ms},
+      {"an overload: another one would be too late", 500ms, 2s, std::nullopt},
+      {"the caller doesn't leave", 500ms, 0s, 2s},
+  };
+  for (const Case &Each : Cases) {
+    INFO(Each.m_Name);
+    CHECK(attemptPatience(Each.m_ExpectedFirst, Each.m_CallersPatience) ==
+          Each.m_Patience);
+  }
+}
