Balancer: a slow rank is relieved of experts in demand

Pattern: one rank turns slow, and all ranks of its group with it. Cause: the placement counted all ranks as equal. Engines report how much longer their work takes; it goes into the placement's slowness from 1.15 on.

--- a/Source/Balancer/EngineProtocol.h
+++ b/Source/Balancer/EngineProtocol.h
@@ -22,6 +22,8 @@
   // Requests that it works on, and that wait there.
   std::uint32_t m_Running = 0;
   std::uint32_t m_Waiting = 0;
+  // How many times longer than usual its work takes.
+  double m_Slowness = 1.0;
   RankReport m_Report;
 
   bool operator==(const RankState &) const = default;
--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -499,6 +499,17 @@
   return Places > 0 ? Requests / Places : 1.0;
 }
 
+RankSlowness GroupCoordinator::slowness() const {
+  // Below, it is measured noise.
+  constexpr double LeastSlowness = 1.15;
+  RankSlowness Factors;
+  for (const std::optional<PeerEndpoint> &Each : ranks()) {
+    const double Own = m_PeersByEndpoint.at(*Each).m_State->m_Slowness;
+    Factors.m_Factors.push_back(Own >= LeastSlowness ? Own : 1.0);
+  }
+  return Factors;
+}
+
 void GroupCoordinator::plan(const std::vector<RankReport> &Reports,
                             TimePoint Now) {
   const auto Layout = m_Sources.m_Layout();
@@ -509,16 +520,17 @@
       m_Meter.m_Load.m_Tokens.size() !=
           std::size_t{Layout->m_Layers} * Layout->m_Experts)
     return;
-  const StepLoad Present = stepLoad(*m_Map, m_Meter.m_Load);
+  const RankSlowness Slowness = slowness();
+  const StepLoad Present = stepLoad(*m_Map, m_Meter.m_Load, Slowness);
   if (Present.m_Mean <= 0)
     return;
   const double Occupancy = occupancy(*Layout);
   const ExpertMap Next = placeIncrementally(
-      *m_Map, m_Meter.m_Load, {},
+      *m_Map, m_Meter.m_Load, Slowness,
       copyingPlacement({Layout->m_CopyTime, Layout->m_MaxNewPerLayer}, Present,
                        Occupancy));
   const double Before = Present.skew();
-  const double After = stepLoad(Next, m_Meter.m_Load).skew();
+  const double After = stepLoad(Next, m_Meter.m_Load, Slowness).skew();
   if (Before - After < leastGain(Occupancy, areOrdersUnanswered(m_Switch, Now)))
     return;
   const std::uint64_t Version = freshVersion(highestVersion(Reports));
--- a/Source/Balancer/GroupCoordinator.h
+++ b/Source/Balancer/GroupCoordinator.h
@@ -86,6 +86,7 @@
   void queueOrders(std::vector<RankOrder> Orders);
   void noteProgress(SwitchPhase Before);
   void plan(const std::vector<RankReport> &Reports, TimePoint Now);
+  RankSlowness slowness() const;
   // Part of the group's places that is taken.
   double occupancy(const ExpertLayout &Layout) const;
   void takeExperts();
--- a/Source/Balancer/RankService.cpp
+++ b/Source/Balancer/RankService.cpp
@@ -65,6 +65,7 @@
   Out.set_held_pass(From.m_HeldPass);
   Out.set_running(State.m_Running);
   Out.set_waiting(State.m_Waiting);
+  Out.set_slowness(State.m_Slowness);
   return Out;
 }
 
@@ -75,6 +76,7 @@
   State.m_Size = Report.size();
   State.m_Running = Report.running();
   State.m_Waiting = Report.waiting();
+  State.m_Slowness = Report.slowness();
   RankReport &To = State.m_Report;
   To.m_Epoch = Report.epoch();
   To.m_IsOpen = Report.open();
--- a/Tests/Experts/testCopyCost.cpp
+++ b/Tests/Experts/testCopyCost.cpp
@@ -54,6 +54,26 @@
   }
 }
 
+// Pattern: one rank of a group turns slow, and all its ranks with it.
+TEST_CASE("a slow rank is relieved of experts in demand in a few changes") {
+  constexpr double Slow = 4.0;
+  for (const Group &Each : Groups) {
+    INFO(Each.m_Name);
+    Random Generator(1);
+    const ExpertLoad Load = skewedLoad(Each.m_Shape, Generator);
+    RankSlowness Slowness;
+    Slowness.m_Factors.assign(Each.m_Shape.m_Ranks, 1.0);
+    Slowness.m_Factors[3] = Slow;
+    ExpertMap Map = initialMap(Each.m_Shape);
+    for (int I = 0; I < 8; ++I)
+      Map = placeIncrementally(Map, Load, Slowness,
+                               copyingPlacement(Each.m_Copies,
+                                                stepLoad(Map, Load, Slowness),
+                                                HalfBusy));
+    CHECK(stepLoad(Map, Load, Slowness).skew() <= LargestSkew);
+  }
+}
+
 TEST_CASE("a change keeps to the limits of copies") {
   for (const Group &Each : Groups) {
     INFO(Each.m_Name);
--- a/Tests/Platform/testPlatformEngineProtocol.cpp
+++ b/Tests/Platform/testPlatformEngineProtocol.cpp
@@ -11,13 +11,15 @@
       R"({"stage":"prefill_decode","busy":true,"sequence":2,"waiting":1,)"
       R"("running":12,"kv_used":41000,"step":812,"map":7,"prepared":9,)"
       R"("armed":{"version":9,"step":900},"held":900,)"
-      R"("group":{"name":"g0-0","epoch":3,"rank":5,"state":"open"},"size":12})");
+      R"("group":{"name":"g0-0","epoch":3,"rank":5,"state":"open"},"size":12,)"
+      R"("pace":3.5})");
   REQUIRE(State);
   CHECK(State->m_Group == "g0-0");
   CHECK(State->m_Rank == 5);
   CHECK(State->m_Size == 12);
   CHECK(State->m_Running == 12);
   CHECK(State->m_Waiting == 1);
+  CHECK(State->m_Slowness == 3.5);
   CHECK(State->m_Report == RankReport{3, true, 2, true, 812, 7, 9, 9, 900});
 }
 
