--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -346,6 +346,7 @@
                   [](const auto &Each) { return !Each; }))
     return decideWithout(Found);
   std::vector<RankReport> Reports;
+  Reports.reserve(Found.size());
   for (const std::optional<RankReport> &Each : Found)
     Reports.push_back(*Each);
   takeExperts();
