Gateway: work in flight is told by differences; balancers judge silence by the announcements

Change: a report names only what has changed since the one before on its stream; balancers use the limits that gateways use.

--- a/Source/Balancer/BalancerDaemon.cpp
+++ b/Source/Balancer/BalancerDaemon.cpp
@@ -3,6 +3,7 @@
 
 #include "Daemon/DaemonParts.h"
 #include "Daemon/StopSignals.h"
+#include "Membership/AnnounceLimits.h"
 #include "Net/UnaryMethod.h"
 #include "Raft/RaftPeers.h"
 #include "Settings/SettingsReader.h"
@@ -14,17 +15,6 @@
 constexpr Duration TendInterval = std::chrono::seconds(2);
 // One worker: the machine has a part of a core.
 constexpr std::size_t Workers = 1;
-// Announcements that may be missed before a backend server is lost.
-constexpr int LostAfterAnnouncements = 8;
-
-MembershipLimits membershipLimits(const schema::BalancerSettings &Settings) {
-  MembershipLimits Limits;
-  Limits.m_LostAfter =
-      std::chrono::milliseconds(Settings.announce_interval_ms()) *
-      LostAfterAnnouncements;
-  return Limits;
-}
-
 HttpTarget toTarget(const PeerEndpoint &Endpoint) {
   return {Endpoint.m_Address, Endpoint.m_Port};
 }
@@ -77,7 +67,8 @@
           [this](const std::string &Text) { settingsChanged(Text); }),
       m_TendTimer(m_Workers.worker(0)) {
   m_Events.limitRequestLines(m_Settings.log_lines_per_second());
-  m_Directory.setLimits(membershipLimits(m_Settings));
+  m_Directory.setLimits(announceLimits(
+      std::chrono::milliseconds(m_Settings.announce_interval_ms())));
 }
 
 BalancerDaemon::~BalancerDaemon() { m_Workers.stop(); }
--- a/Source/Gateway/BackendConnections.cpp
+++ b/Source/Gateway/BackendConnections.cpp
@@ -10,10 +10,11 @@
 // Within a zone a connection is made in a few milliseconds; a lost packet is
 // sent again after a second.
 constexpr Duration ConnectTimeout = milliseconds(300);
-// A machine that has stopped answers no new connection, so that the request
-// surely wasn't sent and goes elsewhere; on a kept connection it would wait
-// there, and still be there after its caller has left. A connection used
-// within this time has shown that the machine runs.
+// A machine without power or behind a cut answers no new connection, so that
+// the request surely wasn't sent and goes elsewhere; on a kept connection it
+// would wait there, and still be there after its caller has left. A connection
+// used within this time has shown that the machine runs. One that stands still
+// takes connections: AttemptWatch finds it.
 constexpr Duration MaxIdle = milliseconds(250);
 
 } // namespace
--- a/Source/Gateway/LoadExchange.cpp
+++ b/Source/Gateway/LoadExchange.cpp
@@ -68,15 +68,11 @@
   const TimePoint Now = RuntimeClock::now();
   OthersWork Own = m_Directory.ownWork();
   if (Own.m_Requests != m_Told || Now - m_ToldAt >= RepeatInterval) {
-    schema::LoadReport Report;
-    Report.set_gateway(m_Name);
-    for (const auto &[Server, Requests] : Own.m_Requests) {
-      Report.add_servers(Server);
-      Report.add_requests(Requests);
-    }
-    const std::string Bytes = Report.SerializeAsString();
+    const std::string Whole = report(Own.m_Requests, false);
+    const std::string Changes =
+        report(workChanges(m_Told, Own.m_Requests), true);
     for (auto &[To, Through] : m_Links)
-      tell(To, Through, Bytes);
+      tell(To, Through, Whole, Changes);
     m_Told = std::move(Own.m_Requests);
     m_ToldAt = Now;
   }
@@ -87,12 +83,25 @@
   });
 }
 
+std::string LoadExchange::report(const WorkByServer &Work,
+                                 bool ChangesOnly) const {
+  schema::LoadReport Report;
+  Report.set_gateway(m_Name);
+  Report.set_changes_only(ChangesOnly);
+  for (const auto &[Server, Requests] : Work) {
+    Report.add_servers(Server);
+    Report.add_requests(Requests);
+  }
+  return Report.SerializeAsString();
+}
+
 void LoadExchange::tell(const PeerEndpoint &To, Link &Through,
-                        const std::string &Report) {
+                        const std::string &Whole, const std::string &Changes) {
   if (Through.m_Stream && *Through.m_Lost)
     Through.m_Stream.reset();
   const TimePoint Now = RuntimeClock::now();
   if (!Through.m_Stream) {
+    Through.m_NeedsWhole = true;
     if (Now - Through.m_Opened < ReopenInterval)
       return;
     Through.m_Opened = Now;
@@ -106,8 +115,12 @@
     Handlers.m_OnError = [Lose](const PeerError &) { Lose(); };
     Through.m_Stream = m_Client.open(To, LoadMethod, std::move(Handlers));
   }
-  if (Through.m_Stream->queuedBytes() <= MaxQueuedBytes)
-    Through.m_Stream->send(Report);
+  if (Through.m_Stream->queuedBytes() > MaxQueuedBytes) {
+    Through.m_NeedsWhole = true;
+    return;
+  }
+  Through.m_Stream->send(std::exchange(Through.m_NeedsWhole, false) ? Whole
+                                                                    : Changes);
 }
 
 void LoadExchange::heard(std::string_view Bytes) {
@@ -115,10 +128,16 @@
   if (!Report.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())) ||
       Report.servers_size() != Report.requests_size())
     return;
+  WorkByServer Told;
+  for (int I = 0; I < Report.servers_size(); ++I)
+    Told[Report.servers(I)] = Report.requests(I);
+  WorkByServer &Known = m_Heard[Report.gateway()];
+  if (!Report.changes_only())
+    Known.clear();
+  applyWorkChanges(Known, Told);
   OthersWork Work;
   Work.m_Heard = RuntimeClock::now();
-  for (int I = 0; I < Report.servers_size(); ++I)
-    Work.m_Requests[Report.servers(I)] = Report.requests(I);
+  Work.m_Requests = Known;
   m_Directory.othersWork(Report.gateway(), std::move(Work));
   m_OnHeard();
 }
--- a/Source/Gateway/LoadExchange.h
+++ b/Source/Gateway/LoadExchange.h
@@ -5,6 +5,7 @@
 
 #include "Core/Timer.h"
 #include "Entry/RoutingTable.h"
+#include "Gateway/WorkChanges.h"
 #include "Net/PeerStream.h"
 
 #include <boost/asio/io_context.hpp>
@@ -37,10 +38,14 @@
     std::shared_ptr<PeerStream> m_Stream;
     std::shared_ptr<bool> m_Lost;
     TimePoint m_Opened;
+    // The next report must be whole: the other side misses one.
+    bool m_NeedsWhole = true;
   };
 
   void tick();
-  void tell(const PeerEndpoint &To, Link &Through, const std::string &Report);
+  std::string report(const WorkByServer &Work, bool ChangesOnly) const;
+  void tell(const PeerEndpoint &To, Link &Through, const std::string &Whole,
+            const std::string &Changes);
   void heard(std::string_view Bytes);
 
   PeerClient &m_Client;
@@ -51,8 +56,10 @@
   Timer m_Timer;
   std::map<PeerEndpoint, Link> m_Links;
   // What was told last, and when.
-  std::map<std::uint64_t, std::uint32_t> m_Told;
+  WorkByServer m_Told;
   TimePoint m_ToldAt;
+  // By gateway: what it has in flight.
+  std::map<std::string, WorkByServer> m_Heard;
 };
 
 } // namespace mangocart
