--- a/Source/Settings/MessageReader.cpp
+++ b/Source/Settings/MessageReader.cpp
@@ -2,6 +2,7 @@
 #include "Settings/MessageReader.h"
 
 #include "Options.pb.h"
+#include "Settings/DurationText.h"
 #include "Settings/TextForms.h"
 
 #include <fmt/format.h>
@@ -71,6 +72,11 @@
   }
 }
 
+// The field holds a whole number of milliseconds and takes text with a unit.
+bool isDuration(const FieldDescriptor &Field) {
+  return ruleOf(Field).form() == "duration";
+}
+
 std::string numberText(double Number) {
   constexpr double LargestExact = 1e15;
   if (std::trunc(Number) == Number && std::abs(Number) < LargestExact)
@@ -103,12 +109,16 @@
 
 std::string expectedNumber(const FieldDescriptor &Field) {
   const schema::FieldRule &Rule = ruleOf(Field);
-  std::string Text = isWhole(Field) ? "a whole number" : "a number";
+  std::string Text = isDuration(Field) ? "a duration"
+                     : isWhole(Field)  ? "a whole number"
+                                       : "a number";
   if (Rule.bounded())
     Text += fmt::format(" from {} to {}", numberText(Rule.min()),
                         numberText(Rule.max()));
   if (!Rule.unit().empty())
     Text += " " + Rule.unit();
+  if (isDuration(Field))
+    Text += ", as a number or as text such as \"2.5 s\"";
   return Text;
 }
 
@@ -210,6 +220,8 @@
                const std::string &Path, Message &Into);
   void readWhole(const FieldDescriptor &Field, const toml::node &Node,
                  const std::string &Path, Message &Into);
+  void readDuration(const FieldDescriptor &Field, const toml::node &Node,
+                    const std::string &Path, Message &Into);
   void readReal(const FieldDescriptor &Field, const toml::node &Node,
                 const std::string &Path, Message &Into);
   void readText(const FieldDescriptor &Field, const toml::node &Node,
@@ -362,6 +374,8 @@
     if (!isWhole(Field))
       return fail(Path, "a field that TOML can't state",
                   "another type in the schema", "report this as a fault");
+    if (isDuration(Field))
+      return readDuration(Field, Node, Path, Into);
     return readWhole(Field, Node, Path, Into);
   }
 }
@@ -376,6 +390,17 @@
   FieldWriter(Into, Field).number(Value);
 }
 
+void Reader::readDuration(const FieldDescriptor &Field, const toml::node &Node,
+                          const std::string &Path, Message &Into) {
+  const std::optional<double> Milliseconds =
+      Node.is_string() ? parseMilliseconds(Node.as_string()->get())
+                       : Node.value<double>();
+  if (!Milliseconds || Node.is_boolean() ||
+      !withinBounds(Field, std::round(*Milliseconds)))
+    return mismatch(Field, Node, Path);
+  FieldWriter(Into, Field).number(std::llround(*Milliseconds));
+}
+
 void Reader::readReal(const FieldDescriptor &Field, const toml::node &Node,
                       const std::string &Path, Message &Into) {
   const std::optional<double> Value =
