Balancer: sampled counts and map differences for large groups

The log of the coordinators shows rounds of 0.33 s with 3 to 10 unreachable ranks in each, also before any traffic. A reply with the counts of one rank is 3,072 numbers; 64 of them take 0.26 s of a link of 6 Mbit/s, more than the 0.25 s that a call may take. An order with a whole map takes 0.5 s for 64 ranks.

Ruled out: takeover (one coordinator is left 0.1 s after several begin), the engines (no refused order), the gain against the cost of copies (no change was ever planned, since a rank was always missing).

Change: counts are requested from as many ranks in turn as fit into half of the link; maps are sent as the difference to the active one to balancers that have it; calls of a round with whole maps have more time; balancers are found by the group that their replica announces instead of by a call to each of 192; the list of balancers is read 4 times a second instead of once a round.

--- a/Source/Balancer/BalancerDaemon.cpp
+++ b/Source/Balancer/BalancerDaemon.cpp
@@ -15,6 +15,10 @@
 constexpr Duration MaintenanceInterval = std::chrono::seconds(2);
 // One worker thread, because the machine has only a fraction of a core for it.
 constexpr std::size_t Workers = 1;
+constexpr double BytesPerSecondPerMbps = 1e6 / 8;
+// The service of the replica is looked up this often; it almost never changes.
+constexpr Duration OwnServiceInterval = std::chrono::seconds(1);
+
 HttpTarget toTarget(const PeerEndpoint &Endpoint) {
   return {Endpoint.m_Address, Endpoint.m_Port};
 }
@@ -59,9 +63,11 @@
           m_Settings.name())),
       m_Coordinator(std::make_shared<GroupCoordinator>(
           m_Workers.worker(0),
-          GroupCoordinatorDependencies{m_Events, m_Service, m_Peers,
-                                       [this] { return balancers(); },
-                                       [this] { return layout(); }, m_Self},
+          GroupCoordinatorDependencies{
+              m_Events, m_Service, m_Peers,
+              [this](const std::string &Group) { return balancers(Group); },
+              [this] { return layout(); }, m_Self,
+              m_Settings.link_mbps() * BytesPerSecondPerMbps},
           RuntimeClock::wallMilliseconds())),
       m_SettingsWatch(
           m_Workers.worker(0), m_SettingsFile,
@@ -123,35 +129,39 @@
   });
 }
 
-// Returns the service that the replica on this machine announces.
-std::string
-BalancerDaemon::ownService(const std::vector<MemberView> &Members) const {
-  for (const MemberView &Each : Members)
+const std::string &BalancerDaemon::ownService() {
+  const TimePoint Now = RuntimeClock::now();
+  if (!m_OwnService.empty() && Now - m_OwnServiceReadAt < OwnServiceInterval)
+    return m_OwnService;
+  m_OwnServiceReadAt = Now;
+  m_OwnService.clear();
+  for (const MemberView &Each : m_Directory.members())
     if (Each.m_Member.m_Address == m_Replica.m_Address &&
         Each.m_Member.m_PeerPort == m_Replica.m_Port &&
         Each.m_Member.m_State != MemberState::Left)
-      return Each.m_Member.m_Service;
-  return {};
+      m_OwnService = Each.m_Member.m_Service;
+  return m_OwnService;
 }
 
-std::map<PeerEndpoint, PeerEndpoint> BalancerDaemon::balancers() const {
-  const std::vector<MemberView> Members = m_Directory.members();
-  const std::string Service = ownService(Members);
+std::map<PeerEndpoint, PeerEndpoint>
+BalancerDaemon::balancers(const std::string &Group) {
+  const std::string &Service = ownService();
   std::map<PeerEndpoint, PeerEndpoint> Found;
   if (Service.empty())
     return Found;
-  for (const MemberView &Each : Members)
+  for (const MemberView &Each : m_Directory.members())
     if (Each.m_Member.m_Service == Service &&
+        (Each.m_Member.m_Group.empty() || Each.m_Member.m_Group == Group) &&
         Each.m_Member.m_State != MemberState::Left)
       Found[{Each.m_Member.m_Address, m_Self.m_Port}] = {
           Each.m_Member.m_Address, Each.m_Member.m_PeerPort};
   return Found;
 }
 
-std::optional<ExpertLayout> BalancerDaemon::layout() const {
+std::optional<ExpertLayout> BalancerDaemon::layout() {
   const RoutingPlanPtr Plan = m_Plans.current();
   const ServiceConfig *Service =
-      Plan ? Plan->findService(ownService(m_Directory.members())) : nullptr;
+      Plan ? Plan->findService(ownService()) : nullptr;
   if (!Service || !Service->m_Engine)
     return std::nullopt;
   return Service->m_Engine->m_Experts;
--- a/Source/Balancer/BalancerDaemon.h
+++ b/Source/Balancer/BalancerDaemon.h
@@ -33,9 +33,10 @@
   bool listen();
   void serve();
   void runMaintenance();
-  std::string ownService(const std::vector<MemberView> &Members) const;
-  std::map<PeerEndpoint, PeerEndpoint> balancers() const;
-  std::optional<ExpertLayout> layout() const;
+  // Service that the replica on this machine announces; empty if unknown.
+  const std::string &ownService();
+  std::map<PeerEndpoint, PeerEndpoint> balancers(const std::string &Group);
+  std::optional<ExpertLayout> layout();
   void settingsChanged(const std::string &Text);
 
   const schema::BalancerSettings m_Settings;
@@ -56,6 +57,8 @@
   std::shared_ptr<GroupCoordinator> m_Coordinator;
   SettingsWatch m_SettingsWatch;
   Timer m_MaintenanceTimer;
+  std::string m_OwnService;
+  TimePoint m_OwnServiceReadAt;
   ExitGate m_Exit;
 };
 
--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -26,6 +26,9 @@
 // answer is queried directly in the remaining time of the round.
 constexpr Duration CallTimeout = milliseconds(250);
 constexpr Duration DiscoverInterval = milliseconds(1500);
+constexpr Duration PeerListInterval = milliseconds(250);
+// Fraction of the link that replies with counts may use.
+constexpr double CountsLinkFraction = 0.5;
 // Time without a request from a coordinator after which the first rank takes
 // over, and the additional delay of each further rank.
 constexpr Duration TakeoverDelay = milliseconds(700);
@@ -78,6 +81,11 @@
   m_Dependencies.m_Service.query(Request, std::move(Done));
 }
 
+Duration GroupCoordinator::transferTime(double Bytes) const {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      Bytes / std::max(m_Dependencies.m_LinkBytesPerSecond, 1.0)));
+}
+
 Duration GroupCoordinator::interval() const {
   // Minimizes the time between hold and release.
   if (!m_Orders.empty())
@@ -149,12 +157,16 @@
 }
 
 void GroupCoordinator::discover(TimePoint Now) {
-  const std::map<PeerEndpoint, PeerEndpoint> Known =
-      m_Dependencies.m_Balancers();
-  std::erase_if(m_PeersByEndpoint,
-                [&](const auto &Each) { return !Known.contains(Each.first); });
-  for (const auto &[Balancer, Replica] : Known)
-    m_PeersByEndpoint[Balancer].m_Replica = Replica;
+  if (Now - m_LastPeerListUpdate >= PeerListInterval) {
+    m_LastPeerListUpdate = Now;
+    const std::map<PeerEndpoint, PeerEndpoint> Known =
+        m_Dependencies.m_Balancers(m_OwnState->m_Group);
+    std::erase_if(m_PeersByEndpoint, [&](const auto &Each) {
+      return !Known.contains(Each.first);
+    });
+    for (const auto &[Balancer, Replica] : Known)
+      m_PeersByEndpoint[Balancer].m_Replica = Replica;
+  }
   for (auto &[To, Other] : m_PeersByEndpoint) {
     const bool IsOwnGroup =
         Other.m_State && Other.m_State->m_Group == m_OwnState->m_Group;
@@ -164,7 +176,7 @@
     schema::RankRequest Request;
     Request.set_group(m_OwnState->m_Group);
     Request.set_from_rank(m_OwnState->m_Rank);
-    sendRequest(To, Request, false);
+    sendRequest(To, Request, false, CallTimeout);
   }
 }
 
@@ -199,48 +211,91 @@
   return true;
 }
 
+std::vector<bool> GroupCoordinator::ranksToCount() {
+  const auto Layout = m_Dependencies.m_Layout();
+  if (!Layout || !wantsCounts())
+    return std::vector<bool>(m_OwnState->m_Size);
+  const std::size_t Numbers = std::size_t{Layout->m_Layers} * Layout->m_Experts;
+  const double BytesPerRound =
+      m_Dependencies.m_LinkBytesPerSecond * CountsLinkFraction *
+      std::chrono::duration<double>(IdleInterval).count();
+  return sampleRanks(m_CountSampler, m_OwnState->m_Size,
+                     static_cast<double>(std::max(m_CountReplyBytes, Numbers)),
+                     BytesPerRound);
+}
+
 void GroupCoordinator::collectCounts(TimePoint Now) {
   std::vector<std::vector<std::uint64_t>> Counts;
-  bool Any = false;
+  std::size_t LargestReply = 0;
   for (const std::optional<PeerEndpoint> &Each : balancersByRank()) {
-    const auto &Read = m_PeersByEndpoint[*Each].m_Reply.counts();
-    Any = Any || !Read.empty();
-    Counts.emplace_back(Read.begin(), Read.end());
+    const schema::RankReply &Reply = m_PeersByEndpoint[*Each].m_Reply;
+    Counts.emplace_back(Reply.counts().begin(), Reply.counts().end());
+    if (!Reply.counts().empty())
+      LargestReply = std::max(LargestReply, Reply.ByteSizeLong());
   }
-  if (Any)
-    addCounts(m_Meter, Counts, Now);
+  if (LargestReply == 0)
+    return;
+  m_CountReplyBytes = LargestReply;
+  addCounts(m_Meter, Counts, Now);
+}
+
+schema::RankOrder GroupCoordinator::encodeOrder(const RankOrder &Order,
+                                                const Peer &To) const {
+  const bool HasBase =
+      Order.m_Map && m_Map && m_Map->m_Shape == Order.m_Map->m_Shape &&
+      std::find(To.m_KnownMaps.begin(), To.m_KnownMaps.end(), m_MapVersion) !=
+          To.m_KnownMaps.end();
+  return HasBase ? toSchema(Order, *m_Map, m_MapVersion) : toSchema(Order);
+}
+
+void GroupCoordinator::rememberMap(Peer &From, std::uint64_t Version) {
+  std::erase(From.m_KnownMaps, Version);
+  From.m_KnownMaps.push_back(Version);
+  if (From.m_KnownMaps.size() > RankService::MaxKnownMaps)
+    From.m_KnownMaps.pop_front();
 }
 
 void GroupCoordinator::pollRanks() {
   ++m_Round;
   m_AwaitedReplies = 0;
   const auto Ranks = balancersByRank();
-  const bool WantsCounts = wantsCounts();
+  const std::vector<bool> IsCounted = ranksToCount();
   const std::optional<SwitchNotice> Notice = makeNotice(m_Switch);
+  std::vector<std::optional<schema::RankRequest>> Requests(Ranks.size());
+  double Bytes = 0;
   for (std::uint32_t Rank = 0; Rank < Ranks.size(); ++Rank) {
     if (!Ranks[Rank] || m_PeersByEndpoint[*Ranks[Rank]].m_IsRequestPending)
       continue;
-    schema::RankRequest Request;
+    schema::RankRequest &Request = Requests[Rank].emplace();
     Request.set_group(m_OwnState->m_Group);
     Request.set_from_rank(m_OwnState->m_Rank);
-    Request.set_wants_counts(WantsCounts);
+    Request.set_wants_counts(IsCounted[Rank]);
     Request.set_wants_experts(m_WantsExperts);
     if (Notice) {
       Request.mutable_notice()->set_epoch(Notice->m_Epoch);
       Request.mutable_notice()->set_version(Notice->m_Version);
     }
     if (const auto Order = m_Orders.find(Rank); Order != m_Orders.end())
-      *Request.mutable_order() = toSchema(Order->second);
+      *Request.mutable_order() =
+          encodeOrder(Order->second, m_PeersByEndpoint[*Ranks[Rank]]);
+    Bytes += static_cast<double>(Request.ByteSizeLong());
+  }
+  // Orders with whole maps fill the link for longer than a call may take.
+  const Duration Transfer = transferTime(Bytes);
+  for (std::uint32_t Rank = 0; Rank < Ranks.size(); ++Rank) {
+    if (!Requests[Rank])
+      continue;
     // The round doesn't wait for a rank that didn't answer the last request.
     const bool IsAwaited = !m_PeersByEndpoint[*Ranks[Rank]].m_IsUnreachable;
     if (IsAwaited)
       ++m_AwaitedReplies;
-    sendRequest(*Ranks[Rank], Request, IsAwaited);
+    sendRequest(*Ranks[Rank], *Requests[Rank], IsAwaited,
+                CallTimeout + 2 * Transfer);
   }
   m_Orders.clear();
   if (m_AwaitedReplies == 0)
     return;
-  m_Timer.expires_after(RoundTimeout);
+  m_Timer.expires_after(RoundTimeout + 2 * Transfer);
   m_Timer.async_wait([Self = shared_from_this(),
                       Round = m_Round](boost::system::error_code Error) {
     if (!Error && Self->m_Round == Round && Self->m_AwaitedReplies > 0)
@@ -250,15 +305,20 @@
 
 void GroupCoordinator::sendRequest(const PeerEndpoint &To,
                                    const schema::RankRequest &Request,
-                                   bool IsAwaited) {
+                                   bool IsAwaited, Duration Timeout) {
   Peer &Other = m_PeersByEndpoint[To];
   Other.m_IsRequestPending = true;
   Other.m_LastRequestTime = RuntimeClock::now();
-  const auto OnReply = [Self = shared_from_this(), To, IsAwaited,
+  const std::uint64_t MapSent =
+      Request.order().slots().empty() && Request.order().base_version() == 0
+          ? 0
+          : Request.order().version();
+  const auto OnReply = [Self = shared_from_this(), To, IsAwaited, MapSent,
                         Round = m_Round](schema::RankReply Reply) {
     postTask(Self->m_Timer.get_executor(),
-             [Self, To, IsAwaited, Round, Reply = std::move(Reply)]() mutable {
-               Self->onReply(To, std::move(Reply));
+             [Self, To, IsAwaited, MapSent, Round,
+              Reply = std::move(Reply)]() mutable {
+               Self->onReply(To, std::move(Reply), MapSent);
                if (IsAwaited && Round == Self->m_Round &&
                    Self->m_AwaitedReplies > 0 && --Self->m_AwaitedReplies == 0)
                  Self->endRound();
@@ -271,18 +331,19 @@
   const bool IsDirect = Request.order().kind() == schema::RankOrder::HOLD ||
                         Request.order().kind() == schema::RankOrder::RELEASE;
   if (!IsDirect)
-    return callBalancer(To, Request, OnReply);
+    return callBalancer(To, Request, Timeout, OnReply);
   schema::RankRequest RequestWithoutOrder = Request;
   RequestWithoutOrder.clear_order();
   m_Dependencies.m_Service.sendOrderTo(
       {Other.m_Replica.m_Address, Other.m_Replica.m_Port}, Request.order(),
-      [Self = shared_from_this(), To, RequestWithoutOrder, OnReply] {
-        Self->callBalancer(To, RequestWithoutOrder, OnReply);
+      [Self = shared_from_this(), To, RequestWithoutOrder, Timeout, OnReply] {
+        Self->callBalancer(To, RequestWithoutOrder, Timeout, OnReply);
       });
 }
 
 void GroupCoordinator::callBalancer(const PeerEndpoint &To,
                                     const schema::RankRequest &Request,
+                                    Duration Timeout,
                                     const RankService::Handler &OnReply) {
   // While a pass may be held, a replica whose balancer is unreachable is
   // queried directly.
@@ -291,7 +352,7 @@
       m_Switch.m_Phase != SwitchPhase::Preparing)
     FallbackReplica = m_PeersByEndpoint[To].m_Replica;
   m_Dependencies.m_Peers.call(
-      To, RankMethod, Request.SerializeAsString(), CallTimeout,
+      To, RankMethod, Request.SerializeAsString(), Timeout,
       [Self = shared_from_this(), OnReply, FallbackReplica,
        Request](const Result<std::string, PeerError> &Bytes) {
         schema::RankReply Reply;
@@ -309,7 +370,7 @@
 }
 
 void GroupCoordinator::onReply(const PeerEndpoint &From,
-                               schema::RankReply Reply) {
+                               schema::RankReply Reply, std::uint64_t MapSent) {
   const auto Found = m_PeersByEndpoint.find(From);
   if (Found == m_PeersByEndpoint.end())
     return;
@@ -319,8 +380,12 @@
   // A single resend may be due to a process that was late.
   if (Other.m_Reply.order_sends() > 2)
     m_Switch.m_LastResend = RuntimeClock::now();
+  if (Other.m_Reply.is_base_unknown())
+    Other.m_KnownMaps.clear();
   if (!Other.m_Reply.has_report())
     return;
+  if (MapSent != 0 && !Other.m_Reply.is_base_unknown())
+    rememberMap(Other, MapSent);
   Other.m_IsUnreachable = false;
   Other.m_State = fromSchema(Other.m_Reply.report());
   Other.m_LastReplyTime = RuntimeClock::now();
--- a/Source/Balancer/GroupCoordinator.h
+++ b/Source/Balancer/GroupCoordinator.h
@@ -8,12 +8,14 @@
 #include "Balancer/RankService.h"
 #include "Core/Random.h"
 #include "Core/Timer.h"
+#include "Experts/CountSampling.h"
 #include "Experts/GroupSwitch.h"
 #include "Experts/LoadMeter.h"
 #include "Experts/Placement.h"
 #include "Gateway/RoutingPlan.h"
 #include "Net/PeerStream.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 
@@ -26,12 +28,15 @@
   EventLog &m_Events;
   RankService &m_Service;
   PeerClient &m_Peers;
-  // Balancers of all replicas of this service, including this one, with the
-  // endpoints of their replicas.
-  std::function<std::map<PeerEndpoint, PeerEndpoint>()> m_Balancers;
+  // Balancers of the replicas of this service that announce this group or none,
+  // including this one, with the endpoints of their replicas.
+  std::function<std::map<PeerEndpoint, PeerEndpoint>(const std::string &Group)>
+      m_Balancers;
   // Placement limits of the service's experts; nothing if it has no experts.
   std::function<std::optional<ExpertLayout>()> m_Layout;
   PeerEndpoint m_Self;
+  // Bandwidth of this VM's network link.
+  double m_LinkBytesPerSecond = 0.0;
 };
 
 // Method for calls between balancers: takes a RankRequest, returns a RankReply.
@@ -62,6 +67,9 @@
     bool m_IsRequestPending = false;
     // Was logged as unreachable; reset by its next report.
     bool m_IsUnreachable = false;
+    // Versions of the maps that this balancer was sent, newest last; at most
+    // RankService::MaxKnownMaps.
+    std::deque<std::uint64_t> m_KnownMaps;
   };
 
   void tick();
@@ -72,13 +80,21 @@
   void discover(TimePoint Now);
   void pollRanks();
   bool wantsCounts();
+  // Ranks whose counts are requested in this round.
+  std::vector<bool> ranksToCount();
+  // Encodes an order for a balancer: a map as the difference to the active one
+  // if the balancer has that.
+  schema::RankOrder encodeOrder(const RankOrder &Order, const Peer &To) const;
+  void rememberMap(Peer &From, std::uint64_t Version);
   void collectCounts(TimePoint Now);
   // IsAwaited: the round waits for the reply.
   void sendRequest(const PeerEndpoint &To, const schema::RankRequest &Request,
-                   bool IsAwaited);
+                   bool IsAwaited, Duration Timeout);
   void callBalancer(const PeerEndpoint &To, const schema::RankRequest &Request,
-                    const RankService::Handler &OnReply);
-  void onReply(const PeerEndpoint &From, schema::RankReply Reply);
+                    Duration Timeout, const RankService::Handler &OnReply);
+  // MapSent: version of the map in the request's order; 0 if there was none.
+  void onReply(const PeerEndpoint &From, schema::RankReply Reply,
+               std::uint64_t MapSent);
   // Called when all replies of the round have arrived or its time is over.
   void endRound();
   void decide();
@@ -101,6 +117,8 @@
   std::vector<std::optional<PeerEndpoint>> balancersByRank() const;
   std::uint64_t nextUnusedVersion(std::uint64_t Above);
   Duration interval() const;
+  // Time that the bytes take through this VM's link.
+  Duration transferTime(double Bytes) const;
 
   const GroupCoordinatorDependencies m_Dependencies;
   Timer m_Timer;
@@ -113,6 +131,7 @@
   TimePoint m_LastCoordinatorRequest;
   std::optional<SwitchNotice> m_LastNotice;
   std::map<PeerEndpoint, Peer> m_PeersByEndpoint;
+  TimePoint m_LastPeerListUpdate;
   std::size_t m_AwaitedReplies = 0;
   std::uint64_t m_Round = 0;
   bool m_IsCoordinating = false;
@@ -125,6 +144,9 @@
   std::map<std::uint32_t, RankOrder> m_Orders;
   LoadMeter m_Meter;
   TimePoint m_LastCountsRequest;
+  CountSampler m_CountSampler;
+  // Size of the largest reply with counts in the previous round; 0: unknown.
+  std::size_t m_CountReplyBytes = 0;
   // The active map with its version and epoch; null if unknown.
   std::shared_ptr<const ExpertMap> m_Map;
   std::uint64_t m_MapVersion = 0;
--- a/Source/Balancer/RankService.cpp
+++ b/Source/Balancer/RankService.cpp
@@ -2,6 +2,9 @@
 #include "Balancer/RankService.h"
 
 #include "Events/EventLog.h"
+#include "Experts/MapDelta.h"
+
+#include <algorithm>
 
 namespace mangocart {
 
@@ -129,6 +132,54 @@
   return Out;
 }
 
+schema::RankOrder toSchema(const RankOrder &Order, const ExpertMap &Base,
+                           std::uint64_t BaseVersion) {
+  RankOrder WithoutMap = Order;
+  WithoutMap.m_Map = nullptr;
+  schema::RankOrder Out = toSchema(WithoutMap);
+  Out.set_base_version(BaseVersion);
+  const MapDelta Delta = mapDelta(Base, *Order.m_Map);
+  Out.mutable_changed_positions()->Add(Delta.m_Positions.begin(),
+                                       Delta.m_Positions.end());
+  Out.mutable_slots()->Add(Delta.m_Experts.begin(), Delta.m_Experts.end());
+  return Out;
+}
+
+std::optional<RankOrder> KnownMaps::decode(const schema::RankOrder &Order,
+                                           std::size_t MaxMaps) {
+  RankOrder Out;
+  if (Order.base_version() == 0) {
+    Out = fromSchema(Order);
+  } else {
+    const auto Base =
+        std::find_if(m_Maps.begin(), m_Maps.end(), [&](const auto &Each) {
+          return Each.first == Order.base_version();
+        });
+    if (Base == m_Maps.end())
+      return std::nullopt;
+    MapDelta Delta;
+    Delta.m_Positions.assign(Order.changed_positions().begin(),
+                             Order.changed_positions().end());
+    for (const std::uint32_t Expert : Order.slots())
+      Delta.m_Experts.push_back(static_cast<ExpertId>(Expert));
+    auto Map = applyMapDelta(*Base->second, Delta);
+    if (!Map)
+      return std::nullopt;
+    schema::RankOrder WithoutMap = Order;
+    WithoutMap.clear_slots();
+    Out = fromSchema(WithoutMap);
+    Out.m_Map = std::make_shared<const ExpertMap>(*std::move(Map));
+  }
+  if (!Out.m_Map)
+    return Out;
+  std::erase_if(m_Maps,
+                [&](const auto &Each) { return Each.first == Out.m_Version; });
+  m_Maps.emplace_back(Out.m_Version, Out.m_Map);
+  if (m_Maps.size() > MaxMaps)
+    m_Maps.pop_front();
+  return Out;
+}
+
 struct RankService::PendingRequest {
   HttpTarget m_Replica;
   schema::RankRequest m_Request;
@@ -152,8 +203,14 @@
       PendingRequest{Replica, Request, {}, std::move(Done), {}});
   if (!Request.has_order())
     return fetchState(Pending);
-  Pending->m_Order = fromSchema(Request.order());
-  sendOrder(Pending);
+  Pending->m_Order = m_KnownMaps.decode(Request.order(), MaxKnownMaps);
+  if (Pending->m_Order)
+    return sendOrder(Pending);
+  m_Events.write(Event::OrderBaseUnknown,
+                 {{"version", Request.order().version()},
+                  {"base", Request.order().base_version()}});
+  Pending->m_Reply.set_is_base_unknown(true);
+  fetchState(Pending);
 }
 
 void RankService::sendOrderTo(const HttpTarget &Replica,
--- a/Source/Balancer/RankService.h
+++ b/Source/Balancer/RankService.h
@@ -8,8 +8,11 @@
 #include "Experts/LoadMeter.h"
 #include "Http/HttpClient.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <utility>
 
 namespace mangocart {
 
@@ -18,12 +21,30 @@
 schema::RankReport toSchema(const RankState &State);
 RankState fromSchema(const schema::RankReport &Report);
 schema::RankOrder toSchema(const RankOrder &Order);
+// Encodes the order's map as the difference to the base.
+schema::RankOrder toSchema(const RankOrder &Order, const ExpertMap &Base,
+                           std::uint64_t BaseVersion);
 RankOrder fromSchema(const schema::RankOrder &Order);
 
+// The maps of the latest orders, as bases of differences.
+class KnownMaps {
+public:
+  // Decodes an order and remembers its map. Returns nothing if the order names
+  // a base that isn't known.
+  std::optional<RankOrder> decode(const schema::RankOrder &Order,
+                                  std::size_t MaxMaps);
+
+private:
+  // Newest last.
+  std::deque<std::pair<std::uint64_t, std::shared_ptr<const ExpertMap>>> m_Maps;
+};
+
 // All functions run on the client's worker.
 class RankService {
 public:
   using Handler = std::function<void(schema::RankReply)>;
+  // Number of maps that a balancer keeps as bases.
+  static constexpr std::size_t MaxKnownMaps = 4;
 
   RankService(HttpClient &Client, HttpTarget Replica,
               const EngineProtocol &Protocol, EventLog &Events);
@@ -57,6 +78,7 @@
   EventLog &m_Events;
   bool m_Reachable = true;
   CountReader m_Counts;
+  KnownMaps m_KnownMaps;
 };
 
 } // namespace mangocart
--- /dev/null
+++ b/Tests/Balancer/testRankService.cpp
@@ -0,0 +1,91 @@
+// Orders between balancers. A map that is sent as a difference must be rebuilt
+// exactly, and an order whose base is unknown must not reach the engine.
+#include "Balancer/RankService.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mangocart;
+
+namespace {
+
+constexpr std::size_t MaxMaps = 2;
+
+ExpertMap makeMap(ExpertId First) {
+  ExpertMap Map;
+  Map.m_Shape = {2, 4, 1, 2};
+  Map.m_Slots = {First, 1, 2, 3};
+  return Map;
+}
+
+RankOrder prepareOrder(std::uint64_t Version, ExpertId First) {
+  RankOrder Order;
+  Order.m_Version = Version;
+  Order.m_Epoch = 3;
+  Order.m_ExpectedSequence = 9;
+  Order.m_Map = std::make_shared<const ExpertMap>(makeMap(First));
+  return Order;
+}
+
+RankOrder changeOrder(std::uint64_t Version, ExpertId First,
+                      std::uint64_t BaseVersion, ExpertId BaseFirst,
+                      KnownMaps &Maps) {
+  const RankOrder Order = prepareOrder(Version, First);
+  const auto Decoded =
+      Maps.decode(toSchema(Order, makeMap(BaseFirst), BaseVersion), MaxMaps);
+  REQUIRE(Decoded);
+  CHECK(*Decoded->m_Map == *Order.m_Map);
+  return *Decoded;
+}
+
+} // namespace
+
+TEST_CASE("rank orders: a difference to a known map gives the whole map") {
+  KnownMaps Maps;
+  REQUIRE(Maps.decode(toSchema(prepareOrder(5, 0)), MaxMaps));
+  const RankOrder Order = changeOrder(6, 1, 5, 0, Maps);
+  CHECK(Order.m_Version == 6);
+  CHECK(Order.m_Epoch == 3);
+  CHECK(Order.m_ExpectedSequence == 9);
+  // A map that was sent as a difference can be a base itself.
+  changeOrder(7, 2, 6, 1, Maps);
+}
+
+TEST_CASE("rank orders: an equal map is sent as an empty difference") {
+  KnownMaps Maps;
+  REQUIRE(Maps.decode(toSchema(prepareOrder(5, 0)), MaxMaps));
+  const schema::RankOrder Order = toSchema(prepareOrder(6, 0), makeMap(0), 5);
+  CHECK(Order.slots().empty());
+  const auto Decoded = Maps.decode(Order, MaxMaps);
+  REQUIRE(Decoded);
+  REQUIRE(Decoded->m_Map);
+  CHECK(*Decoded->m_Map == makeMap(0));
+}
+
+TEST_CASE("rank orders: a difference to an unknown map is rejected") {
+  KnownMaps Maps;
+  const schema::RankOrder Order = toSchema(prepareOrder(6, 1), makeMap(0), 5);
+  CHECK_FALSE(Maps.decode(Order, MaxMaps));
+  // Only the latest maps are kept.
+  for (const std::uint64_t Version : {5, 7, 8})
+    REQUIRE(Maps.decode(toSchema(prepareOrder(Version, 0)), MaxMaps));
+  CHECK_FALSE(Maps.decode(Order, MaxMaps));
+}
+
+TEST_CASE("rank orders: a malformed difference is rejected") {
+  KnownMaps Maps;
+  REQUIRE(Maps.decode(toSchema(prepareOrder(5, 0)), MaxMaps));
+  schema::RankOrder Order = toSchema(prepareOrder(6, 1), makeMap(0), 5);
+  Order.set_changed_positions(0, 4);
+  CHECK_FALSE(Maps.decode(Order, MaxMaps));
+  Order.clear_changed_positions();
+  CHECK_FALSE(Maps.decode(Order, MaxMaps));
+}
+
+TEST_CASE("rank orders: an order without a map needs no base") {
+  KnownMaps Maps;
+  RankOrder Arm;
+  Arm.m_Kind = RankOrderKind::Arm;
+  Arm.m_Version = 5;
+  Arm.m_Pass = 40;
+  CHECK(Maps.decode(toSchema(Arm), MaxMaps) == Arm);
+}
