Routing: no requests to a rank group whose streams have stopped

When a machine of it freezes, its ranks report the group as broken 1.5 s later; until then gateways went on sending.

Change: a gateway counts the streams that have begun by group. A group with streams at two servers or more and no data from any for 0.35 s, or four mean passes, gets no requests; they wait in the service's queue, or go to another group. Data of any stream ends it at once.

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -65,10 +65,27 @@
   merge(m_Table, Replaced, Duration::zero(), Now);
 }
 
+std::vector<CandidateView>
+MembershipDirectory::usableViews(std::string_view Service) const {
+  const TimePoint Now = RuntimeClock::now();
+  std::vector<CandidateView> Views = eligibleViews(m_Table, Service, Now);
+  std::erase_if(Views, [&](const CandidateView &Each) {
+    return !Each.m_Member->m_Group.empty() &&
+           isStalled(m_Stalls, Each.m_Member->m_Group, Now);
+  });
+  return Views;
+}
+
+const std::string &
+MembershipDirectory::groupOf(const BackendTarget &Target) const {
+  static const std::string None;
+  const TableEntry *Known = find(m_Table, Target.m_Name);
+  return Known ? Known->m_Member.m_Group : None;
+}
+
 std::vector<CandidateView>
 MembershipDirectory::candidates(const ChoiceRequest &Request) const {
-  std::vector<CandidateView> Candidates =
-      eligibleViews(m_Table, Request.m_Service, RuntimeClock::now());
+  std::vector<CandidateView> Candidates = usableViews(Request.m_Service);
   std::erase_if(Candidates, [&](const CandidateView &Each) {
     const std::string &Name = Each.m_Member->m_BackendServer;
     return Request.m_Tried &&
@@ -111,7 +128,20 @@
 
 void MembershipDirectory::callProgressed(const BackendTarget &Target) {
   const std::lock_guard Lock(m_Mutex);
-  recordCallProgress(m_Routing, Target, RuntimeClock::now());
+  const TimePoint Now = RuntimeClock::now();
+  recordCallProgress(m_Routing, Target, Now);
+  recordStreamData(m_Stalls, groupOf(Target), Now);
+}
+
+void MembershipDirectory::streamBegan(const BackendTarget &Target) {
+  const std::lock_guard Lock(m_Mutex);
+  if (const std::string &Group = groupOf(Target); !Group.empty())
+    recordStreamBegin(m_Stalls, Group, Target.m_Name, RuntimeClock::now());
+}
+
+void MembershipDirectory::streamEnded(const BackendTarget &Target) {
+  const std::lock_guard Lock(m_Mutex);
+  recordStreamEnd(m_Stalls, Target.m_Name);
 }
 
 void MembershipDirectory::callEnded(const BackendTarget &Target,
@@ -221,7 +251,7 @@
 
 std::size_t MembershipDirectory::eligibleCount(std::string_view Service) const {
   const std::lock_guard Lock(m_Mutex);
-  return eligibleViews(m_Table, Service, RuntimeClock::now()).size();
+  return usableViews(Service).size();
 }
 
 std::optional<BackendTarget>
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -6,6 +6,7 @@
 #include "Entry/BackendDirectory.h"
 #include "Entry/RoutingState.h"
 #include "Membership/MembershipTable.h"
+#include "Routing/GroupStall.h"
 
 #include <functional>
 #include <mutex>
@@ -61,6 +62,11 @@
   void callEnded(const BackendTarget &Target, const CallSize &Size,
                  const CallReport &Report) override;
 
+  // Records the first data of a stream from the backend server, and its end.
+  // callProgressed() records its further data.
+  void streamBegan(const BackendTarget &Target);
+  void streamEnded(const BackendTarget &Target);
+
   // Records a first attempt in the retry budget of the service, and decides
   // whether to retry a failed one.
   void recordFirstAttempt(std::string_view Service);
@@ -88,6 +94,11 @@
 private:
   void mergeRecord(const Member &Record, Duration HeardAgo);
   std::vector<CandidateView> candidates(const ChoiceRequest &Request) const;
+  // Servers of the service that accept requests and whose rank group isn't
+  // stalled.
+  std::vector<CandidateView> usableViews(std::string_view Service) const;
+  // The rank group of a backend server; empty if it has none.
+  const std::string &groupOf(const BackendTarget &Target) const;
 
   EventLog &m_Events;
   std::function<void()> m_OnMemberChange;
@@ -97,6 +108,7 @@
   // while others are.
   MembershipTable m_Table;
   RoutingState m_Routing;
+  GroupStallDetector m_Stalls;
 };
 
 } // namespace mangocart
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -303,6 +303,9 @@
   m_DataForwarded = true;
   startResponse();
   m_LastProgress = RuntimeClock::now();
+  if (m_ForwardingMode == ForwardingMode::Events &&
+      !std::exchange(m_IsStreamCounted, true))
+    m_Context.m_Directory.streamBegan(*m_Target);
   m_Context.m_Directory.callProgressed(*m_Target);
   m_Exchange->writeChunk(std::move(Bytes));
   if (m_Exchange->queuedBytes() <= MaxQueuedBytes || !m_HttpCall)
@@ -371,6 +374,8 @@
     return;
   if (const std::uint64_t Number = std::exchange(m_MonitorId, 0))
     m_Context.m_AttemptMonitor.end(*m_Target, Number);
+  if (std::exchange(m_IsStreamCounted, false))
+    m_Context.m_Directory.streamEnded(*m_Target);
   m_Context.m_Directory.callEnded(*m_Target, m_Size,
                                   {Result, RuntimeClock::now() - m_SentAt});
   m_Tried.push_back(m_Target->m_Name);
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -117,6 +117,8 @@
   bool m_HeadReceived = false;
   // The current attempt has delivered data to the caller.
   bool m_DataForwarded = false;
+  // The directory counts the stream of the current attempt.
+  bool m_IsStreamCounted = false;
   std::string m_Body;
   ForwardingMode m_ForwardingMode = ForwardingMode::Buffered;
   EventStreamSplitter m_Splitter;
