Gateway, Http: limits on bytes of a server that are no answer

Three paths had no limit but the deadline: the body of a failure response and an unfinished event of a stream were buffered whole, so that one server could exhaust a gateway's memory; interim responses and answers to other requests were read past for as long as they came. An event that arrives byte by byte also took time that grows with the square of its size.

--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -5,6 +5,7 @@
 #include "Events/EventLog.h"
 #include "Gateway/AttemptMonitor.h"
 #include "Gateway/GatewayMetrics.h"
+#include "Gateway/ResponseBuffering.h"
 #include "Http/HttpClients.h"
 #include "Raft/RaftPeers.h"
 #include "Settings.pb.h"
@@ -29,8 +30,6 @@
 // By then the next announcements may have added backend servers, and a queue of
 // a few requests has been processed.
 constexpr Duration RetryAfterRejection = milliseconds(300);
-// Larger responses are forwarded as they are received.
-constexpr std::size_t MaxBufferedBytes = std::size_t{256} * 1024;
 // Reading from the backend server pauses while more than this is queued for a
 // slow caller.
 constexpr std::size_t MaxQueuedBytes = std::size_t{64} * 1024;
@@ -257,14 +256,23 @@
     std::string Events = m_Splitter.take(Chunk);
     if (!Events.empty())
       forwardToCaller(std::move(Events));
+    if (m_Splitter.pendingBytes() > m_Context.m_Settings.max_buffered_bytes())
+      abandonAttempt("an event of the stream is too large");
     return;
   }
   if (m_ForwardingMode == ForwardingMode::Unbuffered)
     return forwardToCaller(std::string(Chunk));
   m_Body.append(Chunk);
-  if (m_Body.size() <= MaxBufferedBytes || !isSuccess(m_Head.m_Status) ||
-      m_ResponseStarted)
+  switch (bufferAction(
+      {m_Body.size(), isSuccess(m_Head.m_Status), m_ResponseStarted},
+      m_Context.m_Settings.max_buffered_bytes())) {
+  case BufferAction::Continue:
     return;
+  case BufferAction::Abandon:
+    return abandonAttempt("the body of a failure response is too large");
+  case BufferAction::Forward:
+    break;
+  }
   m_ForwardingMode = ForwardingMode::Unbuffered;
   m_State.m_ResponseCommitted = true;
   forwardToCaller(std::move(m_Body));
@@ -480,6 +488,16 @@
   startAttempt();
 }
 
+void ProxiedRequest::abandonAttempt(std::string_view Detail) {
+  if (!m_HttpCall)
+    return;
+  m_HttpCall->cancel();
+  m_HttpCall.reset();
+  endAttempt(m_ResponseStarted ? AttemptResult::ResponseTruncated
+                               : AttemptResult::ConnectionLost,
+             Detail);
+}
+
 void ProxiedRequest::onCallerDisconnected() {
   if (m_Finished)
     return;
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -68,6 +68,8 @@
   // Cancels the attempt and tries another backend server if the request may be
   // retried; otherwise keeps waiting for the response.
   void failOver(std::string_view Detail);
+  // Cancels the attempt, whose response isn't usable.
+  void abandonAttempt(std::string_view Detail);
   void monitorAttempt();
 
   void forwardToCaller(std::string Bytes);
--- a/Source/Http/HttpClientConnection.cpp
+++ b/Source/Http/HttpClientConnection.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+// Interim responses and answers to other requests are skipped up to this size.
+constexpr std::size_t MaxSkippedBytes = std::size_t{1024} * 1024;
+
 bool wouldBlock(const error_code &Error) {
   return Error == asio::error::would_block || Error == asio::error::try_again;
 }
@@ -104,6 +107,7 @@
   m_Parser.emplace(*m_Call, m_Call->isHead(), m_Options.m_TakesEndByClosing);
   m_Paused = false;
   m_HeldBytes = 0;
+  m_SkippedBytes = 0;
   if (m_Written < asio::buffer_size(Request))
     writeRest();
   return FirstWrite::Taken;
@@ -205,11 +209,17 @@
     Bytes = Joined;
   }
   while (!Bytes.empty() && m_Call == Call && !m_Closed) {
+    const std::size_t Before = Bytes.size();
     const Progress Step = m_Parser->take(Bytes);
     if (Step == Progress::Stopped || m_Closed)
       return;
     if (Step == Progress::Malformed)
       return fail(HttpErrorCode::Malformed, m_Parser->detail());
+    if (m_Parser->isInterim() || m_Parser->isForeign())
+      m_SkippedBytes += Before - Bytes.size();
+    if (m_SkippedBytes > MaxSkippedBytes)
+      return fail(HttpErrorCode::Malformed,
+                  "too many bytes that belong to no answer of the request");
     if (Step == Progress::NeedMore) {
       m_Pending.assign(Bytes);
       return;
--- a/Source/Http/HttpClientConnection.h
+++ b/Source/Http/HttpClientConnection.h
@@ -81,6 +81,9 @@
   std::string m_Pending;
   // Bytes in m_ReadArea that arrived while reading was paused.
   std::size_t m_HeldBytes = 0;
+  // Bytes of interim responses and of answers to other requests since the
+  // request was written.
+  std::size_t m_SkippedBytes = 0;
   std::size_t m_Written = 0;
   bool m_Reading = false;
   bool m_Paused = false;
--- a/Tests/Gateway/testEventStreamSplitter.cpp
+++ b/Tests/Gateway/testEventStreamSplitter.cpp
@@ -37,3 +37,16 @@
   CHECK(C.lastId() == "1");
   CHECK(C.take("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
 }
+
+TEST_CASE(
+    "an event that arrives byte by byte is returned when it is complete") {
+  const std::string Event =
+      "id: 1\ndata: " + std::string(200'000, 'x') + "\r\n\r\n";
+  EventStreamSplitter C;
+  std::string Out;
+  // Scanning all pending bytes at each of them takes minutes.
+  for (const char Byte : Event)
+    Out += C.take(std::string_view(&Byte, 1));
+  CHECK(Out == Event);
+  CHECK(C.pendingBytes() == 0);
+}
--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -325,3 +325,49 @@
   CHECK(Result.m_Error->m_Code == HttpErrorCode::ConnectionLost);
   CHECK(Result.m_Body.empty());
 }
+
+// A server in trouble may send bytes without end that are no answer. Each text
+// stands for the beginning of such a stream; the call must end although its
+// deadline is far away and no byte is malformed by itself.
+TEST_CASE("bytes without end that are no answer end the call") {
+  constexpr std::size_t Large = std::size_t{4} << 20;
+  const auto Repeated = [](std::string_view Text, std::size_t Size) {
+    std::string All;
+    while (All.size() < Size)
+      All.append(Text);
+    return All;
+  };
+  const std::string Interim = Repeated("HTTP/1.1 100 Continue\r\n\r\n", Large);
+  const std::string Foreign =
+      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      Repeated("5\r\nother\r\n", Large);
+  const std::string ManyForeign = Repeated(
+      "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nother", Large);
+  const std::string StatusLine = "HTTP/1.1 200 " + std::string(Large, 'x');
+  const std::string Header = "HTTP/1.1 200 OK\r\nA: " + std::string(Large, 'x');
+  const std::string Headers =
+      "HTTP/1.1 200 OK\r\n" + Repeated("A: b\r\n", Large);
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string ChunkSize = Chunked + std::string(Large, '0');
+  const std::string ChunkExtension = Chunked + "5;a=" + std::string(Large, 'x');
+  const std::string Trailer = Chunked + "0\r\n" + Repeated("A: b\r\n", Large);
+  const std::string NoProtocol(Large, 'x');
+  for (const std::string &Text :
+       {Interim, Foreign, ManyForeign, StatusLine, Header, Headers, ChunkSize,
+        ChunkExtension, Trailer, NoProtocol}) {
+    ScriptedServer Server({Text});
+    ClientFixture Client;
+    const Outcome Result =
+        Client.call(Server.port(), {"GET", "/"}, 60s, [](const HttpHead &Head) {
+          return findHeader(Head.m_Headers, "Id") != "1";
+        });
+    INFO(Text.substr(0, 60));
+    CHECK_FALSE(Result.m_Ended);
+    REQUIRE(Result.m_Error);
+    // The server closes only after the whole text, so another code would mean
+    // that all of it was read.
+    CHECK(Result.m_Error->m_Code == HttpErrorCode::Malformed);
+    CHECK(Result.m_Body.empty());
+  }
+}
