Balancer: bases of map differences known by content

Cause: the first change after a group has formed anew was sent as a whole map again, since the active map is then map 0 of another epoch, and a balancer knew bases by version.

Change: a map is named by its hash; replies list the maps that a balancer knows; the coordinator sends the active map ahead, as many copies a round as fit into half of its link, and that map is kept over later changes.

Test: testKnownMaps, "the base map is kept over all changes" (with bases by version the order of the new epoch was rejected).

--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -211,17 +211,19 @@
   return true;
 }
 
+double GroupCoordinator::countBytesPerRound() const {
+  return m_Dependencies.m_LinkBytesPerSecond * CountsLinkFraction *
+         std::chrono::duration<double>(IdleInterval).count();
+}
+
 std::vector<bool> GroupCoordinator::ranksToCount() {
   const auto Layout = m_Dependencies.m_Layout();
   if (!Layout || !wantsCounts())
     return std::vector<bool>(m_OwnState->m_Size);
   const std::size_t Numbers = std::size_t{Layout->m_Layers} * Layout->m_Experts;
-  const double BytesPerRound =
-      m_Dependencies.m_LinkBytesPerSecond * CountsLinkFraction *
-      std::chrono::duration<double>(IdleInterval).count();
   return sampleRanks(m_CountSampler, m_OwnState->m_Size,
                      static_cast<double>(std::max(m_CountReplyBytes, Numbers)),
-                     BytesPerRound);
+                     countBytesPerRound());
 }
 
 void GroupCoordinator::collectCounts(TimePoint Now) {
@@ -239,20 +241,35 @@
   addCounts(m_Meter, Counts, Now);
 }
 
+bool GroupCoordinator::Peer::knows(std::uint64_t Map) const {
+  return std::find(m_KnownMaps.begin(), m_KnownMaps.end(), Map) !=
+         m_KnownMaps.end();
+}
+
 schema::RankOrder GroupCoordinator::encodeOrder(const RankOrder &Order,
                                                 const Peer &To) const {
-  const bool HasBase =
-      Order.m_Map && m_Map && m_Map->m_Shape == Order.m_Map->m_Shape &&
-      std::find(To.m_KnownMaps.begin(), To.m_KnownMaps.end(), m_MapVersion) !=
-          To.m_KnownMaps.end();
-  return HasBase ? toSchema(Order, *m_Map, m_MapVersion) : toSchema(Order);
+  const bool HasBase = Order.m_Map && m_Map &&
+                       m_Map->m_Shape == Order.m_Map->m_Shape &&
+                       To.knows(m_MapHash);
+  return HasBase ? toSchema(Order, *m_Map) : toSchema(Order);
 }
 
-void GroupCoordinator::rememberMap(Peer &From, std::uint64_t Version) {
-  std::erase(From.m_KnownMaps, Version);
-  From.m_KnownMaps.push_back(Version);
-  if (From.m_KnownMaps.size() > RankService::MaxKnownMaps)
-    From.m_KnownMaps.pop_front();
+void GroupCoordinator::attachBaseMaps(
+    const std::vector<std::optional<PeerEndpoint>> &Ranks,
+    std::vector<std::optional<schema::RankRequest>> &Requests) const {
+  if (!m_Map || m_Switch.m_Phase != SwitchPhase::Idle)
+    return;
+  RankOrder Order;
+  Order.m_Map = m_Map;
+  const schema::RankOrder Whole = toSchema(Order);
+  const auto Size = static_cast<double>(Whole.ByteSizeLong());
+  double BytesLeft = countBytesPerRound();
+  for (std::size_t Rank = 0; Rank < Ranks.size() && BytesLeft >= Size; ++Rank) {
+    if (!Requests[Rank] || m_PeersByEndpoint.at(*Ranks[Rank]).knows(m_MapHash))
+      continue;
+    *Requests[Rank]->mutable_base_map() = Whole;
+    BytesLeft -= Size;
+  }
 }
 
 void GroupCoordinator::pollRanks() {
@@ -278,8 +295,10 @@
     if (const auto Order = m_Orders.find(Rank); Order != m_Orders.end())
       *Request.mutable_order() =
           encodeOrder(Order->second, m_PeersByEndpoint[*Ranks[Rank]]);
-    Bytes += static_cast<double>(Request.ByteSizeLong());
   }
+  attachBaseMaps(Ranks, Requests);
+  for (const std::optional<schema::RankRequest> &Each : Requests)
+    Bytes += Each ? static_cast<double>(Each->ByteSizeLong()) : 0.0;
   // Orders with whole maps fill the link for longer than a call may take.
   const Duration Transfer = transferTime(Bytes);
   for (std::uint32_t Rank = 0; Rank < Ranks.size(); ++Rank) {
@@ -309,16 +328,11 @@
   Peer &Other = m_PeersByEndpoint[To];
   Other.m_IsRequestPending = true;
   Other.m_LastRequestTime = RuntimeClock::now();
-  const std::uint64_t MapSent =
-      Request.order().slots().empty() && Request.order().base_version() == 0
-          ? 0
-          : Request.order().version();
-  const auto OnReply = [Self = shared_from_this(), To, IsAwaited, MapSent,
+  const auto OnReply = [Self = shared_from_this(), To, IsAwaited,
                         Round = m_Round](schema::RankReply Reply) {
     postTask(Self->m_Timer.get_executor(),
-             [Self, To, IsAwaited, MapSent, Round,
-              Reply = std::move(Reply)]() mutable {
-               Self->onReply(To, std::move(Reply), MapSent);
+             [Self, To, IsAwaited, Round, Reply = std::move(Reply)]() mutable {
+               Self->onReply(To, std::move(Reply));
                if (IsAwaited && Round == Self->m_Round &&
                    Self->m_AwaitedReplies > 0 && --Self->m_AwaitedReplies == 0)
                  Self->endRound();
@@ -370,7 +384,7 @@
 }
 
 void GroupCoordinator::onReply(const PeerEndpoint &From,
-                               schema::RankReply Reply, std::uint64_t MapSent) {
+                               schema::RankReply Reply) {
   const auto Found = m_PeersByEndpoint.find(From);
   if (Found == m_PeersByEndpoint.end())
     return;
@@ -380,12 +394,11 @@
   // A single resend may be due to a process that was late.
   if (Other.m_Reply.order_sends() > 2)
     m_Switch.m_LastResend = RuntimeClock::now();
-  if (Other.m_Reply.is_base_unknown())
-    Other.m_KnownMaps.clear();
+  // Absent if the replica was queried without its balancer.
+  Other.m_KnownMaps.assign(Other.m_Reply.known_maps().begin(),
+                           Other.m_Reply.known_maps().end());
   if (!Other.m_Reply.has_report())
     return;
-  if (MapSent != 0 && !Other.m_Reply.is_base_unknown())
-    rememberMap(Other, MapSent);
   Other.m_IsUnreachable = false;
   Other.m_State = fromSchema(Other.m_Reply.report());
   Other.m_LastReplyTime = RuntimeClock::now();
@@ -557,6 +570,7 @@
     return;
   std::tie(m_MapVersion, m_MapEpoch) = *VersionAndEpoch;
   m_Map = std::move(Map);
+  m_MapHash = hashOf(*m_Map);
 }
 
 std::uint64_t GroupCoordinator::nextUnusedVersion(std::uint64_t Above) {
--- a/Source/Balancer/GroupCoordinator.h
+++ b/Source/Balancer/GroupCoordinator.h
@@ -15,7 +15,6 @@
 #include "Gateway/RoutingPlan.h"
 #include "Net/PeerStream.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 
@@ -67,9 +66,10 @@
     bool m_IsRequestPending = false;
     // Was logged as unreachable; reset by its next report.
     bool m_IsUnreachable = false;
-    // Versions of the maps that this balancer was sent, newest last; at most
-    // RankService::MaxKnownMaps.
-    std::deque<std::uint64_t> m_KnownMaps;
+    // Hashes of the maps that this balancer knows, as of its last reply.
+    std::vector<std::uint64_t> m_KnownMaps;
+
+    bool knows(std::uint64_t Map) const;
   };
 
   void tick();
@@ -80,21 +80,25 @@
   void discover(TimePoint Now);
   void pollRanks();
   bool wantsCounts();
+  // Bytes of replies with counts that fit into the link in a round.
+  double countBytesPerRound() const;
   // Ranks whose counts are requested in this round.
   std::vector<bool> ranksToCount();
   // Encodes an order for a balancer: a map as the difference to the active one
-  // if the balancer has that.
+  // if the balancer knows that.
   schema::RankOrder encodeOrder(const RankOrder &Order, const Peer &To) const;
-  void rememberMap(Peer &From, std::uint64_t Version);
+  // Adds the active map to requests to balancers that don't know it, as many as
+  // fit into the link.
+  void attachBaseMaps(
+      const std::vector<std::optional<PeerEndpoint>> &Ranks,
+      std::vector<std::optional<schema::RankRequest>> &Requests) const;
   void collectCounts(TimePoint Now);
   // IsAwaited: the round waits for the reply.
   void sendRequest(const PeerEndpoint &To, const schema::RankRequest &Request,
                    bool IsAwaited, Duration Timeout);
   void callBalancer(const PeerEndpoint &To, const schema::RankRequest &Request,
                     Duration Timeout, const RankService::Handler &OnReply);
-  // MapSent: version of the map in the request's order; 0 if there was none.
-  void onReply(const PeerEndpoint &From, schema::RankReply Reply,
-               std::uint64_t MapSent);
+  void onReply(const PeerEndpoint &From, schema::RankReply Reply);
   // Called when all replies of the round have arrived or its time is over.
   void endRound();
   void decide();
@@ -149,6 +153,7 @@
   std::size_t m_CountReplyBytes = 0;
   // The active map with its version and epoch; null if unknown.
   std::shared_ptr<const ExpertMap> m_Map;
+  std::uint64_t m_MapHash = 0;
   std::uint64_t m_MapVersion = 0;
   std::uint64_t m_MapEpoch = 0;
   bool m_WantsExperts = true;
--- a/Source/Balancer/RankService.cpp
+++ b/Source/Balancer/RankService.cpp
@@ -4,8 +4,6 @@
 #include "Events/EventLog.h"
 #include "Experts/MapDelta.h"
 
-#include <algorithm>
-
 namespace mangocart {
 
 namespace {
@@ -121,7 +119,7 @@
   Out.m_Pass = Order.pass();
   Out.m_Epoch = Order.epoch();
   Out.m_ExpectedSequence = Order.expected_sequence();
-  if (Order.slots().empty())
+  if (Order.slots().empty() || Order.base() != 0)
     return Out;
   auto Map = std::make_shared<ExpertMap>();
   Map->m_Shape = {Order.ranks(), Order.experts(), Order.layers(),
@@ -132,12 +130,11 @@
   return Out;
 }
 
-schema::RankOrder toSchema(const RankOrder &Order, const ExpertMap &Base,
-                           std::uint64_t BaseVersion) {
+schema::RankOrder toSchema(const RankOrder &Order, const ExpertMap &Base) {
   RankOrder WithoutMap = Order;
   WithoutMap.m_Map = nullptr;
   schema::RankOrder Out = toSchema(WithoutMap);
-  Out.set_base_version(BaseVersion);
+  Out.set_base(hashOf(Base));
   const MapDelta Delta = mapDelta(Base, *Order.m_Map);
   Out.mutable_changed_positions()->Add(Delta.m_Positions.begin(),
                                        Delta.m_Positions.end());
@@ -145,41 +142,6 @@
   return Out;
 }
 
-std::optional<RankOrder> KnownMaps::decode(const schema::RankOrder &Order,
-                                           std::size_t MaxMaps) {
-  RankOrder Out;
-  if (Order.base_version() == 0) {
-    Out = fromSchema(Order);
-  } else {
-    const auto Base =
-        std::find_if(m_Maps.begin(), m_Maps.end(), [&](const auto &Each) {
-          return Each.first == Order.base_version();
-        });
-    if (Base == m_Maps.end())
-      return std::nullopt;
-    MapDelta Delta;
-    Delta.m_Positions.assign(Order.changed_positions().begin(),
-                             Order.changed_positions().end());
-    for (const std::uint32_t Expert : Order.slots())
-      Delta.m_Experts.push_back(static_cast<ExpertId>(Expert));
-    auto Map = applyMapDelta(*Base->second, Delta);
-    if (!Map)
-      return std::nullopt;
-    schema::RankOrder WithoutMap = Order;
-    WithoutMap.clear_slots();
-    Out = fromSchema(WithoutMap);
-    Out.m_Map = std::make_shared<const ExpertMap>(*std::move(Map));
-  }
-  if (!Out.m_Map)
-    return Out;
-  std::erase_if(m_Maps,
-                [&](const auto &Each) { return Each.first == Out.m_Version; });
-  m_Maps.emplace_back(Out.m_Version, Out.m_Map);
-  if (m_Maps.size() > MaxMaps)
-    m_Maps.pop_front();
-  return Out;
-}
-
 struct RankService::PendingRequest {
   HttpTarget m_Replica;
   schema::RankRequest m_Request;
@@ -196,6 +158,17 @@
     : m_Client(Client), m_Replica(std::move(Replica)), m_Protocol(Protocol),
       m_Events(Events) {}
 
+void RankService::query(const schema::RankRequest &Request, Handler Done) {
+  if (Request.has_base_map())
+    m_KnownMaps.keepBase(Request.base_map());
+  queryReplica(m_Replica, Request,
+               [this, Done = std::move(Done)](schema::RankReply Reply) {
+                 for (const std::uint64_t Hash : m_KnownMaps.hashes())
+                   Reply.add_known_maps(Hash);
+                 Done(std::move(Reply));
+               });
+}
+
 void RankService::queryReplica(const HttpTarget &Replica,
                                const schema::RankRequest &Request,
                                Handler Done) {
@@ -203,12 +176,12 @@
       PendingRequest{Replica, Request, {}, std::move(Done), {}});
   if (!Request.has_order())
     return fetchState(Pending);
-  Pending->m_Order = m_KnownMaps.decode(Request.order(), MaxKnownMaps);
+  Pending->m_Order = m_KnownMaps.decode(Request.order());
   if (Pending->m_Order)
     return sendOrder(Pending);
   m_Events.write(Event::OrderBaseUnknown,
                  {{"version", Request.order().version()},
-                  {"base", Request.order().base_version()}});
+                  {"base", Request.order().base()}});
   Pending->m_Reply.set_is_base_unknown(true);
   fetchState(Pending);
 }
