Raft: a full disk is waited for instead of ending the process

Cause: a write that a full disk refuses counted as a failed data folder, which ends the process; the restarted one ended at its first write again.

Change: a write to a full disk is repeated every 50 ms until there is space or the process stops. Like a disk that stalls, this holds up the log's own thread only; the control endpoint, announcements and watchers go on, and other voters take over. A partial write is continued, not repeated. Other failures of the folder still end the process. Event DiskFull, once every 5 s.

--- a/Source/Raft/FileSystem.cpp
+++ b/Source/Raft/FileSystem.cpp
@@ -49,16 +49,22 @@
 
 class PosixFileSystem : public FileSystem {
 public:
+  explicit PosixFileSystem(DiskFullHandler OnDiskFull)
+      : m_OnDiskFull(std::move(OnDiskFull)) {}
+
   Result<void, FileError> makeFolder(const std::string &Folder) override {
-    if (::mkdir(Folder.c_str(), FolderMode) != 0 && errno != EEXIST)
+    if (retryWhileFull([&] { return ::mkdir(Folder.c_str(), FolderMode); }) !=
+            0 &&
+        errno != EEXIST)
       return systemError("make folder", Folder);
     return success();
   }
 
   Result<void, FileError> lockFolder(const std::string &Folder) override {
     const std::string Path = Folder + "/lock";
-    m_Lock = FileDescriptor(
-        ::open(Path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, FileMode));
+    m_Lock = FileDescriptor(static_cast<int>(retryWhileFull([&] {
+      return ::open(Path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, FileMode);
+    })));
     if (!m_Lock.isOpen() || ::flock(m_Lock.get(), LOCK_EX | LOCK_NB) != 0)
       return systemError("lock", Path);
     return success();
@@ -88,11 +94,13 @@
 
   Result<void, FileError> append(const std::string &Path,
                                  std::string_view Bytes) override {
-    if (!openForAppend(Path))
-      return systemError("append", Path);
     while (!Bytes.empty()) {
-      const ssize_t Written =
-          ::write(m_AppendFile.get(), Bytes.data(), Bytes.size());
+      // A write to a full disk may have been partial; the rest follows it.
+      const ssize_t Written = retryWhileFull([&] {
+        return openForAppend(Path)
+                   ? ::write(m_AppendFile.get(), Bytes.data(), Bytes.size())
+                   : -1;
+      });
       if (Written < 0 && errno == EINTR)
         continue;
       if (Written < 0)
@@ -104,7 +112,9 @@
 
   Result<void, FileError> truncate(const std::string &Path,
                                    std::uint64_t Size) override {
-    if (::truncate(Path.c_str(), static_cast<off_t>(Size)) != 0)
+    if (retryWhileFull([&] {
+          return ::truncate(Path.c_str(), static_cast<off_t>(Size));
+        }) != 0)
       return systemError("truncate", Path);
     return success();
   }
@@ -112,7 +122,7 @@
   Result<void, FileError> rename(const std::string &From,
                                  const std::string &To) override {
     m_AppendPath.clear();
-    if (::rename(From.c_str(), To.c_str()) != 0)
+    if (retryWhileFull([&] { return ::rename(From.c_str(), To.c_str()); }) != 0)
       return systemError("rename", From);
     return success();
   }
@@ -126,7 +136,9 @@
   }
 
   Result<void, FileError> syncFile(const std::string &Path) override {
-    if (!openForAppend(Path) || ::fdatasync(m_AppendFile.get()) != 0)
+    if (retryWhileFull([&] {
+          return openForAppend(Path) ? ::fdatasync(m_AppendFile.get()) : -1;
+        }) != 0)
       return systemError("sync", Path);
     return success();
   }
@@ -140,6 +152,23 @@
   }
 
 private:
+  // Repeats the call while it fails because the disk is full, until the handler
+  // gives up. errno is that of the last call.
+  template <class SystemCall> ssize_t retryWhileFull(SystemCall &&Call) {
+    ssize_t Returned = Call();
+    while (Returned < 0 && (errno == ENOSPC || errno == EDQUOT)) {
+      const int Error = errno;
+      const bool ShouldRetry = m_OnDiskFull && m_OnDiskFull();
+      errno = Error;
+      if (!ShouldRetry)
+        break;
+      // Opened anew, because the file may have been replaced to free space.
+      m_AppendPath.clear();
+      Returned = Call();
+    }
+    return Returned;
+  }
+
   bool openForAppend(const std::string &Path) {
     if (m_AppendFile.isOpen() && m_AppendPath == Path)
       return true;
@@ -149,6 +178,7 @@
     return m_AppendFile.isOpen();
   }
 
+  const DiskFullHandler m_OnDiskFull;
   FileDescriptor m_Lock;
   // The file last written to stays open between appends. The path is cleared
   // when it may refer to another file.
@@ -158,8 +188,8 @@
 
 } // namespace
 
-std::unique_ptr<FileSystem> makePosixFileSystem() {
-  return std::make_unique<PosixFileSystem>();
+std::unique_ptr<FileSystem> makePosixFileSystem(DiskFullHandler OnDiskFull) {
+  return std::make_unique<PosixFileSystem>(std::move(OnDiskFull));
 }
 
 } // namespace mangocart
--- a/Source/Raft/FileSystem.h
+++ b/Source/Raft/FileSystem.h
@@ -6,6 +6,7 @@
 #include "Core/Result.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -49,7 +50,13 @@
   virtual Result<void, FileError> syncFolder(const std::string &Folder) = 0;
 };
 
-std::unique_ptr<FileSystem> makePosixFileSystem();
+// Called while a disk has no space for a write: waits and returns whether to
+// try again.
+using DiskFullHandler = std::function<bool()>;
+
+// Without a handler a write to a full disk fails at once.
+std::unique_ptr<FileSystem>
+makePosixFileSystem(DiskFullHandler OnDiskFull = {});
 
 } // namespace mangocart
 
--- a/Source/Raft/RaftControl.cpp
+++ b/Source/Raft/RaftControl.cpp
@@ -17,6 +17,8 @@
 // Commands are refused without waiting when no leader was known for longer.
 constexpr Duration NoLeaderTimeout = std::chrono::milliseconds(2600);
 constexpr Duration MaxWait = std::chrono::seconds(1);
+constexpr Duration DiskFullRetryInterval = std::chrono::milliseconds(50);
+constexpr Duration DiskFullReportInterval = std::chrono::seconds(5);
 
 Random makeSeededGenerator() {
   std::random_device Device;
@@ -109,7 +111,7 @@
 Result<void, StorageError> RaftControl::openStorage() {
   if (m_Options.m_DataFolder.empty())
     return success();
-  m_Files = makePosixFileSystem();
+  m_Files = makePosixFileSystem([this] { return waitForDiskSpace(); });
   BOOST_OUTCOME_TRY(
       m_Storage,
       RaftStorage::open(*m_Files, m_Options.m_DataFolder, m_Generator));
@@ -132,6 +134,18 @@
   return success();
 }
 
+// Handled like a disk that stalls: nothing that depends on the write is sent,
+// so other voters take over.
+bool RaftControl::waitForDiskSpace() {
+  const TimePoint Now = RuntimeClock::now();
+  if (!m_LastDiskFullReport ||
+      Now - *m_LastDiskFullReport >= DiskFullReportInterval) {
+    m_LastDiskFullReport = Now;
+    reportDiskFull(m_Events, m_Options.m_DataFolder);
+  }
+  return m_Inbox.waitUnlessClosed(Now + DiskFullRetryInterval);
+}
+
 void RaftControl::run() {
   m_LastLeaderContact = RuntimeClock::now();
   while (wait()) {
--- a/Source/Raft/RaftControl.h
+++ b/Source/Raft/RaftControl.h
@@ -25,6 +25,8 @@
 
   // Called before start().
   Result<void, StorageError> openStorage();
+  // Called while the disk is full; returns false when the runner stops.
+  bool waitForDiskSpace();
   void serve(PeerServer &Server);
   void start();
 
@@ -87,6 +89,7 @@
   bool m_Failed = false;
 
   RaftInbox m_Inbox;
+  std::optional<TimePoint> m_LastDiskFullReport;
 
   // No other lock is taken while this one is held.
   mutable std::mutex m_StatusMutex;
--- a/Source/Raft/RaftEvents.cpp
+++ b/Source/Raft/RaftEvents.cpp
@@ -45,6 +45,11 @@
     Events->write(Event::RaftMembersChanged, {{"members", toText(Members)}});
 }
 
+void reportDiskFull(EventLog *Events, const std::string &DataFolder) {
+  if (Events)
+    Events->write(Event::DiskFull, {{"folder", DataFolder}});
+}
+
 void reportFailure(EventLog *Events, const StorageError &Error) {
   if (Events)
     Events->write(Event::RaftStorageFailed, {{"file", Error.m_File},
--- a/Source/Raft/RaftEvents.h
+++ b/Source/Raft/RaftEvents.h
@@ -12,6 +12,7 @@
 
 void reportRole(EventLog *Events, const RoleChanged &Change);
 void reportMembers(EventLog *Events, const RaftMembers &Members);
+void reportDiskFull(EventLog *Events, const std::string &DataFolder);
 void reportFailure(EventLog *Events, const StorageError &Error);
 
 } // namespace mangocart
--- a/Source/Raft/RaftInbox.cpp
+++ b/Source/Raft/RaftInbox.cpp
@@ -45,6 +45,13 @@
   return !m_Closed;
 }
 
+bool RaftInbox::waitUnlessClosed(TimePoint Due) {
+  std::unique_lock Lock(m_Mutex);
+  while (!m_Closed && RuntimeClock::now() < Due)
+    m_Condition.wait_for(Lock, TimerWaitTraits::to_wait_duration(Due));
+  return !m_Closed;
+}
+
 RaftInbox::Batch RaftInbox::take() {
   const std::lock_guard Lock(m_Mutex);
   m_Woken = false;
--- a/Source/Raft/RaftInbox.h
+++ b/Source/Raft/RaftInbox.h
@@ -30,6 +30,9 @@
   // Blocks until there is input or the time has come; returns false once the
   // inbox is closed.
   bool wait(TimePoint Due);
+  // Blocks until the time has come or the inbox is closed; returns false if it
+  // is closed.
+  bool waitUnlessClosed(TimePoint Due);
   // Everything added since the last call.
   Batch take();
 
