Gateway: a drain that ends before the process is killed

Cause, found by reading for the list of failures of similar systems: a gateway kept its listener open for 2.5 s and planned its drain for at least as long, also where the platform kills it sooner after the signal. What it had accepted last was then cut off without an answer. The deployments known so far give 8 s.

Change: the drain ends a quarter or 0.3 s before the time limit, and the listener closes after half of it at the latest. At 8 s nothing changes.

Test: testGatewayDrain, limits from 0 s to 2 h.

--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -4,6 +4,7 @@
 #include "Daemon/DaemonParts.h"
 #include "Daemon/StopSignals.h"
 #include "Gateway/BackendClientOptions.h"
+#include "Gateway/GatewayDrain.h"
 #include "Membership/AnnounceLimits.h"
 #include "Raft/RaftPeers.h"
 #include "Settings/SettingsReader.h"
@@ -23,13 +24,6 @@
 constexpr Duration MaintenanceInterval = milliseconds(250);
 // Waiting requests are also dispatched when something has changed.
 constexpr Duration DispatchInterval = milliseconds(50);
-// The load balancer in front of the gateways checks their health once a second
-// and removes one after two failed checks; new connections are accepted until
-// then.
-constexpr Duration ListenerCloseDelay = milliseconds(2500);
-// Part of the time until the process is killed that is reserved for its exit.
-constexpr Duration ExitMargin = milliseconds(300);
-
 HttpLimits callerLimits(const schema::GatewaySettings &Settings,
                         const CallerLimits &Limits) {
   HttpLimits Out;
@@ -49,14 +43,6 @@
   return Options;
 }
 
-DrainLimits drainLimits(const schema::GatewaySettings &Settings) {
-  DrainLimits Limits;
-  Limits.m_ListenDuration = ListenerCloseDelay;
-  Limits.m_MaxDuration = std::max<Duration>(
-      milliseconds(Settings.drain_max_ms()) - ExitMargin, ListenerCloseDelay);
-  return Limits;
-}
-
 // Endpoint for other gateways: the address of the caller endpoint with the peer
 // port, which is the same for all processes of the system.
 PeerEndpoint ownEndpoint(const schema::GatewaySettings &Settings) {
@@ -122,7 +108,9 @@
       m_SettingsWatch(
           m_Workers.worker(0), m_SettingsFile,
           [this](const std::string &Text) { settingsChanged(Text); }),
-      m_Drain(m_Workers.worker(0), drainLimits(m_Settings), drainActions()),
+      m_Drain(m_Workers.worker(0),
+              gatewayDrainLimits(milliseconds(m_Settings.drain_max_ms())),
+              drainActions()),
       m_MaintenanceTimer(m_Workers.worker(0)),
       m_DispatchTimer(m_Workers.worker(0)) {
   m_Events.limitRequestLines(m_Settings.log_lines_per_second());
