Balancer: message conversions in a file pair of their own

No change of behaviour: toSchema and fromSchema move from RankService to RankSchema, so that KnownMaps doesn't include the service that holds it. The share of the link for counts is named for what uses it, base maps as well.

--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -27,8 +27,9 @@
 constexpr Duration CallTimeout = milliseconds(250);
 constexpr Duration DiscoverInterval = milliseconds(1500);
 constexpr Duration PeerListInterval = milliseconds(250);
-// Fraction of the link that replies with counts may use.
-constexpr double CountsLinkFraction = 0.5;
+// Fraction of the link for counts and base maps; the rest is for reports and
+// orders.
+constexpr double BulkLinkFraction = 0.5;
 // Time without a request from a coordinator after which the first rank takes
 // over, and the additional delay of each further rank.
 constexpr Duration TakeoverDelay = milliseconds(700);
@@ -211,8 +212,8 @@
   return true;
 }
 
-double GroupCoordinator::countBytesPerRound() const {
-  return m_Dependencies.m_LinkBytesPerSecond * CountsLinkFraction *
+double GroupCoordinator::bulkBytesPerRound() const {
+  return m_Dependencies.m_LinkBytesPerSecond * BulkLinkFraction *
          std::chrono::duration<double>(IdleInterval).count();
 }
 
@@ -223,7 +224,7 @@
   const std::size_t Numbers = std::size_t{Layout->m_Layers} * Layout->m_Experts;
   return sampleRanks(m_CountSampler, m_OwnState->m_Size,
                      static_cast<double>(std::max(m_CountReplyBytes, Numbers)),
-                     countBytesPerRound());
+                     bulkBytesPerRound());
 }
 
 void GroupCoordinator::collectCounts(TimePoint Now) {
@@ -263,7 +264,7 @@
   Order.m_Map = m_Map;
   const schema::RankOrder Whole = toSchema(Order);
   const auto Size = static_cast<double>(Whole.ByteSizeLong());
-  double BytesLeft = countBytesPerRound();
+  double BytesLeft = bulkBytesPerRound();
   for (std::size_t Rank = 0; Rank < Ranks.size() && BytesLeft >= Size; ++Rank) {
     if (!Requests[Rank] || m_PeersByEndpoint.at(*Ranks[Rank]).knows(m_MapHash))
       continue;
--- a/Source/Balancer/GroupCoordinator.h
+++ b/Source/Balancer/GroupCoordinator.h
@@ -80,8 +80,8 @@
   void discover(TimePoint Now);
   void pollRanks();
   bool wantsCounts();
-  // Bytes of replies with counts that fit into the link in a round.
-  double countBytesPerRound() const;
+  // Bytes of counts or base maps that may be transferred in a round.
+  double bulkBytesPerRound() const;
   // Ranks whose counts are requested in this round.
   std::vector<bool> ranksToCount();
   // Encodes an order for a balancer: a map as the difference to the active one
--- a/Source/Balancer/KnownMaps.cpp
+++ b/Source/Balancer/KnownMaps.cpp
@@ -1,8 +1,7 @@
 // Decodes differences and replaces the oldest maps.
 #include "Balancer/KnownMaps.h"
 
-#include "Balancer.pb.h"
-#include "Balancer/RankService.h"
+#include "Balancer/RankSchema.h"
 #include "Core/Hash.h"
 #include "Experts/MapDelta.h"
 
--- a/Source/Balancer/RankService.h
+++ b/Source/Balancer/RankService.h
@@ -6,6 +6,7 @@
 #include "Balancer.pb.h"
 #include "Balancer/EngineProtocol.h"
 #include "Balancer/KnownMaps.h"
+#include "Balancer/RankSchema.h"
 #include "Experts/LoadMeter.h"
 #include "Http/HttpClient.h"
 
@@ -16,13 +17,6 @@
 
 class EventLog;
 
-schema::RankReport toSchema(const RankState &State);
-RankState fromSchema(const schema::RankReport &Report);
-schema::RankOrder toSchema(const RankOrder &Order);
-// Encodes the order's map as the difference to the base.
-schema::RankOrder toSchema(const RankOrder &Order, const ExpertMap &Base);
-RankOrder fromSchema(const schema::RankOrder &Order);
-
 // All functions run on the client's worker.
 class RankService {
 public:
--- a/Source/Gateway/GatewayDrain.cpp
+++ b/Source/Gateway/GatewayDrain.cpp
@@ -1,3 +1,4 @@
+// The drain ends before the process is killed.
 #include "Gateway/GatewayDrain.h"
 
 #include <algorithm>
--- a/Source/Gateway/ResponseBuffering.cpp
+++ b/Source/Gateway/ResponseBuffering.cpp
@@ -1,3 +1,4 @@
+// Limits by kind of response.
 #include "Gateway/ResponseBuffering.h"
 
 namespace mangocart {
--- a/Tests/Balancer/testKnownMaps.cpp
+++ b/Tests/Balancer/testKnownMaps.cpp
@@ -2,8 +2,7 @@
 // exactly, and an order whose base is unknown must not reach the engine.
 #include "Balancer/KnownMaps.h"
 
-#include "Balancer.pb.h"
-#include "Balancer/RankService.h"
+#include "Balancer/RankSchema.h"
 
 #include <catch2/catch.hpp>
 
