--- a/Source/Balancer/GroupCoordinator.cpp
+++ b/Source/Balancer/GroupCoordinator.cpp
@@ -257,7 +257,7 @@
 
 void GroupCoordinator::attachBaseMaps(
     const std::vector<std::optional<PeerEndpoint>> &Ranks,
-    std::vector<std::optional<schema::RankRequest>> &Requests) const {
+    RequestsByRank &Requests) const {
   if (!m_Map || m_Switch.m_Phase != SwitchPhase::Idle)
     return;
   RankOrder Order;
@@ -273,14 +273,11 @@
   }
 }
 
-void GroupCoordinator::pollRanks() {
-  ++m_Round;
-  m_AwaitedReplies = 0;
-  const auto Ranks = balancersByRank();
+GroupCoordinator::RequestsByRank GroupCoordinator::requestsOfRound(
+    const std::vector<std::optional<PeerEndpoint>> &Ranks) {
   const std::vector<bool> IsCounted = ranksToCount();
   const std::optional<SwitchNotice> Notice = makeNotice(m_Switch);
-  std::vector<std::optional<schema::RankRequest>> Requests(Ranks.size());
-  double Bytes = 0;
+  RequestsByRank Requests(Ranks.size());
   for (std::uint32_t Rank = 0; Rank < Ranks.size(); ++Rank) {
     if (!Ranks[Rank] || m_PeersByEndpoint[*Ranks[Rank]].m_IsRequestPending)
       continue;
@@ -298,6 +295,16 @@
           encodeOrder(Order->second, m_PeersByEndpoint[*Ranks[Rank]]);
   }
   attachBaseMaps(Ranks, Requests);
+  m_Orders.clear();
+  return Requests;
+}
+
+void GroupCoordinator::pollRanks() {
+  ++m_Round;
+  m_AwaitedReplies = 0;
+  const auto Ranks = balancersByRank();
+  const RequestsByRank Requests = requestsOfRound(Ranks);
+  double Bytes = 0;
   for (const std::optional<schema::RankRequest> &Each : Requests)
     Bytes += Each ? static_cast<double>(Each->ByteSizeLong()) : 0.0;
   // Orders with whole maps fill the link for longer than a call may take.
@@ -312,7 +319,6 @@
     sendRequest(*Ranks[Rank], *Requests[Rank], IsAwaited,
                 CallTimeout + 2 * Transfer);
   }
-  m_Orders.clear();
   if (m_AwaitedReplies == 0)
     return;
   m_Timer.expires_after(RoundTimeout + 2 * Transfer);
--- a/Source/Balancer/GroupCoordinator.h
+++ b/Source/Balancer/GroupCoordinator.h
@@ -72,6 +72,9 @@
     bool knows(std::uint64_t Map) const;
   };
 
+  // Indexed by rank; nothing for a rank that isn't asked.
+  using RequestsByRank = std::vector<std::optional<schema::RankRequest>>;
+
   void tick();
   void scheduleTick();
   void refreshOwnState();
@@ -89,9 +92,11 @@
   schema::RankOrder encodeOrder(const RankOrder &Order, const Peer &To) const;
   // Adds the active map to requests to balancers that don't know it, as many as
   // fit into the link.
-  void attachBaseMaps(
-      const std::vector<std::optional<PeerEndpoint>> &Ranks,
-      std::vector<std::optional<schema::RankRequest>> &Requests) const;
+  void attachBaseMaps(const std::vector<std::optional<PeerEndpoint>> &Ranks,
+                      RequestsByRank &Requests) const;
+  // The requests of a round; takes the queued orders.
+  RequestsByRank
+  requestsOfRound(const std::vector<std::optional<PeerEndpoint>> &Ranks);
   void collectCounts(TimePoint Now);
   // IsAwaited: the round waits for the reply.
   void sendRequest(const PeerEndpoint &To, const schema::RankRequest &Request,
