--- a/Source/Net/PeerClient.cpp
+++ b/Source/Net/PeerClient.cpp
@@ -18,8 +18,8 @@
 
 namespace {
 
-// Shorter than the 1 s after which TCP repeats the first packet, which a machine
-// without power has dropped.
+// Shorter than the 1 s after which TCP repeats the first packet, which a
+// machine without power has dropped.
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
 
 // The connection to one endpoint. Only used on its worker.
