Balancer: no field for an unknown base

The coordinator stopped reading it when replies began to list the maps that a balancer knows; the event OrderBaseUnknown stays. A blank line in GatewayDaemon comes back.

Run on it: testBalancer, testGateway, style and schema checks; not the whole suite and not the linter.

--- a/Source/Balancer/RankService.cpp
+++ b/Source/Balancer/RankService.cpp
@@ -59,7 +59,6 @@
   m_Events.write(Event::OrderBaseUnknown,
                  {{"version", Request.order().version()},
                   {"base", Request.order().base()}});
-  Pending->m_Reply.set_is_base_unknown(true);
   fetchState(Pending);
 }
 
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -24,6 +24,7 @@
 constexpr Duration MaintenanceInterval = milliseconds(250);
 // Waiting requests are also dispatched when something has changed.
 constexpr Duration DispatchInterval = milliseconds(50);
+
 HttpLimits callerLimits(const schema::GatewaySettings &Settings,
                         const CallerLimits &Limits) {
   HttpLimits Out;
