Gateway: parts of the prompt in the log of failed attempts

The logs of the incident name the requests whose connections ended with an engine, but not what they had in common. AttemptEnded now names the shared parts of the prompt: all but the last one, which belongs to the request.

--- a/Source/Gateway/CallerProtocol.h
+++ b/Source/Gateway/CallerProtocol.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace mangocart {
 
@@ -27,6 +28,9 @@
   std::optional<std::string> m_CustomerKey;
   // ID of the last event that the caller received.
   std::optional<std::string> m_LastEventId;
+  // IDs of the prompt's parts that other requests may have too, in order;
+  // without the last part, which belongs to the request or its session.
+  std::vector<std::string> m_SharedParts;
   std::uint64_t m_PromptTokens = 0;
   std::uint64_t m_MaxOutputTokens = 0;
   // Estimated number of output tokens; 0 if unknown.
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -10,6 +10,8 @@
 #include "Raft/RaftPeers.h"
 #include "Settings.pb.h"
 
+#include <fmt/ranges.h>
+
 #include <algorithm>
 
 namespace mangocart {
@@ -46,6 +48,10 @@
       std::max<std::int64_t>(0, duration_cast<milliseconds>(Time).count()));
 }
 
+std::string joinParts(const std::vector<std::string> &Parts) {
+  return fmt::format("{}", fmt::join(Parts, ","));
+}
+
 CallSize sizeOf(const ResolvedRequest &Request) {
   CallSize Size;
   const CallerRequest &Caller = Request.m_Caller;
@@ -402,7 +408,8 @@
        {"detail", Detail},
        {"status", m_HeadReceived ? m_Head.m_Status : 0U},
        {"sent", m_State.m_AttemptCount},
-       {"attempt_ms", wholeMs(RuntimeClock::now() - m_SentAt)}});
+       {"attempt_ms", wholeMs(RuntimeClock::now() - m_SentAt)},
+       {"parts", joinParts(m_Request.m_Caller.m_SharedParts)}});
 }
 
 void ProxiedRequest::endAttempt(AttemptResult Result, std::string_view Detail) {
--- a/Tests/Platform/testPlatformCallerProtocol.cpp
+++ b/Tests/Platform/testPlatformCallerProtocol.cpp
@@ -49,6 +49,37 @@
   CHECK(Read.m_EstimatedOutputTokens == 60);
 }
 
+TEST_CASE("the shared parts of a prompt are all parts but the last") {
+  struct Case {
+    const char *m_Header;
+    std::vector<std::string> m_Parts;
+  };
+  const Case Cases[] = {
+      {"5c1e07a2:800,91bd3f06:410,e4402b7d:250", {"5c1e07a2", "91bd3f06"}},
+      {"5c1e07a2:800, 91bd3f06:410", {"5c1e07a2"}},
+      {"5c1e07a2:800", {}},
+      {"", {}},
+      {",:4,5c,", {"5c"}},
+  };
+  for (const Case &Each : Cases) {
+    INFO(Each.m_Header);
+    HttpRequest Request = request();
+    Request.m_Headers = {{"X-Mangocart-Prompt-Prefix", Each.m_Header}};
+    CHECK(PlatformCallerProtocol().read(Request).m_SharedParts == Each.m_Parts);
+  }
+}
+
+TEST_CASE("long lists and IDs of parts are bounded") {
+  HttpRequest Request = request();
+  std::string Parts = std::string(65, 'a') + ":1,";
+  for (int I = 0; I < 100; ++I)
+    Parts += std::to_string(I) + ":1,";
+  Request.m_Headers = {{"X-Mangocart-Prompt-Prefix", Parts}};
+  const auto Read = PlatformCallerProtocol().read(Request).m_SharedParts;
+  REQUIRE(Read.size() == 64);
+  CHECK(Read.front() == "0");
+}
+
 TEST_CASE("invalid header values count as absent") {
   HttpRequest Request = request();
   Request.m_Headers = {{"X-Mangocart-Deadline-Ms", "soon"},
