--- /dev/null
+++ b/Tests/Gateways/CallerLoad.h
@@ -0,0 +1,69 @@
+// Callers that send requests to the gateways at a fixed rate, each on its own
+// connection and without retries, and record what they got.
+#ifndef MANGOCART_TESTS_CALLERLOAD_H
+#define MANGOCART_TESTS_CALLERLOAD_H
+
+#include "Core/Random.h"
+#include "Http/HttpClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mangocart::test {
+
+// What a request asks for.
+struct CallerKind {
+  double m_PerSecond = 0.0;
+  bool m_IsStream = true;
+  // Returns the shared parts of the next prompt; a part of its own is added.
+  std::function<std::vector<std::string>(Random &)> m_Parts;
+};
+
+struct CallRecord {
+  std::size_t m_Kind = 0;
+  std::chrono::steady_clock::time_point m_SentAt;
+  std::chrono::milliseconds m_EndedAfter{0};
+  // 0 without a response.
+  unsigned m_Status = 0;
+  std::string m_Body;
+  // The response ended in good order.
+  bool m_Ended = false;
+};
+
+class CallerLoad {
+public:
+  CallerLoad(std::vector<HttpTarget> Gateways, std::vector<CallerKind> Kinds,
+             std::uint64_t Seed);
+  ~CallerLoad();
+  CallerLoad(const CallerLoad &) = delete;
+  CallerLoad &operator=(const CallerLoad &) = delete;
+
+  void start();
+  // Sends no more and waits for what is under way. Returns all requests.
+  const std::deque<CallRecord> &finish();
+
+private:
+  void sendNext(std::size_t Kind);
+
+  const std::vector<HttpTarget> m_Gateways;
+  const std::vector<CallerKind> m_Kinds;
+  Random m_Random;
+  boost::asio::io_context m_Context;
+  HttpClient m_Client;
+  std::vector<boost::asio::steady_timer> m_Timers;
+  // Grows at its end only, so that references stay valid.
+  std::deque<CallRecord> m_Records;
+  bool m_Stopping = false;
+  std::thread m_Thread;
+};
+
+} // namespace mangocart::test
+
+#endif
--- /dev/null
+++ b/Tests/Gateways/EngineFleet.cpp
@@ -0,0 +1,408 @@
+// Sessions, announcements, crashes and the rank group of the engines.
+#include "Gateways/EngineFleet.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <fcntl.h>
+#include <sstream>
+
+namespace mangocart::test {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr std::uint16_t EnginePort = 9000;
+constexpr milliseconds AnnounceInterval{300};
+constexpr const char *RequestIdHeader = "X-Mangocart-Request-Id";
+constexpr const char *PartsHeader = "X-Mangocart-Prompt-Prefix";
+constexpr const char *ExpectedHeader = "X-Mangocart-Expect-Instance";
+
+std::vector<std::string> partsOf(const std::string &Header) {
+  std::vector<std::string> Parts;
+  std::istringstream Stream(Header);
+  for (std::string Part; std::getline(Stream, Part, ',');)
+    Parts.push_back(Part.substr(0, Part.find(':')));
+  return Parts;
+}
+
+// Processes that are started meanwhile must not keep the socket open.
+void closeOnExec(int Socket) { ::fcntl(Socket, F_SETFD, FD_CLOEXEC); }
+
+std::string chunk(const std::string &Data) {
+  return fmt::format("{:x}\r\n{}\r\n", Data.size(), Data);
+}
+
+} // namespace
+
+struct EngineFleet::Engine {
+  explicit Engine(asio::io_context &Context)
+      : m_Acceptor(Context), m_Restart(Context) {}
+
+  std::string m_Id;
+  std::string m_Ip;
+  unsigned m_Rank = 0;
+  bool m_Up = false;
+  tcp::acceptor m_Acceptor;
+  asio::steady_timer m_Restart;
+  std::set<std::shared_ptr<Session>> m_Sessions;
+};
+
+// One connection; handles its requests one after the other.
+class EngineFleet::Session : public std::enable_shared_from_this<Session> {
+public:
+  Session(EngineFleet &Fleet, Engine &Own, tcp::socket Socket)
+      : m_Fleet(Fleet), m_Engine(Own), m_Socket(std::move(Socket)),
+        m_Timer(m_Socket.get_executor()) {
+    error_code Ignored;
+    m_Socket.set_option(tcp::no_delay(true), Ignored);
+  }
+
+  void read() {
+    m_Request = {};
+    m_State = State::Idle;
+    http::async_read(
+        m_Socket, m_Buffer, m_Request,
+        [Self = shared_from_this()](error_code Error, std::size_t) {
+          if (Self->m_Closed)
+            return;
+          if (Error)
+            return Self->end();
+          Self->handle();
+        });
+  }
+
+  // Closes the connection, with a reset if Abortive.
+  void close(bool Abortive) {
+    if (m_Closed)
+      return;
+    m_Closed = true;
+    m_Timer.cancel();
+    error_code Ignored;
+    if (Abortive)
+      m_Socket.set_option(tcp::socket::linger(true, 0), Ignored);
+    m_Socket.close(Ignored);
+  }
+
+  // The rank group has broken: begun answers are cut off, others not run.
+  void onGroupBroken() {
+    if (m_State == State::Writing)
+      return end(true);
+    if (m_State == State::Waiting) {
+      m_Timer.cancel();
+      rejectBroken();
+    }
+  }
+
+private:
+  enum class State { Idle, Waiting, Writing };
+
+  void end(bool Abortive = false) {
+    close(Abortive);
+    m_Engine.m_Sessions.erase(shared_from_this());
+  }
+
+  void handle() {
+    if (m_Request.method() == http::verb::get)
+      return respond(200, {}, "{}");
+    m_Parts = partsOf(std::string(m_Request[PartsHeader]));
+    if (std::string(m_Request[ExpectedHeader]) != m_Engine.m_Id)
+      return respond(421, {}, "");
+    if (m_Fleet.m_Broken)
+      return rejectBroken();
+    m_Fleet.recordArrival(m_Engine, m_Parts);
+    m_State = State::Waiting;
+    after(m_Fleet.m_Options.m_FirstToken, [this] { begin(); });
+  }
+
+  void rejectBroken() {
+    respond(503,
+            fmt::format("X-Mangocart-Not-Run: 1\r\nAt-Server: {}\r\n",
+                        m_Fleet.m_FaultyAddress),
+            "");
+  }
+
+  void begin() {
+    if (m_Fleet.m_Stalled)
+      return after(m_Fleet.m_Options.m_EventInterval, [this] { begin(); });
+    const std::string Last(m_Request["Last-Event-Id"]);
+    m_NextEvent = Last.empty() ? 1 : std::stoul(Last) + 1;
+    m_State = State::Writing;
+    const auto &Crashing = m_Fleet.m_Options.m_CrashingParts;
+    const auto Part =
+        std::find_if(m_Parts.begin(), m_Parts.end(), [&](const auto &Each) {
+          return Crashing.count(Each) > 0;
+        });
+    const bool IsStream = m_Request.target().starts_with("/stream/");
+    const std::string Head = makeHead(IsStream);
+    if (Part != m_Parts.end()) {
+      // Without a length, a whole event or half of a body looks like an end.
+      const std::string Begun = m_Fleet.m_Options.m_Unframed
+                                    ? (IsStream ? event(m_NextEvent) : "half")
+                                    : "";
+      return write(Head + Begun,
+                   [this, Name = *Part] { m_Fleet.crash(m_Engine, Name); });
+    }
+    if (!IsStream) {
+      return write(Head + "whole answer", [this] { finish(); });
+    }
+    write(Head, [this] { writeEvent(); });
+  }
+
+  std::string makeHead(bool IsStream) const {
+    std::string Head = fmt::format(
+        "HTTP/1.1 200 OK\r\n{}: {}\r\nX-Mangocart-Server-Stamp: s\r\n",
+        RequestIdHeader, std::string(m_Request[RequestIdHeader]));
+    if (IsStream)
+      Head += "Content-Type: text/event-stream\r\n";
+    if (m_Fleet.m_Options.m_Unframed)
+      Head += "Connection: close\r\n";
+    else
+      Head += IsStream ? "Transfer-Encoding: chunked\r\n"
+                       : "Content-Length: 12\r\n";
+    return Head + "\r\n";
+  }
+
+  std::string event(std::size_t Number) const {
+    return fmt::format("id: {}\ndata: {}\n\n", Number,
+                       Number == m_Fleet.m_Options.m_Events ? "last" : "token");
+  }
+
+  void writeEvent() {
+    if (m_Fleet.m_Stalled)
+      return after(m_Fleet.m_Options.m_EventInterval, [this] { writeEvent(); });
+    if (m_NextEvent > m_Fleet.m_Options.m_Events)
+      return write(m_Fleet.m_Options.m_Unframed ? "" : "0\r\n\r\n",
+                   [this] { finish(); });
+    const std::string Data = event(m_NextEvent++);
+    write(m_Fleet.m_Options.m_Unframed ? Data : chunk(Data), [this] {
+      after(m_Fleet.m_Options.m_EventInterval, [this] { writeEvent(); });
+    });
+  }
+
+  void finish() {
+    if (m_Fleet.m_Options.m_Unframed)
+      return end();
+    read();
+  }
+
+  void respond(unsigned Status, const std::string &Headers,
+               const std::string &Body) {
+    m_State = State::Idle;
+    write(fmt::format("HTTP/1.1 {} -\r\n{}: {}\r\n{}Content-Length: "
+                      "{}\r\n\r\n{}",
+                      Status, RequestIdHeader,
+                      std::string(m_Request[RequestIdHeader]), Headers,
+                      Body.size(), Body),
+          [this] { read(); });
+  }
+
+  template <class Task> void after(milliseconds Delay, Task Next) {
+    m_Timer.expires_after(Delay);
+    m_Timer.async_wait([Self = shared_from_this(), Next](error_code Error) {
+      if (!Error && !Self->m_Closed)
+        Next();
+    });
+  }
+
+  template <class Task> void write(std::string Bytes, Task Next) {
+    m_Output = std::move(Bytes);
+    asio::async_write(
+        m_Socket, asio::buffer(m_Output),
+        [Self = shared_from_this(), Next](error_code Error, std::size_t) {
+          if (Self->m_Closed)
+            return;
+          if (Error)
+            return Self->end();
+          Next();
+        });
+  }
+
+  EngineFleet &m_Fleet;
+  Engine &m_Engine;
+  tcp::socket m_Socket;
+  asio::steady_timer m_Timer;
+  boost::beast::flat_buffer m_Buffer;
+  http::request<http::string_body> m_Request;
+  std::vector<std::string> m_Parts;
+  std::string m_Output;
+  std::size_t m_NextEvent = 1;
+  State m_State = State::Idle;
+  bool m_Closed = false;
+};
+
+EngineFleet::EngineFleet(FleetOptions Options)
+    : m_Options(std::move(Options)), m_Client(m_Context),
+      m_AnnounceTimer(m_Context) {
+  for (unsigned I = 0; I < m_Options.m_Engines; ++I) {
+    m_Engines.push_back(std::make_unique<Engine>(m_Context));
+    m_Engines.back()->m_Rank = I;
+    m_Engines.back()->m_Ip = fmt::format("{}.{}", m_Options.m_Network, I + 1);
+  }
+}
+
+EngineFleet::~EngineFleet() {
+  m_Context.stop();
+  if (m_Thread.joinable())
+    m_Thread.join();
+  for (const auto &Each : m_Engines)
+    for (const auto &Connection : Each->m_Sessions)
+      Connection->close(false);
+}
+
+void EngineFleet::start() {
+  for (const auto &Each : m_Engines)
+    open(*Each);
+  announceAll();
+  m_Thread = std::thread([this] { m_Context.run(); });
+}
+
+void EngineFleet::open(Engine &Each) {
+  Each.m_Id = fmt::format("i-{}-{}", Each.m_Rank, ++m_Started);
+  Each.m_Up = true;
+  Each.m_Acceptor = tcp::acceptor(
+      m_Context, {asio::ip::make_address(Each.m_Ip), EnginePort}, true);
+  closeOnExec(Each.m_Acceptor.native_handle());
+  accept(Each);
+}
+
+void EngineFleet::accept(Engine &Each) {
+  Each.m_Acceptor.async_accept([this, &Each](error_code Error,
+                                             tcp::socket Socket) {
+    // A connection may have been accepted just before the engine ended.
+    if (Error || !Each.m_Up)
+      return;
+    closeOnExec(Socket.native_handle());
+    auto Connection = std::make_shared<Session>(*this, Each, std::move(Socket));
+    Each.m_Sessions.insert(Connection);
+    Connection->read();
+    accept(Each);
+  });
+}
+
+void EngineFleet::announceAll() {
+  for (const auto &Each : m_Engines)
+    if (Each->m_Up)
+      announce(*Each);
+  m_AnnounceTimer.expires_after(AnnounceInterval);
+  m_AnnounceTimer.async_wait([this](error_code Error) {
+    if (!Error)
+      announceAll();
+  });
+}
+
+void EngineFleet::announce(const Engine &Each) {
+  std::string Body = fmt::format(
+      R"({{"service":"engines","address":"{}:{}","zone":"z{}","version":"v1",)"
+      R"("slots":8,"state":"ready","cold_remaining_ms":0,"sequence":{})",
+      Each.m_Ip, EnginePort, Each.m_Rank % 3, ++m_Sequence);
+  if (m_Options.m_Grouped)
+    Body += fmt::format(
+        R"(,"group":{{"name":"g","epoch":{},"rank":{},"state":"{}"}},"size":{})",
+        m_Epoch, Each.m_Rank, m_Broken ? "broken" : "open",
+        m_Options.m_Engines);
+  HttpCallHandlers Handlers;
+  Handlers.m_OnHead = [](const HttpHead &) {};
+  Handlers.m_OnBody = [](std::string_view) {};
+  Handlers.m_OnEnd = [] {};
+  Handlers.m_OnError = [](const HttpError &) {};
+  m_Client.send(m_Options.m_Voter,
+                {"PUT",
+                 "/instances/" + Each.m_Id,
+                 {{"Host", "voter"}, {"Content-Type", "application/json"}},
+                 Body + "}",
+                 {}},
+                std::chrono::seconds(1), std::move(Handlers));
+}
+
+void EngineFleet::crash(Engine &Each, const std::string &Part) {
+  if (!Each.m_Up)
+    return;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    m_Crashes.push_back({Clock::now(), Part});
+  }
+  Each.m_Up = false;
+  ++m_Down;
+  error_code Ignored;
+  Each.m_Acceptor.close(Ignored);
+  for (const auto &Connection : std::exchange(Each.m_Sessions, {}))
+    Connection->close(false);
+  Each.m_Restart.expires_after(m_Options.m_Restart);
+  Each.m_Restart.async_wait([this, &Each](error_code Error) {
+    if (Error)
+      return;
+    --m_Down;
+    open(Each);
+    announce(Each);
+    formGroup();
+  });
+  if (!m_Options.m_Grouped || std::exchange(m_Stalled, true))
+    return;
+  auto Stall = std::make_shared<asio::steady_timer>(m_Context);
+  Stall->expires_after(m_Options.m_Stall);
+  Stall->async_wait(
+      [this, Stall, Address = fmt::format("{}:{}", Each.m_Ip, EnginePort)](
+          error_code) { breakGroup(Address); });
+}
+
+void EngineFleet::breakGroup(const std::string &FaultyAddress) {
+  m_Broken = true;
+  m_FaultyAddress = FaultyAddress;
+  for (const auto &Each : m_Engines) {
+    const auto Sessions = Each->m_Sessions;
+    for (const auto &Connection : Sessions)
+      Connection->onGroupBroken();
+    if (Each->m_Up)
+      announce(*Each);
+  }
+}
+
+void EngineFleet::formGroup() {
+  if (!m_Options.m_Grouped || m_Down > 0)
+    return;
+  auto Form = std::make_shared<asio::steady_timer>(m_Context);
+  Form->expires_after(m_Options.m_Form);
+  Form->async_wait([this, Form](error_code) {
+    if (m_Down > 0)
+      return;
+    ++m_Epoch;
+    m_Broken = m_Stalled = false;
+    for (const auto &Each : m_Engines)
+      announce(*Each);
+  });
+}
+
+void EngineFleet::recordArrival(const Engine &Each,
+                                std::vector<std::string> Parts) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Arrivals.push_back({Clock::now(), Each.m_Id, std::move(Parts)});
+}
+
+std::vector<Arrival> EngineFleet::arrivals() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Arrivals;
+}
+
+std::vector<Crash> EngineFleet::crashes() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Crashes;
+}
+
+void EngineFleet::endEngine(unsigned Index) {
+  asio::post(m_Context, [this, Index] {
+    if (m_Engines[Index]->m_Up)
+      crash(*m_Engines[Index], "");
+  });
+}
+
+} // namespace mangocart::test
--- /dev/null
+++ b/Tests/Gateways/EngineFleet.h
@@ -0,0 +1,107 @@
+// Engines that speak the platform's protocol on loopback addresses, for tests
+// of several gateways. An engine ends when it begins an answer on one of the
+// crashing parts, and is back under another name some time later. Optionally
+// the engines are the ranks of one group, which a crash of any of them breaks.
+#ifndef MANGOCART_TESTS_ENGINEFLEET_H
+#define MANGOCART_TESTS_ENGINEFLEET_H
+
+#include "Http/HttpClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mangocart::test {
+
+using Clock = std::chrono::steady_clock;
+
+struct FleetOptions {
+  // First three numbers of the engines' addresses, "127.1.2".
+  std::string m_Network;
+  HttpTarget m_Voter;
+  unsigned m_Engines = 6;
+  bool m_Grouped = false;
+  // Answers have neither a length nor chunks and end with their connection.
+  bool m_Unframed = false;
+  std::set<std::string> m_CrashingParts;
+  // From the receipt of a request to its first token.
+  std::chrono::milliseconds m_FirstToken{80};
+  std::chrono::milliseconds m_EventInterval{15};
+  unsigned m_Events = 20;
+  // From a crash to the start of the engine's successor.
+  std::chrono::milliseconds m_Restart{1200};
+  // From a crash to the end of the streams of the other ranks, and from the
+  // start of the successor until the group is open.
+  std::chrono::milliseconds m_Stall{500};
+  std::chrono::milliseconds m_Form{200};
+};
+
+// A request that an engine has received.
+struct Arrival {
+  Clock::time_point m_At;
+  std::string m_Engine;
+  std::vector<std::string> m_Parts;
+};
+
+struct Crash {
+  Clock::time_point m_At;
+  std::string m_Part;
+};
+
+class EngineFleet {
+public:
+  explicit EngineFleet(FleetOptions Options);
+  ~EngineFleet();
+  EngineFleet(const EngineFleet &) = delete;
+  EngineFleet &operator=(const EngineFleet &) = delete;
+
+  void start();
+  std::vector<Arrival> arrivals() const;
+  std::vector<Crash> crashes() const;
+  // Ends an engine that did nothing wrong.
+  void endEngine(unsigned Index);
+
+private:
+  struct Engine;
+  class Session;
+
+  void open(Engine &Each);
+  void accept(Engine &Each);
+  void announceAll();
+  void announce(const Engine &Each);
+  void crash(Engine &Each, const std::string &Part);
+  void breakGroup(const std::string &FaultyAddress);
+  void formGroup();
+  void recordArrival(const Engine &Each, std::vector<std::string> Parts);
+
+  const FleetOptions m_Options;
+  boost::asio::io_context m_Context;
+  HttpClient m_Client;
+  boost::asio::steady_timer m_AnnounceTimer;
+  std::vector<std::unique_ptr<Engine>> m_Engines;
+  unsigned m_Started = 0;
+  unsigned m_Sequence = 0;
+  unsigned m_Epoch = 1;
+  unsigned m_Down = 0;
+  bool m_Stalled = false;
+  bool m_Broken = false;
+  std::string m_FaultyAddress;
+  mutable std::mutex m_Mutex;
+  // Guarded by m_Mutex.
+  std::vector<Arrival> m_Arrivals;
+  std::vector<Crash> m_Crashes;
+  std::thread m_Thread;
+};
+
+} // namespace mangocart::test
+
+#endif
--- /dev/null
+++ b/Tests/Gateways/GatewayDeployment.h
@@ -0,0 +1,56 @@
+// A voter and several gateways as separate processes on loopback addresses,
+// with one service of engines and a route for streams and one for plain
+// requests.
+#ifndef MANGOCART_TESTS_GATEWAYDEPLOYMENT_H
+#define MANGOCART_TESTS_GATEWAYDEPLOYMENT_H
+
+#include "Http/HttpClient.h"
+#include "Processes/ChildProcess.h"
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mangocart::test {
+
+class GatewayDeployment {
+public:
+  // Addresses are 127.OCTET.0.1 for the voter, 127.OCTET.1.N for the gateways;
+  // 127.OCTET.2.N is left to engines.
+  GatewayDeployment(int Octet, unsigned Gateways);
+  ~GatewayDeployment();
+  GatewayDeployment(const GatewayDeployment &) = delete;
+  GatewayDeployment &operator=(const GatewayDeployment &) = delete;
+
+  // Starts all processes and waits until every gateway is ready.
+  void start();
+  void startGateway(unsigned Index);
+  void signalGateway(unsigned Index, int SignalNumber);
+
+  HttpTarget voter() const;
+  // Where callers' requests arrive.
+  HttpTarget gateway(unsigned Index) const;
+  unsigned gatewayCount() const {
+    return static_cast<unsigned>(m_Gateways.size());
+  }
+  std::string engineNetwork() const;
+  // What the gateway has logged so far.
+  std::string log(unsigned Index) const;
+
+private:
+  std::string writeSettings(const std::string &Name,
+                            const std::string &Text) const;
+
+  const int m_Octet;
+  std::filesystem::path m_Folder;
+  std::unique_ptr<ChildProcess> m_Voter;
+  std::vector<std::unique_ptr<ChildProcess>> m_Gateways;
+};
+
+// Sends one request and waits for its response; status 0 without one.
+HttpResponse call(const HttpTarget &To, HttpRequest Request);
+
+} // namespace mangocart::test
+
+#endif
