Gateway: parts of prompts that crash backend servers are held back

Cause: a lost connection was taken as the server's fault. The request was sent to the next server, and no gateway remembered what ran on a server that ended. The class of fault: a failure that the request causes is retried and forgotten like one that the server causes.

A gateway now finds out whether a server whose connection was lost has ended, and reports the parts of all requests whose answers it was beginning to the other gateways (CrashGuard, in the load reports, at once). The evidence against a part is the ratio between certainty and the probability that it was there by chance; a sound answer ends it (CrashEvidence). A part is held back in proportion to the ratio, then tried by one request at a time over all gateways. Requests that wait or are beginning elsewhere are stopped as well, and a request isn't sent again after its server has ended under it. An answer that only the end of its connection ends counts as whole only if the server still runs.

Ruled out: a faulty engine, zone or machine (all crashes were at different ones), and expert maps (crashes came 0.3 s after the group opened, as first answers begin).

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -5,6 +5,7 @@
 #include "Peer.pb.h"
 
 #include <algorithm>
+#include <set>
 
 namespace mangocart {
 
@@ -254,6 +255,27 @@
   return usableViews(Service).size();
 }
 
+std::size_t
+MembershipDirectory::independentUnits(std::string_view Service) const {
+  const std::lock_guard Lock(m_Mutex);
+  std::size_t Single = 0;
+  std::set<std::string_view> Groups;
+  for (const CandidateView &Each : usableViews(Service)) {
+    if (Each.m_Member->m_Group.empty())
+      ++Single;
+    else
+      Groups.insert(Each.m_Member->m_Group);
+  }
+  return Single + Groups.size();
+}
+
+std::string
+MembershipDirectory::groupName(std::string_view BackendServer) const {
+  const std::lock_guard Lock(m_Mutex);
+  const TableEntry *Known = find(m_Table, BackendServer);
+  return Known ? Known->m_Member.m_Group : std::string();
+}
+
 std::optional<BackendTarget>
 MembershipDirectory::locate(std::string_view BackendServer) const {
   const std::lock_guard Lock(m_Mutex);
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -88,6 +88,11 @@
   std::vector<MemberView> members() const;
   // Number of backend servers of the service that accept new requests.
   std::size_t eligibleCount(std::string_view Service) const;
+  // Number of the service's parts that fail independently: rank groups and
+  // servers without one, that accept new requests.
+  std::size_t independentUnits(std::string_view Service) const;
+  // The rank group of a backend server; empty if it has none or is unknown.
+  std::string groupName(std::string_view BackendServer) const;
   // The agent of a backend server; empty if unknown.
   std::optional<BackendTarget> locate(std::string_view BackendServer) const;
 
--- /dev/null
+++ b/Source/Gateway/CrashGuard.cpp
@@ -0,0 +1,460 @@
+// Watched requests, probes of lost servers and the exchange of evidence.
+#include "Gateway/CrashGuard.h"
+
+#include "Core/Hash.h"
+#include "Core/PostTask.h"
+#include "Entry/MembershipDirectory.h"
+#include "Events/EventLog.h"
+#include "Gateway.pb.h"
+#include "Gateway/CallerProtocol.h"
+#include "Gateway/CrashMessages.h"
+#include "Gateway/GatewayMetrics.h"
+#include "Http/HttpClients.h"
+#include "Raft/RaftPeers.h"
+
+#include <fmt/ranges.h>
+
+#include <algorithm>
+
+namespace mangocart {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// An answer that has gone on for so long has begun soundly.
+constexpr Duration SoundAfter = std::chrono::seconds(1);
+// As long as a connection to a backend server may take.
+constexpr Duration ProbeTimeout = milliseconds(300);
+// Retry-After of a request that another one on probation goes before.
+constexpr Duration RetryAfterTrial = std::chrono::seconds(1);
+
+std::uint64_t wholeMs(Duration Time) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(
+      0, std::chrono::duration_cast<milliseconds>(Time).count()));
+}
+
+} // namespace
+
+CrashGuard::CrashGuard(boost::asio::io_context &Worker, HttpClients &Clients,
+                       const CallerProtocol &Protocol,
+                       MembershipDirectory &Directory, EventLog &Events,
+                       GatewayMetrics &Metrics, std::string Name,
+                       PeerEndpoint Self)
+    : m_Clients(Clients), m_Protocol(Protocol), m_Directory(Directory),
+      m_Events(Events), m_Metrics(Metrics), m_Name(std::move(Name)),
+      m_Self(std::move(Self)), m_Executor(Worker.get_executor()) {}
+
+ServerRun CrashGuard::runOf(const BackendTarget &Target) {
+  return {Target.m_Name, Target.m_Incarnation};
+}
+
+CrashGuard::Number CrashGuard::begin(GuardedRequest Request) {
+  if (Request.m_Parts.empty())
+    return 0;
+  const std::lock_guard Lock(m_Mutex);
+  m_Watched[++m_LastNumber].m_Request = std::move(Request);
+  return m_LastNumber;
+}
+
+void CrashGuard::end(Number Request) {
+  if (Request == 0)
+    return;
+  const std::lock_guard Lock(m_Mutex);
+  releaseTrials(Request);
+  m_Watched.erase(Request);
+}
+
+// --- Decisions
+
+GuardDecision CrashGuard::decide(Number Request, bool Reserve) {
+  if (Request == 0)
+    return {};
+  const std::lock_guard Lock(m_Mutex);
+  const auto Found = m_Watched.find(Request);
+  if (Found == m_Watched.end() || Found->second.m_IsSound ||
+      m_Evidence.m_Suspicions.empty())
+    return {};
+  return decideLocked(Found->second, Request, Reserve, RuntimeClock::now());
+}
+
+GuardDecision CrashGuard::decideLocked(const Watched &Each, Number Request,
+                                       bool Reserve, TimePoint Now) {
+  const std::string &Service = Each.m_Request.m_Service;
+  const bool IsLastUnit = m_Directory.independentUnits(Service) <= 1;
+  GuardDecision Decision;
+  std::vector<ServicePart> OnProbation;
+  for (const std::string &Id : Each.m_Request.m_Parts) {
+    const ServicePart Part{Service, Id};
+    const PartState State = partState(m_Evidence, Part, IsLastUnit, Now);
+    if (State == PartState::Free)
+      continue;
+    const Duration Left = timeToNextState(m_Evidence, Part, IsLastUnit, Now);
+    if (State == PartState::Probation && mayTry(Part, Request)) {
+      OnProbation.push_back(Part);
+      continue;
+    }
+    Decision.m_Allowed = false;
+    Decision.m_RetryAfter = std::max(
+        Decision.m_RetryAfter,
+        State == PartState::Probation ? std::min(Left, RetryAfterTrial) : Left);
+  }
+  if (!Decision.m_Allowed)
+    m_Metrics.m_PartRejections.add();
+  else if (Reserve)
+    for (const ServicePart &Part : OnProbation)
+      m_Trials[Part] = Request;
+  return Decision;
+}
+
+// One gateway tries the requests on probation: the one with the highest hash
+// together with the part. All gateways know the same ones, except while their
+// list changes.
+bool CrashGuard::mayTry(const ServicePart &Part, Number Request) const {
+  const auto Trial = m_Trials.find(Part);
+  if (Trial != m_Trials.end() && Trial->second != Request)
+    return false;
+  const std::uint64_t Seed = hash64(Part.m_Part, hash64(Part.m_Service));
+  const std::uint64_t Own = hash64(toString(m_Self), Seed);
+  return std::all_of(m_Gateways.begin(), m_Gateways.end(),
+                     [&](const PeerEndpoint &Each) {
+                       return hash64(toString(Each), Seed) <= Own;
+                     });
+}
+
+void CrashGuard::releaseTrials(Number Request) {
+  std::erase_if(m_Trials,
+                [&](const auto &Each) { return Each.second == Request; });
+}
+
+// --- Attempts
+
+void CrashGuard::attemptSent(Number Request, const BackendTarget &Target) {
+  if (Request == 0)
+    return;
+  const std::lock_guard Lock(m_Mutex);
+  const auto Found = m_Watched.find(Request);
+  if (Found == m_Watched.end())
+    return;
+  Found->second.m_Target = Target;
+  Found->second.m_FirstData.reset();
+  Found->second.m_IsReported = false;
+}
+
+void CrashGuard::dataReceived(Number Request) {
+  if (Request == 0)
+    return;
+  Calls After;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    const auto Found = m_Watched.find(Request);
+    if (Found == m_Watched.end() || Found->second.m_IsSound)
+      return;
+    const TimePoint Now = RuntimeClock::now();
+    Watched &Each = Found->second;
+    if (!Each.m_FirstData)
+      Each.m_FirstData = Now;
+    else if (Now - *Each.m_FirstData >= SoundAfter)
+      recordSound(Each, Now, After);
+  }
+  for (const auto &Call : After)
+    Call();
+}
+
+void CrashGuard::answered(Number Request) {
+  if (Request == 0)
+    return;
+  Calls After;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    const auto Found = m_Watched.find(Request);
+    if (Found != m_Watched.end() && !Found->second.m_IsSound)
+      recordSound(Found->second, RuntimeClock::now(), After);
+  }
+  for (const auto &Call : After)
+    Call();
+}
+
+void CrashGuard::attemptEnded(Number Request) {
+  if (Request == 0)
+    return;
+  const std::lock_guard Lock(m_Mutex);
+  releaseTrials(Request);
+  const auto Found = m_Watched.find(Request);
+  if (Found != m_Watched.end())
+    Found->second.m_Target.reset();
+}
+
+void CrashGuard::recordSound(Watched &Each, TimePoint Now, Calls &After) {
+  Each.m_IsSound = true;
+  for (const ServicePart &Part : recordSoundAnswer(
+           m_Evidence, Each.m_Request.m_Service, Each.m_Request.m_Parts, Now))
+    addAcquittal(Part, Now, After);
+}
+
+void CrashGuard::addAcquittal(const ServicePart &Part, TimePoint At,
+                              Calls &After) {
+  m_NewAcquittals[Part] = At;
+  After.emplace_back([this, Part] {
+    m_Events.write(Event::PartReleased,
+                   {{"service", Part.m_Service}, {"part", Part.m_Part}});
+    if (m_OnUpdate)
+      m_OnUpdate();
+  });
+}
+
+// --- Crashes
+
+// Whether a crash of the attempt's server implicates the request.
+bool CrashGuard::isBeginning(const Watched &Each, TimePoint Now) const {
+  return !Each.m_IsSound &&
+         (!Each.m_FirstData || Now - *Each.m_FirstData < SoundAfter);
+}
+
+void CrashGuard::connectionLost(Number Request, std::function<void()> Done) {
+  if (Request == 0)
+    return Done();
+  Calls After;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    const auto Found = m_Watched.find(Request);
+    if (Found == m_Watched.end() || !Found->second.m_Target) {
+      After.push_back(std::move(Done));
+    } else {
+      const Watched &Each = Found->second;
+      const TimePoint Now = RuntimeClock::now();
+      const bool Matters =
+          isBeginning(Each, Now) &&
+          std::any_of(Each.m_Request.m_Parts.begin(),
+                      Each.m_Request.m_Parts.end(), [&](const auto &Id) {
+                        return wouldBeHeld(
+                            m_Evidence, {Each.m_Request.m_Service, Id}, 1, Now);
+                      });
+      std::function<void(bool)> OnProbed = [](bool) {};
+      if (Matters)
+        OnProbed = [Executor = Each.m_Request.m_Executor, Done](bool) {
+          postTask(Executor, Done);
+        };
+      probe(*Each.m_Target, Now, std::move(OnProbed), After);
+      if (!Matters)
+        After.push_back(std::move(Done));
+    }
+  }
+  for (const auto &Call : After)
+    Call();
+}
+
+void CrashGuard::verifyRunning(const BackendTarget &Target,
+                               boost::asio::any_io_executor Executor,
+                               std::function<void(bool Running)> Done) {
+  Calls After;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    probe(
+        Target, RuntimeClock::now(),
+        [Executor = std::move(Executor), Done = std::move(Done)](bool Running) {
+          postTask(Executor, [Done, Running] { Done(Running); });
+        },
+        After);
+  }
+  for (const auto &Call : After)
+    Call();
+}
+
+// Any response shows that the server runs. A server that has ended refuses
+// connections, or its machine gives no answer.
+void CrashGuard::probe(const BackendTarget &Target, TimePoint Now,
+                       std::function<void(bool Running)> Done, Calls &After) {
+  const ServerRun Run = runOf(Target);
+  if (m_Evidence.m_Crashes.contains(Run)) {
+    recordCrash(Target, Now, Now, After);
+    After.emplace_back([Done = std::move(Done)] { Done(false); });
+    return;
+  }
+  const auto [At, Inserted] = m_Lost.try_emplace(Run);
+  LostServer &Lost = At->second;
+  Lost.m_Waiting.push_back(std::move(Done));
+  if (!Inserted)
+    return;
+  Lost.m_Target = Target;
+  Lost.m_At = Now;
+  After.emplace_back(
+      [this, Self = shared_from_this(), Run,
+       To = HttpTarget{Target.m_Agent.m_Address, Target.m_Agent.m_Port}] {
+        postTask(m_Executor, [this, Self, Run, To] {
+          HttpCallHandlers Handlers;
+          Handlers.m_OnHead = [](const HttpHead &) {};
+          Handlers.m_OnBody = [](std::string_view) {};
+          Handlers.m_OnEnd = [Self, Run] { Self->onProbed(Run, true); };
+          Handlers.m_OnError = [Self, Run](const HttpError &Error) {
+            Self->onProbed(Run, Error.m_Code != HttpErrorCode::ConnectFailed &&
+                                    Error.m_Code != HttpErrorCode::TimedOut);
+          };
+          m_Clients.on(m_Executor)
+              .send(To, m_Protocol.livenessProbe(), ProbeTimeout,
+                    std::move(Handlers));
+        });
+      });
+}
+
+void CrashGuard::onProbed(const ServerRun &Run, bool Running) {
+  Calls After;
+  LostServer Lost;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    const auto Found = m_Lost.find(Run);
+    if (Found == m_Lost.end())
+      return;
+    Lost = std::move(Found->second);
+    m_Lost.erase(Found);
+    if (!Running)
+      recordCrash(Lost.m_Target, Lost.m_At, RuntimeClock::now(), After);
+  }
+  for (const auto &Call : After)
+    Call();
+  for (const auto &Done : Lost.m_Waiting)
+    Done(Running);
+}
+
+void CrashGuard::serverSilent(const BackendTarget &Target) {
+  Calls After;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    const TimePoint Now = RuntimeClock::now();
+    recordCrash(Target, Now, Now, After);
+  }
+  for (const auto &Call : After)
+    Call();
+}
+
+// Reports the crash together with the requests of this gateway that it
+// implicates. Some of them may be counted only after the first report.
+void CrashGuard::recordCrash(const BackendTarget &Target, TimePoint At,
+                             TimePoint Now, Calls &After) {
+  const ServerRun Run = runOf(Target);
+  std::uint32_t Requests = 0;
+  std::set<std::string> Parts;
+  for (auto &[Number, Each] : m_Watched) {
+    if (!Each.m_Target || runOf(*Each.m_Target) != Run || Each.m_IsReported ||
+        !isBeginning(Each, At))
+      continue;
+    Each.m_IsReported = true;
+    ++Requests;
+    Parts.insert(Each.m_Request.m_Parts.begin(), Each.m_Request.m_Parts.end());
+  }
+  const auto Known = m_Evidence.m_Crashes.find(Run);
+  const bool IsNew = Known == m_Evidence.m_Crashes.end();
+  if (!IsNew && Requests == 0)
+    return;
+  CrashReport Report = makeCrashReport(m_Evidence, Target.m_Service, Requests,
+                                       {Parts.begin(), Parts.end()}, Now);
+  if (!IsNew) {
+    const auto Earlier = Known->second.m_Reports.find(m_Name);
+    if (Earlier != Known->second.m_Reports.end()) {
+      Report.m_Requests += Earlier->second.m_Requests;
+      Report.m_Parts.insert(Earlier->second.m_Parts.begin(),
+                            Earlier->second.m_Parts.end());
+    }
+  } else {
+    m_Metrics.m_ServerCrashes.add();
+  }
+  After.emplace_back([this, Name = Target.m_Name, Requests,
+                      Text = fmt::format("{}", fmt::join(Parts, ","))] {
+    m_Events.write(
+        Event::BackendServerEnded,
+        {{"backend_server", Name}, {"requests", Requests}, {"parts", Text}});
+  });
+  m_NewCrashes.insert(Run);
+  applyCrash(Run, {Target.m_Service, At, {{m_Name, std::move(Report)}}}, Now,
+             After);
+  After.emplace_back([this] {
+    if (m_OnUpdate)
+      m_OnUpdate();
+  });
+}
+
+void CrashGuard::applyCrash(const ServerRun &Run, const ServerCrash &Crash,
+                            TimePoint Now, Calls &After) {
+  const CrashMerge Merged = mergeCrash(m_Evidence, Run, Crash, Now);
+  for (const ServicePart &Part : Merged.m_Acquitted)
+    addAcquittal(Part, m_Evidence.m_Acquittals.at(Part), After);
+  if (Merged.m_Held.empty())
+    return;
+  const std::string Group = m_Directory.groupName(Run.m_BackendServer);
+  for (const ServicePart &Part : Merged.m_Held) {
+    const Suspicion *Against = findSuspicion(m_Evidence, Part);
+    After.emplace_back([this, Part, Against = *Against,
+                        Hold = timeToNextState(m_Evidence, Part, false, Now)] {
+      m_Events.write(Event::PartHeld, {{"service", Part.m_Service},
+                                       {"part", Part.m_Part},
+                                       {"crashes", Against.m_Crashes},
+                                       {"ratio", Against.m_Ratio},
+                                       {"hold_ms", wholeMs(Hold)}});
+    });
+  }
+  for (const auto &[Number, Each] : m_Watched) {
+    const GuardedRequest &Request = Each.m_Request;
+    const bool IsHeld = std::any_of(
+        Merged.m_Held.begin(), Merged.m_Held.end(),
+        [&](const ServicePart &Part) {
+          return Part.m_Service == Request.m_Service &&
+                 std::find(Request.m_Parts.begin(), Request.m_Parts.end(),
+                           Part.m_Part) != Request.m_Parts.end();
+        });
+    if (IsHeld && !Each.m_IsSound)
+      After.emplace_back(
+          [Executor = Request.m_Executor, OnHeld = Request.m_OnHeld, Group] {
+            postTask(Executor, [OnHeld, Group] { OnHeld(Group); });
+          });
+  }
+}
+
+// --- Other gateways
+
+void CrashGuard::setGateways(std::set<PeerEndpoint> Gateways) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Gateways = std::move(Gateways);
+}
+
+void CrashGuard::addNews(schema::LoadReport &Report) {
+  const std::lock_guard Lock(m_Mutex);
+  const TimePoint Now = RuntimeClock::now();
+  for (const ServerRun &Run : std::exchange(m_NewCrashes, {})) {
+    const auto Found = m_Evidence.m_Crashes.find(Run);
+    if (Found != m_Evidence.m_Crashes.end())
+      addCrash(Report, Run, Found->second, m_Name, Now);
+  }
+  for (const auto &[Part, At] : std::exchange(m_NewAcquittals, {}))
+    mangocart::addAcquittal(Report, Part, At, Now);
+}
+
+void CrashGuard::addAll(schema::LoadReport &Report) {
+  const std::lock_guard Lock(m_Mutex);
+  const TimePoint Now = RuntimeClock::now();
+  for (const auto &[Run, Crash] : m_Evidence.m_Crashes)
+    for (const auto &[Reporter, Seen] : Crash.m_Reports)
+      addCrash(Report, Run, Crash, Reporter, Now);
+  for (const auto &[Part, At] : m_Evidence.m_Acquittals)
+    mangocart::addAcquittal(Report, Part, At, Now);
+}
+
+void CrashGuard::merge(const schema::LoadReport &Report) {
+  if (Report.crashes_size() == 0 && Report.acquittals_size() == 0)
+    return;
+  Calls After;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    const TimePoint Now = RuntimeClock::now();
+    for (const schema::ServerCrash &Each : Report.crashes())
+      if (Each.reporter() != m_Name)
+        applyCrash({Each.backend_server(), Each.incarnation()},
+                   crashFromSchema(Each, Now), Now, After);
+    for (const schema::PartAcquittal &Each : Report.acquittals())
+      mergeAcquittal(m_Evidence, {Each.service(), Each.id()},
+                     Now - milliseconds(Each.ms_ago()), Now);
+  }
+  for (const auto &Call : After)
+    Call();
+}
+
+} // namespace mangocart
--- /dev/null
+++ b/Source/Gateway/CrashGuard.h
@@ -0,0 +1,157 @@
+// Keeps requests with parts that crash backend servers away from them. Watches
+// the requests of this gateway, finds out whether a server whose connection was
+// lost has ended, and exchanges the evidence with the other gateways. The
+// decisions are those of Routing/CrashEvidence.
+#ifndef MANGOCART_GATEWAY_CRASHGUARD_H
+#define MANGOCART_GATEWAY_CRASHGUARD_H
+
+#include "Core/Timer.h"
+#include "Entry/BackendDirectory.h"
+#include "Routing/CrashEvidence.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mangocart {
+
+namespace schema {
+class LoadReport;
+} // namespace schema
+class CallerProtocol;
+class EventLog;
+class HttpClients;
+class MembershipDirectory;
+struct GatewayMetrics;
+
+// A request to be watched.
+struct GuardedRequest {
+  std::string m_Service;
+  // IDs of the prompt's shared parts.
+  std::vector<std::string> m_Parts;
+  boost::asio::any_io_executor m_Executor;
+  // Called on the executor when one of the parts is held back, with the rank
+  // group of the server that crashed (empty: none). At most once per crash.
+  std::function<void(std::string CrashedGroup)> m_OnHeld;
+};
+
+struct GuardDecision {
+  bool m_Allowed = true;
+  // How long the request should stay away if it isn't allowed.
+  Duration m_RetryAfter = Duration::zero();
+};
+
+// Thread-safe. Its mutex is locked before the directory's; handlers run on
+// their executors without holding it.
+class CrashGuard : public std::enable_shared_from_this<CrashGuard> {
+public:
+  // Number of a watched request; 0 for a request without shared parts, for
+  // which all functions do nothing.
+  using Number = std::uint64_t;
+
+  CrashGuard(boost::asio::io_context &Worker, HttpClients &Clients,
+             const CallerProtocol &Protocol, MembershipDirectory &Directory,
+             EventLog &Events, GatewayMetrics &Metrics, std::string Name,
+             PeerEndpoint Self);
+
+  Number begin(GuardedRequest Request);
+  void end(Number Request);
+
+  // Whether an attempt may be made. With Reserve, a request on probation is
+  // counted as the one that is under way until its attempt ends.
+  GuardDecision decide(Number Request, bool Reserve);
+  void attemptSent(Number Request, const BackendTarget &Target);
+  void dataReceived(Number Request);
+  // The attempt's answer was sound and whole.
+  void answered(Number Request);
+  void attemptEnded(Number Request);
+  // The attempt's connection was lost. Done is called on the request's executor
+  // once it is known whether the server has ended, if that matters.
+  void connectionLost(Number Request, std::function<void()> Done);
+  // The server gives no sign of life.
+  void serverSilent(const BackendTarget &Target);
+  // Finds out whether the server still runs. Done is called on the executor.
+  void verifyRunning(const BackendTarget &Target,
+                     boost::asio::any_io_executor Executor,
+                     std::function<void(bool Running)> Done);
+
+  // All known gateways, this one included.
+  void setGateways(std::set<PeerEndpoint> Gateways);
+  // Called without a lock when there is something new for other gateways.
+  void onUpdate(std::function<void()> Handler) {
+    m_OnUpdate = std::move(Handler);
+  }
+  // Adds what is new since the last call, or all that is known.
+  void addNews(schema::LoadReport &Report);
+  void addAll(schema::LoadReport &Report);
+  void merge(const schema::LoadReport &Report);
+
+private:
+  struct Watched {
+    GuardedRequest m_Request;
+    // The attempt under way.
+    std::optional<BackendTarget> m_Target;
+    std::optional<TimePoint> m_FirstData;
+    // A report about the crash of the attempt's server counts the request.
+    bool m_IsReported = false;
+    // The request itself has had a sound answer, or a part of one.
+    bool m_IsSound = false;
+  };
+  // A server run of which a connection was lost, until a probe has ended.
+  struct LostServer {
+    BackendTarget m_Target;
+    TimePoint m_At;
+    std::vector<std::function<void(bool Running)>> m_Waiting;
+  };
+  // Calls that are made after the mutex is released.
+  using Calls = std::vector<std::function<void()>>;
+
+  static ServerRun runOf(const BackendTarget &Target);
+  bool isBeginning(const Watched &Each, TimePoint Now) const;
+  GuardDecision decideLocked(const Watched &Each, Number Request, bool Reserve,
+                             TimePoint Now);
+  bool mayTry(const ServicePart &Part, Number Request) const;
+  void releaseTrials(Number Request);
+  void recordSound(Watched &Each, TimePoint Now, Calls &After);
+  void probe(const BackendTarget &Target, TimePoint Now,
+             std::function<void(bool Running)> Done, Calls &After);
+  void onProbed(const ServerRun &Run, bool Running);
+  void recordCrash(const BackendTarget &Target, TimePoint At, TimePoint Now,
+                   Calls &After);
+  void applyCrash(const ServerRun &Run, const ServerCrash &Crash, TimePoint Now,
+                  Calls &After);
+  void addAcquittal(const ServicePart &Part, TimePoint At, Calls &After);
+
+  HttpClients &m_Clients;
+  const CallerProtocol &m_Protocol;
+  MembershipDirectory &m_Directory;
+  EventLog &m_Events;
+  GatewayMetrics &m_Metrics;
+  const std::string m_Name;
+  const PeerEndpoint m_Self;
+  const boost::asio::any_io_executor m_Executor;
+  std::function<void()> m_OnUpdate;
+  std::mutex m_Mutex;
+  // The members below are guarded by m_Mutex.
+  CrashEvidence m_Evidence;
+  std::map<Number, Watched> m_Watched;
+  Number m_LastNumber = 0;
+  std::map<ServerRun, LostServer> m_Lost;
+  // The request on probation that is under way, by part.
+  std::map<ServicePart, Number> m_Trials;
+  std::set<PeerEndpoint> m_Gateways;
+  // Not yet sent to other gateways.
+  std::set<ServerRun> m_NewCrashes;
+  std::map<ServicePart, TimePoint> m_NewAcquittals;
+};
+
+} // namespace mangocart
+
+#endif
--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -18,6 +18,7 @@
 } // namespace schema
 class AttemptMonitor;
 class CallerProtocol;
+class CrashGuard;
 class EventLog;
 class HttpClients;
 class MembershipDirectory;
@@ -54,6 +55,7 @@
   ServiceDispatcher &m_Dispatcher;
   RetryBudgets &m_RetryBudgets;
   AttemptMonitor &m_AttemptMonitor;
+  CrashGuard &m_CrashGuard;
   GatewayMetrics &m_Metrics;
   // Set while draining: callers are asked to close their connections.
   std::atomic<bool> &m_Draining;
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -68,9 +68,12 @@
       m_RetryBudgets(repeatOptions(m_Settings)),
       m_AttemptMonitor(std::make_shared<AttemptMonitor>(
           m_Workers.worker(0), m_Clients, Protocol, m_Events)),
-      m_Context{m_Settings,        m_Events,  Protocol,     m_Plans,
-                m_Directory,       m_Clients, m_Dispatcher, m_RetryBudgets,
-                *m_AttemptMonitor, m_Metrics, m_Draining},
+      m_CrashGuard(std::make_shared<CrashGuard>(
+          m_Workers.worker(0), m_Clients, Protocol, m_Directory, m_Events,
+          m_Metrics, m_Settings.name(), ownEndpoint(m_Settings))),
+      m_Context{m_Settings,        m_Events,      Protocol,     m_Plans,
+                m_Directory,       m_Clients,     m_Dispatcher, m_RetryBudgets,
+                *m_AttemptMonitor, *m_CrashGuard, m_Metrics,    m_Draining},
       m_Router(m_Context, RuntimeClock::wallMilliseconds()),
       m_CallerServer(m_Workers, callerLimits(m_Settings, {}),
                      [this](const std::shared_ptr<HttpExchange> &Exchange) {
@@ -86,8 +89,9 @@
                       }),
       m_Peers(m_Workers), m_PeerServer(m_Workers),
       m_LoadExchange(std::make_shared<LoadExchange>(
-          m_Workers.worker(0), m_Peers, m_Directory, m_Settings.name(),
-          ownEndpoint(m_Settings), [this] { m_Dispatcher.dispatchWaiting(); })),
+          m_Workers.worker(0), m_Peers, m_Directory, *m_CrashGuard,
+          m_Settings.name(), ownEndpoint(m_Settings),
+          [this] { m_Dispatcher.dispatchWaiting(); })),
       m_VoterWatch(std::make_shared<VoterWatch>(
           m_Workers.worker(0), m_Peers,
           WatchTargets{
@@ -102,6 +106,7 @@
                 m_Directory.setEntryCount(Count);
                 m_RetryBudgets.setGateways(Count);
                 m_LoadExchange->setGateways(Gateways);
+                m_CrashGuard->setGateways(Gateways);
               },
               toString(ownEndpoint(m_Settings)),
               {}},
@@ -118,6 +123,7 @@
   m_Directory.setLimits(
       announceLimits(milliseconds(m_Settings.announce_interval_ms())));
   m_Directory.onMemberChange([this] { m_Dispatcher.dispatchWaiting(); });
+  m_CrashGuard->onUpdate([this] { m_LoadExchange->reportNow(); });
   m_Plans.onChange([this](const RoutingPlan &Plan) { planChanged(Plan); });
 }
 
--- a/Source/Gateway/GatewayDaemon.h
+++ b/Source/Gateway/GatewayDaemon.h
@@ -10,6 +10,7 @@
 #include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
 #include "Gateway/AttemptMonitor.h"
+#include "Gateway/CrashGuard.h"
 #include "Gateway/GatewayContext.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/LoadExchange.h"
@@ -57,6 +58,7 @@
   ServiceDispatcher m_Dispatcher;
   RetryBudgets m_RetryBudgets;
   const std::shared_ptr<AttemptMonitor> m_AttemptMonitor;
+  const std::shared_ptr<CrashGuard> m_CrashGuard;
   std::atomic<bool> m_Draining{false};
   GatewayContext m_Context;
   RequestRouter m_Router;
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -27,6 +27,12 @@
       m_Resumed(
           Registry.counter("mangocart_gateway_resumed_total",
                            "Streams that went on at another backend server.")),
+      m_ServerCrashes(
+          Registry.counter("mangocart_gateway_servers_ended_total",
+                           "Backend servers that ended with requests.")),
+      m_PartRejections(Registry.counter(
+          "mangocart_gateway_parts_held_total",
+          "Attempts that weren't made because of a part of the prompt.")),
       m_FirstByte(Registry.histogram(
           "mangocart_gateway_first_byte_seconds",
           "Time from a request's arrival to the first byte of its answer.")),
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -19,6 +19,8 @@
   Counter &m_Truncated;
   Counter &m_CallerDisconnects;
   Counter &m_Resumed;
+  Counter &m_ServerCrashes;
+  Counter &m_PartRejections;
   // Seconds from the arrival of a request to the first byte of its response,
   // and to its end.
   Histogram &m_FirstByte;
--- a/Source/Gateway/LoadExchange.cpp
+++ b/Source/Gateway/LoadExchange.cpp
@@ -4,6 +4,7 @@
 #include "Core/PostTask.h"
 #include "Entry/MembershipDirectory.h"
 #include "Gateway.pb.h"
+#include "Gateway/CrashGuard.h"
 #include "Gateway/LoadReportInterval.h"
 
 namespace mangocart {
@@ -21,11 +22,12 @@
 } // namespace
 
 LoadExchange::LoadExchange(boost::asio::io_context &Worker, PeerClient &Client,
-                           MembershipDirectory &Directory, std::string Name,
-                           PeerEndpoint Self, std::function<void()> OnReport)
-    : m_Client(Client), m_Directory(Directory), m_Name(std::move(Name)),
-      m_Self(std::move(Self)), m_OnReport(std::move(OnReport)),
-      m_Timer(Worker) {}
+                           MembershipDirectory &Directory, CrashGuard &Guard,
+                           std::string Name, PeerEndpoint Self,
+                           std::function<void()> OnReport)
+    : m_Client(Client), m_Directory(Directory), m_Guard(Guard),
+      m_Name(std::move(Name)), m_Self(std::move(Self)),
+      m_OnReport(std::move(OnReport)), m_Timer(Worker) {}
 
 void LoadExchange::serve(PeerServer &Server) {
   Server.addMethod(LoadMethod, [Weak = weak_from_this()](
@@ -51,6 +53,11 @@
            [Self = shared_from_this()] { Self->tick(); });
 }
 
+void LoadExchange::reportNow() {
+  postTask(m_Timer.get_executor(),
+           [Self = shared_from_this()] { Self->tick(); });
+}
+
 void LoadExchange::setGateways(const std::set<PeerEndpoint> &Gateways) {
   for (auto Each = m_Links.begin(); Each != m_Links.end();) {
     if (Gateways.contains(Each->first)) {
@@ -69,10 +76,13 @@
 void LoadExchange::tick() {
   const TimePoint Now = RuntimeClock::now();
   OutstandingCalls Own = m_Directory.ownCalls();
-  if (Own.m_Requests != m_LastReported ||
+  schema::LoadReport Changes =
+      makeReport(loadDelta(m_LastReported, Own.m_Requests), true);
+  m_Guard.addNews(Changes);
+  if (Changes.servers_size() > 0 || Changes.crashes_size() > 0 ||
+      Changes.acquittals_size() > 0 ||
       Now - m_LastReportTime >= MaxReportInterval) {
-    const std::string Delta =
-        serializeReport(loadDelta(m_LastReported, Own.m_Requests), true);
+    const std::string Delta = Changes.SerializeAsString();
     for (auto &[To, Peer] : m_Links)
       sendReport(To, Peer, Own.m_Requests, Delta);
     m_LastReported = std::move(Own.m_Requests);
@@ -85,8 +95,8 @@
   });
 }
 
-std::string LoadExchange::serializeReport(const RequestsByServer &Load,
-                                          bool ChangesOnly) const {
+schema::LoadReport LoadExchange::makeReport(const RequestsByServer &Load,
+                                            bool ChangesOnly) const {
   schema::LoadReport Report;
   Report.set_gateway(m_Name);
   Report.set_changes_only(ChangesOnly);
@@ -94,7 +104,7 @@
     Report.add_servers(Server);
     Report.add_requests(Requests);
   }
-  return Report.SerializeAsString();
+  return Report;
 }
 
 void LoadExchange::sendReport(const PeerEndpoint &To, Link &Peer,
@@ -122,9 +132,11 @@
     Peer.m_NeedsFullReport = true;
     return;
   }
-  Peer.m_Stream->send(std::exchange(Peer.m_NeedsFullReport, false)
-                          ? serializeReport(Load, false)
-                          : Delta);
+  if (!std::exchange(Peer.m_NeedsFullReport, false))
+    return Peer.m_Stream->send(Delta);
+  schema::LoadReport Full = makeReport(Load, false);
+  m_Guard.addAll(Full);
+  Peer.m_Stream->send(Full.SerializeAsString());
 }
 
 void LoadExchange::onReport(std::string_view Bytes) {
@@ -143,6 +155,7 @@
   Load.m_Heard = RuntimeClock::now();
   Load.m_Requests = Known;
   m_Directory.setOtherEntryCalls(Report.gateway(), std::move(Load));
+  m_Guard.merge(Report);
   m_OnReport();
 }
 
--- a/Source/Gateway/LoadExchange.h
+++ b/Source/Gateway/LoadExchange.h
@@ -1,6 +1,6 @@
 // Exchanges the numbers of outstanding requests per backend server with the
 // other gateways, so that each gateway knows the total load of each backend
-// server.
+// server, and what each gateway knows of crashed backend servers.
 #ifndef MANGOCART_GATEWAY_LOADEXCHANGE_H
 #define MANGOCART_GATEWAY_LOADEXCHANGE_H
 
@@ -19,19 +19,26 @@
 
 namespace mangocart {
 
+namespace schema {
+class LoadReport;
+} // namespace schema
+class CrashGuard;
 class MembershipDirectory;
 
-// All functions but serve() run on the worker.
+// All functions but serve() and reportNow() run on the worker.
 class LoadExchange : public std::enable_shared_from_this<LoadExchange> {
 public:
   // OnReport is called after another gateway's load report was applied.
   LoadExchange(boost::asio::io_context &Worker, PeerClient &Client,
-               MembershipDirectory &Directory, std::string Name,
-               PeerEndpoint Self, std::function<void()> OnReport);
+               MembershipDirectory &Directory, CrashGuard &Guard,
+               std::string Name, PeerEndpoint Self,
+               std::function<void()> OnReport);
 
   // Must be called before the server listens.
   void serve(PeerServer &Server);
   void start();
+  // Sends the next report without waiting for its time. Thread-safe.
+  void reportNow();
   void setGateways(const std::set<PeerEndpoint> &Gateways);
 
 private:
@@ -44,14 +51,15 @@
   };
 
   void tick();
-  std::string serializeReport(const RequestsByServer &Load,
-                              bool ChangesOnly) const;
+  schema::LoadReport makeReport(const RequestsByServer &Load,
+                                bool ChangesOnly) const;
   void sendReport(const PeerEndpoint &To, Link &Peer,
                   const RequestsByServer &Load, const std::string &Delta);
   void onReport(std::string_view Bytes);
 
   PeerClient &m_Client;
   MembershipDirectory &m_Directory;
+  CrashGuard &m_Guard;
   const std::string m_Name;
   const PeerEndpoint m_Self;
   const std::function<void()> m_OnReport;
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -4,6 +4,7 @@
 #include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
 #include "Gateway/AttemptMonitor.h"
+#include "Gateway/CrashGuard.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/ResponseBuffering.h"
 #include "Http/HttpClients.h"
@@ -99,6 +100,13 @@
       Self->onDeadline();
   });
   m_Context.m_RetryBudgets.recordRequest(m_Request.m_Service);
+  m_GuardNumber = m_Context.m_CrashGuard.begin(
+      {m_Request.m_Service, m_Request.m_Caller.m_SharedParts,
+       m_Exchange->executor(),
+       [Weak = weak_from_this()](const std::string &CrashedGroup) {
+         if (const auto Self = Weak.lock())
+           Self->onPartHeld(CrashedGroup);
+       }});
   startAttempt();
 }
 
@@ -150,6 +158,8 @@
 void ProxiedRequest::startAttempt() {
   if (timeLeft() <= Duration::zero())
     return onDeadline();
+  if (failIfHeld(false))
+    return;
   m_DispatchId = 0;
   m_DispatchId = m_Context.m_Dispatcher.submit(
       makeDispatchRequest(), m_Exchange->executor(),
@@ -168,7 +178,44 @@
   }
   if (!m_Target)
     return fail(toString(Result.m_Rejection), Result.m_RetryAfter);
-  send();
+  if (!failIfHeld(true))
+    send();
+}
+
+bool ProxiedRequest::failIfHeld(bool Reserve) {
+  const GuardDecision Decision =
+      m_Context.m_CrashGuard.decide(m_GuardNumber, Reserve);
+  if (Decision.m_Allowed)
+    return false;
+  reportResult(CallResult::Cancelled);
+  fail("part-held", Decision.m_RetryAfter);
+  return true;
+}
+
+void ProxiedRequest::onPartHeld(const std::string &CrashedGroup) {
+  if (m_Finished)
+    return;
+  // While it waits for a backend server.
+  if (m_DispatchId) {
+    failIfHeld(false);
+    return;
+  }
+  // The answer may crash its server as well once it begins. The ranks of the
+  // crashed group don't begin it: they report that it has not run.
+  if (!m_HttpCall || !m_Target || m_DataForwarded || !m_State.m_Retryable ||
+      (!CrashedGroup.empty() &&
+       m_Context.m_Directory.groupName(m_Target->m_Name) == CrashedGroup))
+    return;
+  const GuardDecision Decision =
+      m_Context.m_CrashGuard.decide(m_GuardNumber, false);
+  if (Decision.m_Allowed)
+    return;
+  m_HttpCall->cancel();
+  m_HttpCall.reset();
+  m_State.m_MayHaveRun = true;
+  logAttemptEnd(lostResult(), "a part of the prompt is held back");
+  reportResult(CallResult::Cancelled);
+  fail("part-held", Decision.m_RetryAfter);
 }
 
 void ProxiedRequest::send() {
@@ -197,6 +244,7 @@
   m_Body.clear();
   m_Splitter.discardPending();
   const HttpTarget To{m_Target->m_Agent.m_Address, m_Target->m_Agent.m_Port};
+  m_Context.m_CrashGuard.attemptSent(m_GuardNumber, *m_Target);
   m_HttpCall =
       m_Context.m_Clients.on(m_Exchange->executor())
           .send(To,
@@ -212,8 +260,12 @@
     return;
   m_MonitorId = m_Context.m_AttemptMonitor.begin(
       *m_Target, m_Exchange->executor(), [Weak = weak_from_this()] {
-        if (const auto Self = Weak.lock())
-          Self->failOver("the backend server's machine does not respond");
+        const auto Self = Weak.lock();
+        if (!Self)
+          return;
+        if (Self->m_Target)
+          Self->m_Context.m_CrashGuard.serverSilent(*Self->m_Target);
+        Self->failOver("the backend server's machine does not respond");
       });
   const auto Timeout = attemptTimeout(
       m_Context.m_Dispatcher.expectedFirstByte(m_Request.m_Service),
@@ -258,6 +310,7 @@
 
 void ProxiedRequest::onBody(std::string_view Chunk) {
   m_Context.m_AttemptMonitor.onDataReceived(*m_Target);
+  m_Context.m_CrashGuard.dataReceived(m_GuardNumber);
   if (m_ForwardingMode == ForwardingMode::Events) {
     std::string Events = m_Splitter.take(Chunk);
     if (!Events.empty())
@@ -349,10 +402,28 @@
   case ResponseKind::Ran:
     break;
   }
+  if (!endsWithConnection(m_Head))
+    return onComplete();
+  // A server that ends closes its connections as well, so the answer is whole
+  // only if the server still runs.
+  m_Context.m_CrashGuard.verifyRunning(
+      *m_Target, m_Exchange->executor(),
+      [Self = shared_from_this()](bool Running) {
+        if (Self->m_Finished || !Self->m_Target)
+          return;
+        if (Running)
+          return Self->onComplete();
+        Self->endAttempt(Self->lostResult(),
+                         "the backend server ended with its answer");
+      });
+}
+
+void ProxiedRequest::onComplete() {
   if (m_ForwardingMode != ForwardingMode::Buffered) {
     if (m_Splitter.pendingBytes() > 0)
-      return endAttempt(AttemptResult::ConnectionLost,
-                        "the stream ended in the middle of an event");
+      return onConnectionLost(lostResult(),
+                              "the stream ended in the middle of an event");
+    m_Context.m_CrashGuard.answered(m_GuardNumber);
     reportResult(CallResult::Answered);
     startResponse();
     m_Exchange->finishStream();
@@ -361,12 +432,29 @@
   if (m_Head.m_Status >= FirstServerFailure || m_ResponseStarted)
     return endAttempt(AttemptResult::FailureResponse,
                       "the backend server responded with a failure status");
+  if (isSuccess(m_Head.m_Status))
+    m_Context.m_CrashGuard.answered(m_GuardNumber);
   reportResult(CallResult::Answered);
   recordFirstByte();
   m_Exchange->respond({callerHead(), std::move(m_Body)});
   finish("answered", m_Head.m_Status);
 }
 
+AttemptResult ProxiedRequest::lostResult() const {
+  return m_ResponseStarted ? AttemptResult::ResponseTruncated
+                           : AttemptResult::ConnectionLost;
+}
+
+void ProxiedRequest::onConnectionLost(AttemptResult Result,
+                                      std::string Detail) {
+  m_Context.m_CrashGuard.connectionLost(
+      m_GuardNumber,
+      [Self = shared_from_this(), Result, Detail = std::move(Detail)] {
+        if (!Self->m_Finished && Self->m_Target)
+          Self->endAttempt(Result, Detail);
+      });
+}
+
 void ProxiedRequest::onError(const HttpError &Error) {
   m_HttpCall.reset();
   if (Error.m_Code == HttpErrorCode::TimedOut)
@@ -376,9 +464,9 @@
     --m_State.m_AttemptCount;
     return endAttempt(AttemptResult::NeverSent, Error.m_Detail);
   }
-  endAttempt(m_ResponseStarted ? AttemptResult::ResponseTruncated
-                               : AttemptResult::ConnectionLost,
-             Error.m_Detail);
+  if (Error.m_Code == HttpErrorCode::ConnectionLost)
+    return onConnectionLost(lostResult(), Error.m_Detail);
+  endAttempt(lostResult(), Error.m_Detail);
 }
 
 // --- Completion
@@ -388,6 +476,7 @@
     return;
   if (const std::uint64_t Number = std::exchange(m_MonitorId, 0))
     m_Context.m_AttemptMonitor.end(*m_Target, Number);
+  m_Context.m_CrashGuard.attemptEnded(m_GuardNumber);
   if (std::exchange(m_IsStreamCounted, false))
     m_Context.m_Directory.streamEnded(*m_Target);
   m_Context.m_Directory.callEnded(*m_Target, m_Size,
@@ -488,9 +577,7 @@
   m_HttpCall->cancel();
   m_HttpCall.reset();
   m_State = After;
-  logAttemptEnd(m_ResponseStarted ? AttemptResult::ResponseTruncated
-                                  : AttemptResult::ConnectionLost,
-                Detail);
+  logAttemptEnd(lostResult(), Detail);
   reportResult(CallResult::Broken);
   startAttempt();
 }
@@ -500,9 +587,7 @@
     return;
   m_HttpCall->cancel();
   m_HttpCall.reset();
-  endAttempt(m_ResponseStarted ? AttemptResult::ResponseTruncated
-                               : AttemptResult::ConnectionLost,
-             Detail);
+  endAttempt(lostResult(), Detail);
 }
 
 void ProxiedRequest::onCallerDisconnected() {
@@ -520,6 +605,7 @@
   if (m_Finished)
     return;
   m_Finished = true;
+  m_Context.m_CrashGuard.end(m_GuardNumber);
   m_Timer.cancel();
   m_AttemptTimer.cancel();
   if (m_DispatchId)
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -62,7 +62,18 @@
   void onHead(HttpHead Head);
   void onBody(std::string_view Chunk);
   void onEnd();
+  // The whole answer has been received.
+  void onComplete();
+  // Ends the attempt once it is known whether its server has ended as well.
+  void onConnectionLost(AttemptResult Result, std::string Detail);
+  // Called when requests with a part of this one's prompt are held back because
+  // a server has ended. CrashedGroup is its rank group, empty if it has none.
+  void onPartHeld(const std::string &CrashedGroup);
+  // Fails the request and returns true if a part of its prompt is held back.
+  bool failIfHeld(bool Reserve);
   void onError(const HttpError &Error);
+  // Lost while its answer was received, or before.
+  AttemptResult lostResult() const;
   void onDeadline();
   void onCallerDisconnected();
   // Cancels the attempt and tries another backend server if the request may be
@@ -105,6 +116,8 @@
   std::shared_ptr<HttpCall> m_HttpCall;
   std::optional<BackendTarget> m_Target;
   TimePoint m_SentAt;
+  // Number of the request at the crash guard; 0 if it is not watched.
+  std::uint64_t m_GuardNumber = 0;
   // Number of the attempt at the attempt monitor; 0 if it is not monitored.
   std::uint64_t m_MonitorId = 0;
   // Number of the request at the dispatcher while it waits for a backend
--- a/Source/Gateway/ResponseBuffering.cpp
+++ b/Source/Gateway/ResponseBuffering.cpp
@@ -3,6 +3,15 @@
 
 namespace mangocart {
 
+bool endsWithConnection(const HttpHead &Head) {
+  constexpr unsigned StatusNoContent = 204;
+  constexpr unsigned StatusNotModified = 304;
+  return Head.m_Status != StatusNoContent &&
+         Head.m_Status != StatusNotModified &&
+         !findHeader(Head.m_Headers, "Content-Length") &&
+         !findHeader(Head.m_Headers, "Transfer-Encoding");
+}
+
 BufferAction bufferAction(const BufferedResponse &Response,
                           std::size_t MaxBytes) {
   if (Response.m_IsSuccess && !Response.m_IsStarted)
--- a/Source/Gateway/ResponseBuffering.h
+++ b/Source/Gateway/ResponseBuffering.h
@@ -3,6 +3,8 @@
 #ifndef MANGOCART_GATEWAY_RESPONSEBUFFERING_H
 #define MANGOCART_GATEWAY_RESPONSEBUFFERING_H
 
+#include "Http/HttpMessage.h"
+
 #include <cstddef>
 
 namespace mangocart {
@@ -27,6 +29,10 @@
   Abandon
 };
 
+// Whether the response has neither a length nor chunks, so that only the end of
+// its connection ends it.
+bool endsWithConnection(const HttpHead &Head);
+
 BufferAction bufferAction(const BufferedResponse &Response,
                           std::size_t MaxBytes);
 
