--- a/Tests/Gateways/EngineFleet.cpp
+++ b/Tests/Gateways/EngineFleet.cpp
@@ -50,6 +50,7 @@
 
   std::string m_Id;
   std::string m_Ip;
+  std::string m_Headers;
   unsigned m_Rank = 0;
   bool m_Up = false;
   tcp::acceptor m_Acceptor;
@@ -160,8 +161,9 @@
 
   std::string makeHead(bool IsStream) const {
     std::string Head = fmt::format(
-        "HTTP/1.1 200 OK\r\n{}: {}\r\nX-Mangocart-Server-Stamp: s\r\n",
-        RequestIdHeader, std::string(m_Request[RequestIdHeader]));
+        "HTTP/1.1 200 OK\r\n{}: {}\r\nX-Mangocart-Server-Stamp: s\r\n{}",
+        RequestIdHeader, std::string(m_Request[RequestIdHeader]),
+        m_Engine.m_Headers);
     if (IsStream)
       Head += "Content-Type: text/event-stream\r\n";
     if (m_Fleet.m_Options.m_Unframed)
@@ -198,11 +200,11 @@
   void respond(unsigned Status, const std::string &Headers,
                const std::string &Body) {
     m_State = State::Idle;
-    write(fmt::format("HTTP/1.1 {} -\r\n{}: {}\r\n{}Content-Length: "
+    write(fmt::format("HTTP/1.1 {} -\r\n{}: {}\r\n{}{}Content-Length: "
                       "{}\r\n\r\n{}",
                       Status, RequestIdHeader,
-                      std::string(m_Request[RequestIdHeader]), Headers,
-                      Body.size(), Body),
+                      std::string(m_Request[RequestIdHeader]),
+                      m_Engine.m_Headers, Headers, Body.size(), Body),
           [this] { read(); });
   }
 
@@ -385,7 +387,8 @@
 void EngineFleet::recordArrival(const Engine &Each,
                                 std::vector<std::string> Parts) {
   const std::lock_guard Lock(m_Mutex);
-  m_Arrivals.push_back({Clock::now(), Each.m_Id, std::move(Parts)});
+  m_Arrivals.push_back(
+      {Clock::now(), Each.m_Rank, Each.m_Id, std::move(Parts)});
 }
 
 std::vector<Arrival> EngineFleet::arrivals() const {
@@ -405,4 +408,10 @@
   });
 }
 
+void EngineFleet::setHeaders(unsigned Index, std::string Lines) {
+  asio::post(m_Context, [this, Index, Lines = std::move(Lines)] {
+    m_Engines[Index]->m_Headers = Lines;
+  });
+}
+
 } // namespace mangocart::test
--- a/Tests/Gateways/EngineFleet.h
+++ b/Tests/Gateways/EngineFleet.h
@@ -48,6 +48,8 @@
 // A request that an engine has received.
 struct Arrival {
   Clock::time_point m_At;
+  // Number of the engine's place, which its successors keep.
+  unsigned m_Index = 0;
   std::string m_Engine;
   std::vector<std::string> m_Parts;
 };
@@ -69,6 +71,9 @@
   std::vector<Crash> crashes() const;
   // Ends an engine that did nothing wrong.
   void endEngine(unsigned Index);
+  // Header lines that the engine adds to all its answers from now on, each with
+  // its line end.
+  void setHeaders(unsigned Index, std::string Lines);
 
 private:
   struct Engine;
