Gateway: limits that servers name are kept over all gateways

Cause: no gateway read the limit, so a server in need got its usual share of the requests. The class of fault: what a server says of itself in its answers is passed on and not used.

platform/ decodes the header, ServerNotices decides without I/O: each gateway has a part of the limit, saves up at most one request and starts with none, also when a limit is lifted and named again. A limit of few requests a second is divided among few gateways. Such a server counts as full in the choice while this gateway has no request left for it, so others get the requests. Gateways tell each other of limits in the load reports; the newest sighting counts.

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -50,6 +50,43 @@
   return Calls;
 }
 
+void MembershipDirectory::setGateways(GatewayList Gateways) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Routing.m_Notices.m_Gateways = std::move(Gateways);
+}
+
+void MembershipDirectory::noteAnswer(const BackendTarget &Target,
+                                     const ServerNotice &Notice) {
+  const std::lock_guard Lock(m_Mutex);
+  recordNotice(m_Routing.m_Notices, Target.m_Name, Notice, RuntimeClock::now());
+}
+
+std::map<std::string, LimitSighting> MembershipDirectory::takeLimitNews() {
+  const std::lock_guard Lock(m_Mutex);
+  std::map<std::string, LimitSighting> News;
+  for (const std::string &Server :
+       std::exchange(m_Routing.m_Notices.m_News, {})) {
+    const auto Found = m_Routing.m_Notices.m_Servers.find(Server);
+    if (Found != m_Routing.m_Notices.m_Servers.end())
+      News[Server] = Found->second.m_Limit;
+  }
+  return News;
+}
+
+std::map<std::string, LimitSighting> MembershipDirectory::knownLimits() const {
+  const std::lock_guard Lock(m_Mutex);
+  std::map<std::string, LimitSighting> Limits;
+  for (const auto &[Server, Noted] : m_Routing.m_Notices.m_Servers)
+    Limits[Server] = Noted.m_Limit;
+  return Limits;
+}
+
+void MembershipDirectory::heardLimit(const std::string &Server,
+                                     const LimitSighting &Seen) {
+  const std::lock_guard Lock(m_Mutex);
+  mergeLimit(m_Routing.m_Notices, Server, Seen, RuntimeClock::now());
+}
+
 void MembershipDirectory::noteGroupBroken(const BackendTarget &Target) {
   const std::lock_guard Lock(m_Mutex);
   mangocart::noteGroupBroken(m_Table, Target.m_Name);
@@ -225,6 +262,7 @@
   {
     const std::lock_guard Lock(m_Mutex);
     Changes = sweep(m_Table, RuntimeClock::now());
+    removeExpired(m_Routing.m_Notices, RuntimeClock::now());
     Ejections = updateAllEjections(m_Routing, RuntimeClock::now());
   }
   for (const ServiceEjectionChange &Report : Ejections)
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -9,6 +9,7 @@
 #include "Routing/GroupStall.h"
 
 #include <functional>
+#include <map>
 #include <mutex>
 #include <vector>
 
@@ -44,6 +45,15 @@
   // In-flight calls of another entry, and of this one.
   void setOtherEntryCalls(const std::string &Entry, OutstandingCalls Calls);
   OutstandingCalls ownCalls() const;
+  // All known gateways, for the shares of limits that servers name.
+  void setGateways(GatewayList Gateways);
+  // Records what an answer of the server says of it.
+  void noteAnswer(const BackendTarget &Target, const ServerNotice &Notice);
+  // Limits that other gateways have not been told of yet, and all known ones.
+  std::map<std::string, LimitSighting> takeLimitNews();
+  std::map<std::string, LimitSighting> knownLimits() const;
+  // Records a limit that another gateway has seen.
+  void heardLimit(const std::string &Server, const LimitSighting &Seen);
   // Records that a rank refused work because its group is broken.
   void noteGroupBroken(const BackendTarget &Target);
   // Records that another backend server has answered at the address of the
--- a/Source/Entry/RoutingState.cpp
+++ b/Source/Entry/RoutingState.cpp
@@ -64,7 +64,9 @@
         Now, HintOptions);
   Replica.m_TrafficShare = trafficShare(
       Routing.m_OutlierDetector, Replica.m_BackendServer, EjectOptions, Now);
-  Replica.m_Full = isFull(Replica, Limit, State.m_EntryCount);
+  Replica.m_Full =
+      isFull(Replica, Limit, State.m_EntryCount) ||
+      !mayReceive(State.m_Notices, From.m_Member->m_BackendServer, Now);
   Replica.m_Suspect = From.m_Avoided;
   Replica.m_Ejected =
       isEjected(Routing.m_OutlierDetector, Replica.m_BackendServer, Now);
@@ -157,6 +159,7 @@
   OwnCalls &Own = State.m_OwnCalls[Target.m_Name];
   ++Own.m_Requests;
   Own.m_Tokens += Size.m_Tokens;
+  recordSent(State.m_Notices, Target.m_Name, Now);
   ServiceRouting &Routing = routingOf(State, Target.m_Service);
   Routing.m_MeanTokens +=
       MeanTokensWeight *
--- a/Source/Entry/RoutingState.h
+++ b/Source/Entry/RoutingState.h
@@ -13,6 +13,7 @@
 #include "Routing/OutlierDetector.h"
 #include "Routing/ReplicaChoice.h"
 #include "Routing/RetryBudget.h"
+#include "Routing/ServerNotices.h"
 
 #include <map>
 #include <span>
@@ -49,6 +50,8 @@
   // By the name of the entry; empty if entries do not exchange their loads.
   std::map<std::string, OutstandingCalls> m_OtherEntries;
   CacheHints m_Hints;
+  // Empty if backend servers say nothing of themselves in their answers.
+  ServerNotices m_Notices;
   Random m_Random;
 };
 
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -51,6 +51,15 @@
       .value_or(PeerEndpoint());
 }
 
+GatewayList gatewayList(const PeerEndpoint &Self,
+                        const std::set<PeerEndpoint> &All) {
+  GatewayList List;
+  List.m_Self = toString(Self);
+  for (const PeerEndpoint &Each : All)
+    List.m_All.push_back(toString(Each));
+  return List;
+}
+
 } // namespace
 
 GatewayDaemon::GatewayDaemon(schema::GatewaySettings Settings,
@@ -107,6 +116,8 @@
                 m_RetryBudgets.setGateways(Count);
                 m_LoadExchange->setGateways(Gateways);
                 m_CrashGuard->setGateways(Gateways);
+                m_Directory.setGateways(
+                    gatewayList(ownEndpoint(m_Settings), Gateways));
               },
               toString(ownEndpoint(m_Settings)),
               {}},
--- a/Source/Gateway/LoadExchange.cpp
+++ b/Source/Gateway/LoadExchange.cpp
@@ -19,6 +19,29 @@
 // the newest one matters.
 constexpr std::size_t MaxQueuedBytes = std::size_t{16} * 1024;
 
+void addLimits(schema::LoadReport &Report,
+               const std::map<std::string, LimitSighting> &Limits,
+               TimePoint Now) {
+  for (const auto &[Server, Seen] : Limits) {
+    schema::ServerLimit &Out = *Report.add_limits();
+    Out.set_backend_server(Server);
+    if (Seen.m_RequestsPerSecond)
+      Out.set_requests_per_second(*Seen.m_RequestsPerSecond);
+    Out.set_ms_ago(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Now - Seen.m_At)
+            .count()));
+  }
+}
+
+LimitSighting limitFromSchema(const schema::ServerLimit &Message,
+                              TimePoint Now) {
+  LimitSighting Seen;
+  if (Message.has_requests_per_second() && Message.requests_per_second() >= 0.0)
+    Seen.m_RequestsPerSecond = Message.requests_per_second();
+  Seen.m_At = Now - std::chrono::milliseconds(Message.ms_ago());
+  return Seen;
+}
+
 } // namespace
 
 LoadExchange::LoadExchange(boost::asio::io_context &Worker, PeerClient &Client,
@@ -79,8 +102,9 @@
   schema::LoadReport Changes =
       makeReport(loadDelta(m_LastReported, Own.m_Requests), true);
   m_Guard.addNews(Changes);
+  addLimits(Changes, m_Directory.takeLimitNews(), Now);
   if (Changes.servers_size() > 0 || Changes.crashes_size() > 0 ||
-      Changes.acquittals_size() > 0 ||
+      Changes.acquittals_size() > 0 || Changes.limits_size() > 0 ||
       Now - m_LastReportTime >= MaxReportInterval) {
     const std::string Delta = Changes.SerializeAsString();
     for (auto &[To, Peer] : m_Links)
@@ -136,6 +160,7 @@
     return Peer.m_Stream->send(Delta);
   schema::LoadReport Full = makeReport(Load, false);
   m_Guard.addAll(Full);
+  addLimits(Full, m_Directory.knownLimits(), Now);
   Peer.m_Stream->send(Full.SerializeAsString());
 }
 
@@ -156,6 +181,9 @@
   Load.m_Requests = Known;
   m_Directory.setOtherEntryCalls(Report.gateway(), std::move(Load));
   m_Guard.merge(Report);
+  for (const schema::ServerLimit &Each : Report.limits())
+    m_Directory.heardLimit(Each.backend_server(),
+                           limitFromSchema(Each, RuntimeClock::now()));
   m_OnReport();
 }
 
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -302,6 +302,8 @@
   m_Head = std::move(Head);
   m_HeadReceived = true;
   m_Context.m_AttemptMonitor.onDataReceived(*m_Target);
+  m_Context.m_Directory.noteAnswer(*m_Target,
+                                   m_Context.m_Protocol.readNotice(m_Head));
   const bool Ran = responseKind() == ResponseKind::Ran;
   m_ForwardingMode = responseIsStream() && Ran && isSuccess(m_Head.m_Status)
                          ? ForwardingMode::Events
--- a/Tests/Platform/testPlatformCallerProtocol.cpp
+++ b/Tests/Platform/testPlatformCallerProtocol.cpp
@@ -153,6 +153,21 @@
   }
 }
 
+TEST_CASE("the limit that a server names is a decimal number") {
+  const auto LimitIn = [](const char *Value) {
+    return PlatformCallerProtocol()
+        .readNotice({200, {{"Server-Limit", Value}}})
+        .m_RequestsPerSecond;
+  };
+  CHECK(LimitIn("2.7") == 2.7);
+  CHECK(LimitIn("0") == 0.0);
+  CHECK(LimitIn("12") == 12.0);
+  for (const char *Bad : {"", "many", "-1", "2.7/s", "inf", "nan"})
+    CHECK_FALSE(LimitIn(Bad));
+  CHECK_FALSE(
+      PlatformCallerProtocol().readNotice({200, {}}).m_RequestsPerSecond);
+}
+
 TEST_CASE("a response belongs to the request whose ID it contains") {
   const PlatformCallerProtocol P;
   CHECK(P.matchesRequest({200, {{"X-Mangocart-Request-Id", "9c41"}}}, "9c41"));
