Gateway: no requests to a server that says in an answer that it leaves

Server-Leaving came in answers before the announcement reached the gateways, and was not read: in testGateways, 46 requests reached such a server later than the drain time of 2 s after it. The gateway now marks that start of the server as leaving as soon as the head of an answer says so, from its own knowledge alone.

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -57,8 +57,18 @@
 
 void MembershipDirectory::noteAnswer(const BackendTarget &Target,
                                      const ServerNotice &Notice) {
-  const std::lock_guard Lock(m_Mutex);
-  recordNotice(m_Routing.m_Notices, Target.m_Name, Notice, RuntimeClock::now());
+  bool HasLeft = false;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    recordNotice(m_Routing.m_Notices, Target.m_Name, Notice,
+                 RuntimeClock::now());
+    HasLeft = Notice.m_IsLeaving && advanceState(Target, MemberState::Leaving);
+  }
+  if (HasLeft)
+    m_Events.write(Event::BackendServerState,
+                   {{"backend_server", Target.m_Name},
+                    {"state", static_cast<unsigned>(MemberState::Leaving)},
+                    {"incarnation", Target.m_Incarnation}});
 }
 
 std::map<std::string, LimitSighting> MembershipDirectory::takeLimitNews() {
@@ -93,14 +103,19 @@
 }
 
 void MembershipDirectory::markReplaced(const BackendTarget &Target) {
-  const TimePoint Now = RuntimeClock::now();
   const std::lock_guard Lock(m_Mutex);
+  advanceState(Target, MemberState::Left);
+}
+
+bool MembershipDirectory::advanceState(const BackendTarget &Target,
+                                       MemberState State) {
   const TableEntry *Known = find(m_Table, Target.m_Name);
   if (!Known || Known->m_Member.m_Incarnation != Target.m_Incarnation)
-    return;
-  Member Replaced = Known->m_Member;
-  Replaced.m_State = MemberState::Left;
-  merge(m_Table, Replaced, Duration::zero(), Now);
+    return false;
+  Member Changed = Known->m_Member;
+  Changed.m_State = State;
+  return merge(m_Table, Changed, Duration::zero(), RuntimeClock::now()) ==
+         MergeResult::StateChanged;
 }
 
 std::vector<CandidateView>
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -107,6 +107,9 @@
   std::optional<BackendTarget> locate(std::string_view BackendServer) const;
 
 private:
+  // Merges a later state of the target's incarnation; returns whether that has
+  // changed the table. Called with the lock held.
+  bool advanceState(const BackendTarget &Target, MemberState State);
   void mergeRecord(const Member &Record, Duration HeardAgo);
   std::vector<CandidateView> candidates(const ChoiceRequest &Request) const;
   // Servers of the service that accept requests and whose rank group isn't
--- a/Source/Routing/ServerNotices.h
+++ b/Source/Routing/ServerNotices.h
@@ -36,6 +36,8 @@
 
 // What one answer says of its server.
 struct ServerNotice {
+  // The server is about to leave and should get no further requests.
+  bool m_IsLeaving = false;
   // Requests a second that the server takes from all gateways together.
   std::optional<double> m_RequestsPerSecond;
 
--- /dev/null
+++ b/Tests/Gateways/testServerNotices.cpp
@@ -0,0 +1,81 @@
+// Engines that say in their answers that they leave, or that they want no
+// requests for a while. Guards against gateways that go on sending to a server
+// until its announcement has reached them.
+#include "Gateways/CallerLoad.h"
+#include "Gateways/EngineFleet.h"
+#include "Gateways/GatewayDeployment.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+using namespace mangocart;
+using namespace mangocart::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<CallerKind> callers() {
+  const auto Parts = [](Random &R) {
+    return std::vector{std::string("5e"),
+                       fmt::format("a{}", uniform(R, 0, 11))};
+  };
+  return {{40.0, true, Parts}, {10.0, false, Parts}};
+}
+
+// One gateway, since the engines can't tell gateways apart.
+struct Played {
+  explicit Played(int Octet) : m_Gateways(Octet, 1) {
+    m_Gateways.start();
+    FleetOptions Options;
+    Options.m_Network = m_Gateways.engineNetwork();
+    Options.m_Voter = m_Gateways.voter();
+    m_Fleet = std::make_unique<EngineFleet>(Options);
+    m_Fleet->start();
+    std::this_thread::sleep_for(1s);
+    m_Load = std::make_unique<CallerLoad>(std::vector{m_Gateways.gateway(0)},
+                                          callers(), 11);
+    m_Load->start();
+    std::this_thread::sleep_for(2s);
+  }
+
+  std::size_t arrivals(unsigned Engine, Clock::time_point From,
+                       Clock::time_point To = Clock::time_point::max()) const {
+    const auto All = m_Fleet->arrivals();
+    return static_cast<std::size_t>(
+        std::count_if(All.begin(), All.end(), [&](const Arrival &Each) {
+          return Each.m_Index == Engine && Each.m_At > From && Each.m_At < To;
+        }));
+  }
+
+  // Fraction of the requests that were answered.
+  double answered() {
+    const auto &Records = m_Load->finish();
+    const auto Count = std::count_if(
+        Records.begin(), Records.end(), [](const CallRecord &Each) {
+          return Each.m_Status == 200 && Each.m_Ended;
+        });
+    return static_cast<double>(Count) / static_cast<double>(Records.size());
+  }
+
+  GatewayDeployment m_Gateways;
+  std::unique_ptr<EngineFleet> m_Fleet;
+  std::unique_ptr<CallerLoad> m_Load;
+};
+
+} // namespace
+
+TEST_CASE(
+    "a server that says in an answer that it leaves gets no requests from "
+    "the gateway that received it") {
+  constexpr auto DrainTime = 2s;
+  Played P(97);
+  const auto Said = Clock::now();
+  P.m_Fleet->setHeaders(1, "Server-Leaving: 1\r\n");
+  std::this_thread::sleep_for(8s);
+  CHECK(P.arrivals(1, Said - 2s, Said) > 0);
+  CHECK(P.arrivals(1, Said + DrainTime) == 0);
+  CHECK(P.arrivals(0, Said + DrainTime) > 0);
+  CHECK(P.answered() > 0.99);
+}
--- a/Tests/Platform/testPlatformCallerProtocol.cpp
+++ b/Tests/Platform/testPlatformCallerProtocol.cpp
@@ -168,6 +168,13 @@
       PlatformCallerProtocol().readNotice({200, {}}).m_RequestsPerSecond);
 }
 
+TEST_CASE("a server that leaves says so with the value 1") {
+  const PlatformCallerProtocol P;
+  CHECK(P.readNotice({200, {{"server-leaving", "1"}}}).m_IsLeaving);
+  CHECK_FALSE(P.readNotice({200, {{"Server-Leaving", "0"}}}).m_IsLeaving);
+  CHECK_FALSE(P.readNotice({200, {}}).m_IsLeaving);
+}
+
 TEST_CASE("a response belongs to the request whose ID it contains") {
   const PlatformCallerProtocol P;
   CHECK(P.matchesRequest({200, {{"X-Mangocart-Request-Id", "9c41"}}}, "9c41"));
