Gateway: no requests to a server for the time of its Retry-After

A server's 503 with Retry-After was read as a rejection only: in testGateways, 43 requests reached it within the time that it had asked for, 79 when all six servers had. The server now counts as full at this gateway until the time is over. While all servers of a service ask for a pause, a request waits if its end is early enough for its caller, and is rejected at once with the time left otherwise; such a pause isn't counted as an outage.

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -303,9 +303,23 @@
   return Views;
 }
 
-std::size_t MembershipDirectory::eligibleCount(std::string_view Service) const {
+ServiceAvailability
+MembershipDirectory::availability(std::string_view Service) const {
+  const TimePoint Now = RuntimeClock::now();
   const std::lock_guard Lock(m_Mutex);
-  return usableViews(Service).size();
+  ServiceAvailability Found;
+  std::optional<TimePoint> FirstEnd;
+  for (const CandidateView &Each : usableViews(Service)) {
+    const auto Until =
+        pausedUntil(m_Routing.m_Notices, Each.m_Member->m_BackendServer, Now);
+    if (!Until)
+      ++Found.m_Servers;
+    else if (!FirstEnd || *Until < *FirstEnd)
+      FirstEnd = Until;
+  }
+  if (Found.m_Servers == 0)
+    Found.m_ResumesAt = FirstEnd;
+  return Found;
 }
 
 std::size_t
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -28,6 +28,16 @@
   std::uint32_t m_OwnOutstanding = 0;
 };
 
+struct ServiceAvailability {
+  // Number of backend servers that accept new requests.
+  std::size_t m_Servers = 0;
+  // Set if there are none because all have asked for a pause: the end of the
+  // first one.
+  std::optional<TimePoint> m_ResumesAt;
+
+  bool operator==(const ServiceAvailability &) const = default;
+};
+
 class MembershipDirectory : public BackendDirectory {
 public:
   MembershipDirectory(EventLog &Events, std::string AvailabilityZone,
@@ -96,8 +106,7 @@
   // ejected or reinstated.
   void sweepMembers();
   std::vector<MemberView> members() const;
-  // Number of backend servers of the service that accept new requests.
-  std::size_t eligibleCount(std::string_view Service) const;
+  ServiceAvailability availability(std::string_view Service) const;
   // Number of the service's parts that fail independently: rank groups and
   // servers without one, that accept new requests.
   std::size_t independentUnits(std::string_view Service) const;
--- a/Source/Gateway/ServiceDispatcher.cpp
+++ b/Source/Gateway/ServiceDispatcher.cpp
@@ -42,9 +42,14 @@
   return Target;
 }
 
-ServiceState ServiceDispatcher::stateOf(const std::string &Service) const {
-  return m_Directory.eligibleCount(Service) > 0 ? ServiceState::Available
-                                                : ServiceState::Unavailable;
+ServiceState ServiceDispatcher::updateState(const std::string &Service,
+                                            ServiceQueue &Queue,
+                                            TimePoint Now) const {
+  const ServiceAvailability Found = m_Directory.availability(Service);
+  const ServiceState State =
+      Found.m_Servers > 0 ? ServiceState::Available : ServiceState::Unavailable;
+  recordState(Queue, State, Now, Found.m_ResumesAt);
+  return State;
 }
 
 void ServiceDispatcher::postResult(PendingCall Call, DispatchResult Result) {
@@ -82,8 +87,8 @@
     }
   }
   const WaitingCall Times = Pending.m_Call.m_Times;
-  const ServiceState State = stateOf(Pending.m_Call.m_Service);
-  recordState(Entry.m_Queue, State, Now);
+  const ServiceState State =
+      updateState(Pending.m_Call.m_Service, Entry.m_Queue, Now);
   if (!shouldEnqueue(Entry.m_Queue, Times, State, Now)) {
     postResult(std::move(Pending),
                makeRejection(Entry.m_Queue, Times, State, Now));
@@ -135,8 +140,7 @@
 void ServiceDispatcher::dispatchWaitingLocked(const std::string &Service,
                                               ServiceEntry &Entry,
                                               TimePoint Now) {
-  const ServiceState State = stateOf(Service);
-  recordState(Entry.m_Queue, State, Now);
+  const ServiceState State = updateState(Service, Entry.m_Queue, Now);
   while (const auto Next = nextCall(Entry.m_Queue, Now)) {
     const std::uint64_t Number = Entry.m_Queue.m_Waiting[*Next].m_Number;
     const auto Found = Entry.m_Pending.find(Number);
--- a/Source/Gateway/ServiceDispatcher.h
+++ b/Source/Gateway/ServiceDispatcher.h
@@ -88,7 +88,9 @@
 
   ServiceEntry &entryOf(const std::string &Service, TimePoint Now);
   std::optional<BackendTarget> choose(const DispatchRequest &Call);
-  ServiceState stateOf(const std::string &Service) const;
+  // Looks up and records the state of the service.
+  ServiceState updateState(const std::string &Service, ServiceQueue &Queue,
+                           TimePoint Now) const;
   void dispatchWaitingLocked(const std::string &Service, ServiceEntry &Entry,
                              TimePoint Now);
   void postResult(PendingCall Call, DispatchResult Result);
--- a/Source/Gateway/ServiceQueue.cpp
+++ b/Source/Gateway/ServiceQueue.cpp
@@ -42,7 +42,12 @@
 
 } // namespace
 
-void recordState(ServiceQueue &Queue, ServiceState State, TimePoint Now) {
+void recordState(ServiceQueue &Queue, ServiceState State, TimePoint Now,
+                 std::optional<TimePoint> ResumesAt) {
+  // An outage whose end was known says nothing about others.
+  if (Queue.m_ResumesAt && !ResumesAt)
+    Queue.m_UnavailableSince.reset();
+  Queue.m_ResumesAt = ResumesAt;
   if (State == ServiceState::Unavailable) {
     if (!Queue.m_UnavailableSince)
       Queue.m_UnavailableSince = Now;
@@ -59,6 +64,8 @@
 }
 
 Duration expectedOutageLeft(const ServiceQueue &Queue, TimePoint Now) {
+  if (Queue.m_ResumesAt)
+    return std::max(*Queue.m_ResumesAt - Now, Duration::zero());
   const Duration Lasted = Queue.m_UnavailableSince
                               ? Now - *Queue.m_UnavailableSince
                               : Duration::zero();
--- a/Source/Gateway/ServiceQueue.h
+++ b/Source/Gateway/ServiceQueue.h
@@ -69,6 +69,8 @@
   FirstTokenLatency m_FirstByte;
   // Since when no backend server of the service accepts requests.
   std::optional<TimePoint> m_UnavailableSince;
+  // When the service will accept requests again, if that is known.
+  std::optional<TimePoint> m_ResumesAt;
   // Moving average of the duration of outages.
   std::optional<Duration> m_MeanOutage;
 };
@@ -77,8 +79,10 @@
 // observed dispatch rate does not predict the wait.
 enum class ServiceState { Available, Unavailable };
 
-// Must be called before the functions below.
-void recordState(ServiceQueue &Queue, ServiceState State, TimePoint Now);
+// Must be called before the functions below. ResumesAt: when an unavailable
+// service will accept requests again, if that is known.
+void recordState(ServiceQueue &Queue, ServiceState State, TimePoint Now,
+                 std::optional<TimePoint> ResumesAt = std::nullopt);
 
 // Expected remaining time of the current outage.
 Duration expectedOutageLeft(const ServiceQueue &Queue, TimePoint Now);
--- a/Source/Routing/ServerNotices.cpp
+++ b/Source/Routing/ServerNotices.cpp
@@ -63,9 +63,11 @@
                   const ServerNotice &Notice, TimePoint Now) {
   const auto Found = Notices.m_Servers.find(Server);
   const bool IsKnown = Found != Notices.m_Servers.end();
-  if (!IsKnown && !Notice.m_RequestsPerSecond)
+  if (!IsKnown && !Notice.m_RequestsPerSecond && !Notice.m_Pause)
     return;
   NotedServer &Noted = IsKnown ? Found->second : Notices.m_Servers[Server];
+  if (Notice.m_Pause)
+    Noted.m_PausedUntil = std::max(Noted.m_PausedUntil, Now + *Notice.m_Pause);
   if (Noted.m_Limit.m_RequestsPerSecond != Notice.m_RequestsPerSecond ||
       (Notice.m_RequestsPerSecond && Now - Noted.m_ToldAt >= ConfirmInterval)) {
     Notices.m_News.insert(Server);
@@ -92,10 +94,20 @@
   const auto Found = Notices.m_Servers.find(Server);
   if (Found == Notices.m_Servers.end())
     return true;
+  if (Now < Found->second.m_PausedUntil)
+    return false;
   return !isLimited(Found->second, Notices.m_Options, Now) ||
          savedAt(Notices, Server, Found->second, Now) >= 1.0;
 }
 
+std::optional<TimePoint> pausedUntil(const ServerNotices &Notices,
+                                     std::string_view Server, TimePoint Now) {
+  const auto Found = Notices.m_Servers.find(Server);
+  if (Found == Notices.m_Servers.end() || Now >= Found->second.m_PausedUntil)
+    return std::nullopt;
+  return Found->second.m_PausedUntil;
+}
+
 void recordSent(ServerNotices &Notices, std::string_view Server,
                 TimePoint Now) {
   const auto Found = Notices.m_Servers.find(Server);
@@ -109,7 +121,8 @@
 
 void removeExpired(ServerNotices &Notices, TimePoint Now) {
   std::erase_if(Notices.m_Servers, [&](const auto &Each) {
-    return Now - Each.second.m_Limit.m_At > Notices.m_Options.m_LimitTimeout;
+    return Now - Each.second.m_Limit.m_At > Notices.m_Options.m_LimitTimeout &&
+           Now >= Each.second.m_PausedUntil;
   });
 }
 
--- a/Source/Routing/ServerNotices.h
+++ b/Source/Routing/ServerNotices.h
@@ -40,6 +40,8 @@
   bool m_IsLeaving = false;
   // Requests a second that the server takes from all gateways together.
   std::optional<double> m_RequestsPerSecond;
+  // The server wants no requests from this gateway for so long.
+  std::optional<Duration> m_Pause;
 
   bool operator==(const ServerNotice &) const = default;
 };
@@ -60,6 +62,8 @@
   // limit is lifted and named again, so that it can't be spent twice.
   double m_Saved = 0.0;
   TimePoint m_SavedAt;
+  // No request is sent before that.
+  TimePoint m_PausedUntil;
 
   bool operator==(const NotedServer &) const = default;
 };
@@ -94,6 +98,10 @@
 bool mayReceive(const ServerNotices &Notices, std::string_view Server,
                 TimePoint Now);
 
+// When the pause that the server asked for ends; no value if there is none.
+std::optional<TimePoint> pausedUntil(const ServerNotices &Notices,
+                                     std::string_view Server, TimePoint Now);
+
 // Counts a request that this gateway sends to the server.
 void recordSent(ServerNotices &Notices, std::string_view Server, TimePoint Now);
 
--- a/Tests/Gateway/testServiceQueue.cpp
+++ b/Tests/Gateway/testServiceQueue.cpp
@@ -228,3 +228,16 @@
   CHECK(All.m_Disconnected == 0);
   CHECK(All.m_OnTime > 30 * 13);
 }
+
+TEST_CASE("a call waits for the known end of a pause only if it can, and the "
+          "pause doesn't count as an outage") {
+  ServiceQueue Q = queue(20);
+  const auto State = ServiceState::Unavailable;
+  recordState(Q, State, Start, Start + 1s);
+  CHECK(expectedOutageLeft(Q, Start) == 1s);
+  CHECK(shouldEnqueue(Q, call(1, Start), State, Start));
+  recordState(Q, State, Start, Start + 5s);
+  CHECK_FALSE(shouldEnqueue(Q, call(2, Start), State, Start));
+  recordState(Q, ServiceState::Available, Start + 5s);
+  CHECK_FALSE(Q.m_MeanOutage);
+}
--- a/Tests/Gateways/EngineFleet.cpp
+++ b/Tests/Gateways/EngineFleet.cpp
@@ -52,6 +52,7 @@
   std::string m_Ip;
   std::string m_Headers;
   unsigned m_Rank = 0;
+  bool m_Rejects = false;
   bool m_Up = false;
   tcp::acceptor m_Acceptor;
   asio::steady_timer m_Restart;
@@ -121,6 +122,8 @@
     if (m_Fleet.m_Broken)
       return rejectBroken();
     m_Fleet.recordArrival(m_Engine, m_Parts);
+    if (m_Engine.m_Rejects)
+      return respond(503, "X-Mangocart-Not-Run: 1\r\n", "");
     m_State = State::Waiting;
     after(m_Fleet.m_Options.m_FirstToken, [this] { begin(); });
   }
@@ -414,4 +417,9 @@
   });
 }
 
+void EngineFleet::setRejecting(unsigned Index, bool Rejects) {
+  asio::post(m_Context,
+             [this, Index, Rejects] { m_Engines[Index]->m_Rejects = Rejects; });
+}
+
 } // namespace mangocart::test
--- a/Tests/Gateways/EngineFleet.h
+++ b/Tests/Gateways/EngineFleet.h
@@ -74,6 +74,8 @@
   // Header lines that the engine adds to all its answers from now on, each with
   // its line end.
   void setHeaders(unsigned Index, std::string Lines);
+  // The engine rejects all requests as not run from now on, or stops doing so.
+  void setRejecting(unsigned Index, bool Rejects);
 
 private:
   struct Engine;
--- a/Tests/Gateways/testServerNotices.cpp
+++ b/Tests/Gateways/testServerNotices.cpp
@@ -79,3 +79,49 @@
   CHECK(P.arrivals(0, Said + DrainTime) > 0);
   CHECK(P.answered() > 0.99);
 }
+
+TEST_CASE(
+    "a server that rejects a request with Retry-After gets none from that "
+    "gateway until the time is over") {
+  constexpr auto Pause = 4s;
+  constexpr auto Grace = 500ms;
+  Played P(98);
+  const auto Said = Clock::now();
+  P.m_Fleet->setHeaders(1, "Retry-After: 4\r\n");
+  P.m_Fleet->setRejecting(1, true);
+  std::this_thread::sleep_for(Pause - 1s);
+  P.m_Fleet->setHeaders(1, "");
+  P.m_Fleet->setRejecting(1, false);
+  std::this_thread::sleep_for(5s);
+  // The first rejection comes within 0.2 s.
+  CHECK(P.arrivals(1, Said, Said + Grace) > 0);
+  CHECK(P.arrivals(1, Said + Grace + 200ms, Said + Pause) <= 2);
+  CHECK(P.arrivals(1, Said + Pause + 1s) > 0);
+  CHECK(P.answered() > 0.99);
+}
+
+TEST_CASE(
+    "requests are rejected at once while all servers want none for longer than "
+    "callers wait") {
+  Played P(99);
+  for (unsigned I = 0; I < 6; ++I) {
+    P.m_Fleet->setHeaders(I, "Retry-After: 10\r\n");
+    P.m_Fleet->setRejecting(I, true);
+  }
+  std::this_thread::sleep_for(1s);
+  const auto Paused = Clock::now();
+  std::this_thread::sleep_for(1s);
+  const auto Ended = Clock::now();
+  for (unsigned I = 0; I < 6; ++I)
+    P.m_Fleet->setRejecting(I, false);
+  std::this_thread::sleep_for(4s);
+  std::size_t Sent = 0;
+  for (unsigned I = 0; I < 6; ++I)
+    Sent += P.arrivals(I, Paused, Ended);
+  CHECK(Sent <= 12);
+  for (const CallRecord &Each : P.m_Load->finish())
+    if (Each.m_SentAt > Paused && Each.m_SentAt < Ended) {
+      CHECK(Each.m_Status == 503);
+      CHECK(Each.m_EndedAfter < 200ms);
+    }
+}
--- a/Tests/Platform/testPlatformCallerProtocol.cpp
+++ b/Tests/Platform/testPlatformCallerProtocol.cpp
@@ -175,6 +175,21 @@
   CHECK_FALSE(P.readNotice({200, {}}).m_IsLeaving);
 }
 
+TEST_CASE("a server asks for a pause with 503 and Retry-After in seconds") {
+  const auto PauseIn = [](unsigned Status, const char *Value) {
+    return PlatformCallerProtocol()
+        .readNotice({Status, {{"Retry-After", Value}}})
+        .m_Pause;
+  };
+  CHECK(PauseIn(503, "2") == 2s);
+  CHECK(PauseIn(503, "0.25") == 250ms);
+  CHECK_FALSE(PauseIn(200, "2"));
+  CHECK_FALSE(PauseIn(429, "2"));
+  CHECK_FALSE(PauseIn(503, "Fri, 04 Dec 2026 12:00:00 GMT"));
+  CHECK_FALSE(PauseIn(503, "-1"));
+  CHECK(PauseIn(503, "1e300") == 24h);
+}
+
 TEST_CASE("a response belongs to the request whose ID it contains") {
   const PlatformCallerProtocol P;
   CHECK(P.matchesRequest({200, {{"X-Mangocart-Request-Id", "9c41"}}}, "9c41"));
--- a/Tests/Routing/testServerNotices.cpp
+++ b/Tests/Routing/testServerNotices.cpp
@@ -95,6 +95,24 @@
   CHECK(N.m_News.count("e") == 1);
 }
 
+TEST_CASE(
+    "a pause that a server asks for is kept, a shorter one doesn't end it") {
+  ServerNotices N = notices(4, 0);
+  ServerNotice Pause;
+  Pause.m_Pause = 3s;
+  recordNotice(N, "e", Pause, Start);
+  CHECK_FALSE(mayReceive(N, "e", Start));
+  Pause.m_Pause = 1s;
+  recordNotice(N, "e", Pause, Start + 1s);
+  // An answer to an earlier request doesn't end it either.
+  recordNotice(N, "e", {}, Start + 1s);
+  removeExpired(N, Start + 1s);
+  CHECK_FALSE(mayReceive(N, "e", Start + 2999ms));
+  CHECK(pausedUntil(N, "e", Start + 2s) == Start + 3s);
+  CHECK(mayReceive(N, "e", Start + 3s));
+  CHECK_FALSE(pausedUntil(N, "e", Start + 3s));
+}
+
 TEST_CASE("a limit that nothing confirms is forgotten") {
   ServerNotices N = notices(1, 0);
   recordNotice(N, "e", limit(0.0), Start);
