Routing: evidence against parts computed when it is asked for

Each report about a crash recomputed the evidence against all parts of the service. A loss of power at a zone of a large deployment brings some 2,000 reports within a second, with thousands of parts. A gateway that starts is told only of crashes that still hold a part. Limits from peers are clamped before they are converted to a number of gateways.

--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -73,7 +73,7 @@
   const std::lock_guard Lock(m_Mutex);
   const auto Found = m_Watched.find(Request);
   if (Found == m_Watched.end() || Found->second.m_IsSound ||
-      m_Evidence.m_Suspicions.empty())
+      m_Evidence.m_CrashesByPart.empty())
     return {};
   return decideLocked(Found->second, Request, Reserve, RuntimeClock::now());
 }
@@ -382,8 +382,9 @@
     return;
   const std::string Group = m_Directory.groupName(Run.m_BackendServer);
   for (const ServicePart &Part : Merged.m_Held) {
-    const Suspicion *Against = findSuspicion(m_Evidence, Part);
-    After.emplace_back([this, Part, Against = *Against,
+    const Suspicion Against =
+        findSuspicion(m_Evidence, Part).value_or(Suspicion());
+    After.emplace_back([this, Part, Against,
                         Hold = timeToNextState(m_Evidence, Part, false, Now)] {
       m_Events.write(Event::PartHeld, {{"service", Part.m_Service},
                                        {"part", Part.m_Part},
@@ -431,9 +432,11 @@
 void CrashGuard::addAll(schema::LoadReport &Report) {
   const std::lock_guard Lock(m_Mutex);
   const TimePoint Now = RuntimeClock::now();
-  for (const auto &[Run, Crash] : m_Evidence.m_Crashes)
+  for (const ServerRun &Run : crashesThatHold(m_Evidence, Now)) {
+    const ServerCrash &Crash = m_Evidence.m_Crashes.at(Run);
     for (const auto &[Reporter, Seen] : Crash.m_Reports)
       addCrash(Report, Run, Crash, Reporter, Now);
+  }
   for (const auto &[Part, At] : m_Evidence.m_Acquittals)
     mangocart::addAcquittal(Report, Part, At, Now);
 }
--- a/Source/Gateway/CrashGuard.h
+++ b/Source/Gateway/CrashGuard.h
@@ -88,7 +88,8 @@
   void onUpdate(std::function<void()> Handler) {
     m_OnUpdate = std::move(Handler);
   }
-  // Adds what is new since the last call, or all that is known.
+  // Adds what is new since the last call, or all that another gateway must
+  // know.
   void addNews(schema::LoadReport &Report);
   void addAll(schema::LoadReport &Report);
   void merge(const schema::LoadReport &Report);
--- a/Source/Routing/CrashEvidence.cpp
+++ b/Source/Routing/CrashEvidence.cpp
@@ -85,26 +85,30 @@
   return Ways;
 }
 
-// Crashes of a service in order of time, split where they are too far apart to
-// have one cause.
-std::vector<std::vector<const ServerCrash *>>
-crashesByCause(const CrashEvidence &Evidence, const std::string &Service) {
-  std::vector<const ServerCrash *> Crashes;
-  for (const auto &[Run, Crash] : Evidence.m_Crashes)
-    if (Crash.m_Service == Service)
-      Crashes.push_back(&Crash);
-  std::sort(Crashes.begin(), Crashes.end(),
-            [](const ServerCrash *A, const ServerCrash *B) {
-              return A->m_At < B->m_At;
-            });
-  std::vector<std::vector<const ServerCrash *>> Groups;
-  for (const ServerCrash *Each : Crashes) {
-    if (Groups.empty() || Each->m_At - Groups.back().back()->m_At >
-                              Evidence.m_Options.m_CommonCauseWindow)
-      Groups.emplace_back();
-    Groups.back().push_back(Each);
+// The crashes of a service that may have one cause with the one at this time.
+struct CommonCause {
+  std::size_t m_Crashes = 0;
+  TimePoint m_First;
+  TimePoint m_Last;
+};
+
+CommonCause commonCause(const CrashEvidence &Evidence,
+                        const std::string &Service, TimePoint At) {
+  const Duration Window = Evidence.m_Options.m_CommonCauseWindow;
+  const std::multiset<TimePoint> &Times = Evidence.m_CrashTimes.at(Service);
+  CommonCause Found{1, At, At};
+  const auto Here = Times.find(At);
+  for (auto Each = std::make_reverse_iterator(Here);
+       Each != Times.rend() && Found.m_First - *Each <= Window; ++Each) {
+    Found.m_First = *Each;
+    ++Found.m_Crashes;
   }
-  return Groups;
+  for (auto Each = std::next(Here);
+       Each != Times.end() && *Each - Found.m_Last <= Window; ++Each) {
+    Found.m_Last = *Each;
+    ++Found.m_Crashes;
+  }
+  return Found;
 }
 
 Duration holdOf(double Ratio, const CrashEvidenceOptions &Options) {
@@ -132,76 +136,41 @@
   return Latest;
 }
 
-// No value if no crash counts against the part.
-std::optional<Suspicion>
-suspicionOf(const CrashEvidence &Evidence, const ServicePart &Part,
-            const std::vector<std::vector<const ServerCrash *>> &Causes) {
-  const CrashEvidenceOptions &Options = Evidence.m_Options;
-  const std::optional<TimePoint> Acquitted = acquittedAt(Evidence, Part);
-  std::optional<Suspicion> Found;
-  for (const auto &Together : Causes) {
-    std::size_t Present = 0;
-    double Chance = 1.0;
-    for (const ServerCrash *Crash : Together) {
-      if (Acquitted && Crash->m_At <= *Acquitted)
-        continue;
-      const auto Here = chanceAt(*Crash, Part.m_Part, Options);
-      if (!Here)
-        continue;
-      ++Present;
-      Chance *= *Here;
-    }
-    if (Present == 0)
-      continue;
-    const TimePoint At = Together.back()->m_At;
-    if (!Found || isOver(*Found, Options, At))
-      Found = Suspicion();
-    // The part was at this many of the crashes, whichever.
-    const double Any =
-        std::min(1.0, binomial(Together.size(), Present) * Chance);
-    Found->m_Ratio /= Any;
-    Found->m_Crashes += static_cast<std::uint32_t>(Present);
-    Found->m_LastCrash = At;
-  }
-  return Found;
-}
-
 bool isHeldRatio(const Suspicion &Against, const CrashEvidence &Evidence) {
   return Against.m_Ratio >= Evidence.m_Options.m_MinHeldRatio;
 }
 
-void updateSuspicion(CrashEvidence &Evidence, const ServicePart &Part) {
-  const auto Now =
-      suspicionOf(Evidence, Part, crashesByCause(Evidence, Part.m_Service));
-  if (Now)
-    Evidence.m_Suspicions[Part] = *Now;
-  else
-    Evidence.m_Suspicions.erase(Part);
+void removeFromIndex(CrashEvidence &Evidence, const ServerRun &Run,
+                     const ServerCrash &Crash) {
+  auto &Times = Evidence.m_CrashTimes[Crash.m_Service];
+  Times.erase(Times.find(Crash.m_At));
+  if (Times.empty())
+    Evidence.m_CrashTimes.erase(Crash.m_Service);
+  for (const auto &[Gateway, Report] : Crash.m_Reports)
+    for (const auto &[Part, Known] : Report.m_Parts) {
+      const auto Found = Evidence.m_CrashesByPart.find({Crash.m_Service, Part});
+      if (Found != Evidence.m_CrashesByPart.end() &&
+          Found->second.erase(Run) > 0 && Found->second.empty())
+        Evidence.m_CrashesByPart.erase(Found);
+    }
 }
 
-// Recomputes the evidence against all parts at crashes of the service.
-void updateService(CrashEvidence &Evidence, const std::string &Service) {
-  std::set<std::string> Parts;
-  for (const auto &[Run, Crash] : Evidence.m_Crashes)
-    if (Crash.m_Service == Service)
-      for (const auto &[Gateway, Report] : Crash.m_Reports)
-        for (const auto &[Part, Known] : Report.m_Parts)
-          Parts.insert(Part);
-  std::erase_if(Evidence.m_Suspicions, [&](const auto &Each) {
-    return Each.first.m_Service == Service;
-  });
-  const auto Causes = crashesByCause(Evidence, Service);
-  for (const std::string &Part : Parts)
-    if (const auto Against = suspicionOf(Evidence, {Service, Part}, Causes))
-      Evidence.m_Suspicions[{Service, Part}] = *Against;
+void addToIndex(CrashEvidence &Evidence, const ServerRun &Run,
+                const ServerCrash &Crash) {
+  Evidence.m_CrashTimes[Crash.m_Service].insert(Crash.m_At);
+  for (const auto &[Gateway, Report] : Crash.m_Reports)
+    for (const auto &[Part, Known] : Report.m_Parts)
+      Evidence.m_CrashesByPart[{Crash.m_Service, Part}].insert(Run);
 }
 
 void dropOldestCrash(CrashEvidence &Evidence) {
-  Evidence.m_Crashes.erase(
+  const auto Oldest =
       std::min_element(Evidence.m_Crashes.begin(), Evidence.m_Crashes.end(),
                        [](const auto &A, const auto &B) {
                          return A.second.m_At < B.second.m_At;
-                       }));
+                       });
+  removeFromIndex(Evidence, Oldest->first, Oldest->second);
+  Evidence.m_Crashes.erase(Oldest);
 }
 
 void dropOldestCount(std::map<ServicePart, DecayingCount> &Counts) {
@@ -237,32 +206,38 @@
 
 CrashMerge mergeCrash(CrashEvidence &Evidence, const ServerRun &Run,
                       const ServerCrash &Crash, TimePoint Now) {
-  const auto [At, Inserted] = Evidence.m_Crashes.try_emplace(Run, Crash);
-  ServerCrash &Known = At->second;
-  if (!Inserted) {
+  std::set<std::string> Parts;
+  for (const auto &[Gateway, Report] : Crash.m_Reports)
+    for (const auto &[Part, Described] : Report.m_Parts)
+      Parts.insert(Part);
+  std::map<std::string, std::optional<Suspicion>> Before;
+  for (const std::string &Part : Parts)
+    Before[Part] = findSuspicion(Evidence, {Crash.m_Service, Part});
+  ServerCrash Known = Crash;
+  if (const auto Found = Evidence.m_Crashes.find(Run);
+      Found != Evidence.m_Crashes.end()) {
+    removeFromIndex(Evidence, Run, Found->second);
+    Known = std::move(Found->second);
     Known.m_At = std::min(Known.m_At, Crash.m_At);
     for (const auto &[Gateway, Report] : Crash.m_Reports)
       Known.m_Reports[Gateway] = Report;
   }
-  CrashMerge Merged;
-  for (const auto &[Gateway, Report] : Crash.m_Reports)
-    for (const auto &[Part, Described] : Report.m_Parts) {
-      const auto Sound = Evidence.m_SoundAnswers.find({Crash.m_Service, Part});
-      if (Sound == Evidence.m_SoundAnswers.end() ||
-          Sound->second.m_UpdatedAt < Known.m_At)
-        continue;
-      Merged.m_Acquitted.push_back(Sound->first);
-      storeAcquittal(Evidence, Sound->first, Sound->second.m_UpdatedAt);
-    }
+  addToIndex(Evidence, Run, Known);
+  const TimePoint At = Known.m_At;
+  Evidence.m_Crashes[Run] = std::move(Known);
   if (Evidence.m_Crashes.size() > Evidence.m_Options.m_MaxCrashes)
     dropOldestCrash(Evidence);
-  const auto Before = Evidence.m_Suspicions;
-  updateService(Evidence, Crash.m_Service);
-  for (const auto &[Part, Against] : Evidence.m_Suspicions) {
-    if (partState(Evidence, Part, false, Now) != PartState::Held)
-      continue;
-    const auto Earlier = Before.find(Part);
-    if (Earlier == Before.end() || Earlier->second != Against)
+  CrashMerge Merged;
+  for (const std::string &Id : Parts) {
+    const ServicePart Part{Crash.m_Service, Id};
+    const auto Sound = Evidence.m_SoundAnswers.find(Part);
+    if (Sound != Evidence.m_SoundAnswers.end() &&
+        Sound->second.m_UpdatedAt >= At) {
+      Merged.m_Acquitted.push_back(Part);
+      storeAcquittal(Evidence, Part, Sound->second.m_UpdatedAt);
+    }
+    if (findSuspicion(Evidence, Part) != Before[Id] &&
+        partState(Evidence, Part, false, Now) == PartState::Held)
       Merged.m_Held.push_back(Part);
   }
   return Merged;
@@ -287,20 +262,16 @@
 
 bool mergeAcquittal(CrashEvidence &Evidence, const ServicePart &Part,
                     TimePoint At, TimePoint Now) {
-  const auto Against = Evidence.m_Suspicions.find(Part);
-  if (Against == Evidence.m_Suspicions.end() ||
-      isOver(Against->second, Evidence.m_Options, Now))
+  const auto Before = findSuspicion(Evidence, Part);
+  if (!Before || isOver(*Before, Evidence.m_Options, Now))
     return false;
-  const Suspicion Before = Against->second;
   storeAcquittal(Evidence, Part, At);
-  updateSuspicion(Evidence, Part);
-  const Suspicion *After = findSuspicion(Evidence, Part);
-  return !After || *After != Before;
+  return findSuspicion(Evidence, Part) != Before;
 }
 
 PartState partState(const CrashEvidence &Evidence, const ServicePart &Part,
                     bool IsLastUnit, TimePoint Now) {
-  const Suspicion *Against = findSuspicion(Evidence, Part);
+  const auto Against = findSuspicion(Evidence, Part);
   if (!Against || !isHeldRatio(*Against, Evidence) ||
       isOver(*Against, Evidence.m_Options, Now))
     return PartState::Free;
@@ -312,7 +283,7 @@
 
 Duration timeToNextState(const CrashEvidence &Evidence, const ServicePart &Part,
                          bool IsLastUnit, TimePoint Now) {
-  const Suspicion *Against = findSuspicion(Evidence, Part);
+  const auto Against = findSuspicion(Evidence, Part);
   const PartState State = partState(Evidence, Part, IsLastUnit, Now);
   if (!Against || State == PartState::Free)
     return Duration::zero();
@@ -325,7 +296,7 @@
 
 bool wouldBeHeld(const CrashEvidence &Evidence, const ServicePart &Part,
                  std::uint32_t Requests, TimePoint Now) {
-  const Suspicion *Against = findSuspicion(Evidence, Part);
+  const auto Against = findSuspicion(Evidence, Part);
   const bool Counts = Against && !isOver(*Against, Evidence.m_Options, Now);
   const double Ratio = Counts ? Against->m_Ratio : 1.0;
   return Ratio / chanceOf(describe(Evidence, Part, Now), Requests,
@@ -333,10 +304,49 @@
          Evidence.m_Options.m_MinHeldRatio;
 }
 
-const Suspicion *findSuspicion(const CrashEvidence &Evidence,
-                               const ServicePart &Part) {
-  const auto Found = Evidence.m_Suspicions.find(Part);
-  return Found == Evidence.m_Suspicions.end() ? nullptr : &Found->second;
+std::optional<Suspicion> findSuspicion(const CrashEvidence &Evidence,
+                                       const ServicePart &Part) {
+  const auto Implicating = Evidence.m_CrashesByPart.find(Part);
+  if (Implicating == Evidence.m_CrashesByPart.end())
+    return std::nullopt;
+  // The crashes that count, in order of time.
+  const std::optional<TimePoint> Acquitted = acquittedAt(Evidence, Part);
+  std::multimap<TimePoint, double> Chances;
+  for (const ServerRun &Run : Implicating->second) {
+    const ServerCrash &Crash = Evidence.m_Crashes.at(Run);
+    if (Acquitted && Crash.m_At <= *Acquitted)
+      continue;
+    if (const auto Chance = chanceAt(Crash, Part.m_Part, Evidence.m_Options))
+      Chances.emplace(Crash.m_At, *Chance);
+  }
+  std::optional<Suspicion> Found;
+  for (auto Each = Chances.begin(); Each != Chances.end();) {
+    const CommonCause Cause =
+        commonCause(Evidence, Part.m_Service, Each->first);
+    std::size_t Crashes = 0;
+    double Chance = 1.0;
+    for (; Each != Chances.end() && Each->first <= Cause.m_Last; ++Each) {
+      ++Crashes;
+      Chance *= Each->second;
+    }
+    if (!Found || isOver(*Found, Evidence.m_Options, Cause.m_Last))
+      Found = Suspicion();
+    // The part was at this many of the crashes, whichever.
+    Found->m_Ratio /=
+        std::min(1.0, binomial(Cause.m_Crashes, Crashes) * Chance);
+    Found->m_Crashes += static_cast<std::uint32_t>(Crashes);
+    Found->m_LastCrash = Cause.m_Last;
+  }
+  return Found;
+}
+
+std::set<ServerRun> crashesThatHold(const CrashEvidence &Evidence,
+                                    TimePoint Now) {
+  std::set<ServerRun> Runs;
+  for (const auto &[Part, Implicating] : Evidence.m_CrashesByPart)
+    if (partState(Evidence, Part, false, Now) != PartState::Free)
+      Runs.insert(Implicating.begin(), Implicating.end());
+  return Runs;
 }
 
 } // namespace mangocart
--- a/Source/Routing/CrashEvidence.h
+++ b/Source/Routing/CrashEvidence.h
@@ -20,6 +20,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -120,9 +122,10 @@
   // Sound answers at this gateway.
   std::map<ServicePart, DecayingCount> m_SoundAnswers;
   std::map<std::string, DecayingCount> m_SoundByService;
-  // Computed from the members above whenever they change. Only parts that are
-  // implicated in a crash that counts.
-  std::map<ServicePart, Suspicion> m_Suspicions;
+  // Index of m_Crashes: the crashes that implicate a part, and the times of all
+  // crashes of a service.
+  std::map<ServicePart, std::set<ServerRun>> m_CrashesByPart;
+  std::map<std::string, std::multiset<TimePoint>> m_CrashTimes;
 };
 
 enum class PartState {
@@ -177,9 +180,13 @@
 bool wouldBeHeld(const CrashEvidence &Evidence, const ServicePart &Part,
                  std::uint32_t Requests, TimePoint Now);
 
-// Null if there is no evidence against the part.
-const Suspicion *findSuspicion(const CrashEvidence &Evidence,
-                               const ServicePart &Part);
+// No value if there is no evidence against the part.
+std::optional<Suspicion> findSuspicion(const CrashEvidence &Evidence,
+                                       const ServicePart &Part);
+
+// The crashes that implicate a part which is held or on probation.
+std::set<ServerRun> crashesThatHold(const CrashEvidence &Evidence,
+                                    TimePoint Now);
 
 } // namespace mangocart
 
--- a/Source/Routing/ServerNotices.cpp
+++ b/Source/Routing/ServerNotices.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+// More gateways than any deployment has.
+constexpr double MaxSenders = 1e6;
 // Other gateways are told again of a limit that still holds.
 constexpr Duration ConfirmInterval = std::chrono::seconds(5);
 
@@ -45,7 +47,8 @@
   const GatewayList &Gateways = Notices.m_Gateways;
   const auto Senders = static_cast<std::size_t>(
       Options.m_MinSenders +
-      Options.m_SendersPerRequest * std::max(RequestsPerSecond, 0.0));
+      Options.m_SendersPerRequest *
+          std::clamp(RequestsPerSecond, 0.0, MaxSenders));
   const std::uint64_t Seed = hash64(Server);
   const std::uint64_t Own = hash64(Gateways.m_Self, Seed);
   const auto Before = static_cast<std::size_t>(std::count_if(
--- a/Tests/Routing/testCrashEvidence.cpp
+++ b/Tests/Routing/testCrashEvidence.cpp
@@ -48,7 +48,7 @@
 }
 
 double ratio(const CrashEvidence &Evidence, const std::string &Id) {
-  const Suspicion *Against = findSuspicion(Evidence, part(Id));
+  const auto Against = findSuspicion(Evidence, part(Id));
   return Against ? Against->m_Ratio : 1.0;
 }
 
@@ -187,7 +187,22 @@
   CHECK(E.m_Crashes.size() <= 8);
   CHECK(E.m_SoundAnswers.size() <= 16);
   CHECK(E.m_Acquittals.size() <= 16);
-  CHECK(E.m_Suspicions.size() <= 8);
+  CHECK(E.m_CrashesByPart.size() <= 8);
+  CHECK(E.m_CrashTimes[Service].size() <= 8);
+}
+
+TEST_CASE(
+    "a report about a herd of crashes costs little, whoever else reports") {
+  CrashEvidence E = evidence();
+  for (int Server = 0; Server < 200; ++Server)
+    for (int Gateway = 0; Gateway < 12; ++Gateway)
+      crash(E, fmt::format("e{}", Server),
+            {"all", fmt::format("n{}-{}", Server, Gateway)},
+            Start + Server * 1ms, fmt::format("g{}", Gateway));
+  CHECK(E.m_Crashes.size() == 200);
+  CHECK(E.m_CrashesByPart.size() == 2401);
+  // None of them is held, so a gateway that starts is told of none.
+  CHECK(crashesThatHold(E, Start + 1s).empty());
 }
 
 namespace {
@@ -263,9 +278,9 @@
          Now,
          {{"g", makeCrashReport(Evidence, Service, Beginning, Parts, Now)}}},
         Now);
-    for (const auto &[Part, Against] : Evidence.m_Suspicions)
-      if (Against.m_Ratio >= Evidence.m_Options.m_ConvictionRatio)
-        Result.m_Convicted.insert(Part.m_Part);
+    for (const std::string &Each : Parts)
+      if (ratio(Evidence, Each) >= Evidence.m_Options.m_ConvictionRatio)
+        Result.m_Convicted.insert(Each);
     UpAt = std::max(UpAt, Now + Model.m_Outage);
   };
   const auto Send = [&](std::vector<std::string> Parts, bool IsCrashing,
