Gateway: a server that was silent for a while isn't taken for ended later

A machine that gave no sign of life counts as a crash in the evidence. Its servers go on when it wakes, but the crash guard took every later lost connection and every answer without a length from them as those of an ended server, without looking again: such answers were dropped although they were whole. It now asks the server each time.

--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -262,15 +262,11 @@
 }
 
 // Any response shows that the server runs. A server that has ended refuses
-// connections, or its machine gives no answer.
+// connections, or its machine gives no answer. A known crash doesn't count: the
+// server may only have been silent.
 void CrashGuard::probe(const BackendTarget &Target, TimePoint Now,
                        std::function<void(bool Running)> Done, Calls &After) {
   const ServerRun Run = runOf(Target);
-  if (m_Evidence.m_Crashes.contains(Run)) {
-    recordCrash(Target, Now, Now, After);
-    After.emplace_back([Done = std::move(Done)] { Done(false); });
-    return;
-  }
   const auto [At, Inserted] = m_Lost.try_emplace(Run);
   LostServer &Lost = At->second;
   Lost.m_Waiting.push_back(std::move(Done));
--- /dev/null
+++ b/Tests/Gateway/testCrashGuard.cpp
@@ -0,0 +1,217 @@
+// The crash guards of two gateways, servers that run and servers that refuse
+// connections. Guards against crashes that only one gateway knows of, several
+// trials of one part at a time, and servers taken for ended that are not.
+#include "Gateway/CrashGuard.h"
+
+#include "Core/WorkerPool.h"
+#include "Entry/MembershipDirectory.h"
+#include "Events/EventLog.h"
+#include "Gateway.pb.h"
+#include "Gateway/CallerProtocol.h"
+#include "Gateway/GatewayMetrics.h"
+#include "Http/HttpClients.h"
+#include "Http/HttpServer.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+#include <fmt/format.h>
+
+#include <future>
+
+using namespace mangocart;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Service = "drafts";
+constexpr const char *EngineAddress = "127.90.9.1";
+// Nothing listens there.
+constexpr const char *EndedAddress = "127.90.9.2";
+
+class MockProtocol : public CallerProtocol {
+public:
+  MAKE_CONST_MOCK1(read, CallerRequest(const HttpRequest &), override);
+  MAKE_CONST_MOCK2(forward,
+                   HttpRequest(const HttpRequest &, const ForwardedMetadata &),
+                   override);
+  MAKE_CONST_MOCK0(livenessProbe, HttpRequest(), override);
+  MAKE_CONST_MOCK2(matchesRequest, bool(const HttpHead &, std::string_view),
+                   override);
+  MAKE_CONST_MOCK2(classify, ResponseKind(const HttpHead &, std::string_view),
+                   override);
+  MAKE_CONST_MOCK1(readNotice, ServerNotice(const HttpHead &), override);
+  MAKE_CONST_MOCK1(toCallerHead, HttpHead(const HttpHead &), override);
+  MAKE_CONST_MOCK4(makeResponse,
+                   HttpResponse(unsigned, std::string_view, std::string_view,
+                                std::optional<Duration>),
+                   override);
+  using PlanResult = Result<RoutingPlan, PlanError>;
+  MAKE_CONST_MOCK1(readPlan, PlanResult(std::string_view), override);
+};
+
+const std::set<PeerEndpoint> Gateways = {{"10.0.0.1", 7340},
+                                         {"10.0.0.2", 7340}};
+
+struct Gateway {
+  Gateway(WorkerPool &Workers, const CallerProtocol &Protocol, int Number)
+      : m_Events({"gateway", fmt::format("g{}", Number), "a"}, "/dev/null"),
+        m_Metrics(m_Registry), m_Directory(m_Events, "a", 1, 1),
+        m_Clients(Workers),
+        m_Guard(std::make_shared<CrashGuard>(
+            Workers.worker(0), m_Clients, Protocol, m_Directory, m_Events,
+            m_Metrics, fmt::format("g{}", Number),
+            *std::next(Gateways.begin(), Number - 1))),
+        m_Executor(Workers.worker(0).get_executor()) {
+    m_Guard->setGateways(Gateways);
+    for (int I = 0; I < 3; ++I) {
+      Member Server;
+      Server.m_BackendServer = fmt::format("other{}", I);
+      Server.m_Service = Service;
+      Server.m_Address = "127.90.9.9";
+      Server.m_PeerPort = static_cast<std::uint16_t>(9000 + I);
+      m_Directory.announced(Server);
+    }
+    // Sound answers, so that a new part is known to be rare.
+    for (int I = 0; I < 100; ++I) {
+      const auto Request = begin({"all", fmt::format("s{}", I)});
+      m_Guard->answered(Request);
+      m_Guard->end(Request);
+    }
+  }
+
+  CrashGuard::Number begin(std::vector<std::string> Parts) {
+    return m_Guard->begin({Service, std::move(Parts), m_Executor,
+                           [this](const std::string &) { ++m_HeldCalls; }});
+  }
+  CrashGuard::Number send(std::vector<std::string> Parts,
+                          const BackendTarget &To) {
+    const auto Request = begin(std::move(Parts));
+    m_Guard->attemptSent(Request, To);
+    return Request;
+  }
+  void lose(CrashGuard::Number Request) {
+    std::promise<void> Known;
+    m_Guard->connectionLost(Request, [&] { Known.set_value(); });
+    REQUIRE(Known.get_future().wait_for(5s) == std::future_status::ready);
+    m_Guard->attemptEnded(Request);
+  }
+  bool allows(CrashGuard::Number Request, bool Reserve = false) {
+    return m_Guard->decide(Request, Reserve).m_Allowed;
+  }
+  void tell(Gateway &Other) {
+    schema::LoadReport Report;
+    m_Guard->addNews(Report);
+    Other.m_Guard->merge(Report);
+  }
+
+  EventLog m_Events;
+  MetricRegistry m_Registry;
+  GatewayMetrics m_Metrics;
+  MembershipDirectory m_Directory;
+  HttpClients m_Clients;
+  std::shared_ptr<CrashGuard> m_Guard;
+  boost::asio::any_io_executor m_Executor;
+  std::atomic<int> m_HeldCalls{0};
+};
+
+struct Fixture {
+  Fixture()
+      : m_Workers(1), m_Engine(m_Workers, {},
+                               [](const std::shared_ptr<HttpExchange> &E) {
+                                 E->respond({{200, {}}, "{}"});
+                               }),
+        m_Probe(NAMED_ALLOW_CALL(m_Protocol, livenessProbe())
+                    .RETURN(HttpRequest{"GET", "/", {}, {}, {}})),
+        m_First(m_Workers, m_Protocol, 1), m_Second(m_Workers, m_Protocol, 2) {
+    m_Engine.listen(EngineAddress, 0).value();
+    m_Workers.start();
+  }
+  ~Fixture() { m_Workers.stop(); }
+
+  BackendTarget running() const {
+    return {"running", Service, "a", {EngineAddress, m_Engine.port()}, 1};
+  }
+  static BackendTarget ended(const std::string &Name) {
+    return {Name, Service, "a", {EndedAddress, 9}, 1};
+  }
+  bool verify(const BackendTarget &Target) {
+    std::promise<bool> Running;
+    m_First.m_Guard->verifyRunning(Target, m_First.m_Executor,
+                                   [&](bool Is) { Running.set_value(Is); });
+    return Running.get_future().get();
+  }
+
+  WorkerPool m_Workers;
+  HttpServer m_Engine;
+  MockProtocol m_Protocol;
+  std::unique_ptr<trompeloeil::expectation> m_Probe;
+  Gateway m_First;
+  Gateway m_Second;
+};
+
+} // namespace
+
+TEST_CASE("a lost connection to a server that runs implicates no part") {
+  Fixture F;
+  F.m_First.lose(F.m_First.send({"all", "bad"}, F.running()));
+  CHECK(F.m_First.allows(F.m_First.begin({"all", "bad"})));
+}
+
+TEST_CASE("a server that ended implicates new parts, at all gateways") {
+  Fixture F;
+  const auto Waiting = F.m_Second.begin({"all", "bad"});
+  F.m_First.lose(F.m_First.send({"all", "bad"}, Fixture::ended("e1")));
+  CHECK_FALSE(F.m_First.allows(F.m_First.begin({"all", "bad"})));
+  CHECK(F.m_First.allows(F.m_First.begin({"all", "s1"})));
+  F.m_First.tell(F.m_Second);
+  CHECK_FALSE(F.m_Second.allows(Waiting));
+  CHECK(F.m_Second.allows(F.m_Second.begin({"all", "s1"})));
+  for (int I = 0; I < 1000 && F.m_Second.m_HeldCalls == 0; ++I)
+    std::this_thread::sleep_for(1ms);
+  CHECK(F.m_Second.m_HeldCalls == 1);
+}
+
+TEST_CASE("a gateway that starts learns which parts are held") {
+  Fixture F;
+  F.m_First.lose(F.m_First.send({"all", "bad"}, Fixture::ended("e1")));
+  schema::LoadReport All;
+  F.m_First.m_Guard->addAll(All);
+  Gateway Third(F.m_Workers, F.m_Protocol, 2);
+  Third.m_Guard->merge(All);
+  CHECK_FALSE(Third.allows(Third.begin({"all", "bad"})));
+}
+
+TEST_CASE("one gateway tries one request on probation, its answer frees the "
+          "part everywhere") {
+  Fixture F;
+  F.m_First.lose(F.m_First.send({"all", "bad"}, Fixture::ended("e1")));
+  F.m_First.tell(F.m_Second);
+  RuntimeClock::pause();
+  RuntimeClock::advance(11s);
+  const auto A = F.m_First.begin({"all", "bad"});
+  const auto B = F.m_Second.begin({"all", "bad"});
+  const bool FirstTries = F.m_First.allows(A);
+  CHECK(F.m_Second.allows(B) != FirstTries);
+  Gateway &Trying = FirstTries ? F.m_First : F.m_Second;
+  Gateway &Other = FirstTries ? F.m_Second : F.m_First;
+  const auto Trial = FirstTries ? A : B;
+  CHECK(Trying.allows(Trial, true));
+  CHECK_FALSE(Trying.allows(Trying.begin({"all", "bad"})));
+  Trying.m_Guard->attemptSent(Trial, F.running());
+  Trying.m_Guard->answered(Trial);
+  Trying.m_Guard->end(Trial);
+  Trying.tell(Other);
+  CHECK(Trying.allows(Trying.begin({"all", "bad"})));
+  CHECK(Other.allows(Other.begin({"all", "bad"})));
+  RuntimeClock::resume();
+}
+
+TEST_CASE("a server that gave no sign of life for a while counts as running "
+          "once it answers") {
+  Fixture F;
+  const auto Request = F.m_First.send({"all", "x"}, F.running());
+  F.m_First.m_Guard->serverSilent(F.running());
+  F.m_First.m_Guard->attemptEnded(Request);
+  CHECK(F.verify(F.running()));
+  CHECK_FALSE(F.verify(Fixture::ended("e1")));
+}
