--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -34,6 +34,11 @@
       0, std::chrono::duration_cast<milliseconds>(Time).count()));
 }
 
+void runAll(const std::vector<std::function<void()>> &Calls) {
+  for (const auto &Call : Calls)
+    Call();
+}
+
 } // namespace
 
 CrashGuard::CrashGuard(boost::asio::io_context &Worker, HttpClients &Clients,
@@ -157,8 +162,7 @@
     else if (Now - *Each.m_FirstData >= SoundAfter)
       recordSound(Each, Now, After);
   }
-  for (const auto &Call : After)
-    Call();
+  runAll(After);
 }
 
 void CrashGuard::answered(Number Request) {
@@ -171,8 +175,7 @@
     if (Found != m_Watched.end() && !Found->second.m_IsSound)
       recordSound(Found->second, RuntimeClock::now(), After);
   }
-  for (const auto &Call : After)
-    Call();
+  runAll(After);
 }
 
 void CrashGuard::attemptEnded(Number Request) {
@@ -240,8 +243,7 @@
         After.push_back(std::move(Done));
     }
   }
-  for (const auto &Call : After)
-    Call();
+  runAll(After);
 }
 
 void CrashGuard::verifyRunning(const BackendTarget &Target,
@@ -257,8 +259,7 @@
         },
         After);
   }
-  for (const auto &Call : After)
-    Call();
+  runAll(After);
 }
 
 // Any response shows that the server runs. A server that has ended refuses
@@ -306,8 +307,7 @@
     if (!Running)
       recordCrash(Lost.m_Target, Lost.m_At, RuntimeClock::now(), After);
   }
-  for (const auto &Call : After)
-    Call();
+  runAll(After);
   for (const auto &Done : Lost.m_Waiting)
     Done(Running);
 }
@@ -319,8 +319,7 @@
     const TimePoint Now = RuntimeClock::now();
     recordCrash(Target, Now, Now, After);
   }
-  for (const auto &Call : After)
-    Call();
+  runAll(After);
 }
 
 // Reports the crash together with the requests of this gateway that it
@@ -452,8 +451,7 @@
       mergeAcquittal(m_Evidence, {Each.service(), Each.id()},
                      Now - milliseconds(Each.ms_ago()), Now);
   }
-  for (const auto &Call : After)
-    Call();
+  runAll(After);
 }
 
 } // namespace mangocart
--- a/Source/Gateway/LoadExchange.cpp
+++ b/Source/Gateway/LoadExchange.cpp
@@ -5,6 +5,7 @@
 #include "Entry/MembershipDirectory.h"
 #include "Gateway.pb.h"
 #include "Gateway/CrashGuard.h"
+#include "Gateway/LimitMessages.h"
 #include "Gateway/LoadReportInterval.h"
 
 namespace mangocart {
@@ -19,29 +20,6 @@
 // the newest one matters.
 constexpr std::size_t MaxQueuedBytes = std::size_t{16} * 1024;
 
-void addLimits(schema::LoadReport &Report,
-               const std::map<std::string, LimitSighting> &Limits,
-               TimePoint Now) {
-  for (const auto &[Server, Seen] : Limits) {
-    schema::ServerLimit &Out = *Report.add_limits();
-    Out.set_backend_server(Server);
-    if (Seen.m_RequestsPerSecond)
-      Out.set_requests_per_second(*Seen.m_RequestsPerSecond);
-    Out.set_ms_ago(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(Now - Seen.m_At)
-            .count()));
-  }
-}
-
-LimitSighting limitFromSchema(const schema::ServerLimit &Message,
-                              TimePoint Now) {
-  LimitSighting Seen;
-  if (Message.has_requests_per_second() && Message.requests_per_second() >= 0.0)
-    Seen.m_RequestsPerSecond = Message.requests_per_second();
-  Seen.m_At = Now - std::chrono::milliseconds(Message.ms_ago());
-  return Seen;
-}
-
 } // namespace
 
 LoadExchange::LoadExchange(boost::asio::io_context &Worker, PeerClient &Client,
--- /dev/null
+++ b/Tests/Gateway/testReportMessages.cpp
@@ -0,0 +1,76 @@
+// Evidence about crashes and limits in load reports: what is sent arrives, and
+// values out of range do no harm.
+#include "Gateway.pb.h"
+#include "Gateway/CrashMessages.h"
+#include "Gateway/LimitMessages.h"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <limits>
+
+using namespace mangocart;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Now{1000s};
+
+} // namespace
+
+TEST_CASE("a crash arrives as the reporter saw it, others' reports don't") {
+  const ServerRun Run{"e1", 7};
+  const ServerCrash Crash{
+      "drafts",
+      Now - 250ms,
+      {{"g1", {3, {{"bad", {0.25, 2.0}}, {"all", {1.0, 90.0}}}}},
+       {"g2", {1, {{"x", {0.5, 0.0}}}}}}};
+  schema::LoadReport Report;
+  addCrash(Report, Run, Crash, "g1", Now);
+  addCrash(Report, Run, Crash, "g3", Now);
+  REQUIRE(Report.crashes_size() == 1);
+  CHECK(Report.crashes(0).backend_server() == "e1");
+  CHECK(Report.crashes(0).incarnation() == 7);
+  const ServerCrash Read = crashFromSchema(Report.crashes(0), Now + 10ms);
+  CHECK(Read.m_Service == "drafts");
+  CHECK(Read.m_At == Now - 240ms);
+  CHECK(Read.m_Reports ==
+        std::map<std::string, CrashReport>{{"g1", Crash.m_Reports.at("g1")}});
+}
+
+TEST_CASE("fractions and counts out of range are brought into it") {
+  const double Bad[] = {-1.0, std::numeric_limits<double>::quiet_NaN(),
+                        std::numeric_limits<double>::infinity()};
+  for (const double Value : Bad) {
+    schema::ServerCrash Message;
+    schema::ImplicatedPart &Part = *Message.add_parts();
+    Part.set_id("p");
+    Part.set_sound_fraction(Value);
+    Part.set_sound_answers(Value);
+    const auto Read = crashFromSchema(Message, Now);
+    const ImplicatedPart &Known = Read.m_Reports.at("").m_Parts.at("p");
+    CHECK(Known.m_SoundFraction >= 0.0);
+    CHECK(Known.m_SoundFraction <= 1.0);
+    CHECK(Known.m_SoundAnswers >= 0.0);
+  }
+}
+
+TEST_CASE("limits arrive with their age, and as none after they were lifted") {
+  schema::LoadReport Report;
+  addLimits(Report,
+            {{"e1", {2.5, Now - 100ms}}, {"e2", {std::nullopt, Now - 1s}}},
+            Now);
+  REQUIRE(Report.limits_size() == 2);
+  CHECK(limitFromSchema(Report.limits(0), Now) ==
+        LimitSighting{2.5, Now - 100ms});
+  CHECK(limitFromSchema(Report.limits(1), Now) ==
+        LimitSighting{std::nullopt, Now - 1s});
+}
+
+TEST_CASE("a limit that is no number or negative counts as none") {
+  for (const double Value : {-1.0, std::numeric_limits<double>::quiet_NaN()}) {
+    schema::ServerLimit Message;
+    Message.set_requests_per_second(Value);
+    CHECK_FALSE(limitFromSchema(Message, Now).m_RequestsPerSecond);
+  }
+}
