--- a/Tests/Gateways/GatewayDeployment.cpp
+++ b/Tests/Gateways/GatewayDeployment.cpp
@@ -100,7 +100,7 @@
 
 std::string GatewayDeployment::writeSettings(const std::string &Name,
                                              const std::string &Text) const {
-  const std::string File = (m_Folder / (Name + ".toml")).string();
+  std::string File = (m_Folder / (Name + ".toml")).string();
   std::ofstream(File) << Text;
   return File;
 }
