Gateway: a forgotten acquittal doesn't end the process

With 4,096 newer acquittals, the one of a crash that a peer reports late is forgotten as soon as it is stored, and looking it up threw out of the handler of the peer's message. Found by reading; the case has no test of its own.

--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -329,7 +329,7 @@
   const ServerRun Run = runOf(Target);
   std::uint32_t Requests = 0;
   std::set<std::string> Parts;
-  for (auto &[Number, Each] : m_Watched) {
+  for (auto &[Request, Each] : m_Watched) {
     if (!Each.m_Target || runOf(*Each.m_Target) != Run || Each.m_IsReported ||
         !isBeginning(Each, At))
       continue;
@@ -371,8 +371,15 @@
 void CrashGuard::applyCrash(const ServerRun &Run, const ServerCrash &Crash,
                             TimePoint Now, Calls &After) {
   const CrashMerge Merged = mergeCrash(m_Evidence, Run, Crash, Now);
-  for (const ServicePart &Part : Merged.m_Acquitted)
-    addAcquittal(Part, m_Evidence.m_Acquittals.at(Part), After);
+  for (const ServicePart &Part : Merged.m_Acquitted) {
+    // The oldest acquittals are forgotten; one at the time of the crash tells
+    // the same of it.
+    const auto Found = m_Evidence.m_Acquittals.find(Part);
+    addAcquittal(Part,
+                 Found == m_Evidence.m_Acquittals.end() ? Crash.m_At
+                                                        : Found->second,
+                 After);
+  }
   if (Merged.m_Held.empty())
     return;
   const std::string Group = m_Directory.groupName(Run.m_BackendServer);
@@ -388,7 +395,7 @@
                                        {"hold_ms", wholeMs(Hold)}});
     });
   }
-  for (const auto &[Number, Each] : m_Watched) {
+  for (const auto &[Key, Each] : m_Watched) {
     const GuardedRequest &Request = Each.m_Request;
     const bool IsHeld = std::any_of(
         Merged.m_Held.begin(), Merged.m_Held.end(),
