Gateway, Routing: one way to drop an attempt, acquittals with their time

Attempts were cancelled, logged and reported in three places alike: dropAttempt() serves failing over and held parts. mergeCrash() returns the times of the acquittals instead of leaving them to a lookup that may fail, which worked around; a test names that case. Derived state and an argument that all callers computed alike are gone.

--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -371,15 +371,8 @@
 void CrashGuard::applyCrash(const ServerRun &Run, const ServerCrash &Crash,
                             TimePoint Now, Calls &After) {
   const CrashMerge Merged = mergeCrash(m_Evidence, Run, Crash, Now);
-  for (const ServicePart &Part : Merged.m_Acquitted) {
-    // The oldest acquittals are forgotten; one at the time of the crash tells
-    // the same of it.
-    const auto Found = m_Evidence.m_Acquittals.find(Part);
-    addAcquittal(Part,
-                 Found == m_Evidence.m_Acquittals.end() ? Crash.m_At
-                                                        : Found->second,
-                 After);
-  }
+  for (const auto &[Part, At] : Merged.m_Acquitted)
+    addAcquittal(Part, At, After);
   if (Merged.m_Held.empty())
     return;
   const std::string Group = m_Directory.groupName(Run.m_BackendServer);
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -187,7 +187,10 @@
       m_Context.m_CrashGuard.decide(m_GuardNumber, Reserve);
   if (Decision.m_Allowed)
     return false;
-  reportResult(CallResult::Cancelled);
+  if (m_HttpCall)
+    dropAttempt("a part of the prompt is held back", CallResult::Cancelled);
+  else
+    reportResult(CallResult::Cancelled);
   fail("part-held", Decision.m_RetryAfter);
   return true;
 }
@@ -206,16 +209,7 @@
       (!CrashedGroup.empty() &&
        m_Context.m_Directory.groupName(m_Target->m_Name) == CrashedGroup))
     return;
-  const GuardDecision Decision =
-      m_Context.m_CrashGuard.decide(m_GuardNumber, false);
-  if (Decision.m_Allowed)
-    return;
-  m_HttpCall->cancel();
-  m_HttpCall.reset();
-  m_State.m_MayHaveRun = true;
-  logAttemptEnd(lostResult(), "a part of the prompt is held back");
-  reportResult(CallResult::Cancelled);
-  fail("part-held", Decision.m_RetryAfter);
+  failIfHeld(false);
 }
 
 void ProxiedRequest::send() {
@@ -423,8 +417,7 @@
 void ProxiedRequest::onComplete() {
   if (m_ForwardingMode != ForwardingMode::Buffered) {
     if (m_Splitter.pendingBytes() > 0)
-      return onConnectionLost(lostResult(),
-                              "the stream ended in the middle of an event");
+      return onConnectionLost("the stream ended in the middle of an event");
     m_Context.m_CrashGuard.answered(m_GuardNumber);
     reportResult(CallResult::Answered);
     startResponse();
@@ -447,13 +440,11 @@
                            : AttemptResult::ConnectionLost;
 }
 
-void ProxiedRequest::onConnectionLost(AttemptResult Result,
-                                      std::string Detail) {
+void ProxiedRequest::onConnectionLost(std::string Detail) {
   m_Context.m_CrashGuard.connectionLost(
-      m_GuardNumber,
-      [Self = shared_from_this(), Result, Detail = std::move(Detail)] {
+      m_GuardNumber, [Self = shared_from_this(), Detail = std::move(Detail)] {
         if (!Self->m_Finished && Self->m_Target)
-          Self->endAttempt(Result, Detail);
+          Self->endAttempt(Self->lostResult(), Detail);
       });
 }
 
@@ -467,7 +458,7 @@
     return endAttempt(AttemptResult::NeverSent, Error.m_Detail);
   }
   if (Error.m_Code == HttpErrorCode::ConnectionLost)
-    return onConnectionLost(lostResult(), Error.m_Detail);
+    return onConnectionLost(Error.m_Detail);
   endAttempt(lostResult(), Error.m_Detail);
 }
 
@@ -576,12 +567,16 @@
   if (!mayRetry(After) ||
       !m_Context.m_RetryBudgets.takeRetry(m_Request.m_Service))
     return;
+  dropAttempt(Detail, CallResult::Broken);
+  startAttempt();
+}
+
+void ProxiedRequest::dropAttempt(std::string_view Detail, CallResult Result) {
   m_HttpCall->cancel();
   m_HttpCall.reset();
-  m_State = After;
+  m_State.m_MayHaveRun = true;
   logAttemptEnd(lostResult(), Detail);
-  reportResult(CallResult::Broken);
-  startAttempt();
+  reportResult(Result);
 }
 
 void ProxiedRequest::abandonAttempt(std::string_view Detail) {
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -65,11 +65,12 @@
   // The whole answer has been received.
   void onComplete();
   // Ends the attempt once it is known whether its server has ended as well.
-  void onConnectionLost(AttemptResult Result, std::string Detail);
+  void onConnectionLost(std::string Detail);
   // Called when requests with a part of this one's prompt are held back because
   // a server has ended. CrashedGroup is its rank group, empty if it has none.
   void onPartHeld(const std::string &CrashedGroup);
-  // Fails the request and returns true if a part of its prompt is held back.
+  // Drops the attempt, fails the request and returns true if a part of its
+  // prompt is held back.
   bool failIfHeld(bool Reserve);
   void onError(const HttpError &Error);
   // Lost while its answer was received, or before.
@@ -79,6 +80,8 @@
   // Cancels the attempt and tries another backend server if the request may be
   // retried; otherwise keeps waiting for the response.
   void failOver(std::string_view Detail);
+  // Cancels the attempt, which may have run, and logs and reports its end.
+  void dropAttempt(std::string_view Detail, CallResult Result);
   // Cancels the attempt, whose response isn't usable.
   void abandonAttempt(std::string_view Detail);
   void monitorAttempt();
--- a/Source/Routing/CrashEvidence.cpp
+++ b/Source/Routing/CrashEvidence.cpp
@@ -88,7 +88,6 @@
 // The crashes of a service that may have one cause with the one at this time.
 struct CommonCause {
   std::size_t m_Crashes = 0;
-  TimePoint m_First;
   TimePoint m_Last;
 };
 
@@ -96,11 +95,12 @@
                         const std::string &Service, TimePoint At) {
   const Duration Window = Evidence.m_Options.m_CommonCauseWindow;
   const std::multiset<TimePoint> &Times = Evidence.m_CrashTimes.at(Service);
-  CommonCause Found{1, At, At};
+  CommonCause Found{1, At};
+  TimePoint First = At;
   const auto Here = Times.find(At);
   for (auto Each = std::make_reverse_iterator(Here);
-       Each != Times.rend() && Found.m_First - *Each <= Window; ++Each) {
-    Found.m_First = *Each;
+       Each != Times.rend() && First - *Each <= Window; ++Each) {
+    First = *Each;
     ++Found.m_Crashes;
   }
   for (auto Each = std::next(Here);
@@ -136,10 +136,6 @@
   return Latest;
 }
 
-bool isHeldRatio(const Suspicion &Against, const CrashEvidence &Evidence) {
-  return Against.m_Ratio >= Evidence.m_Options.m_MinHeldRatio;
-}
-
 void removeFromIndex(CrashEvidence &Evidence, const ServerRun &Run,
                      const ServerCrash &Crash) {
   auto &Times = Evidence.m_CrashTimes[Crash.m_Service];
@@ -233,7 +229,7 @@
     const auto Sound = Evidence.m_SoundAnswers.find(Part);
     if (Sound != Evidence.m_SoundAnswers.end() &&
         Sound->second.m_UpdatedAt >= At) {
-      Merged.m_Acquitted.push_back(Part);
+      Merged.m_Acquitted[Part] = Sound->second.m_UpdatedAt;
       storeAcquittal(Evidence, Part, Sound->second.m_UpdatedAt);
     }
     if (findSuspicion(Evidence, Part) != Before[Id] &&
@@ -272,7 +268,7 @@
 PartState partState(const CrashEvidence &Evidence, const ServicePart &Part,
                     bool IsLastUnit, TimePoint Now) {
   const auto Against = findSuspicion(Evidence, Part);
-  if (!Against || !isHeldRatio(*Against, Evidence) ||
+  if (!Against || Against->m_Ratio < Evidence.m_Options.m_MinHeldRatio ||
       isOver(*Against, Evidence.m_Options, Now))
     return PartState::Free;
   const Duration Hold = holdOf(Against->m_Ratio, Evidence.m_Options);
--- a/Source/Routing/CrashEvidence.h
+++ b/Source/Routing/CrashEvidence.h
@@ -145,9 +145,9 @@
 struct CrashMerge {
   // Parts that are held because of the crash.
   std::vector<ServicePart> m_Held;
-  // Implicated parts on which this gateway has had a sound answer since; the
-  // time of the answer is in m_Acquittals.
-  std::vector<ServicePart> m_Acquitted;
+  // Implicated parts on which this gateway has had a sound answer since, and
+  // the time of the answer.
+  std::map<ServicePart, TimePoint> m_Acquitted;
 };
 
 // Merges a gateway's report about a crash; a later report of the same gateway
--- a/Tests/Routing/testCrashEvidence.cpp
+++ b/Tests/Routing/testCrashEvidence.cpp
@@ -120,10 +120,23 @@
   const CrashMerge Merged = mergeCrash(
       B, {"e1", 1}, {Service, Start, {{"g2", Report}}}, Start + 1100ms);
   CHECK(Merged.m_Held.empty());
-  CHECK(Merged.m_Acquitted == std::vector{part("p")});
+  CHECK(Merged.m_Acquitted ==
+        std::map<ServicePart, TimePoint>{{part("p"), Start + 1s}});
   CHECK(state(B, "p", Start + 1100ms) == PartState::Free);
 }
 
+TEST_CASE(
+    "the time of a sound answer is told even if it is forgotten at once") {
+  CrashEvidence E = evidence();
+  E.m_Options.m_MaxParts = 1;
+  E.m_Acquittals[part("newer")] = Start + 10s;
+  E.m_SoundAnswers[part("p")] = {1.0, Start + 1s};
+  const CrashMerge Merged = crash(E, "e1", {"p"}, Start);
+  CHECK(E.m_Acquittals.count(part("p")) == 0);
+  CHECK(Merged.m_Acquitted ==
+        std::map<ServicePart, TimePoint>{{part("p"), Start + 1s}});
+}
+
 TEST_CASE("a zone without power convicts none of the parts that were there") {
   CrashEvidence E = evidence();
   for (int Server = 0; Server < 4; ++Server)
