Core: whole milliseconds in one place for gateways

CrashGuard and ProxiedRequest had the same conversion for logs, CrashMessages and LimitMessages one for ages in messages. testGateway passes, lint and style are clean; the process tests were not run again after this change.

--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -2,6 +2,7 @@
 #include "Gateway/CrashGuard.h"
 
 #include "Core/Hash.h"
+#include "Core/Milliseconds.h"
 #include "Core/PostTask.h"
 #include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
@@ -29,11 +30,6 @@
 // Retry-After of a request that another one on probation goes before.
 constexpr Duration RetryAfterTrial = std::chrono::seconds(1);
 
-std::uint64_t wholeMs(Duration Time) {
-  return static_cast<std::uint64_t>(std::max<std::int64_t>(
-      0, std::chrono::duration_cast<milliseconds>(Time).count()));
-}
-
 void runAll(const std::vector<std::function<void()>> &Calls) {
   for (const auto &Call : Calls)
     Call();
@@ -385,7 +381,7 @@
                                        {"part", Part.m_Part},
                                        {"crashes", Against.m_Crashes},
                                        {"ratio", Against.m_Ratio},
-                                       {"hold_ms", wholeMs(Hold)}});
+                                       {"hold_ms", wholeMilliseconds(Hold)}});
     });
   }
   for (const auto &[Key, Each] : m_Watched) {
--- a/Source/Gateway/CrashMessages.cpp
+++ b/Source/Gateway/CrashMessages.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/CrashMessages.h"
 
+#include "Core/Milliseconds.h"
 #include "Gateway.pb.h"
 
 #include <algorithm>
@@ -11,12 +12,6 @@
 
 using std::chrono::milliseconds;
 
-std::uint32_t age(TimePoint At, TimePoint Now) {
-  const auto Ms = std::chrono::duration_cast<milliseconds>(Now - At).count();
-  return static_cast<std::uint32_t>(
-      std::clamp<std::int64_t>(Ms, 0, UINT32_MAX));
-}
-
 // Rejects what is no number, too.
 double inRange(double Value, double Max) {
   return Value >= 0.0 ? std::min(Value, Max) : 0.0;
@@ -34,7 +29,7 @@
   Out.set_backend_server(Run.m_BackendServer);
   Out.set_incarnation(Run.m_Incarnation);
   Out.set_service(Crash.m_Service);
-  Out.set_ms_ago(age(Crash.m_At, Now));
+  Out.set_ms_ago(millisecondsBetween(Crash.m_At, Now));
   Out.set_reporter(Reporter);
   Out.set_requests(Seen->second.m_Requests);
   for (const auto &[Id, Known] : Seen->second.m_Parts) {
@@ -50,7 +45,7 @@
   schema::PartAcquittal &Out = *Report.add_acquittals();
   Out.set_service(Part.m_Service);
   Out.set_id(Part.m_Part);
-  Out.set_ms_ago(age(At, Now));
+  Out.set_ms_ago(millisecondsBetween(At, Now));
 }
 
 ServerCrash crashFromSchema(const schema::ServerCrash &Message, TimePoint Now) {
--- a/Source/Gateway/LimitMessages.cpp
+++ b/Source/Gateway/LimitMessages.cpp
@@ -1,9 +1,8 @@
 #include "Gateway/LimitMessages.h"
 
+#include "Core/Milliseconds.h"
 #include "Gateway.pb.h"
 
-#include <algorithm>
-
 namespace mangocart {
 
 using std::chrono::milliseconds;
@@ -16,10 +15,7 @@
     Out.set_backend_server(Server);
     if (Seen.m_RequestsPerSecond)
       Out.set_requests_per_second(*Seen.m_RequestsPerSecond);
-    const auto Age =
-        std::chrono::duration_cast<milliseconds>(Now - Seen.m_At).count();
-    Out.set_ms_ago(static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(Age, 0, UINT32_MAX)));
+    Out.set_ms_ago(millisecondsBetween(Seen.m_At, Now));
   }
 }
 
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -1,6 +1,7 @@
 // Attempts, response forwarding and completion.
 #include "Gateway/ProxiedRequest.h"
 
+#include "Core/Milliseconds.h"
 #include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
 #include "Gateway/AttemptMonitor.h"
@@ -19,7 +20,6 @@
 
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 constexpr unsigned FirstSuccess = 200;
@@ -44,11 +44,6 @@
   return Status >= FirstSuccess && Status < FirstRedirect;
 }
 
-std::uint64_t wholeMs(Duration Time) {
-  return static_cast<std::uint64_t>(
-      std::max<std::int64_t>(0, duration_cast<milliseconds>(Time).count()));
-}
-
 std::string joinParts(const std::vector<std::string> &Parts) {
   return fmt::format("{}", fmt::join(Parts, ","));
 }
@@ -490,7 +485,7 @@
        {"detail", Detail},
        {"status", m_HeadReceived ? m_Head.m_Status : 0U},
        {"sent", m_State.m_AttemptCount},
-       {"attempt_ms", wholeMs(RuntimeClock::now() - m_SentAt)},
+       {"attempt_ms", wholeMilliseconds(RuntimeClock::now() - m_SentAt)},
        {"parts", joinParts(m_Request.m_Caller.m_SharedParts)}});
 }
 
@@ -621,9 +616,9 @@
        {"backend_server", m_Tried.empty() ? "" : m_Tried.back()},
        {"sent", m_State.m_AttemptCount},
        {"configuration", m_Request.m_Plan->plan().m_Version},
-       {"first_byte_ms", m_FirstByte ? wholeMs(*m_FirstByte) : 0},
-       {"time_ms", wholeMs(Now - m_ArrivedAt)},
-       {"allowed_ms", wholeMs(m_Deadline - m_ArrivedAt)}});
+       {"first_byte_ms", m_FirstByte ? wholeMilliseconds(*m_FirstByte) : 0},
+       {"time_ms", wholeMilliseconds(Now - m_ArrivedAt)},
+       {"allowed_ms", wholeMilliseconds(m_Deadline - m_ArrivedAt)}});
 }
 
 } // namespace mangocart
