Gateway: digest of a request in the log of failed attempts and of requests

AttemptEnded and RequestEnded now carry a digest of customer, method, host, target and body, so that the same request can be recognized over IDs and gateways. 128 bits of BLAKE2b (libsodium): evidence will be kept under it, and nobody must be able to make a request that is taken for another caller's.

The gateway has the whole body before it sends a request; a longer one than max_body_bytes is rejected without a digest.

--- a/Modules/MangocartLibraries.cmake
+++ b/Modules/MangocartLibraries.cmake
@@ -12,6 +12,8 @@
 find_path(MANGOCART_XXHASH_INCLUDE xxhash.h REQUIRED)
 find_library(MANGOCART_NGHTTP2_LIBRARY nghttp2 REQUIRED)
 find_library(MANGOCART_XXHASH_LIBRARY xxhash REQUIRED)
+find_path(MANGOCART_SODIUM_INCLUDE sodium.h REQUIRED)
+find_library(MANGOCART_SODIUM_LIBRARY sodium REQUIRED)
 find_path(MANGOCART_ZSTD_INCLUDE zstd.h REQUIRED)
 find_library(MANGOCART_ZSTD_LIBRARY zstd REQUIRED)
 
@@ -23,7 +25,7 @@
   tomlplusplus::tomlplusplus
   protobuf::libprotobuf
   "${MANGOCART_NGHTTP2_LIBRARY}" "${MANGOCART_XXHASH_LIBRARY}"
-  "${MANGOCART_ZSTD_LIBRARY}"
+  "${MANGOCART_ZSTD_LIBRARY}" "${MANGOCART_SODIUM_LIBRARY}"
   Threads::Threads)
 target_compile_definitions(mangocart_libraries INTERFACE
   BOOST_ASIO_NO_DEPRECATED
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -7,6 +7,7 @@
 #include "Gateway/AttemptMonitor.h"
 #include "Gateway/CrashGuard.h"
 #include "Gateway/GatewayMetrics.h"
+#include "Gateway/RequestDigest.h"
 #include "Gateway/ResponseBuffering.h"
 #include "Http/HttpClients.h"
 #include "Raft/RaftPeers.h"
@@ -48,6 +49,15 @@
   return fmt::format("{}", fmt::join(Parts, ","));
 }
 
+std::string digestOf(const ResolvedRequest &Resolved,
+                     const HttpRequest &Request) {
+  return requestDigest({Resolved.m_Customer
+                            ? std::string_view(Resolved.m_Customer->m_Name)
+                            : std::string_view(),
+                        Request.m_Method, Resolved.m_Caller.m_Host,
+                        Request.m_Target, Request.m_Body});
+}
+
 CallSize sizeOf(const ResolvedRequest &Request) {
   CallSize Size;
   const CallerRequest &Caller = Request.m_Caller;
@@ -73,9 +83,11 @@
                                std::shared_ptr<HttpExchange> Exchange,
                                ResolvedRequest Request)
     : m_Context(Context), m_Exchange(std::move(Exchange)),
-      m_Request(std::move(Request)), m_ArrivedAt(RuntimeClock::now()),
-      m_LastProgress(m_ArrivedAt), m_Timer(m_Exchange->executor()),
-      m_AttemptTimer(m_Exchange->executor()), m_Size(sizeOf(m_Request)) {
+      m_Request(std::move(Request)),
+      m_Digest(digestOf(m_Request, m_Exchange->request())),
+      m_ArrivedAt(RuntimeClock::now()), m_LastProgress(m_ArrivedAt),
+      m_Timer(m_Exchange->executor()), m_AttemptTimer(m_Exchange->executor()),
+      m_Size(sizeOf(m_Request)) {
   const Duration CallerTimeout =
       m_Request.m_Caller.m_TimeLeft.value_or(DefaultTimeLeft);
   m_Deadline =
@@ -486,6 +498,7 @@
        {"status", m_HeadReceived ? m_Head.m_Status : 0U},
        {"sent", m_State.m_AttemptCount},
        {"attempt_ms", wholeMilliseconds(RuntimeClock::now() - m_SentAt)},
+       {"digest", m_Digest},
        {"parts", joinParts(m_Request.m_Caller.m_SharedParts)}});
 }
 
@@ -618,7 +631,8 @@
        {"configuration", m_Request.m_Plan->plan().m_Version},
        {"first_byte_ms", m_FirstByte ? wholeMilliseconds(*m_FirstByte) : 0},
        {"time_ms", wholeMilliseconds(Now - m_ArrivedAt)},
-       {"allowed_ms", wholeMilliseconds(m_Deadline - m_ArrivedAt)}});
+       {"allowed_ms", wholeMilliseconds(m_Deadline - m_ArrivedAt)},
+       {"digest", m_Digest}});
 }
 
 } // namespace mangocart
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -104,6 +104,7 @@
   GatewayContext &m_Context;
   const std::shared_ptr<HttpExchange> m_Exchange;
   const ResolvedRequest m_Request;
+  const std::string m_Digest;
   const TimePoint m_ArrivedAt;
   // When data was last sent to the caller.
   TimePoint m_LastProgress;
--- a/Utilities/install.sh
+++ b/Utilities/install.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build ccache clang-format clang-tidy libclang-rt-14-dev
   libboost1.81-dev libboost-json1.81-dev libtclap-dev libspdlog-dev libfmt-dev
   libtomlplusplus-dev libnghttp2-dev libprotobuf-dev protobuf-compiler
-  libxxhash-dev libzstd-dev libtrompeloeil-cpp-dev catch2 libbenchmark-dev curl
+  libxxhash-dev libzstd-dev libsodium-dev libtrompeloeil-cpp-dev catch2 libbenchmark-dev curl
 )
 Missing=()
 for Package in "${Packages[@]}"; do
