Tests: one request that crashes engines, before several gateways

Guards against gateways that blame the engine, send the request to the next one and don't recognize it when it comes again.

Callers may now send requests without prompts, with bodies and again after a failure; the deployment has a route that isn't idempotent.

--- a/Tests/Gateways/CallerLoad.cpp
+++ b/Tests/Gateways/CallerLoad.cpp
@@ -56,20 +56,39 @@
   CallRecord &Record = m_Records.emplace_back();
   Record.m_Kind = Kind;
   Record.m_SentAt = std::chrono::steady_clock::now();
-  std::vector<std::string> Parts = Sent.m_Parts(m_Random);
-  Parts.push_back(fmt::format("own{}", m_Records.size()));
   HttpRequest Request;
   Request.m_Method = "POST";
-  Request.m_Target = Sent.m_IsStream ? "/stream/x" : "/plain/x";
-  Request.m_Headers = {
-      {"Host", "test.example"},
-      {"X-Mangocart-Request-Id", fmt::format("{:016x}", m_Random())},
-      {"X-Mangocart-Model", "m"},
-      {"X-Mangocart-Token-Count", "400,100"},
-      {"X-Mangocart-Prompt-Prefix",
-       fmt::format("{}:100", fmt::join(Parts, ":100,"))},
-      {"X-Mangocart-Deadline-Ms", "4000"},
-      {"Connection", "close"}};
+  Request.m_Target = Sent.m_IsUnsafe   ? "/unsafe/x"
+                     : Sent.m_IsStream ? "/stream/x"
+                                       : "/plain/x";
+  Request.m_Headers = {{"Host", "test.example"},
+                       {"X-Mangocart-Deadline-Ms", "4000"},
+                       {"Connection", "close"}};
+  if (Sent.m_Parts) {
+    std::vector<std::string> Parts = Sent.m_Parts(m_Random);
+    Parts.push_back(fmt::format("own{}", m_Records.size()));
+    Request.m_Headers.push_back({"X-Mangocart-Model", "m"});
+    Request.m_Headers.push_back({"X-Mangocart-Token-Count", "400,100"});
+    Request.m_Headers.push_back(
+        {"X-Mangocart-Prompt-Prefix",
+         fmt::format("{}:100", fmt::join(Parts, ":100,"))});
+  }
+  if (Sent.m_Body)
+    Request.m_Body = Sent.m_Body(m_Random);
+  send(Record, Request);
+  m_Timers[Kind].expires_after(
+      std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+          std::chrono::duration<double>(1.0 / Sent.m_PerSecond)));
+  m_Timers[Kind].async_wait([this, Kind](boost::system::error_code Error) {
+    if (!Error)
+      sendNext(Kind);
+  });
+}
+
+void CallerLoad::send(CallRecord &Record, const HttpRequest &Request) {
+  ++Record.m_Attempts;
+  Record.m_Status = 0;
+  Record.m_Body.clear();
   HttpCallHandlers Handlers;
   Handlers.m_OnHead = [&Record](const HttpHead &Head) {
     Record.m_Status = Head.m_Status;
@@ -77,22 +96,27 @@
   Handlers.m_OnBody = [&Record](std::string_view Chunk) {
     Record.m_Body.append(Chunk);
   };
-  Handlers.m_OnEnd = [&Record] {
+  Handlers.m_OnEnd = [this, &Record, Request] {
     Record.m_Ended = true;
-    Record.m_EndedAfter = since(Record.m_SentAt);
+    onEnded(Record, Request);
   };
-  Handlers.m_OnError = [&Record](const HttpError &) {
-    Record.m_EndedAfter = since(Record.m_SentAt);
+  Handlers.m_OnError = [this, &Record, Request](const HttpError &) {
+    onEnded(Record, Request);
   };
+  HttpRequest Attempt = Request;
+  Attempt.m_Headers.push_back(
+      {"X-Mangocart-Request-Id", fmt::format("{:016x}", m_Random())});
   m_Client.send(m_Gateways[uniform(m_Random, 0, m_Gateways.size() - 1)],
-                std::move(Request), CallerDeadline, std::move(Handlers));
-  m_Timers[Kind].expires_after(
-      std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-          std::chrono::duration<double>(1.0 / Sent.m_PerSecond)));
-  m_Timers[Kind].async_wait([this, Kind](boost::system::error_code Error) {
-    if (!Error)
-      sendNext(Kind);
-  });
+                std::move(Attempt), CallerDeadline, std::move(Handlers));
+}
+
+void CallerLoad::onEnded(CallRecord &Record, const HttpRequest &Request) {
+  Record.m_EndedAfter = since(Record.m_SentAt);
+  const bool IsAnswered = Record.m_Ended && Record.m_Status == 200;
+  if (IsAnswered || Record.m_Attempts > m_Kinds[Record.m_Kind].m_Retries)
+    return;
+  Record.m_Ended = false;
+  send(Record, Request);
 }
 
 } // namespace mangocart::test
--- a/Tests/Gateways/CallerLoad.h
+++ b/Tests/Gateways/CallerLoad.h
@@ -1,5 +1,6 @@
 // Callers that send requests to the gateways at a fixed rate, each on its own
-// connection and without retries, and record what they got.
+// connection, and record what they got. Optionally they send a request that
+// wasn't answered again at once, under a new ID.
 #ifndef MANGOCART_TESTS_CALLERLOAD_H
 #define MANGOCART_TESTS_CALLERLOAD_H
 
@@ -23,11 +24,20 @@
   double m_PerSecond = 0.0;
   bool m_IsStream = true;
   // Returns the shared parts of the next prompt; a part of its own is added.
+  // Without a function, requests have no prompt.
   std::function<std::vector<std::string>(Random &)> m_Parts;
+  // Returns the body of the next request; empty without a function.
+  std::function<std::string(Random &)> m_Body;
+  // A plain request that isn't idempotent.
+  bool m_IsUnsafe = false;
+  // How often the callers send a request again.
+  unsigned m_Retries = 0;
 };
 
+// What a caller got for its request, at its last attempt.
 struct CallRecord {
   std::size_t m_Kind = 0;
+  unsigned m_Attempts = 0;
   std::chrono::steady_clock::time_point m_SentAt;
   std::chrono::milliseconds m_EndedAfter{0};
   // 0 without a response.
@@ -51,6 +61,8 @@
 
 private:
   void sendNext(std::size_t Kind);
+  void send(CallRecord &Record, const HttpRequest &Request);
+  void onEnded(CallRecord &Record, const HttpRequest &Request);
 
   const std::vector<HttpTarget> m_Gateways;
   const std::vector<CallerKind> m_Kinds;
--- a/Tests/Gateways/EngineFleet.cpp
+++ b/Tests/Gateways/EngineFleet.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <fcntl.h>
+#include <optional>
 #include <sstream>
 
 namespace mangocart::test {
@@ -121,7 +122,7 @@
       return respond(421, {}, "");
     if (m_Fleet.m_Broken)
       return rejectBroken();
-    m_Fleet.recordArrival(m_Engine, m_Parts);
+    m_Fleet.recordArrival(m_Engine, m_Parts, m_Request.body());
     if (m_Engine.m_Rejects)
       return respond(503, "X-Mangocart-Not-Run: 1\r\n", "");
     m_State = State::Waiting;
@@ -141,20 +142,16 @@
     const std::string Last(m_Request["Last-Event-Id"]);
     m_NextEvent = Last.empty() ? 1 : std::stoul(Last) + 1;
     m_State = State::Writing;
-    const auto &Crashing = m_Fleet.m_Options.m_CrashingParts;
-    const auto Part =
-        std::find_if(m_Parts.begin(), m_Parts.end(), [&](const auto &Each) {
-          return Crashing.count(Each) > 0;
-        });
+    const std::optional<std::string> Cause = causeOfCrash();
     const bool IsStream = m_Request.target().starts_with("/stream/");
     const std::string Head = makeHead(IsStream);
-    if (Part != m_Parts.end()) {
+    if (Cause) {
       // Without a length, a whole event or half of a body looks like an end.
       const std::string Begun = m_Fleet.m_Options.m_Unframed
                                     ? (IsStream ? event(m_NextEvent) : "half")
                                     : "";
       return write(Head + Begun,
-                   [this, Name = *Part] { m_Fleet.crash(m_Engine, Name); });
+                   [this, Cause] { m_Fleet.crash(m_Engine, *Cause); });
     }
     if (!IsStream) {
       return write(Head + "whole answer", [this] { finish(); });
@@ -162,6 +159,18 @@
     write(Head, [this] { writeEvent(); });
   }
 
+  // What in the request ends the engine.
+  std::optional<std::string> causeOfCrash() const {
+    const FleetOptions &Options = m_Fleet.m_Options;
+    if (Options.m_CrashingBodies.contains(m_Request.body()))
+      return m_Request.body();
+    const auto Part =
+        std::find_if(m_Parts.begin(), m_Parts.end(), [&](const auto &Each) {
+          return Options.m_CrashingParts.contains(Each);
+        });
+    return Part == m_Parts.end() ? std::nullopt : std::optional(*Part);
+  }
+
   std::string makeHead(bool IsStream) const {
     std::string Head = fmt::format(
         "HTTP/1.1 200 OK\r\n{}: {}\r\nX-Mangocart-Server-Stamp: s\r\n{}",
@@ -329,12 +338,12 @@
                 std::chrono::seconds(1), std::move(Handlers));
 }
 
-void EngineFleet::crash(Engine &Each, const std::string &Part) {
+void EngineFleet::crash(Engine &Each, const std::string &Cause) {
   if (!Each.m_Up)
     return;
   {
     const std::lock_guard Lock(m_Mutex);
-    m_Crashes.push_back({Clock::now(), Part});
+    m_Crashes.push_back({Clock::now(), Cause});
   }
   Each.m_Up = false;
   ++m_Down;
@@ -388,10 +397,11 @@
 }
 
 void EngineFleet::recordArrival(const Engine &Each,
-                                std::vector<std::string> Parts) {
+                                std::vector<std::string> Parts,
+                                std::string Body) {
   const std::lock_guard Lock(m_Mutex);
-  m_Arrivals.push_back(
-      {Clock::now(), Each.m_Rank, Each.m_Id, std::move(Parts)});
+  m_Arrivals.push_back({Clock::now(), Each.m_Rank, Each.m_Id, std::move(Parts),
+                        std::move(Body)});
 }
 
 std::vector<Arrival> EngineFleet::arrivals() const {
--- a/Tests/Gateways/EngineFleet.h
+++ b/Tests/Gateways/EngineFleet.h
@@ -1,6 +1,7 @@
 // Engines that speak the platform's protocol on loopback addresses, for tests
 // of several gateways. An engine ends when it begins an answer on one of the
-// crashing parts, and is back under another name some time later. Optionally
+// crashing parts or bodies, and is back under another name some time later.
+// Optionally
 // the engines are the ranks of one group, which a crash of any of them breaks.
 #ifndef MANGOCART_TESTS_ENGINEFLEET_H
 #define MANGOCART_TESTS_ENGINEFLEET_H
@@ -33,6 +34,7 @@
   // Answers have neither a length nor chunks and end with their connection.
   bool m_Unframed = false;
   std::set<std::string> m_CrashingParts;
+  std::set<std::string> m_CrashingBodies;
   // From the receipt of a request to its first token.
   std::chrono::milliseconds m_FirstToken{80};
   std::chrono::milliseconds m_EventInterval{15};
@@ -52,11 +54,13 @@
   unsigned m_Index = 0;
   std::string m_Engine;
   std::vector<std::string> m_Parts;
+  std::string m_Body;
 };
 
 struct Crash {
   Clock::time_point m_At;
-  std::string m_Part;
+  // The part or the body; empty if an engine was ended for another reason.
+  std::string m_Cause;
 };
 
 class EngineFleet {
@@ -85,10 +89,11 @@
   void accept(Engine &Each);
   void announceAll();
   void announce(const Engine &Each);
-  void crash(Engine &Each, const std::string &Part);
+  void crash(Engine &Each, const std::string &Cause);
   void breakGroup(const std::string &FaultyAddress);
   void formGroup();
-  void recordArrival(const Engine &Each, std::vector<std::string> Parts);
+  void recordArrival(const Engine &Each, std::vector<std::string> Parts,
+                     std::string Body);
 
   const FleetOptions m_Options;
   boost::asio::io_context m_Context;
--- a/Tests/Gateways/GatewayDeployment.h
+++ b/Tests/Gateways/GatewayDeployment.h
@@ -1,6 +1,6 @@
 // A voter and several gateways as separate processes on loopback addresses,
-// with one service of engines and a route for streams and one for plain
-// requests.
+// with one service of engines and routes for streams, for plain requests and
+// for plain requests that aren't idempotent.
 #ifndef MANGOCART_TESTS_GATEWAYDEPLOYMENT_H
 #define MANGOCART_TESTS_GATEWAYDEPLOYMENT_H
 
--- a/Tests/Gateways/testCrashingPart.cpp
+++ b/Tests/Gateways/testCrashingPart.cpp
@@ -66,7 +66,7 @@
                                 const std::string &Part) {
   std::vector<Clock::time_point> Crashes;
   for (const Crash &Each : Fleet.crashes())
-    if (Each.m_Part == Part)
+    if (Each.m_Cause == Part)
       Crashes.push_back(Each.m_At);
   if (Crashes.size() < 5)
     return 0;
@@ -154,7 +154,7 @@
   for (const std::string &Part : Played.m_Crashing) {
     const auto Count =
         std::count_if(Crashes.begin(), Crashes.end(),
-                      [&](const Crash &Each) { return Each.m_Part == Part; });
+                      [&](const Crash &Each) { return Each.m_Cause == Part; });
     INFO("part " << Part << ", crashes " << Count);
     CHECK(sentAfterFifthCrash(Fleet, Part) <= MaxSentAfterFifthCrash);
     CHECK(Count > 0);
