--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -30,6 +30,14 @@
 // Retry-After of a request that another one on probation goes before.
 constexpr Duration RetryAfterTrial = std::chrono::seconds(1);
 
+// "KIND:ID" of each, separated by commas.
+std::string describe(const std::set<SuspectId> &Suspects) {
+  std::vector<std::string> Names;
+  for (const SuspectId &Each : Suspects)
+    Names.push_back(fmt::format("{}:{}", toString(Each.m_Kind), Each.m_Text));
+  return fmt::format("{}", fmt::join(Names, ","));
+}
+
 void runAll(const std::vector<std::function<void()>> &Calls) {
   for (const auto &Call : Calls)
     Call();
@@ -51,7 +59,7 @@
 }
 
 CrashGuard::Number CrashGuard::begin(GuardedRequest Request) {
-  if (Request.m_Parts.empty())
+  if (Request.m_Suspects.empty())
     return 0;
   const std::lock_guard Lock(m_Mutex);
   m_Watched[++m_LastNumber].m_Request = std::move(Request);
@@ -74,7 +82,7 @@
   const std::lock_guard Lock(m_Mutex);
   const auto Found = m_Watched.find(Request);
   if (Found == m_Watched.end() || Found->second.m_IsSound ||
-      m_Evidence.m_CrashesByPart.empty())
+      m_Evidence.m_CrashesBySuspect.empty())
     return {};
   return decideLocked(Found->second, Request, Reserve, RuntimeClock::now());
 }
@@ -84,38 +92,39 @@
   const std::string &Service = Each.m_Request.m_Service;
   const bool IsLastUnit = m_Directory.independentUnits(Service) <= 1;
   GuardDecision Decision;
-  std::vector<ServicePart> OnProbation;
-  for (const std::string &Id : Each.m_Request.m_Parts) {
-    const ServicePart Part{Service, Id};
-    const PartState State = partState(m_Evidence, Part, IsLastUnit, Now);
-    if (State == PartState::Free)
+  std::vector<Suspect> OnProbation;
+  for (const SuspectId &Id : Each.m_Request.m_Suspects) {
+    const Suspect Of{Service, Id};
+    const SuspectState State = suspectState(m_Evidence, Of, IsLastUnit, Now);
+    if (State == SuspectState::Free)
       continue;
-    const Duration Left = timeToNextState(m_Evidence, Part, IsLastUnit, Now);
-    if (State == PartState::Probation && mayTry(Part, Request)) {
-      OnProbation.push_back(Part);
+    const Duration Left = timeToNextState(m_Evidence, Of, IsLastUnit, Now);
+    if (State == SuspectState::Probation && mayTry(Of, Request)) {
+      OnProbation.push_back(Of);
       continue;
     }
     Decision.m_Allowed = false;
-    Decision.m_RetryAfter = std::max(
-        Decision.m_RetryAfter,
-        State == PartState::Probation ? std::min(Left, RetryAfterTrial) : Left);
+    Decision.m_RetryAfter =
+        std::max(Decision.m_RetryAfter, State == SuspectState::Probation
+                                            ? std::min(Left, RetryAfterTrial)
+                                            : Left);
   }
   if (!Decision.m_Allowed)
-    m_Metrics.m_PartRejections.add();
+    m_Metrics.m_SuspectRejections.add();
   else if (Reserve)
-    for (const ServicePart &Part : OnProbation)
-      m_Trials[Part] = Request;
+    for (const Suspect &Of : OnProbation)
+      m_Trials[Of] = Request;
   return Decision;
 }
 
 // One gateway tries the requests on probation: the one with the highest hash
-// together with the part. All gateways know the same ones, except while their
-// list changes.
-bool CrashGuard::mayTry(const ServicePart &Part, Number Request) const {
-  const auto Trial = m_Trials.find(Part);
+// together with the suspect. All gateways know the same ones, except while
+// their list changes.
+bool CrashGuard::mayTry(const Suspect &Of, Number Request) const {
+  const auto Trial = m_Trials.find(Of);
   if (Trial != m_Trials.end() && Trial->second != Request)
     return false;
-  const std::uint64_t Seed = hash64(Part.m_Part, hash64(Part.m_Service));
+  const std::uint64_t Seed = hash64(Of.m_Id.m_Text, hash64(Of.m_Service));
   const std::uint64_t Own = hash64(toString(m_Self), Seed);
   return std::all_of(m_Gateways.begin(), m_Gateways.end(),
                      [&](const PeerEndpoint &Each) {
@@ -186,17 +195,18 @@
 
 void CrashGuard::recordSound(Watched &Each, TimePoint Now, Calls &After) {
   Each.m_IsSound = true;
-  for (const ServicePart &Part : recordSoundAnswer(
-           m_Evidence, Each.m_Request.m_Service, Each.m_Request.m_Parts, Now))
-    addAcquittal(Part, Now, After);
+  for (const Suspect &Acquitted :
+       recordSoundAnswer(m_Evidence, Each.m_Request.m_Service,
+                         Each.m_Request.m_Suspects, Now))
+    addAcquittal(Acquitted, Now, After);
 }
 
-void CrashGuard::addAcquittal(const ServicePart &Part, TimePoint At,
-                              Calls &After) {
-  m_NewAcquittals[Part] = At;
-  After.emplace_back([this, Part] {
-    m_Events.write(Event::PartReleased,
-                   {{"service", Part.m_Service}, {"part", Part.m_Part}});
+void CrashGuard::addAcquittal(const Suspect &Of, TimePoint At, Calls &After) {
+  m_NewAcquittals[Of] = At;
+  After.emplace_back([this, Of] {
+    m_Events.write(Event::SuspectReleased, {{"service", Of.m_Service},
+                                            {"kind", toString(Of.m_Id.m_Kind)},
+                                            {"suspect", Of.m_Id.m_Text}});
     if (m_OnUpdate)
       m_OnUpdate();
   });
@@ -224,8 +234,8 @@
       const TimePoint Now = RuntimeClock::now();
       const bool Matters =
           isBeginning(Each, Now) &&
-          std::any_of(Each.m_Request.m_Parts.begin(),
-                      Each.m_Request.m_Parts.end(), [&](const auto &Id) {
+          std::any_of(Each.m_Request.m_Suspects.begin(),
+                      Each.m_Request.m_Suspects.end(), [&](const auto &Id) {
                         return wouldBeHeld(
                             m_Evidence, {Each.m_Request.m_Service, Id}, 1, Now);
                       });
@@ -324,36 +334,37 @@
                              TimePoint Now, Calls &After) {
   const ServerRun Run = runOf(Target);
   std::uint32_t Requests = 0;
-  std::set<std::string> Parts;
+  std::set<SuspectId> Suspects;
   for (auto &[Request, Each] : m_Watched) {
     if (!Each.m_Target || runOf(*Each.m_Target) != Run || Each.m_IsReported ||
         !isBeginning(Each, At))
       continue;
     Each.m_IsReported = true;
     ++Requests;
-    Parts.insert(Each.m_Request.m_Parts.begin(), Each.m_Request.m_Parts.end());
+    Suspects.insert(Each.m_Request.m_Suspects.begin(),
+                    Each.m_Request.m_Suspects.end());
   }
   const auto Known = m_Evidence.m_Crashes.find(Run);
   const bool IsNew = Known == m_Evidence.m_Crashes.end();
   if (!IsNew && Requests == 0)
     return;
   CrashReport Report = makeCrashReport(m_Evidence, Target.m_Service, Requests,
-                                       {Parts.begin(), Parts.end()}, Now);
+                                       {Suspects.begin(), Suspects.end()}, Now);
   if (!IsNew) {
     const auto Earlier = Known->second.m_Reports.find(m_Name);
     if (Earlier != Known->second.m_Reports.end()) {
       Report.m_Requests += Earlier->second.m_Requests;
-      Report.m_Parts.insert(Earlier->second.m_Parts.begin(),
-                            Earlier->second.m_Parts.end());
+      Report.m_Suspects.insert(Earlier->second.m_Suspects.begin(),
+                               Earlier->second.m_Suspects.end());
     }
   } else {
     m_Metrics.m_ServerCrashes.add();
   }
   After.emplace_back([this, Name = Target.m_Name, Requests,
-                      Text = fmt::format("{}", fmt::join(Parts, ","))] {
+                      Text = describe(Suspects)] {
     m_Events.write(
         Event::BackendServerEnded,
-        {{"backend_server", Name}, {"requests", Requests}, {"parts", Text}});
+        {{"backend_server", Name}, {"requests", Requests}, {"suspects", Text}});
   });
   m_NewCrashes.insert(Run);
   applyCrash(Run, {Target.m_Service, At, {{m_Name, std::move(Report)}}}, Now,
@@ -367,31 +378,32 @@
 void CrashGuard::applyCrash(const ServerRun &Run, const ServerCrash &Crash,
                             TimePoint Now, Calls &After) {
   const CrashMerge Merged = mergeCrash(m_Evidence, Run, Crash, Now);
-  for (const auto &[Part, At] : Merged.m_Acquitted)
-    addAcquittal(Part, At, After);
+  for (const auto &[Acquitted, At] : Merged.m_Acquitted)
+    addAcquittal(Acquitted, At, After);
   if (Merged.m_Held.empty())
     return;
   const std::string Group = m_Directory.groupName(Run.m_BackendServer);
-  for (const ServicePart &Part : Merged.m_Held) {
+  for (const Suspect &Held : Merged.m_Held) {
     const Suspicion Against =
-        findSuspicion(m_Evidence, Part).value_or(Suspicion());
-    After.emplace_back([this, Part, Against,
-                        Hold = timeToNextState(m_Evidence, Part, false, Now)] {
-      m_Events.write(Event::PartHeld, {{"service", Part.m_Service},
-                                       {"part", Part.m_Part},
-                                       {"crashes", Against.m_Crashes},
-                                       {"ratio", Against.m_Ratio},
-                                       {"hold_ms", wholeMilliseconds(Hold)}});
+        findSuspicion(m_Evidence, Held).value_or(Suspicion());
+    After.emplace_back([this, Held, Against,
+                        Hold = timeToNextState(m_Evidence, Held, false, Now)] {
+      m_Events.write(Event::SuspectHeld,
+                     {{"service", Held.m_Service},
+                      {"kind", toString(Held.m_Id.m_Kind)},
+                      {"suspect", Held.m_Id.m_Text},
+                      {"crashes", Against.m_Crashes},
+                      {"ratio", Against.m_Ratio},
+                      {"hold_ms", wholeMilliseconds(Hold)}});
     });
   }
   for (const auto &[Key, Each] : m_Watched) {
     const GuardedRequest &Request = Each.m_Request;
     const bool IsHeld = std::any_of(
-        Merged.m_Held.begin(), Merged.m_Held.end(),
-        [&](const ServicePart &Part) {
-          return Part.m_Service == Request.m_Service &&
-                 std::find(Request.m_Parts.begin(), Request.m_Parts.end(),
-                           Part.m_Part) != Request.m_Parts.end();
+        Merged.m_Held.begin(), Merged.m_Held.end(), [&](const Suspect &Held) {
+          return Held.m_Service == Request.m_Service &&
+                 std::find(Request.m_Suspects.begin(), Request.m_Suspects.end(),
+                           Held.m_Id) != Request.m_Suspects.end();
         });
     if (IsHeld && !Each.m_IsSound)
       After.emplace_back(
@@ -416,8 +428,8 @@
     if (Found != m_Evidence.m_Crashes.end())
       addCrash(Report, Run, Found->second, m_Name, Now);
   }
-  for (const auto &[Part, At] : std::exchange(m_NewAcquittals, {}))
-    mangocart::addAcquittal(Report, Part, At, Now);
+  for (const auto &[Acquitted, At] : std::exchange(m_NewAcquittals, {}))
+    mangocart::addAcquittal(Report, Acquitted, At, Now);
 }
 
 void CrashGuard::addAll(schema::LoadReport &Report) {
@@ -428,8 +440,8 @@
     for (const auto &[Reporter, Seen] : Crash.m_Reports)
       addCrash(Report, Run, Crash, Reporter, Now);
   }
-  for (const auto &[Part, At] : m_Evidence.m_Acquittals)
-    mangocart::addAcquittal(Report, Part, At, Now);
+  for (const auto &[Acquitted, At] : m_Evidence.m_Acquittals)
+    mangocart::addAcquittal(Report, Acquitted, At, Now);
 }
 
 void CrashGuard::merge(const schema::LoadReport &Report) {
@@ -443,9 +455,10 @@
       if (Each.reporter() != m_Name)
         applyCrash({Each.backend_server(), Each.incarnation()},
                    crashFromSchema(Each, Now), Now, After);
-    for (const schema::PartAcquittal &Each : Report.acquittals())
-      mergeAcquittal(m_Evidence, {Each.service(), Each.id()},
-                     Now - milliseconds(Each.ms_ago()), Now);
+    for (const schema::Acquittal &Each : Report.acquittals())
+      if (const auto Acquitted = suspectFromSchema(Each))
+        mergeAcquittal(m_Evidence, *Acquitted,
+                       Now - milliseconds(Each.ms_ago()), Now);
   }
   runAll(After);
 }
--- a/Source/Gateway/CrashGuard.h
+++ b/Source/Gateway/CrashGuard.h
@@ -1,4 +1,4 @@
-// Keeps requests with parts that crash backend servers away from them. Watches
+// Keeps requests that crash backend servers away from them. Watches
 // the requests of this gateway, finds out whether a server whose connection was
 // lost has ended, and exchanges the evidence with the other gateways. The
 // decisions are those of Routing/CrashEvidence.
@@ -34,10 +34,10 @@
 // A request to be watched.
 struct GuardedRequest {
   std::string m_Service;
-  // IDs of the prompt's shared parts.
-  std::vector<std::string> m_Parts;
+  // What may make it crash a server.
+  std::vector<SuspectId> m_Suspects;
   boost::asio::any_io_executor m_Executor;
-  // Called on the executor when one of the parts is held back, with the rank
+  // Called on the executor when one of the suspects is held back, with the rank
   // group of the server that crashed (empty: none). At most once per crash.
   std::function<void(std::string CrashedGroup)> m_OnHeld;
 };
@@ -52,8 +52,8 @@
 // their executors without holding it.
 class CrashGuard : public std::enable_shared_from_this<CrashGuard> {
 public:
-  // Number of a watched request; 0 for a request without shared parts, for
-  // which all functions do nothing.
+  // Number of a watched request; 0 for a request without suspects, for which
+  // all functions do nothing.
   using Number = std::uint64_t;
 
   CrashGuard(boost::asio::io_context &Worker, HttpClients &Clients,
@@ -118,7 +118,7 @@
   bool isBeginning(const Watched &Each, TimePoint Now) const;
   GuardDecision decideLocked(const Watched &Each, Number Request, bool Reserve,
                              TimePoint Now);
-  bool mayTry(const ServicePart &Part, Number Request) const;
+  bool mayTry(const Suspect &Of, Number Request) const;
   void releaseTrials(Number Request);
   void recordSound(Watched &Each, TimePoint Now, Calls &After);
   void probe(const BackendTarget &Target, TimePoint Now,
@@ -128,7 +128,7 @@
                    Calls &After);
   void applyCrash(const ServerRun &Run, const ServerCrash &Crash, TimePoint Now,
                   Calls &After);
-  void addAcquittal(const ServicePart &Part, TimePoint At, Calls &After);
+  void addAcquittal(const Suspect &Of, TimePoint At, Calls &After);
 
   HttpClients &m_Clients;
   const CallerProtocol &m_Protocol;
@@ -145,12 +145,12 @@
   std::map<Number, Watched> m_Watched;
   Number m_LastNumber = 0;
   std::map<ServerRun, LostServer> m_Lost;
-  // The request on probation that is under way, by part.
-  std::map<ServicePart, Number> m_Trials;
+  // The request on probation that is under way.
+  std::map<Suspect, Number> m_Trials;
   std::set<PeerEndpoint> m_Gateways;
   // Not yet sent to other gateways.
   std::set<ServerRun> m_NewCrashes;
-  std::map<ServicePart, TimePoint> m_NewAcquittals;
+  std::map<Suspect, TimePoint> m_NewAcquittals;
 };
 
 } // namespace mangocart
--- a/Source/Gateway/CrashMessages.h
+++ b/Source/Gateway/CrashMessages.h
@@ -5,10 +5,13 @@
 
 #include "Routing/CrashEvidence.h"
 
+#include <optional>
+
 namespace mangocart {
 
 namespace schema {
 class LoadReport;
+class Acquittal;
 class ServerCrash;
 } // namespace schema
 
@@ -16,10 +19,13 @@
 void addCrash(schema::LoadReport &Report, const ServerRun &Run,
               const ServerCrash &Crash, const std::string &Reporter,
               TimePoint Now);
-void addAcquittal(schema::LoadReport &Report, const ServicePart &Part,
-                  TimePoint At, TimePoint Now);
+void addAcquittal(schema::LoadReport &Report, const Suspect &Of, TimePoint At,
+                  TimePoint Now);
+
+// No value for a kind of suspect that this gateway doesn't know.
+std::optional<Suspect> suspectFromSchema(const schema::Acquittal &Message);
 
-// Values out of range are brought into it.
+// Values out of range are brought into it, suspects of unknown kinds left out.
 ServerCrash crashFromSchema(const schema::ServerCrash &Message, TimePoint Now);
 
 } // namespace mangocart
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -30,8 +30,8 @@
       m_ServerCrashes(
           Registry.counter("mangocart_gateway_servers_ended_total",
                            "Backend servers that ended with requests.")),
-      m_PartRejections(Registry.counter(
-          "mangocart_gateway_parts_held_total",
+      m_SuspectRejections(Registry.counter(
+          "mangocart_gateway_suspects_held_total",
           "Attempts that weren't made because of a part of the prompt.")),
       m_FirstByte(Registry.histogram(
           "mangocart_gateway_first_byte_seconds",
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -20,7 +20,7 @@
   Counter &m_CallerDisconnects;
   Counter &m_Resumed;
   Counter &m_ServerCrashes;
-  Counter &m_PartRejections;
+  Counter &m_SuspectRejections;
   // Seconds from the arrival of a request to the first byte of its response,
   // and to its end.
   Histogram &m_FirstByte;
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -58,6 +58,13 @@
                         Request.m_Target, Request.m_Body});
 }
 
+std::vector<SuspectId> suspectsOf(const CallerRequest &Caller) {
+  std::vector<SuspectId> Suspects;
+  for (const std::string &Part : Caller.m_SharedParts)
+    Suspects.push_back({SuspectKind::PromptPart, Part});
+  return Suspects;
+}
+
 CallSize sizeOf(const ResolvedRequest &Request) {
   CallSize Size;
   const CallerRequest &Caller = Request.m_Caller;
@@ -108,11 +115,11 @@
   });
   m_Context.m_RetryBudgets.recordRequest(m_Request.m_Service);
   m_GuardNumber = m_Context.m_CrashGuard.begin(
-      {m_Request.m_Service, m_Request.m_Caller.m_SharedParts,
+      {m_Request.m_Service, suspectsOf(m_Request.m_Caller),
        m_Exchange->executor(),
        [Weak = weak_from_this()](const std::string &CrashedGroup) {
          if (const auto Self = Weak.lock())
-           Self->onPartHeld(CrashedGroup);
+           Self->onSuspectHeld(CrashedGroup);
        }});
   startAttempt();
 }
@@ -195,14 +202,14 @@
   if (Decision.m_Allowed)
     return false;
   if (m_HttpCall)
-    dropAttempt("a part of the prompt is held back", CallResult::Cancelled);
+    dropAttempt("the request may crash servers", CallResult::Cancelled);
   else
     reportResult(CallResult::Cancelled);
-  fail("part-held", Decision.m_RetryAfter);
+  fail("suspect-held", Decision.m_RetryAfter);
   return true;
 }
 
-void ProxiedRequest::onPartHeld(const std::string &CrashedGroup) {
+void ProxiedRequest::onSuspectHeld(const std::string &CrashedGroup) {
   if (m_Finished)
     return;
   // While it waits for a backend server.
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -66,11 +66,11 @@
   void onComplete();
   // Ends the attempt once it is known whether its server has ended as well.
   void onConnectionLost(std::string Detail);
-  // Called when requests with a part of this one's prompt are held back because
-  // a server has ended. CrashedGroup is its rank group, empty if it has none.
-  void onPartHeld(const std::string &CrashedGroup);
-  // Drops the attempt, fails the request and returns true if a part of its
-  // prompt is held back.
+  // Called when a suspect of this request is held back because a server has
+  // ended. CrashedGroup is its rank group, empty if it has none.
+  void onSuspectHeld(const std::string &CrashedGroup);
+  // Drops the attempt, fails the request and returns true if one of its
+  // suspects is held back.
   bool failIfHeld(bool Reserve);
   void onError(const HttpError &Error);
   // Lost while its answer was received, or before.
--- a/Source/Routing/CrashEvidence.cpp
+++ b/Source/Routing/CrashEvidence.cpp
@@ -34,40 +34,40 @@
   Count = {valueAt(Count, Options, Now) + 1.0, Now};
 }
 
-ImplicatedPart describe(const CrashEvidence &Evidence, const ServicePart &Part,
-                        TimePoint Now) {
+ImplicatedSuspect describe(const CrashEvidence &Evidence, const Suspect &Of,
+                           TimePoint Now) {
   const CrashEvidenceOptions &Options = Evidence.m_Options;
-  const double Answers = valueOf(Evidence.m_SoundAnswers, Part, Options, Now);
+  const double Answers = valueOf(Evidence.m_SoundAnswers, Of, Options, Now);
   const double All =
-      valueOf(Evidence.m_SoundByService, Part.m_Service, Options, Now);
-  // Rule of succession: without any answers a part may be in all requests.
+      valueOf(Evidence.m_SoundByService, Of.m_Service, Options, Now);
+  // Rule of succession: without any answers a suspect may be in all requests.
   return {(Answers + 1.0) / (All + 2.0), Answers};
 }
 
-// Upper bound of the probability that a sound part is among the requests.
-double chanceOf(const ImplicatedPart &Part, std::uint32_t Requests,
+// Upper bound of the probability that a sound suspect is among the requests.
+double chanceOf(const ImplicatedSuspect &Known, std::uint32_t Requests,
                 const CrashEvidenceOptions &Options) {
   const double Among =
-      1.0 - std::pow(1.0 - std::clamp(Part.m_SoundFraction, 0.0, 1.0),
+      1.0 - std::pow(1.0 - std::clamp(Known.m_SoundFraction, 0.0, 1.0),
                      std::max<std::uint32_t>(Requests, 1));
-  const double Known = std::min(Part.m_SoundAnswers, Options.m_MaxSoundAnswers);
-  return std::min(1.0, std::max(Options.m_MinChance * (1.0 + Known), Among));
+  const double Answers =
+      std::min(Known.m_SoundAnswers, Options.m_MaxSoundAnswers);
+  return std::min(1.0, std::max(Options.m_MinChance * (1.0 + Answers), Among));
 }
 
 // The same for the requests that all gateways have reported; no value if none
-// of them had the part.
-std::optional<double> chanceAt(const ServerCrash &Crash,
-                               const std::string &Part,
+// of them had the suspect.
+std::optional<double> chanceAt(const ServerCrash &Crash, const SuspectId &Id,
                                const CrashEvidenceOptions &Options) {
   std::uint32_t Requests = 0;
-  std::optional<ImplicatedPart> Known;
+  std::optional<ImplicatedSuspect> Known;
   for (const auto &[Gateway, Report] : Crash.m_Reports) {
     Requests += Report.m_Requests;
-    const auto Found = Report.m_Parts.find(Part);
-    if (Found == Report.m_Parts.end())
+    const auto Found = Report.m_Suspects.find(Id);
+    if (Found == Report.m_Suspects.end())
       continue;
     if (!Known)
-      Known = ImplicatedPart();
+      Known = ImplicatedSuspect();
     Known->m_SoundFraction =
         std::max(Known->m_SoundFraction, Found->second.m_SoundFraction);
     Known->m_SoundAnswers =
@@ -123,14 +123,14 @@
          ProbationEndFactor * holdOf(Held.m_Ratio, Options);
 }
 
-// When the last sound answer on the part is known to have come.
+// When the last sound answer on the suspect is known to have come.
 std::optional<TimePoint> acquittedAt(const CrashEvidence &Evidence,
-                                     const ServicePart &Part) {
+                                     const Suspect &Of) {
   std::optional<TimePoint> Latest;
-  if (const auto Found = Evidence.m_Acquittals.find(Part);
+  if (const auto Found = Evidence.m_Acquittals.find(Of);
       Found != Evidence.m_Acquittals.end())
     Latest = Found->second;
-  if (const auto Found = Evidence.m_SoundAnswers.find(Part);
+  if (const auto Found = Evidence.m_SoundAnswers.find(Of);
       Found != Evidence.m_SoundAnswers.end())
     Latest = std::max(Latest, std::optional(Found->second.m_UpdatedAt));
   return Latest;
@@ -143,11 +143,12 @@
   if (Times.empty())
     Evidence.m_CrashTimes.erase(Crash.m_Service);
   for (const auto &[Gateway, Report] : Crash.m_Reports)
-    for (const auto &[Part, Known] : Report.m_Parts) {
-      const auto Found = Evidence.m_CrashesByPart.find({Crash.m_Service, Part});
-      if (Found != Evidence.m_CrashesByPart.end() &&
+    for (const auto &[Id, Known] : Report.m_Suspects) {
+      const auto Found =
+          Evidence.m_CrashesBySuspect.find({Crash.m_Service, Id});
+      if (Found != Evidence.m_CrashesBySuspect.end() &&
           Found->second.erase(Run) > 0 && Found->second.empty())
-        Evidence.m_CrashesByPart.erase(Found);
+        Evidence.m_CrashesBySuspect.erase(Found);
     }
 }
 
@@ -155,8 +156,8 @@
                 const ServerCrash &Crash) {
   Evidence.m_CrashTimes[Crash.m_Service].insert(Crash.m_At);
   for (const auto &[Gateway, Report] : Crash.m_Reports)
-    for (const auto &[Part, Known] : Report.m_Parts)
-      Evidence.m_CrashesByPart[{Crash.m_Service, Part}].insert(Run);
+    for (const auto &[Id, Known] : Report.m_Suspects)
+      Evidence.m_CrashesBySuspect[{Crash.m_Service, Id}].insert(Run);
 }
 
 void dropOldestCrash(CrashEvidence &Evidence) {
@@ -169,19 +170,18 @@
   Evidence.m_Crashes.erase(Oldest);
 }
 
-void dropOldestCount(std::map<ServicePart, DecayingCount> &Counts) {
+void dropOldestCount(std::map<Suspect, DecayingCount> &Counts) {
   Counts.erase(std::min_element(
       Counts.begin(), Counts.end(), [](const auto &A, const auto &B) {
         return A.second.m_UpdatedAt < B.second.m_UpdatedAt;
       }));
 }
 
-void storeAcquittal(CrashEvidence &Evidence, const ServicePart &Part,
-                    TimePoint At) {
+void storeAcquittal(CrashEvidence &Evidence, const Suspect &Of, TimePoint At) {
   auto &Acquittals = Evidence.m_Acquittals;
-  TimePoint &Latest = Acquittals[Part];
+  TimePoint &Latest = Acquittals[Of];
   Latest = std::max(Latest, At);
-  if (Acquittals.size() > Evidence.m_Options.m_MaxParts)
+  if (Acquittals.size() > Evidence.m_Options.m_MaxSuspects)
     Acquittals.erase(std::min_element(
         Acquittals.begin(), Acquittals.end(),
         [](const auto &A, const auto &B) { return A.second < B.second; }));
@@ -189,26 +189,33 @@
 
 } // namespace
 
+std::string_view toString(SuspectKind Kind) {
+  switch (Kind) {
+  case SuspectKind::PromptPart:
+    break;
+  }
+  return "prompt-part";
+}
+
 CrashReport makeCrashReport(const CrashEvidence &Evidence,
                             const std::string &Service, std::uint32_t Requests,
-                            const std::vector<std::string> &Parts,
-                            TimePoint Now) {
+                            const std::vector<SuspectId> &Ids, TimePoint Now) {
   CrashReport Report;
   Report.m_Requests = Requests;
-  for (const std::string &Part : Parts)
-    Report.m_Parts[Part] = describe(Evidence, {Service, Part}, Now);
+  for (const SuspectId &Id : Ids)
+    Report.m_Suspects[Id] = describe(Evidence, {Service, Id}, Now);
   return Report;
 }
 
 CrashMerge mergeCrash(CrashEvidence &Evidence, const ServerRun &Run,
                       const ServerCrash &Crash, TimePoint Now) {
-  std::set<std::string> Parts;
+  std::set<SuspectId> Ids;
   for (const auto &[Gateway, Report] : Crash.m_Reports)
-    for (const auto &[Part, Described] : Report.m_Parts)
-      Parts.insert(Part);
-  std::map<std::string, std::optional<Suspicion>> Before;
-  for (const std::string &Part : Parts)
-    Before[Part] = findSuspicion(Evidence, {Crash.m_Service, Part});
+    for (const auto &[Id, Described] : Report.m_Suspects)
+      Ids.insert(Id);
+  std::map<SuspectId, std::optional<Suspicion>> Before;
+  for (const SuspectId &Id : Ids)
+    Before[Id] = findSuspicion(Evidence, {Crash.m_Service, Id});
   ServerCrash Known = Crash;
   if (const auto Found = Evidence.m_Crashes.find(Run);
       Found != Evidence.m_Crashes.end()) {
@@ -224,101 +231,101 @@
   if (Evidence.m_Crashes.size() > Evidence.m_Options.m_MaxCrashes)
     dropOldestCrash(Evidence);
   CrashMerge Merged;
-  for (const std::string &Id : Parts) {
-    const ServicePart Part{Crash.m_Service, Id};
-    const auto Sound = Evidence.m_SoundAnswers.find(Part);
+  for (const SuspectId &Id : Ids) {
+    const Suspect Each{Crash.m_Service, Id};
+    const auto Sound = Evidence.m_SoundAnswers.find(Each);
     if (Sound != Evidence.m_SoundAnswers.end() &&
         Sound->second.m_UpdatedAt >= At) {
-      Merged.m_Acquitted[Part] = Sound->second.m_UpdatedAt;
-      storeAcquittal(Evidence, Part, Sound->second.m_UpdatedAt);
+      Merged.m_Acquitted[Each] = Sound->second.m_UpdatedAt;
+      storeAcquittal(Evidence, Each, Sound->second.m_UpdatedAt);
     }
-    if (findSuspicion(Evidence, Part) != Before[Id] &&
-        partState(Evidence, Part, false, Now) == PartState::Held)
-      Merged.m_Held.push_back(Part);
+    if (findSuspicion(Evidence, Each) != Before[Id] &&
+        suspectState(Evidence, Each, false, Now) == SuspectState::Held)
+      Merged.m_Held.push_back(Each);
   }
   return Merged;
 }
 
-std::vector<ServicePart>
-recordSoundAnswer(CrashEvidence &Evidence, const std::string &Service,
-                  const std::vector<std::string> &Parts, TimePoint Now) {
+std::vector<Suspect> recordSoundAnswer(CrashEvidence &Evidence,
+                                       const std::string &Service,
+                                       const std::vector<SuspectId> &Ids,
+                                       TimePoint Now) {
   const CrashEvidenceOptions &Options = Evidence.m_Options;
   increment(Evidence.m_SoundByService[Service], Options, Now);
-  std::vector<ServicePart> Acquitted;
-  for (const std::string &Id : Parts) {
-    const ServicePart Part{Service, Id};
-    if (mergeAcquittal(Evidence, Part, Now, Now))
-      Acquitted.push_back(Part);
-    increment(Evidence.m_SoundAnswers[Part], Options, Now);
-    if (Evidence.m_SoundAnswers.size() > Options.m_MaxParts)
+  std::vector<Suspect> Acquitted;
+  for (const SuspectId &Id : Ids) {
+    const Suspect Each{Service, Id};
+    if (mergeAcquittal(Evidence, Each, Now, Now))
+      Acquitted.push_back(Each);
+    increment(Evidence.m_SoundAnswers[Each], Options, Now);
+    if (Evidence.m_SoundAnswers.size() > Options.m_MaxSuspects)
       dropOldestCount(Evidence.m_SoundAnswers);
   }
   return Acquitted;
 }
 
-bool mergeAcquittal(CrashEvidence &Evidence, const ServicePart &Part,
-                    TimePoint At, TimePoint Now) {
-  const auto Before = findSuspicion(Evidence, Part);
+bool mergeAcquittal(CrashEvidence &Evidence, const Suspect &Of, TimePoint At,
+                    TimePoint Now) {
+  const auto Before = findSuspicion(Evidence, Of);
   if (!Before || isOver(*Before, Evidence.m_Options, Now))
     return false;
-  storeAcquittal(Evidence, Part, At);
-  return findSuspicion(Evidence, Part) != Before;
+  storeAcquittal(Evidence, Of, At);
+  return findSuspicion(Evidence, Of) != Before;
 }
 
-PartState partState(const CrashEvidence &Evidence, const ServicePart &Part,
-                    bool IsLastUnit, TimePoint Now) {
-  const auto Against = findSuspicion(Evidence, Part);
+SuspectState suspectState(const CrashEvidence &Evidence, const Suspect &Of,
+                          bool IsLastUnit, TimePoint Now) {
+  const auto Against = findSuspicion(Evidence, Of);
   if (!Against || Against->m_Ratio < Evidence.m_Options.m_MinHeldRatio ||
       isOver(*Against, Evidence.m_Options, Now))
-    return PartState::Free;
+    return SuspectState::Free;
   const Duration Hold = holdOf(Against->m_Ratio, Evidence.m_Options);
   return Now - Against->m_LastCrash < (IsLastUnit ? LastUnitFactor : 1) * Hold
-             ? PartState::Held
-             : PartState::Probation;
+             ? SuspectState::Held
+             : SuspectState::Probation;
 }
 
-Duration timeToNextState(const CrashEvidence &Evidence, const ServicePart &Part,
+Duration timeToNextState(const CrashEvidence &Evidence, const Suspect &Of,
                          bool IsLastUnit, TimePoint Now) {
-  const auto Against = findSuspicion(Evidence, Part);
-  const PartState State = partState(Evidence, Part, IsLastUnit, Now);
-  if (!Against || State == PartState::Free)
+  const auto Against = findSuspicion(Evidence, Of);
+  const SuspectState State = suspectState(Evidence, Of, IsLastUnit, Now);
+  if (!Against || State == SuspectState::Free)
     return Duration::zero();
   const Duration Hold = holdOf(Against->m_Ratio, Evidence.m_Options);
-  const int Factor = State == PartState::Probation ? ProbationEndFactor
-                     : IsLastUnit                  ? LastUnitFactor
-                                                   : 1;
+  const int Factor = State == SuspectState::Probation ? ProbationEndFactor
+                     : IsLastUnit                     ? LastUnitFactor
+                                                      : 1;
   return Against->m_LastCrash + Factor * Hold - Now;
 }
 
-bool wouldBeHeld(const CrashEvidence &Evidence, const ServicePart &Part,
+bool wouldBeHeld(const CrashEvidence &Evidence, const Suspect &Of,
                  std::uint32_t Requests, TimePoint Now) {
-  const auto Against = findSuspicion(Evidence, Part);
+  const auto Against = findSuspicion(Evidence, Of);
   const bool Counts = Against && !isOver(*Against, Evidence.m_Options, Now);
   const double Ratio = Counts ? Against->m_Ratio : 1.0;
-  return Ratio / chanceOf(describe(Evidence, Part, Now), Requests,
+  return Ratio / chanceOf(describe(Evidence, Of, Now), Requests,
                           Evidence.m_Options) >=
          Evidence.m_Options.m_MinHeldRatio;
 }
 
 std::optional<Suspicion> findSuspicion(const CrashEvidence &Evidence,
-                                       const ServicePart &Part) {
-  const auto Implicating = Evidence.m_CrashesByPart.find(Part);
-  if (Implicating == Evidence.m_CrashesByPart.end())
+                                       const Suspect &Of) {
+  const auto Implicating = Evidence.m_CrashesBySuspect.find(Of);
+  if (Implicating == Evidence.m_CrashesBySuspect.end())
     return std::nullopt;
   // The crashes that count, in order of time.
-  const std::optional<TimePoint> Acquitted = acquittedAt(Evidence, Part);
+  const std::optional<TimePoint> Acquitted = acquittedAt(Evidence, Of);
   std::multimap<TimePoint, double> Chances;
   for (const ServerRun &Run : Implicating->second) {
     const ServerCrash &Crash = Evidence.m_Crashes.at(Run);
     if (Acquitted && Crash.m_At <= *Acquitted)
       continue;
-    if (const auto Chance = chanceAt(Crash, Part.m_Part, Evidence.m_Options))
+    if (const auto Chance = chanceAt(Crash, Of.m_Id, Evidence.m_Options))
       Chances.emplace(Crash.m_At, *Chance);
   }
   std::optional<Suspicion> Found;
   for (auto Each = Chances.begin(); Each != Chances.end();) {
-    const CommonCause Cause =
-        commonCause(Evidence, Part.m_Service, Each->first);
+    const CommonCause Cause = commonCause(Evidence, Of.m_Service, Each->first);
     std::size_t Crashes = 0;
     double Chance = 1.0;
     for (; Each != Chances.end() && Each->first <= Cause.m_Last; ++Each) {
@@ -327,7 +334,7 @@
     }
     if (!Found || isOver(*Found, Evidence.m_Options, Cause.m_Last))
       Found = Suspicion();
-    // The part was at this many of the crashes, whichever.
+    // The suspect was at this many of the crashes, whichever.
     Found->m_Ratio /=
         std::min(1.0, binomial(Cause.m_Crashes, Crashes) * Chance);
     Found->m_Crashes += static_cast<std::uint32_t>(Crashes);
@@ -339,8 +346,8 @@
 std::set<ServerRun> crashesThatHold(const CrashEvidence &Evidence,
                                     TimePoint Now) {
   std::set<ServerRun> Runs;
-  for (const auto &[Part, Implicating] : Evidence.m_CrashesByPart)
-    if (partState(Evidence, Part, false, Now) != PartState::Free)
+  for (const auto &[Each, Implicating] : Evidence.m_CrashesBySuspect)
+    if (suspectState(Evidence, Each, false, Now) != SuspectState::Free)
       Runs.insert(Implicating.begin(), Implicating.end());
   return Runs;
 }
--- a/Source/Routing/CrashEvidence.h
+++ b/Source/Routing/CrashEvidence.h
@@ -1,16 +1,18 @@
-// Decides which parts of prompts are kept from backend servers because they
-// seem to crash every server that begins an answer on them.
+// Decides which requests are kept from backend servers because something about
+// them seems to crash every server that begins an answer: a suspect, such as a
+// part of their prompts.
 //
-// A crash implicates the parts of all requests whose answers the server was
+// A crash implicates the suspects of all requests whose answers the server was
 // beginning. Most of them are sound and were there by chance. The evidence
-// against a part is the ratio between what its presence at the crashes would be
-// if it caused them, 1, and the probability that it was there by chance. A
-// sound answer ends all evidence against its parts. By Ville's inequality a
-// sound part reaches a ratio of R with a probability of at most 1 / R.
+// against a suspect is the ratio between what its presence at the crashes would
+// be if it caused them, 1, and the probability that it was there by chance. A
+// sound answer ends all evidence against the suspects of its request. By
+// Ville's inequality a sound suspect reaches a ratio of R with a probability of
+// at most 1 / R.
 //
-// A part is held back for a time in proportion to the ratio. Then it is on
-// probation for as long again: one request at a time over all gateways, until a
-// sound answer or the next crash.
+// Requests with a suspect are held back for a time in proportion to the ratio.
+// Then it is on probation for as long again: one request at a time over all
+// gateways, until a sound answer or the next crash.
 #ifndef MANGOCART_ROUTING_CRASHEVIDENCE_H
 #define MANGOCART_ROUTING_CRASHEVIDENCE_H
 
@@ -23,57 +25,73 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mangocart {
 
 struct CrashEvidenceOptions {
-  // Parts with a lower ratio are not held back.
+  // Suspects with a lower ratio are not held back.
   double m_MinHeldRatio = 5.0;
-  // Parts with this ratio or more count as convicted.
+  // Suspects with this ratio or more count as convicted.
   double m_ConvictionRatio = 100.0;
   Duration m_HoldPerRatio = std::chrono::milliseconds(500);
   Duration m_MaxHold = std::chrono::minutes(10);
-  // Lower bound of the probability that a part is at a crash by chance.
+  // Lower bound of the probability that a suspect is at a crash by chance.
   double m_MinChance = 0.05;
   // The bound grows in proportion to one plus the number of recent sound
-  // answers on the part, up to this number.
+  // answers on the suspect, up to this number.
   double m_MaxSoundAnswers = 4.0;
   // Crashes of one service that are no further apart may have one cause, such
   // as a loss of power, and are judged together.
   Duration m_CommonCauseWindow = std::chrono::seconds(1);
   Duration m_SoundHalfLife = std::chrono::seconds(60);
-  // Beyond these numbers the oldest crashes and the parts without a sound
+  // Beyond these numbers the oldest crashes and the suspects without a sound
   // answer for the longest time are forgotten.
   std::size_t m_MaxCrashes = 256;
-  std::size_t m_MaxParts = 4096;
+  std::size_t m_MaxSuspects = 4096;
 
   bool operator==(const CrashEvidenceOptions &) const = default;
 };
 
-// A part of the prompts of one service's requests.
-struct ServicePart {
+enum class SuspectKind {
+  // A part of prompts, by its ID.
+  PromptPart
+};
+
+// As in logs.
+std::string_view toString(SuspectKind Kind);
+
+struct SuspectId {
+  SuspectKind m_Kind = SuspectKind::PromptPart;
+  std::string m_Text;
+
+  auto operator<=>(const SuspectId &) const = default;
+};
+
+// What may crash the servers of one service.
+struct Suspect {
   std::string m_Service;
-  std::string m_Part;
+  SuspectId m_Id;
 
-  auto operator<=>(const ServicePart &) const = default;
+  auto operator<=>(const Suspect &) const = default;
 };
 
-// An implicated part, as known to the gateway that reports the crash.
-struct ImplicatedPart {
-  // Fraction of the service's sound answers that had the part.
+// An implicated suspect, as known to the gateway that reports the crash.
+struct ImplicatedSuspect {
+  // Fraction of the service's sound answers whose requests had the suspect.
   double m_SoundFraction = 0.0;
-  // Recent sound answers on the part, each counted less with age.
+  // Recent sound answers on it, each counted less with age.
   double m_SoundAnswers = 0.0;
 
-  bool operator==(const ImplicatedPart &) const = default;
+  bool operator==(const ImplicatedSuspect &) const = default;
 };
 
 // What one gateway saw of a crash.
 struct CrashReport {
   // Number of requests whose answers the server was beginning.
   std::uint32_t m_Requests = 0;
-  std::map<std::string, ImplicatedPart> m_Parts;
+  std::map<SuspectId, ImplicatedSuspect> m_Suspects;
 
   bool operator==(const CrashReport &) const = default;
 };
@@ -96,7 +114,7 @@
   bool operator==(const ServerCrash &) const = default;
 };
 
-// The evidence against a part; ends with a sound answer or its probation.
+// The evidence against a suspect; ends with a sound answer or its probation.
 struct Suspicion {
   double m_Ratio = 1.0;
   std::uint32_t m_Crashes = 0;
@@ -116,38 +134,37 @@
 struct CrashEvidence {
   CrashEvidenceOptions m_Options;
   std::map<ServerRun, ServerCrash> m_Crashes;
-  // When another gateway or this one last had a sound answer on a part against
-  // which there was evidence.
-  std::map<ServicePart, TimePoint> m_Acquittals;
+  // When another gateway or this one last had a sound answer on a suspect
+  // against which there was evidence.
+  std::map<Suspect, TimePoint> m_Acquittals;
   // Sound answers at this gateway.
-  std::map<ServicePart, DecayingCount> m_SoundAnswers;
+  std::map<Suspect, DecayingCount> m_SoundAnswers;
   std::map<std::string, DecayingCount> m_SoundByService;
-  // Index of m_Crashes: the crashes that implicate a part, and the times of all
-  // crashes of a service.
-  std::map<ServicePart, std::set<ServerRun>> m_CrashesByPart;
+  // Index of m_Crashes: the crashes that implicate a suspect, and the times of
+  // all crashes of a service.
+  std::map<Suspect, std::set<ServerRun>> m_CrashesBySuspect;
   std::map<std::string, std::multiset<TimePoint>> m_CrashTimes;
 };
 
-enum class PartState {
+enum class SuspectState {
   Free,
-  // No request with the part is sent.
+  // No request with the suspect is sent.
   Held,
   // One request at a time is sent, by one gateway.
   Probation
 };
 
-// Describes the parts for a report of this gateway about a crash.
+// Describes the suspects for a report of this gateway about a crash.
 CrashReport makeCrashReport(const CrashEvidence &Evidence,
                             const std::string &Service, std::uint32_t Requests,
-                            const std::vector<std::string> &Parts,
-                            TimePoint Now);
+                            const std::vector<SuspectId> &Ids, TimePoint Now);
 
 struct CrashMerge {
-  // Parts that are held because of the crash.
-  std::vector<ServicePart> m_Held;
-  // Implicated parts on which this gateway has had a sound answer since, and
-  // the time of the answer.
-  std::map<ServicePart, TimePoint> m_Acquitted;
+  // Suspects that are held because of the crash.
+  std::vector<Suspect> m_Held;
+  // Implicated suspects on which this gateway has had a sound answer since,
+  // and the time of the answer.
+  std::map<Suspect, TimePoint> m_Acquitted;
 };
 
 // Merges a gateway's report about a crash; a later report of the same gateway
@@ -155,36 +172,37 @@
 CrashMerge mergeCrash(CrashEvidence &Evidence, const ServerRun &Run,
                       const ServerCrash &Crash, TimePoint Now);
 
-// Records a sound answer on the parts. Returns those against which there was
-// evidence.
-std::vector<ServicePart>
-recordSoundAnswer(CrashEvidence &Evidence, const std::string &Service,
-                  const std::vector<std::string> &Parts, TimePoint Now);
+// Records a sound answer to a request with these suspects. Returns those
+// against which there was evidence.
+std::vector<Suspect> recordSoundAnswer(CrashEvidence &Evidence,
+                                       const std::string &Service,
+                                       const std::vector<SuspectId> &Ids,
+                                       TimePoint Now);
 
-// Merges another gateway's sound answer on a part. Returns whether it ended
-// evidence against the part.
-bool mergeAcquittal(CrashEvidence &Evidence, const ServicePart &Part,
-                    TimePoint At, TimePoint Now);
+// Merges another gateway's sound answer. Returns whether it ended evidence
+// against the suspect.
+bool mergeAcquittal(CrashEvidence &Evidence, const Suspect &Of, TimePoint At,
+                    TimePoint Now);
 
 // IsLastUnit: the service has only one server, or only one rank group, left to
 // crash; the hold is twice as long then.
-PartState partState(const CrashEvidence &Evidence, const ServicePart &Part,
-                    bool IsLastUnit, TimePoint Now);
+SuspectState suspectState(const CrashEvidence &Evidence, const Suspect &Of,
+                          bool IsLastUnit, TimePoint Now);
 
-// Time until the part's state may change by itself; zero if it is free.
-Duration timeToNextState(const CrashEvidence &Evidence, const ServicePart &Part,
+// Time until the suspect's state may change by itself; zero if it is free.
+Duration timeToNextState(const CrashEvidence &Evidence, const Suspect &Of,
                          bool IsLastUnit, TimePoint Now);
 
-// Whether the part would be held if a server that was beginning the answers of
-// this many requests, one of them with the part, had crashed.
-bool wouldBeHeld(const CrashEvidence &Evidence, const ServicePart &Part,
+// Whether the suspect would be held if a server that was beginning the answers
+// of this many requests, one of them with the suspect, had crashed.
+bool wouldBeHeld(const CrashEvidence &Evidence, const Suspect &Of,
                  std::uint32_t Requests, TimePoint Now);
 
-// No value if there is no evidence against the part.
+// No value if there is no evidence against the suspect.
 std::optional<Suspicion> findSuspicion(const CrashEvidence &Evidence,
-                                       const ServicePart &Part);
+                                       const Suspect &Of);
 
-// The crashes that implicate a part which is held or on probation.
+// The crashes that implicate a suspect which is held or on probation.
 std::set<ServerRun> crashesThatHold(const CrashEvidence &Evidence,
                                     TimePoint Now);
 
--- a/Tests/Gateway/testCrashGuard.cpp
+++ b/Tests/Gateway/testCrashGuard.cpp
@@ -80,7 +80,10 @@
   }
 
   CrashGuard::Number begin(std::vector<std::string> Parts) {
-    return m_Guard->begin({Service, std::move(Parts), m_Executor,
+    std::vector<SuspectId> Suspects;
+    for (std::string &Part : Parts)
+      Suspects.push_back({SuspectKind::PromptPart, std::move(Part)});
+    return m_Guard->begin({Service, std::move(Suspects), m_Executor,
                            [this](const std::string &) { ++m_HeldCalls; }});
   }
   CrashGuard::Number send(std::vector<std::string> Parts,
--- a/Tests/Gateway/testReportMessages.cpp
+++ b/Tests/Gateway/testReportMessages.cpp
@@ -16,6 +16,8 @@
 
 const TimePoint Now{1000s};
 
+SuspectId part(const std::string &Id) { return {SuspectKind::PromptPart, Id}; }
+
 } // namespace
 
 TEST_CASE("a crash arrives as the reporter saw it, others' reports don't") {
@@ -23,8 +25,8 @@
   const ServerCrash Crash{
       "drafts",
       Now - 250ms,
-      {{"g1", {3, {{"bad", {0.25, 2.0}}, {"all", {1.0, 90.0}}}}},
-       {"g2", {1, {{"x", {0.5, 0.0}}}}}}};
+      {{"g1", {3, {{part("bad"), {0.25, 2.0}}, {part("all"), {1.0, 90.0}}}}},
+       {"g2", {1, {{part("x"), {0.5, 0.0}}}}}}};
   schema::LoadReport Report;
   addCrash(Report, Run, Crash, "g1", Now);
   addCrash(Report, Run, Crash, "g3", Now);
@@ -43,12 +45,13 @@
                         std::numeric_limits<double>::infinity()};
   for (const double Value : Bad) {
     schema::ServerCrash Message;
-    schema::ImplicatedPart &Part = *Message.add_parts();
-    Part.set_id("p");
-    Part.set_sound_fraction(Value);
-    Part.set_sound_answers(Value);
+    schema::ImplicatedSuspect &Each = *Message.add_suspects();
+    Each.set_id("p");
+    Each.set_sound_fraction(Value);
+    Each.set_sound_answers(Value);
     const auto Read = crashFromSchema(Message, Now);
-    const ImplicatedPart &Known = Read.m_Reports.at("").m_Parts.at("p");
+    const ImplicatedSuspect &Known =
+        Read.m_Reports.at("").m_Suspects.at(part("p"));
     CHECK(Known.m_SoundFraction >= 0.0);
     CHECK(Known.m_SoundFraction <= 1.0);
     CHECK(Known.m_SoundAnswers >= 0.0);
--- a/Tests/Routing/testCrashEvidence.cpp
+++ b/Tests/Routing/testCrashEvidence.cpp
@@ -19,16 +19,26 @@
 const TimePoint Start{1000s};
 const std::string Service = "drafts";
 
-ServicePart part(const std::string &Id) { return {Service, Id}; }
+Suspect part(const std::string &Id) {
+  return {Service, {SuspectKind::PromptPart, Id}};
+}
+
+std::vector<SuspectId> parts(const std::vector<std::string> &Texts) {
+  std::vector<SuspectId> Ids;
+  for (const std::string &Text : Texts)
+    Ids.push_back({SuspectKind::PromptPart, Text});
+  return Ids;
+}
 
 // Sound answers in the ten seconds before the time, a tenth of them on
 // "shared".
 CrashEvidence evidence(TimePoint Now = Start) {
   CrashEvidence Evidence;
   for (int I = 0; I < 200; ++I)
-    recordSoundAnswer(Evidence, Service,
-                      {"all", I % 10 == 0 ? "shared" : fmt::format("s{}", I)},
-                      Now - 10s + I * 50ms);
+    recordSoundAnswer(
+        Evidence, Service,
+        parts({"all", I % 10 == 0 ? "shared" : fmt::format("s{}", I)}),
+        Now - 10s + I * 50ms);
   return Evidence;
 }
 
@@ -43,7 +53,7 @@
        At,
        {{Gateway, makeCrashReport(Evidence, Service,
                                   static_cast<std::uint32_t>(Parts.size()),
-                                  Parts, At)}}},
+                                  parts(Parts), At)}}},
       At);
 }
 
@@ -52,9 +62,9 @@
   return Against ? Against->m_Ratio : 1.0;
 }
 
-PartState state(const CrashEvidence &Evidence, const std::string &Id,
-                TimePoint Now, bool IsLastUnit = false) {
-  return partState(Evidence, part(Id), IsLastUnit, Now);
+SuspectState state(const CrashEvidence &Evidence, const std::string &Id,
+                   TimePoint Now, bool IsLastUnit = false) {
+  return suspectState(Evidence, part(Id), IsLastUnit, Now);
 }
 
 } // namespace
@@ -64,9 +74,9 @@
   CrashEvidence E = evidence();
   const CrashMerge Merged = crash(E, "e1", {"bad", "all", "shared"}, Start);
   CHECK(Merged.m_Held == std::vector{part("bad")});
-  CHECK(state(E, "bad", Start) == PartState::Held);
-  CHECK(state(E, "all", Start) == PartState::Free);
-  CHECK(state(E, "shared", Start) == PartState::Free);
+  CHECK(state(E, "bad", Start) == SuspectState::Held);
+  CHECK(state(E, "all", Start) == SuspectState::Free);
+  CHECK(state(E, "shared", Start) == SuspectState::Free);
 }
 
 TEST_CASE("two crashes convict a part that was at both") {
@@ -74,18 +84,18 @@
   crash(E, "e1", {"bad", "s1"}, Start);
   crash(E, "e2", {"bad", "s2"}, Start + 12s);
   CHECK(ratio(E, "bad") >= E.m_Options.m_ConvictionRatio);
-  CHECK(state(E, "bad", Start + 60s) == PartState::Held);
+  CHECK(state(E, "bad", Start + 60s) == SuspectState::Held);
   CHECK(ratio(E, "s1") < E.m_Options.m_ConvictionRatio);
-  CHECK(state(E, "s1", Start + 60s) == PartState::Free);
+  CHECK(state(E, "s1", Start + 60s) == SuspectState::Free);
 }
 
 TEST_CASE("a sound answer ends the evidence, the next crash starts anew") {
   CrashEvidence E = evidence();
   crash(E, "e1", {"new"}, Start);
-  REQUIRE(state(E, "new", Start + 1s) == PartState::Held);
-  CHECK(recordSoundAnswer(E, Service, {"new"}, Start + 1s) ==
+  REQUIRE(state(E, "new", Start + 1s) == SuspectState::Held);
+  CHECK(recordSoundAnswer(E, Service, parts({"new"}), Start + 1s) ==
         std::vector{part("new")});
-  CHECK(state(E, "new", Start + 1s) == PartState::Free);
+  CHECK(state(E, "new", Start + 1s) == SuspectState::Free);
   crash(E, "e2", {"new"}, Start + 2s);
   CHECK(ratio(E, "new") < E.m_Options.m_ConvictionRatio);
 }
@@ -112,29 +122,30 @@
   CrashEvidence A = evidence();
   crash(A, "e1", {"p"}, Start);
   mergeAcquittal(A, part("p"), Start + 1s, Start + 1s);
-  CHECK(state(A, "p", Start + 1s) == PartState::Free);
+  CHECK(state(A, "p", Start + 1s) == SuspectState::Free);
   // The report of the crash arrives after the answer.
   CrashEvidence B = evidence();
-  recordSoundAnswer(B, Service, {"p"}, Start + 1s);
-  CrashReport Report = makeCrashReport(evidence(), Service, 1, {"p"}, Start);
+  recordSoundAnswer(B, Service, parts({"p"}), Start + 1s);
+  CrashReport Report =
+      makeCrashReport(evidence(), Service, 1, parts({"p"}), Start);
   const CrashMerge Merged = mergeCrash(
       B, {"e1", 1}, {Service, Start, {{"g2", Report}}}, Start + 1100ms);
   CHECK(Merged.m_Held.empty());
   CHECK(Merged.m_Acquitted ==
-        std::map<ServicePart, TimePoint>{{part("p"), Start + 1s}});
-  CHECK(state(B, "p", Start + 1100ms) == PartState::Free);
+        std::map<Suspect, TimePoint>{{part("p"), Start + 1s}});
+  CHECK(state(B, "p", Start + 1100ms) == SuspectState::Free);
 }
 
 TEST_CASE(
     "the time of a sound answer is told even if it is forgotten at once") {
   CrashEvidence E = evidence();
-  E.m_Options.m_MaxParts = 1;
+  E.m_Options.m_MaxSuspects = 1;
   E.m_Acquittals[part("newer")] = Start + 10s;
   E.m_SoundAnswers[part("p")] = {1.0, Start + 1s};
   const CrashMerge Merged = crash(E, "e1", {"p"}, Start);
   CHECK(E.m_Acquittals.count(part("p")) == 0);
   CHECK(Merged.m_Acquitted ==
-        std::map<ServicePart, TimePoint>{{part("p"), Start + 1s}});
+        std::map<Suspect, TimePoint>{{part("p"), Start + 1s}});
 }
 
 TEST_CASE("a zone without power convicts none of the parts that were there") {
@@ -161,8 +172,8 @@
     crash(E, fmt::format("a{}", Round), {"bad1"}, At);
     crash(E, fmt::format("b{}", Round), {"bad2"}, At + 300ms);
   }
-  CHECK(state(E, "bad1", Start + 13s) == PartState::Held);
-  CHECK(state(E, "bad2", Start + 13s) == PartState::Held);
+  CHECK(state(E, "bad1", Start + 13s) == SuspectState::Held);
+  CHECK(state(E, "bad2", Start + 13s) == SuspectState::Held);
 }
 
 TEST_CASE("after the hold one request is tried, then the evidence is over") {
@@ -170,11 +181,11 @@
   crash(E, "e1", {"p"}, Start);
   const Duration Hold = timeToNextState(E, part("p"), false, Start);
   REQUIRE(Hold > 5s);
-  CHECK(state(E, "p", Start + Hold - 1ms) == PartState::Held);
-  CHECK(state(E, "p", Start + Hold) == PartState::Probation);
-  CHECK(state(E, "p", Start + Hold, true) == PartState::Held);
-  CHECK(state(E, "p", Start + 2 * Hold, true) == PartState::Probation);
-  CHECK(state(E, "p", Start + 3 * Hold + 1ms) == PartState::Free);
+  CHECK(state(E, "p", Start + Hold - 1ms) == SuspectState::Held);
+  CHECK(state(E, "p", Start + Hold) == SuspectState::Probation);
+  CHECK(state(E, "p", Start + Hold, true) == SuspectState::Held);
+  CHECK(state(E, "p", Start + 2 * Hold, true) == SuspectState::Probation);
+  CHECK(state(E, "p", Start + 3 * Hold + 1ms) == SuspectState::Free);
   // A much later crash doesn't add to it.
   crash(E, "e2", {"p"}, Start + 4 * Hold);
   CHECK(findSuspicion(E, part("p"))->m_Crashes == 1);
@@ -184,23 +195,24 @@
   CrashEvidence E;
   crash(E, "e1", {"a", "b"}, Start);
   crash(E, "e2", {"a", "b"}, Start + 10s);
-  CHECK(state(E, "a", Start + 10s) == PartState::Free);
+  CHECK(state(E, "a", Start + 10s) == SuspectState::Free);
 }
 
 TEST_CASE("what is kept is bounded") {
   CrashEvidence E;
   E.m_Options.m_MaxCrashes = 8;
-  E.m_Options.m_MaxParts = 16;
+  E.m_Options.m_MaxSuspects = 16;
   for (int I = 0; I < 100; ++I) {
-    recordSoundAnswer(E, Service, {fmt::format("s{}", I)}, Start + I * 1s);
+    recordSoundAnswer(E, Service, parts({fmt::format("s{}", I)}),
+                      Start + I * 1s);
     crash(E, fmt::format("e{}", I), {fmt::format("c{}", I)}, Start + I * 1s);
-    recordSoundAnswer(E, Service, {fmt::format("c{}", I)},
+    recordSoundAnswer(E, Service, parts({fmt::format("c{}", I)}),
                       Start + I * 1s + 1ms);
   }
   CHECK(E.m_Crashes.size() <= 8);
   CHECK(E.m_SoundAnswers.size() <= 16);
   CHECK(E.m_Acquittals.size() <= 16);
-  CHECK(E.m_CrashesByPart.size() <= 8);
+  CHECK(E.m_CrashesBySuspect.size() <= 8);
   CHECK(E.m_CrashTimes[Service].size() <= 8);
 }
 
@@ -213,7 +225,7 @@
             {"all", fmt::format("n{}-{}", Server, Gateway)},
             Start + Server * 1ms, fmt::format("g{}", Gateway));
   CHECK(E.m_Crashes.size() == 200);
-  CHECK(E.m_CrashesByPart.size() == 2401);
+  CHECK(E.m_CrashesBySuspect.size() == 2401);
   // None of them is held, so a gateway that starts is told of none.
   CHECK(crashesThatHold(E, Start + 1s).empty());
 }
@@ -285,12 +297,12 @@
       Parts.insert(Parts.end(), Each.m_Parts.begin(), Each.m_Parts.end());
       return true;
     });
-    mergeCrash(
-        Evidence, {fmt::format("e{}", Server), ++Result.m_Crashes},
-        {Service,
-         Now,
-         {{"g", makeCrashReport(Evidence, Service, Beginning, Parts, Now)}}},
-        Now);
+    mergeCrash(Evidence, {fmt::format("e{}", Server), ++Result.m_Crashes},
+               {Service,
+                Now,
+                {{"g", makeCrashReport(Evidence, Service, Beginning,
+                                       parts(Parts), Now)}}},
+               Now);
     for (const std::string &Each : Parts)
       if (ratio(Evidence, Each) >= Evidence.m_Options.m_ConvictionRatio)
         Result.m_Convicted.insert(Each);
@@ -302,7 +314,7 @@
     const bool IsHeld =
         std::any_of(Parts.begin(), Parts.end(), [&](const std::string &Id) {
           return state(Evidence, Id, Now, Model.m_Outage > 0s) !=
-                 PartState::Free;
+                 SuspectState::Free;
         });
     if (IsHeld) {
       Result.m_SoundHeld += IsCrashing ? 0 : 1;
@@ -336,7 +348,7 @@
         if (Result.m_Crashes == 5)
           FifthCrash = Now;
       } else {
-        recordSoundAnswer(Evidence, Service, Begun.m_Parts, Now);
+        recordSoundAnswer(Evidence, Service, parts(Begun.m_Parts), Now);
         Requests.erase(Requests.begin() + static_cast<std::ptrdiff_t>(I));
       }
       I = static_cast<std::size_t>(-1);
