Routing, Gateway: a request that crashes servers is held back as a whole

A whole request, by its digest, is now the second kind of suspect in the same evidence, messages and logs. One crash therefore changes nothing, several within a second lead to probation, two without a common cause hold the request. Evidence is remembered for ten minutes, and gateways that connect are told of crashes that only may count later. Requests whose attempts ended before the probe of their server did were not implicated; the guard now notes them when the connection is lost. Two crashes count as one if they are within a second of the first one, instead of within a second of each other, as crashes that never pause would otherwise count as one for good.

Ruled out: load after an outage (the server that got most ran on for 28 s) and servers that end by themselves (the same one).

--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -30,14 +30,16 @@
 // Retry-After of a request that another one on probation goes before.
 constexpr Duration RetryAfterTrial = std::chrono::seconds(1);
 
-// "KIND:ID" of each, separated by commas.
 std::string describe(const std::set<SuspectId> &Suspects) {
   std::vector<std::string> Names;
   for (const SuspectId &Each : Suspects)
-    Names.push_back(fmt::format("{}:{}", toString(Each.m_Kind), Each.m_Text));
+    Names.push_back(toString(Each));
   return fmt::format("{}", fmt::join(Names, ","));
 }
 
+// More crashes of one suspect are only counted in the log.
+constexpr std::size_t MaxServersLogged = 8;
+
 void runAll(const std::vector<std::function<void()>> &Calls) {
   for (const auto &Call : Calls)
     Call();
@@ -104,6 +106,7 @@
       continue;
     }
     Decision.m_Allowed = false;
+    Decision.m_Suspect = Id;
     Decision.m_RetryAfter =
         std::max(Decision.m_RetryAfter, State == SuspectState::Probation
                                             ? std::min(Left, RetryAfterTrial)
@@ -148,7 +151,7 @@
     return;
   Found->second.m_Target = Target;
   Found->second.m_FirstData.reset();
-  Found->second.m_IsReported = false;
+  Found->second.m_IsCounted = false;
 }
 
 void CrashGuard::dataReceived(Number Request) {
@@ -230,13 +233,14 @@
     if (Found == m_Watched.end() || !Found->second.m_Target) {
       After.push_back(std::move(Done));
     } else {
-      const Watched &Each = Found->second;
+      Watched &Each = Found->second;
       const TimePoint Now = RuntimeClock::now();
+      const bool IsBeginning = isBeginning(Each, Now);
       const bool Matters =
-          isBeginning(Each, Now) &&
+          IsBeginning &&
           std::any_of(Each.m_Request.m_Suspects.begin(),
                       Each.m_Request.m_Suspects.end(), [&](const auto &Id) {
-                        return wouldBeHeld(
+                        return mayBecomeRestricted(
                             m_Evidence, {Each.m_Request.m_Service, Id}, 1, Now);
                       });
       std::function<void(bool)> OnProbed = [](bool) {};
@@ -244,7 +248,9 @@
         OnProbed = [Executor = Each.m_Request.m_Executor, Done](bool) {
           postTask(Executor, Done);
         };
-      probe(*Each.m_Target, Now, std::move(OnProbed), After);
+      LostServer &Lost = probe(*Each.m_Target, Now, std::move(OnProbed), After);
+      if (IsBeginning)
+        implicate(Each, Lost.m_Implicated);
       if (!Matters)
         After.push_back(std::move(Done));
     }
@@ -271,14 +277,15 @@
 // Any response shows that the server runs. A server that has ended refuses
 // connections, or its machine gives no answer. A known crash doesn't count: the
 // server may only have been silent.
-void CrashGuard::probe(const BackendTarget &Target, TimePoint Now,
-                       std::function<void(bool Running)> Done, Calls &After) {
+CrashGuard::LostServer &
+CrashGuard::probe(const BackendTarget &Target, TimePoint Now,
+                  std::function<void(bool Running)> Done, Calls &After) {
   const ServerRun Run = runOf(Target);
   const auto [At, Inserted] = m_Lost.try_emplace(Run);
   LostServer &Lost = At->second;
   Lost.m_Waiting.push_back(std::move(Done));
   if (!Inserted)
-    return;
+    return Lost;
   Lost.m_Target = Target;
   Lost.m_At = Now;
   After.emplace_back(
@@ -298,6 +305,7 @@
                     std::move(Handlers));
         });
       });
+  return Lost;
 }
 
 void CrashGuard::onProbed(const ServerRun &Run, bool Running) {
@@ -311,7 +319,8 @@
     Lost = std::move(Found->second);
     m_Lost.erase(Found);
     if (!Running)
-      recordCrash(Lost.m_Target, Lost.m_At, RuntimeClock::now(), After);
+      recordCrash(Lost.m_Target, Lost.m_At, RuntimeClock::now(),
+                  std::move(Lost.m_Implicated), After);
   }
   runAll(After);
   for (const auto &Done : Lost.m_Waiting)
@@ -323,33 +332,35 @@
   {
     const std::lock_guard Lock(m_Mutex);
     const TimePoint Now = RuntimeClock::now();
-    recordCrash(Target, Now, Now, After);
+    recordCrash(Target, Now, Now, {}, After);
   }
   runAll(After);
 }
 
+void CrashGuard::implicate(Watched &Each, Implicated &By) {
+  if (std::exchange(Each.m_IsCounted, true))
+    return;
+  ++By.m_Requests;
+  By.m_Suspects.insert(Each.m_Request.m_Suspects.begin(),
+                       Each.m_Request.m_Suspects.end());
+}
+
 // Reports the crash together with the requests of this gateway that it
-// implicates. Some of them may be counted only after the first report.
+// implicates: those given, whose attempts have ended, and those whose attempts
+// still wait for an answer. Some may be counted only after the first report.
 void CrashGuard::recordCrash(const BackendTarget &Target, TimePoint At,
-                             TimePoint Now, Calls &After) {
+                             TimePoint Now, Implicated By, Calls &After) {
   const ServerRun Run = runOf(Target);
-  std::uint32_t Requests = 0;
-  std::set<SuspectId> Suspects;
-  for (auto &[Request, Each] : m_Watched) {
-    if (!Each.m_Target || runOf(*Each.m_Target) != Run || Each.m_IsReported ||
-        !isBeginning(Each, At))
-      continue;
-    Each.m_IsReported = true;
-    ++Requests;
-    Suspects.insert(Each.m_Request.m_Suspects.begin(),
-                    Each.m_Request.m_Suspects.end());
-  }
+  for (auto &[Request, Each] : m_Watched)
+    if (Each.m_Target && runOf(*Each.m_Target) == Run && isBeginning(Each, At))
+      implicate(Each, By);
   const auto Known = m_Evidence.m_Crashes.find(Run);
   const bool IsNew = Known == m_Evidence.m_Crashes.end();
-  if (!IsNew && Requests == 0)
+  if (!IsNew && By.m_Requests == 0)
     return;
-  CrashReport Report = makeCrashReport(m_Evidence, Target.m_Service, Requests,
-                                       {Suspects.begin(), Suspects.end()}, Now);
+  CrashReport Report =
+      makeCrashReport(m_Evidence, Target.m_Service, By.m_Requests,
+                      {By.m_Suspects.begin(), By.m_Suspects.end()}, Now);
   if (!IsNew) {
     const auto Earlier = Known->second.m_Reports.find(m_Name);
     if (Earlier != Known->second.m_Reports.end()) {
@@ -360,8 +371,8 @@
   } else {
     m_Metrics.m_ServerCrashes.add();
   }
-  After.emplace_back([this, Name = Target.m_Name, Requests,
-                      Text = describe(Suspects)] {
+  After.emplace_back([this, Name = Target.m_Name, Requests = By.m_Requests,
+                      Text = describe(By.m_Suspects)] {
     m_Events.write(
         Event::BackendServerEnded,
         {{"backend_server", Name}, {"requests", Requests}, {"suspects", Text}});
@@ -380,39 +391,47 @@
   const CrashMerge Merged = mergeCrash(m_Evidence, Run, Crash, Now);
   for (const auto &[Acquitted, At] : Merged.m_Acquitted)
     addAcquittal(Acquitted, At, After);
-  if (Merged.m_Held.empty())
+  if (Merged.m_Restricted.empty())
     return;
+  for (const auto &[Each, State] : Merged.m_Restricted)
+    logRestriction(Each, State, Now, After);
   const std::string Group = m_Directory.groupName(Run.m_BackendServer);
-  for (const Suspect &Held : Merged.m_Held) {
-    const Suspicion Against =
-        findSuspicion(m_Evidence, Held).value_or(Suspicion());
-    After.emplace_back([this, Held, Against,
-                        Hold = timeToNextState(m_Evidence, Held, false, Now)] {
-      m_Events.write(Event::SuspectHeld,
-                     {{"service", Held.m_Service},
-                      {"kind", toString(Held.m_Id.m_Kind)},
-                      {"suspect", Held.m_Id.m_Text},
-                      {"crashes", Against.m_Crashes},
-                      {"ratio", Against.m_Ratio},
-                      {"hold_ms", wholeMilliseconds(Hold)}});
-    });
-  }
   for (const auto &[Key, Each] : m_Watched) {
     const GuardedRequest &Request = Each.m_Request;
-    const bool IsHeld = std::any_of(
-        Merged.m_Held.begin(), Merged.m_Held.end(), [&](const Suspect &Held) {
-          return Held.m_Service == Request.m_Service &&
-                 std::find(Request.m_Suspects.begin(), Request.m_Suspects.end(),
-                           Held.m_Id) != Request.m_Suspects.end();
-        });
-    if (IsHeld && !Each.m_IsSound)
-      After.emplace_back(
-          [Executor = Request.m_Executor, OnHeld = Request.m_OnHeld, Group] {
-            postTask(Executor, [OnHeld, Group] { OnHeld(Group); });
-          });
+    SuspectState State = SuspectState::Free;
+    for (const SuspectId &Id : Request.m_Suspects)
+      if (const auto Found = Merged.m_Restricted.find({Request.m_Service, Id});
+          Found != Merged.m_Restricted.end() && State != SuspectState::Held)
+        State = Found->second;
+    if (State != SuspectState::Free && !Each.m_IsSound)
+      After.emplace_back([Executor = Request.m_Executor,
+                          OnRestricted = Request.m_OnRestricted, State, Group] {
+        postTask(Executor,
+                 [OnRestricted, State, Group] { OnRestricted(State, Group); });
+      });
   }
 }
 
+void CrashGuard::logRestriction(const Suspect &Of, SuspectState State,
+                                TimePoint Now, Calls &After) {
+  const Suspicion Against = findSuspicion(m_Evidence, Of).value_or(Suspicion());
+  std::vector<std::string> Servers = implicatingServers(m_Evidence, Of);
+  Servers.resize(std::min(Servers.size(), MaxServersLogged));
+  After.emplace_back([this, Of, State, Against, Servers = std::move(Servers),
+                      Left = timeToNextState(m_Evidence, Of, false, Now)] {
+    m_Events.write(
+        Event::SuspectHeld,
+        {{"service", Of.m_Service},
+         {"kind", toString(Of.m_Id.m_Kind)},
+         {"suspect", Of.m_Id.m_Text},
+         {"state", toString(State)},
+         {"crashes", Against.m_Crashes},
+         {"backend_servers", fmt::format("{}", fmt::join(Servers, ","))},
+         {"ratio", Against.m_Ratio},
+         {"hold_ms", wholeMilliseconds(Left)}});
+  });
+}
+
 // --- Other gateways
 
 void CrashGuard::setGateways(std::set<PeerEndpoint> Gateways) {
@@ -432,13 +451,19 @@
     mangocart::addAcquittal(Report, Acquitted, At, Now);
 }
 
+// Crashes that restrict a suspect are told with the reports of all gateways, as
+// some of these may be gone; of crashes that may count later, each gateway
+// tells its own report.
 void CrashGuard::addAll(schema::LoadReport &Report) {
   const std::lock_guard Lock(m_Mutex);
   const TimePoint Now = RuntimeClock::now();
-  for (const ServerRun &Run : crashesThatHold(m_Evidence, Now)) {
-    const ServerCrash &Crash = m_Evidence.m_Crashes.at(Run);
-    for (const auto &[Reporter, Seen] : Crash.m_Reports)
-      addCrash(Report, Run, Crash, Reporter, Now);
+  const std::set<ServerRun> Holding = crashesThatHold(m_Evidence, Now);
+  for (const auto &[Run, Crash] : m_Evidence.m_Crashes) {
+    if (Holding.contains(Run))
+      for (const auto &[Reporter, Seen] : Crash.m_Reports)
+        addCrash(Report, Run, Crash, Reporter, Now);
+    else if (isRemembered(m_Evidence, Crash, Now))
+      addCrash(Report, Run, Crash, m_Name, Now);
   }
   for (const auto &[Acquitted, At] : m_Evidence.m_Acquittals)
     mangocart::addAcquittal(Report, Acquitted, At, Now);
--- a/Source/Gateway/CrashGuard.h
+++ b/Source/Gateway/CrashGuard.h
@@ -37,15 +37,18 @@
   // What may make it crash a server.
   std::vector<SuspectId> m_Suspects;
   boost::asio::any_io_executor m_Executor;
-  // Called on the executor when one of the suspects is held back, with the rank
-  // group of the server that crashed (empty: none). At most once per crash.
-  std::function<void(std::string CrashedGroup)> m_OnHeld;
+  // Called on the executor when one of the suspects is held or on probation
+  // because of a crash, with the rank group of the server that crashed (empty:
+  // none). At most once per report of a crash.
+  std::function<void(SuspectState State, std::string CrashedGroup)>
+      m_OnRestricted;
 };
 
 struct GuardDecision {
   bool m_Allowed = true;
-  // How long the request should stay away if it isn't allowed.
+  // How long the request should stay away if it isn't allowed, and why.
   Duration m_RetryAfter = Duration::zero();
+  std::optional<SuspectId> m_Suspect;
 };
 
 // Thread-safe. Its mutex is locked before the directory's; handlers run on
@@ -100,15 +103,24 @@
     // The attempt under way.
     std::optional<BackendTarget> m_Target;
     std::optional<TimePoint> m_FirstData;
-    // A report about the crash of the attempt's server counts the request.
-    bool m_IsReported = false;
+    // The request is counted in a report about the crash of the attempt's
+    // server, or will be if the server has ended.
+    bool m_IsCounted = false;
     // The request itself has had a sound answer, or a part of one.
     bool m_IsSound = false;
   };
+  // Requests whose answers a server was beginning, and what they have in common
+  // with others.
+  struct Implicated {
+    std::uint32_t m_Requests = 0;
+    std::set<SuspectId> m_Suspects;
+  };
   // A server run of which a connection was lost, until a probe has ended.
   struct LostServer {
     BackendTarget m_Target;
     TimePoint m_At;
+    // Requests whose attempts ended with their connections meanwhile.
+    Implicated m_Implicated;
     std::vector<std::function<void(bool Running)>> m_Waiting;
   };
   // Calls that are made after the mutex is released.
@@ -121,11 +133,14 @@
   bool mayTry(const Suspect &Of, Number Request) const;
   void releaseTrials(Number Request);
   void recordSound(Watched &Each, TimePoint Now, Calls &After);
-  void probe(const BackendTarget &Target, TimePoint Now,
-             std::function<void(bool Running)> Done, Calls &After);
+  LostServer &probe(const BackendTarget &Target, TimePoint Now,
+                    std::function<void(bool Running)> Done, Calls &After);
   void onProbed(const ServerRun &Run, bool Running);
+  static void implicate(Watched &Each, Implicated &By);
   void recordCrash(const BackendTarget &Target, TimePoint At, TimePoint Now,
-                   Calls &After);
+                   Implicated By, Calls &After);
+  void logRestriction(const Suspect &Of, SuspectState State, TimePoint Now,
+                      Calls &After);
   void applyCrash(const ServerRun &Run, const ServerCrash &Crash, TimePoint Now,
                   Calls &After);
   void addAcquittal(const Suspect &Of, TimePoint At, Calls &After);
--- a/Source/Gateway/CrashMessages.cpp
+++ b/Source/Gateway/CrashMessages.cpp
@@ -19,6 +19,8 @@
 
 schema::SuspectKind toSchema(SuspectKind Kind) {
   switch (Kind) {
+  case SuspectKind::Request:
+    return schema::REQUEST;
   case SuspectKind::PromptPart:
     break;
   }
@@ -30,6 +32,8 @@
   switch (Kind) {
   case schema::PROMPT_PART:
     return SuspectKind::PromptPart;
+  case schema::REQUEST:
+    return SuspectKind::Request;
   default:
     return std::nullopt;
   }
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -58,8 +58,9 @@
                         Request.m_Target, Request.m_Body});
 }
 
-std::vector<SuspectId> suspectsOf(const CallerRequest &Caller) {
-  std::vector<SuspectId> Suspects;
+std::vector<SuspectId> suspectsOf(const CallerRequest &Caller,
+                                  const std::string &Digest) {
+  std::vector<SuspectId> Suspects = {{SuspectKind::Request, Digest}};
   for (const std::string &Part : Caller.m_SharedParts)
     Suspects.push_back({SuspectKind::PromptPart, Part});
   return Suspects;
@@ -115,11 +116,12 @@
   });
   m_Context.m_RetryBudgets.recordRequest(m_Request.m_Service);
   m_GuardNumber = m_Context.m_CrashGuard.begin(
-      {m_Request.m_Service, suspectsOf(m_Request.m_Caller),
+      {m_Request.m_Service, suspectsOf(m_Request.m_Caller, m_Digest),
        m_Exchange->executor(),
-       [Weak = weak_from_this()](const std::string &CrashedGroup) {
+       [Weak = weak_from_this()](SuspectState State,
+                                 const std::string &CrashedGroup) {
          if (const auto Self = Weak.lock())
-           Self->onSuspectHeld(CrashedGroup);
+           Self->onRestricted(State, CrashedGroup);
        }});
   startAttempt();
 }
@@ -201,6 +203,7 @@
       m_Context.m_CrashGuard.decide(m_GuardNumber, Reserve);
   if (Decision.m_Allowed)
     return false;
+  m_HeldFor = Decision.m_Suspect;
   if (m_HttpCall)
     dropAttempt("the request may crash servers", CallResult::Cancelled);
   else
@@ -209,7 +212,8 @@
   return true;
 }
 
-void ProxiedRequest::onSuspectHeld(const std::string &CrashedGroup) {
+void ProxiedRequest::onRestricted(SuspectState State,
+                                  const std::string &CrashedGroup) {
   if (m_Finished)
     return;
   // While it waits for a backend server.
@@ -219,7 +223,8 @@
   }
   // The answer may crash its server as well once it begins. The ranks of the
   // crashed group don't begin it: they report that it has not run.
-  if (!m_HttpCall || !m_Target || m_DataForwarded || !m_State.m_Retryable ||
+  if (State != SuspectState::Held || !m_HttpCall || !m_Target ||
+      m_DataForwarded || !m_State.m_Retryable ||
       (!CrashedGroup.empty() &&
        m_Context.m_Directory.groupName(m_Target->m_Name) == CrashedGroup))
     return;
@@ -639,7 +644,8 @@
        {"first_byte_ms", m_FirstByte ? wholeMilliseconds(*m_FirstByte) : 0},
        {"time_ms", wholeMilliseconds(Now - m_ArrivedAt)},
        {"allowed_ms", wholeMilliseconds(m_Deadline - m_ArrivedAt)},
-       {"digest", m_Digest}});
+       {"digest", m_Digest},
+       {"held_for", m_HeldFor ? toString(*m_HeldFor) : ""}});
 }
 
 } // namespace mangocart
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -12,6 +12,7 @@
 #include "Gateway/GatewayContext.h"
 #include "Gateway/ServiceDispatcher.h"
 #include "Http/HttpClient.h"
+#include "Routing/CrashEvidence.h"
 
 #include <memory>
 
@@ -66,11 +67,11 @@
   void onComplete();
   // Ends the attempt once it is known whether its server has ended as well.
   void onConnectionLost(std::string Detail);
-  // Called when a suspect of this request is held back because a server has
-  // ended. CrashedGroup is its rank group, empty if it has none.
-  void onSuspectHeld(const std::string &CrashedGroup);
+  // Called when a suspect of this request is held or on probation because a
+  // server has ended. CrashedGroup is its rank group, empty if it has none.
+  void onRestricted(SuspectState State, const std::string &CrashedGroup);
   // Drops the attempt, fails the request and returns true if one of its
-  // suspects is held back.
+  // suspects doesn't allow it.
   bool failIfHeld(bool Reserve);
   void onError(const HttpError &Error);
   // Lost while its answer was received, or before.
@@ -122,6 +123,8 @@
   TimePoint m_SentAt;
   // Number of the request at the crash guard; 0 if it is not watched.
   std::uint64_t m_GuardNumber = 0;
+  // The suspect because of which the request was rejected.
+  std::optional<SuspectId> m_HeldFor;
   // Number of the attempt at the attempt monitor; 0 if it is not monitored.
   std::uint64_t m_MonitorId = 0;
   // Number of the request at the dispatcher while it waits for a backend
--- a/Source/Routing/CrashEvidence.cpp
+++ b/Source/Routing/CrashEvidence.cpp
@@ -10,10 +10,25 @@
 
 namespace {
 
+const SuspectKindOptions &optionsOf(const CrashEvidence &Evidence,
+                                    SuspectKind Kind) {
+  switch (Kind) {
+  case SuspectKind::Request:
+    return Evidence.m_Options.m_Requests;
+  case SuspectKind::PromptPart:
+    break;
+  }
+  return Evidence.m_Options.m_PromptParts;
+}
+
 // The hold, the longer hold of a last unit, and the probation after them.
 constexpr int LastUnitFactor = 2;
 constexpr int ProbationEndFactor = 3;
 
+// Crashes with a common cause at which a request may be: it is sent to that
+// many servers in the time.
+constexpr double MaxServersTogether = 2.0;
+
 double valueAt(const DecayingCount &Count, const CrashEvidenceOptions &Options,
                TimePoint Now) {
   const double HalfLives =
@@ -34,30 +49,56 @@
   Count = {valueAt(Count, Options, Now) + 1.0, Now};
 }
 
+const RecentRequest *findRecent(const CrashEvidence &Evidence,
+                                const Suspect &Of) {
+  const auto Service = Evidence.m_RecentRequests.find(Of.m_Service);
+  if (Of.m_Id.m_Kind != SuspectKind::Request ||
+      Service == Evidence.m_RecentRequests.end())
+    return nullptr;
+  const auto Found = Service->second.m_ById.find(Of.m_Id.m_Text);
+  return Found == Service->second.m_ById.end() ? nullptr : &Found->second;
+}
+
+// Sound answers on the suspect, and all that they are compared with.
+std::pair<double, double> soundAnswers(const CrashEvidence &Evidence,
+                                       const Suspect &Of, TimePoint Now) {
+  if (Of.m_Id.m_Kind == SuspectKind::Request) {
+    const auto All = Evidence.m_RecentRequests.find(Of.m_Service);
+    const RecentRequest *Own = findRecent(Evidence, Of);
+    return {Own ? static_cast<double>(Own->m_Count) : 0.0,
+            All == Evidence.m_RecentRequests.end()
+                ? 0.0
+                : static_cast<double>(All->second.m_Order.size())};
+  }
+  return {valueOf(Evidence.m_SoundAnswers, Of, Evidence.m_Options, Now),
+          valueOf(Evidence.m_SoundByService, Of.m_Service, Evidence.m_Options,
+                  Now)};
+}
+
 ImplicatedSuspect describe(const CrashEvidence &Evidence, const Suspect &Of,
                            TimePoint Now) {
-  const CrashEvidenceOptions &Options = Evidence.m_Options;
-  const double Answers = valueOf(Evidence.m_SoundAnswers, Of, Options, Now);
-  const double All =
-      valueOf(Evidence.m_SoundByService, Of.m_Service, Options, Now);
-  // Rule of succession: without any answers a suspect may be in all requests.
-  return {(Answers + 1.0) / (All + 2.0), Answers};
+  const SuspectKindOptions &Kind = optionsOf(Evidence, Of.m_Id.m_Kind);
+  const auto [Answers, All] = soundAnswers(Evidence, Of, Now);
+  return {(Answers + Kind.m_PriorFraction * Kind.m_PriorAnswers) /
+              (All + Kind.m_PriorAnswers),
+          Answers};
 }
 
 // Upper bound of the probability that a sound suspect is among the requests.
 double chanceOf(const ImplicatedSuspect &Known, std::uint32_t Requests,
-                const CrashEvidenceOptions &Options) {
+                double MinChance, const CrashEvidenceOptions &Options) {
   const double Among =
       1.0 - std::pow(1.0 - std::clamp(Known.m_SoundFraction, 0.0, 1.0),
                      std::max<std::uint32_t>(Requests, 1));
   const double Answers =
       std::min(Known.m_SoundAnswers, Options.m_MaxSoundAnswers);
-  return std::min(1.0, std::max(Options.m_MinChance * (1.0 + Answers), Among));
+  return std::min(1.0, std::max(MinChance * (1.0 + Answers), Among));
 }
 
 // The same for the requests that all gateways have reported; no value if none
 // of them had the suspect.
 std::optional<double> chanceAt(const ServerCrash &Crash, const SuspectId &Id,
+                               double MinChance,
                                const CrashEvidenceOptions &Options) {
   std::uint32_t Requests = 0;
   std::optional<ImplicatedSuspect> Known;
@@ -75,7 +116,7 @@
   }
   if (!Known)
     return std::nullopt;
-  return chanceOf(*Known, Requests, Options);
+  return chanceOf(*Known, Requests, MinChance, Options);
 }
 
 double binomial(std::size_t Of, std::size_t Chosen) {
@@ -85,7 +126,8 @@
   return Ways;
 }
 
-// The crashes of a service that may have one cause with the one at this time.
+// The crashes of a service that may have one cause with the one at this time,
+// and the latest of them.
 struct CommonCause {
   std::size_t m_Crashes = 0;
   TimePoint m_Last;
@@ -95,20 +137,29 @@
                         const std::string &Service, TimePoint At) {
   const Duration Window = Evidence.m_Options.m_CommonCauseWindow;
   const std::multiset<TimePoint> &Times = Evidence.m_CrashTimes.at(Service);
-  CommonCause Found{1, At};
-  TimePoint First = At;
-  const auto Here = Times.find(At);
-  for (auto Each = std::make_reverse_iterator(Here);
-       Each != Times.rend() && First - *Each <= Window; ++Each) {
-    First = *Each;
-    ++Found.m_Crashes;
-  }
-  for (auto Each = std::next(Here);
-       Each != Times.end() && *Each - Found.m_Last <= Window; ++Each) {
-    Found.m_Last = *Each;
-    ++Found.m_Crashes;
+  const auto First = Times.lower_bound(At - Window);
+  const auto End = Times.upper_bound(At + Window);
+  return {static_cast<std::size_t>(std::distance(First, End)), *std::prev(End)};
+}
+
+// Upper bound of the probability that a sound suspect was by chance at as many
+// of the crashes with a common cause as there are chances.
+double chanceTogether(const std::vector<double> &Chances, std::size_t Crashes,
+                      const SuspectKindOptions &Kind) {
+  if (!Kind.m_CommonCauseChance) {
+    // It was at this many of the crashes, whichever.
+    double All = binomial(Crashes, Chances.size());
+    for (const double Each : Chances)
+      All *= Each;
+    return std::min(1.0, All);
   }
-  return Found;
+  const double Largest = *std::max_element(Chances.begin(), Chances.end());
+  const double Ways =
+      std::min(MaxServersTogether, static_cast<double>(Crashes) /
+                                       static_cast<double>(Chances.size()));
+  return std::min(1.0,
+                  Largest * Ways *
+                      (Chances.size() > 1 ? *Kind.m_CommonCauseChance : 1.0));
 }
 
 Duration holdOf(double Ratio, const CrashEvidenceOptions &Options) {
@@ -117,23 +168,33 @@
   return std::chrono::duration_cast<Duration>(std::min(Seconds * Ratio, Max));
 }
 
-bool isOver(const Suspicion &Held, const CrashEvidenceOptions &Options,
-            TimePoint Now) {
-  return Now - Held.m_LastCrash >
-         ProbationEndFactor * holdOf(Held.m_Ratio, Options);
+bool isForgotten(const CrashEvidence &Evidence, SuspectKind Kind,
+                 const Suspicion &Against, TimePoint Now) {
+  return Now - Against.m_LastCrash >
+         std::max(ProbationEndFactor *
+                      holdOf(Against.m_Ratio, Evidence.m_Options),
+                  optionsOf(Evidence, Kind).m_MinMemory);
+}
+
+// When this gateway last had a sound answer on the suspect.
+std::optional<TimePoint> ownSoundAnswerAt(const CrashEvidence &Evidence,
+                                          const Suspect &Of) {
+  if (const RecentRequest *Recent = findRecent(Evidence, Of))
+    return Recent->m_LastAt;
+  const auto Found = Evidence.m_SoundAnswers.find(Of);
+  return Found == Evidence.m_SoundAnswers.end()
+             ? std::nullopt
+             : std::optional(Found->second.m_UpdatedAt);
 }
 
-// When the last sound answer on the suspect is known to have come.
+// The same for all gateways, as far as this one knows.
 std::optional<TimePoint> acquittedAt(const CrashEvidence &Evidence,
                                      const Suspect &Of) {
-  std::optional<TimePoint> Latest;
-  if (const auto Found = Evidence.m_Acquittals.find(Of);
-      Found != Evidence.m_Acquittals.end())
-    Latest = Found->second;
-  if (const auto Found = Evidence.m_SoundAnswers.find(Of);
-      Found != Evidence.m_SoundAnswers.end())
-    Latest = std::max(Latest, std::optional(Found->second.m_UpdatedAt));
-  return Latest;
+  const auto Found = Evidence.m_Acquittals.find(Of);
+  const auto Known = Found == Evidence.m_Acquittals.end()
+                         ? std::nullopt
+                         : std::optional(Found->second);
+  return std::max(Known, ownSoundAnswerAt(Evidence, Of));
 }
 
 void removeFromIndex(CrashEvidence &Evidence, const ServerRun &Run,
@@ -177,6 +238,20 @@
       }));
 }
 
+void recordRecent(CrashEvidence &Evidence, const Suspect &Of, TimePoint Now) {
+  RecentRequests &Recent = Evidence.m_RecentRequests[Of.m_Service];
+  Recent.m_Order.push_back(Of.m_Id.m_Text);
+  RecentRequest &Added = Recent.m_ById[Of.m_Id.m_Text];
+  ++Added.m_Count;
+  Added.m_LastAt = Now;
+  if (Recent.m_Order.size() <= Evidence.m_Options.m_MaxRecentRequests)
+    return;
+  const auto Oldest = Recent.m_ById.find(Recent.m_Order.front());
+  if (--Oldest->second.m_Count == 0)
+    Recent.m_ById.erase(Oldest);
+  Recent.m_Order.pop_front();
+}
+
 void storeAcquittal(CrashEvidence &Evidence, const Suspect &Of, TimePoint At) {
   auto &Acquittals = Evidence.m_Acquittals;
   TimePoint &Latest = Acquittals[Of];
@@ -191,12 +266,30 @@
 
 std::string_view toString(SuspectKind Kind) {
   switch (Kind) {
+  case SuspectKind::Request:
+    return "request";
   case SuspectKind::PromptPart:
     break;
   }
   return "prompt-part";
 }
 
+std::string toString(const SuspectId &Id) {
+  return std::string(toString(Id.m_Kind)) + ":" + Id.m_Text;
+}
+
+std::string_view toString(SuspectState State) {
+  switch (State) {
+  case SuspectState::Held:
+    return "held";
+  case SuspectState::Probation:
+    return "probation";
+  case SuspectState::Free:
+    break;
+  }
+  return "free";
+}
+
 CrashReport makeCrashReport(const CrashEvidence &Evidence,
                             const std::string &Service, std::uint32_t Requests,
                             const std::vector<SuspectId> &Ids, TimePoint Now) {
@@ -233,15 +326,14 @@
   CrashMerge Merged;
   for (const SuspectId &Id : Ids) {
     const Suspect Each{Crash.m_Service, Id};
-    const auto Sound = Evidence.m_SoundAnswers.find(Each);
-    if (Sound != Evidence.m_SoundAnswers.end() &&
-        Sound->second.m_UpdatedAt >= At) {
-      Merged.m_Acquitted[Each] = Sound->second.m_UpdatedAt;
-      storeAcquittal(Evidence, Each, Sound->second.m_UpdatedAt);
+    if (const auto Sound = ownSoundAnswerAt(Evidence, Each); Sound >= At) {
+      Merged.m_Acquitted[Each] = *Sound;
+      storeAcquittal(Evidence, Each, *Sound);
     }
-    if (findSuspicion(Evidence, Each) != Before[Id] &&
-        suspectState(Evidence, Each, false, Now) == SuspectState::Held)
-      Merged.m_Held.push_back(Each);
+    const SuspectState State = suspectState(Evidence, Each, false, Now);
+    if (State != SuspectState::Free &&
+        findSuspicion(Evidence, Each) != Before[Id])
+      Merged.m_Restricted[Each] = State;
   }
   return Merged;
 }
@@ -257,6 +349,10 @@
     const Suspect Each{Service, Id};
     if (mergeAcquittal(Evidence, Each, Now, Now))
       Acquitted.push_back(Each);
+    if (Id.m_Kind == SuspectKind::Request) {
+      recordRecent(Evidence, Each, Now);
+      continue;
+    }
     increment(Evidence.m_SoundAnswers[Each], Options, Now);
     if (Evidence.m_SoundAnswers.size() > Options.m_MaxSuspects)
       dropOldestCount(Evidence.m_SoundAnswers);
@@ -267,7 +363,7 @@
 bool mergeAcquittal(CrashEvidence &Evidence, const Suspect &Of, TimePoint At,
                     TimePoint Now) {
   const auto Before = findSuspicion(Evidence, Of);
-  if (!Before || isOver(*Before, Evidence.m_Options, Now))
+  if (!Before || isForgotten(Evidence, Of.m_Id.m_Kind, *Before, Now))
     return false;
   storeAcquittal(Evidence, Of, At);
   return findSuspicion(Evidence, Of) != Before;
@@ -275,14 +371,17 @@
 
 SuspectState suspectState(const CrashEvidence &Evidence, const Suspect &Of,
                           bool IsLastUnit, TimePoint Now) {
+  const SuspectKindOptions &Kind = optionsOf(Evidence, Of.m_Id.m_Kind);
   const auto Against = findSuspicion(Evidence, Of);
-  if (!Against || Against->m_Ratio < Evidence.m_Options.m_MinHeldRatio ||
-      isOver(*Against, Evidence.m_Options, Now))
+  if (!Against || Against->m_Ratio < Kind.m_MinProbationRatio)
     return SuspectState::Free;
   const Duration Hold = holdOf(Against->m_Ratio, Evidence.m_Options);
-  return Now - Against->m_LastCrash < (IsLastUnit ? LastUnitFactor : 1) * Hold
-             ? SuspectState::Held
-             : SuspectState::Probation;
+  const Duration Since = Now - Against->m_LastCrash;
+  if (Against->m_Ratio >= Kind.m_MinHeldRatio &&
+      Since < (IsLastUnit ? LastUnitFactor : 1) * Hold)
+    return SuspectState::Held;
+  return Since <= ProbationEndFactor * Hold ? SuspectState::Probation
+                                            : SuspectState::Free;
 }
 
 Duration timeToNextState(const CrashEvidence &Evidence, const Suspect &Of,
@@ -298,14 +397,16 @@
   return Against->m_LastCrash + Factor * Hold - Now;
 }
 
-bool wouldBeHeld(const CrashEvidence &Evidence, const Suspect &Of,
-                 std::uint32_t Requests, TimePoint Now) {
+bool mayBecomeRestricted(const CrashEvidence &Evidence, const Suspect &Of,
+                         std::uint32_t Requests, TimePoint Now) {
+  const SuspectKindOptions &Kind = optionsOf(Evidence, Of.m_Id.m_Kind);
   const auto Against = findSuspicion(Evidence, Of);
-  const bool Counts = Against && !isOver(*Against, Evidence.m_Options, Now);
-  const double Ratio = Counts ? Against->m_Ratio : 1.0;
-  return Ratio / chanceOf(describe(Evidence, Of, Now), Requests,
-                          Evidence.m_Options) >=
-         Evidence.m_Options.m_MinHeldRatio;
+  const bool Counts =
+      Against && !isForgotten(Evidence, Of.m_Id.m_Kind, *Against, Now);
+  const double Chance = chanceOf(
+      describe(Evidence, Of, Now), Requests,
+      Counts ? Kind.m_MinChance : Kind.m_MinFirstChance, Evidence.m_Options);
+  return (Counts ? Against->m_Ratio : 1.0) / Chance >= Kind.m_MinProbationRatio;
 }
 
 std::optional<Suspicion> findSuspicion(const CrashEvidence &Evidence,
@@ -314,35 +415,52 @@
   if (Implicating == Evidence.m_CrashesBySuspect.end())
     return std::nullopt;
   // The crashes that count, in order of time.
+  const SuspectKindOptions &Kind = optionsOf(Evidence, Of.m_Id.m_Kind);
   const std::optional<TimePoint> Acquitted = acquittedAt(Evidence, Of);
-  std::multimap<TimePoint, double> Chances;
+  std::multimap<TimePoint, const ServerCrash *> Crashes;
   for (const ServerRun &Run : Implicating->second) {
     const ServerCrash &Crash = Evidence.m_Crashes.at(Run);
-    if (Acquitted && Crash.m_At <= *Acquitted)
-      continue;
-    if (const auto Chance = chanceAt(Crash, Of.m_Id, Evidence.m_Options))
-      Chances.emplace(Crash.m_At, *Chance);
+    if (!Acquitted || Crash.m_At > *Acquitted)
+      Crashes.emplace(Crash.m_At, &Crash);
   }
   std::optional<Suspicion> Found;
-  for (auto Each = Chances.begin(); Each != Chances.end();) {
+  for (auto Each = Crashes.begin(); Each != Crashes.end();) {
     const CommonCause Cause = commonCause(Evidence, Of.m_Service, Each->first);
-    std::size_t Crashes = 0;
-    double Chance = 1.0;
-    for (; Each != Chances.end() && Each->first <= Cause.m_Last; ++Each) {
-      ++Crashes;
-      Chance *= Each->second;
-    }
-    if (!Found || isOver(*Found, Evidence.m_Options, Cause.m_Last))
+    const bool IsFirst =
+        !Found || isForgotten(Evidence, Of.m_Id.m_Kind, *Found, Each->first);
+    std::vector<double> Chances;
+    for (; Each != Crashes.end() && Each->first <= Cause.m_Last; ++Each)
+      if (const auto Chance =
+              chanceAt(*Each->second, Of.m_Id,
+                       IsFirst ? Kind.m_MinFirstChance : Kind.m_MinChance,
+                       Evidence.m_Options))
+        Chances.push_back(*Chance);
+    if (Chances.empty())
+      continue;
+    if (IsFirst)
       Found = Suspicion();
-    // The suspect was at this many of the crashes, whichever.
-    Found->m_Ratio /=
-        std::min(1.0, binomial(Cause.m_Crashes, Crashes) * Chance);
-    Found->m_Crashes += static_cast<std::uint32_t>(Crashes);
+    Found->m_Ratio /= chanceTogether(Chances, Cause.m_Crashes, Kind);
+    Found->m_Crashes += static_cast<std::uint32_t>(Chances.size());
     Found->m_LastCrash = Cause.m_Last;
   }
   return Found;
 }
 
+std::vector<std::string> implicatingServers(const CrashEvidence &Evidence,
+                                            const Suspect &Of) {
+  std::vector<std::string> Servers;
+  if (const auto Found = Evidence.m_CrashesBySuspect.find(Of);
+      Found != Evidence.m_CrashesBySuspect.end())
+    for (const ServerRun &Run : Found->second)
+      Servers.push_back(Run.m_BackendServer);
+  return Servers;
+}
+
+bool isRemembered(const CrashEvidence &Evidence, const ServerCrash &Crash,
+                  TimePoint Now) {
+  return Now - Crash.m_At <= Evidence.m_Options.m_Requests.m_MinMemory;
+}
+
 std::set<ServerRun> crashesThatHold(const CrashEvidence &Evidence,
                                     TimePoint Now) {
   std::set<ServerRun> Runs;
--- a/Source/Routing/CrashEvidence.h
+++ b/Source/Routing/CrashEvidence.h
@@ -1,6 +1,6 @@
 // Decides which requests are kept from backend servers because something about
-// them seems to crash every server that begins an answer: a suspect, such as a
-// part of their prompts.
+// them seems to crash every server that begins an answer: a suspect, which is a
+// part of their prompts or a whole request that comes again.
 //
 // A crash implicates the suspects of all requests whose answers the server was
 // beginning. Most of them are sound and were there by chance. The evidence
@@ -21,6 +21,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -30,17 +31,48 @@
 
 namespace mangocart {
 
-struct CrashEvidenceOptions {
-  // Suspects with a lower ratio are not held back.
+// How the evidence against suspects of one kind is judged.
+struct SuspectKindOptions {
+  // From this ratio on the suspect is on probation, from the other one on it is
+  // held first.
+  double m_MinProbationRatio = 5.0;
   double m_MinHeldRatio = 5.0;
+  // Lower bounds of the probability that a suspect is at a crash by chance: at
+  // the first one that counts against it, and at others.
+  double m_MinFirstChance = 0.05;
+  double m_MinChance = 0.05;
+  // The probability that a suspect which was at one of several crashes with a
+  // common cause was at others of them, too. Without a value each one counts.
+  std::optional<double> m_CommonCauseChance;
+  // The fraction of sound answers that a suspect is taken to be in before there
+  // are any, and the number of answers that this counts as.
+  double m_PriorFraction = 0.5;
+  double m_PriorAnswers = 2.0;
+  // Evidence is kept for so long after a crash, or until the probation ends.
+  Duration m_MinMemory = Duration::zero();
+
+  bool operator==(const SuspectKindOptions &) const = default;
+};
+
+struct CrashEvidenceOptions {
+  SuspectKindOptions m_PromptParts;
+  // Nearly all requests at a crash are seen for the first time and sound, and
+  // one that is held can't be sent to another server after the crash. So one
+  // crash alone changes nothing, and several at once only lead to probation.
+  SuspectKindOptions m_Requests = {.m_MinProbationRatio = 5.0,
+                                   .m_MinHeldRatio = 20.0,
+                                   .m_MinFirstChance = 0.25,
+                                   .m_MinChance = 0.05,
+                                   .m_CommonCauseChance = 0.5,
+                                   .m_PriorFraction = 0.1,
+                                   .m_PriorAnswers = 1.0,
+                                   .m_MinMemory = std::chrono::minutes(10)};
   // Suspects with this ratio or more count as convicted.
   double m_ConvictionRatio = 100.0;
   Duration m_HoldPerRatio = std::chrono::milliseconds(500);
   Duration m_MaxHold = std::chrono::minutes(10);
-  // Lower bound of the probability that a suspect is at a crash by chance.
-  double m_MinChance = 0.05;
-  // The bound grows in proportion to one plus the number of recent sound
-  // answers on the suspect, up to this number.
+  // The lower bounds of probabilities grow in proportion to one plus the number
+  // of recent sound answers on the suspect, up to this number.
   double m_MaxSoundAnswers = 4.0;
   // Crashes of one service that are no further apart may have one cause, such
   // as a loss of power, and are judged together.
@@ -50,13 +82,18 @@
   // answer for the longest time are forgotten.
   std::size_t m_MaxCrashes = 256;
   std::size_t m_MaxSuspects = 4096;
+  // The latest sound requests of a service by which the fraction of a request
+  // among them is estimated.
+  std::size_t m_MaxRecentRequests = 512;
 
   bool operator==(const CrashEvidenceOptions &) const = default;
 };
 
 enum class SuspectKind {
   // A part of prompts, by its ID.
-  PromptPart
+  PromptPart,
+  // A whole request, by its digest.
+  Request
 };
 
 // As in logs.
@@ -69,6 +106,9 @@
   auto operator<=>(const SuspectId &) const = default;
 };
 
+// "KIND:ID", as in logs.
+std::string toString(const SuspectId &Id);
+
 // What may crash the servers of one service.
 struct Suspect {
   std::string m_Service;
@@ -131,14 +171,34 @@
   bool operator==(const DecayingCount &) const = default;
 };
 
+// How often a request was among the recent ones, and when it was last answered.
+struct RecentRequest {
+  std::size_t m_Count = 0;
+  TimePoint m_LastAt;
+
+  bool operator==(const RecentRequest &) const = default;
+};
+
+// The latest requests of a service with sound answers.
+struct RecentRequests {
+  // In order of their answers.
+  std::deque<std::string> m_Order;
+  // The same, each once.
+  std::map<std::string, RecentRequest> m_ById;
+
+  bool operator==(const RecentRequests &) const = default;
+};
+
 struct CrashEvidence {
   CrashEvidenceOptions m_Options;
   std::map<ServerRun, ServerCrash> m_Crashes;
   // When another gateway or this one last had a sound answer on a suspect
   // against which there was evidence.
   std::map<Suspect, TimePoint> m_Acquittals;
-  // Sound answers at this gateway.
+  // Sound answers at this gateway on parts of prompts.
   std::map<Suspect, DecayingCount> m_SoundAnswers;
+  // Sound requests at this gateway, by service.
+  std::map<std::string, RecentRequests> m_RecentRequests;
   std::map<std::string, DecayingCount> m_SoundByService;
   // Index of m_Crashes: the crashes that implicate a suspect, and the times of
   // all crashes of a service.
@@ -154,14 +214,17 @@
   Probation
 };
 
+// As in logs.
+std::string_view toString(SuspectState State);
+
 // Describes the suspects for a report of this gateway about a crash.
 CrashReport makeCrashReport(const CrashEvidence &Evidence,
                             const std::string &Service, std::uint32_t Requests,
                             const std::vector<SuspectId> &Ids, TimePoint Now);
 
 struct CrashMerge {
-  // Suspects that are held because of the crash.
-  std::vector<Suspect> m_Held;
+  // Suspects that are held or on probation because of the crash.
+  std::map<Suspect, SuspectState> m_Restricted;
   // Implicated suspects on which this gateway has had a sound answer since,
   // and the time of the answer.
   std::map<Suspect, TimePoint> m_Acquitted;
@@ -193,15 +256,24 @@
 Duration timeToNextState(const CrashEvidence &Evidence, const Suspect &Of,
                          bool IsLastUnit, TimePoint Now);
 
-// Whether the suspect would be held if a server that was beginning the answers
-// of this many requests, one of them with the suspect, had crashed.
-bool wouldBeHeld(const CrashEvidence &Evidence, const Suspect &Of,
-                 std::uint32_t Requests, TimePoint Now);
+// Whether the suspect might be held or on probation if a server that was
+// beginning the answers of this many requests, one of them with the suspect,
+// had crashed.
+bool mayBecomeRestricted(const CrashEvidence &Evidence, const Suspect &Of,
+                         std::uint32_t Requests, TimePoint Now);
 
 // No value if there is no evidence against the suspect.
 std::optional<Suspicion> findSuspicion(const CrashEvidence &Evidence,
                                        const Suspect &Of);
 
+// The servers whose crashes implicate the suspect.
+std::vector<std::string> implicatingServers(const CrashEvidence &Evidence,
+                                            const Suspect &Of);
+
+// Whether the crash may still count as evidence.
+bool isRemembered(const CrashEvidence &Evidence, const ServerCrash &Crash,
+                  TimePoint Now);
+
 // The crashes that implicate a suspect which is held or on probation.
 std::set<ServerRun> crashesThatHold(const CrashEvidence &Evidence,
                                     TimePoint Now);
--- a/Tests/Gateway/testCrashGuard.cpp
+++ b/Tests/Gateway/testCrashGuard.cpp
@@ -83,8 +83,16 @@
     std::vector<SuspectId> Suspects;
     for (std::string &Part : Parts)
       Suspects.push_back({SuspectKind::PromptPart, std::move(Part)});
-    return m_Guard->begin({Service, std::move(Suspects), m_Executor,
-                           [this](const std::string &) { ++m_HeldCalls; }});
+    return watch(std::move(Suspects));
+  }
+  // A request without a prompt.
+  CrashGuard::Number beginPlain(const std::string &Digest) {
+    return watch({{SuspectKind::Request, Digest}});
+  }
+  CrashGuard::Number watch(std::vector<SuspectId> Suspects) {
+    return m_Guard->begin(
+        {Service, std::move(Suspects), m_Executor,
+         [this](SuspectState, const std::string &) { ++m_HeldCalls; }});
   }
   CrashGuard::Number send(std::vector<std::string> Parts,
                           const BackendTarget &To) {
@@ -92,6 +100,22 @@
     m_Guard->attemptSent(Request, To);
     return Request;
   }
+  CrashGuard::Number sendPlain(const std::string &Digest,
+                               const BackendTarget &To) {
+    const auto Request = beginPlain(Digest);
+    m_Guard->attemptSent(Request, To);
+    return Request;
+  }
+  // Waits until a crash has been recorded, and returns the news of it.
+  schema::LoadReport crashNews() {
+    schema::LoadReport Report;
+    for (int I = 0; I < 1000 && Report.crashes_size() == 0; ++I) {
+      std::this_thread::sleep_for(1ms);
+      m_Guard->addNews(Report);
+    }
+    REQUIRE(Report.crashes_size() == 1);
+    return Report;
+  }
   void lose(CrashGuard::Number Request) {
     std::promise<void> Known;
     m_Guard->connectionLost(Request, [&] { Known.set_value(); });
@@ -218,3 +242,39 @@
   CHECK(F.verify(F.running()));
   CHECK_FALSE(F.verify(Fixture::ended("e1")));
 }
+
+TEST_CASE("a request at one crash is sent again at once, one at two crashes "
+          "that different gateways saw is held at both") {
+  Fixture F;
+  const auto Request = F.m_First.sendPlain("bad", Fixture::ended("e1"));
+  F.m_First.lose(Request);
+  CHECK(F.m_First.allows(Request));
+  F.m_Second.m_Guard->merge(F.m_First.crashNews());
+  CHECK(F.m_First.allows(F.m_First.beginPlain("bad")));
+  CHECK(F.m_Second.allows(F.m_Second.beginPlain("bad")));
+  RuntimeClock::pause();
+  RuntimeClock::advance(3s);
+  const auto Again = F.m_Second.sendPlain("bad", Fixture::ended("e2"));
+  F.m_Second.lose(Again);
+  // Its end is known by now, so it isn't sent to another server.
+  CHECK_FALSE(F.m_Second.allows(Again));
+  F.m_Second.tell(F.m_First);
+  CHECK_FALSE(F.m_First.allows(F.m_First.beginPlain("bad")));
+  CHECK(F.m_First.allows(F.m_First.beginPlain("sound")));
+  RuntimeClock::resume();
+}
+
+TEST_CASE("a gateway that starts learns of a crash that holds no request yet") {
+  Fixture F;
+  F.m_First.lose(F.m_First.sendPlain("bad", Fixture::ended("e1")));
+  F.m_First.crashNews();
+  schema::LoadReport All;
+  F.m_First.m_Guard->addAll(All);
+  Gateway Third(F.m_Workers, F.m_Protocol, 2);
+  Third.m_Guard->merge(All);
+  RuntimeClock::pause();
+  RuntimeClock::advance(3s);
+  Third.lose(Third.sendPlain("bad", Fixture::ended("e2")));
+  CHECK_FALSE(Third.allows(Third.beginPlain("bad")));
+  RuntimeClock::resume();
+}
--- a/Tests/Routing/testCrashEvidence.cpp
+++ b/Tests/Routing/testCrashEvidence.cpp
@@ -73,7 +73,8 @@
     "a part that is new at a crash is held, one that is everywhere isn't") {
   CrashEvidence E = evidence();
   const CrashMerge Merged = crash(E, "e1", {"bad", "all", "shared"}, Start);
-  CHECK(Merged.m_Held == std::vector{part("bad")});
+  CHECK(Merged.m_Restricted ==
+        std::map<Suspect, SuspectState>{{part("bad"), SuspectState::Held}});
   CHECK(state(E, "bad", Start) == SuspectState::Held);
   CHECK(state(E, "all", Start) == SuspectState::Free);
   CHECK(state(E, "shared", Start) == SuspectState::Free);
@@ -130,7 +131,7 @@
       makeCrashReport(evidence(), Service, 1, parts({"p"}), Start);
   const CrashMerge Merged = mergeCrash(
       B, {"e1", 1}, {Service, Start, {{"g2", Report}}}, Start + 1100ms);
-  CHECK(Merged.m_Held.empty());
+  CHECK(Merged.m_Restricted.empty());
   CHECK(Merged.m_Acquitted ==
         std::map<Suspect, TimePoint>{{part("p"), Start + 1s}});
   CHECK(state(B, "p", Start + 1100ms) == SuspectState::Free);
