Gateway: only a probe sent after a connection ended shows that its server runs

Cause: requests to one server share the result of one probe. The server may have answered it before it ended, while the connection of another request ended later and was decided on with the same result. Connections that are lost while a probe is under way now wait for the next one. A probe whose connection is reset is sent again, up to twice: a server that was ending may have accepted it.

--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -27,6 +27,8 @@
 constexpr Duration SoundAfter = std::chrono::seconds(1);
 // As long as a connection to a backend server may take.
 constexpr Duration ProbeTimeout = milliseconds(300);
+// Probes that may end with a reset before the server counts as running.
+constexpr unsigned MaxProbeResets = 2;
 // Retry-After of a request that another one on probation goes before.
 constexpr Duration RetryAfterTrial = std::chrono::seconds(1);
 
@@ -248,7 +250,8 @@
         OnProbed = [Executor = Each.m_Request.m_Executor, Done](bool) {
           postTask(Executor, Done);
         };
-      LostServer &Lost = probe(*Each.m_Target, Now, std::move(OnProbed), After);
+      LostConnections &Lost =
+          probe(*Each.m_Target, Now, std::move(OnProbed), After);
       if (IsBeginning)
         implicate(Each, Lost.m_Implicated);
       if (!Matters)
@@ -274,56 +277,83 @@
   runAll(After);
 }
 
-// Any response shows that the server runs. A server that has ended refuses
-// connections, or its machine gives no answer. A known crash doesn't count: the
-// server may only have been silent.
-CrashGuard::LostServer &
+// A known crash doesn't count: the server may only have been silent.
+CrashGuard::LostConnections &
 CrashGuard::probe(const BackendTarget &Target, TimePoint Now,
                   std::function<void(bool Running)> Done, Calls &After) {
-  const ServerRun Run = runOf(Target);
-  const auto [At, Inserted] = m_Lost.try_emplace(Run);
-  LostServer &Lost = At->second;
+  const auto [At, Inserted] = m_Lost.try_emplace(runOf(Target));
+  LostServer &Server = At->second;
+  LostConnections &Lost = Inserted ? Server.m_Probed : Server.m_Later;
+  if (Lost.m_Waiting.empty())
+    Lost.m_At = Now;
   Lost.m_Waiting.push_back(std::move(Done));
-  if (!Inserted)
-    return Lost;
-  Lost.m_Target = Target;
-  Lost.m_At = Now;
-  After.emplace_back(
-      [this, Self = shared_from_this(), Run,
-       To = HttpTarget{Target.m_Agent.m_Address, Target.m_Agent.m_Port}] {
-        postTask(m_Executor, [this, Self, Run, To] {
-          HttpCallHandlers Handlers;
-          Handlers.m_OnHead = [](const HttpHead &) {};
-          Handlers.m_OnBody = [](std::string_view) {};
-          Handlers.m_OnEnd = [Self, Run] { Self->onProbed(Run, true); };
-          Handlers.m_OnError = [Self, Run](const HttpError &Error) {
-            Self->onProbed(Run, Error.m_Code != HttpErrorCode::ConnectFailed &&
-                                    Error.m_Code != HttpErrorCode::TimedOut);
-          };
-          m_Clients.on(m_Executor)
-              .send(To, m_Protocol.livenessProbe(), ProbeTimeout,
-                    std::move(Handlers));
-        });
-      });
+  if (Inserted) {
+    Server.m_Target = Target;
+    sendProbe(Target, 0, After);
+  }
   return Lost;
 }
 
+// Any response shows that the server runs. A server that has ended refuses
+// connections, or its machine gives no answer. A reset connection may have been
+// accepted by a server that was ending, or by one that has too many.
+void CrashGuard::sendProbe(const BackendTarget &Target, unsigned Resets,
+                           Calls &After) {
+  After.emplace_back([this, Self = shared_from_this(), Target, Resets] {
+    postTask(m_Executor, [this, Self, Target, Resets] {
+      HttpCallHandlers Handlers;
+      Handlers.m_OnHead = [](const HttpHead &) {};
+      Handlers.m_OnBody = [](std::string_view) {};
+      Handlers.m_OnEnd = [Self, Target] {
+        Self->onProbed(runOf(Target), true);
+      };
+      Handlers.m_OnError = [Self, Target, Resets](const HttpError &Error) {
+        if (Error.m_Code == HttpErrorCode::ConnectionLost &&
+            Resets < MaxProbeResets) {
+          Calls Again;
+          Self->sendProbe(Target, Resets + 1, Again);
+          return runAll(Again);
+        }
+        Self->onProbed(runOf(Target),
+                       Error.m_Code != HttpErrorCode::ConnectFailed &&
+                           Error.m_Code != HttpErrorCode::TimedOut);
+      };
+      m_Clients.on(m_Executor)
+          .send({Target.m_Agent.m_Address, Target.m_Agent.m_Port},
+                m_Protocol.livenessProbe(), ProbeTimeout, std::move(Handlers));
+    });
+  });
+}
+
 void CrashGuard::onProbed(const ServerRun &Run, bool Running) {
   Calls After;
-  LostServer Lost;
+  std::vector<std::function<void(bool Running)>> Waiting;
   {
     const std::lock_guard Lock(m_Mutex);
     const auto Found = m_Lost.find(Run);
     if (Found == m_Lost.end())
       return;
-    Lost = std::move(Found->second);
-    m_Lost.erase(Found);
-    if (!Running)
-      recordCrash(Lost.m_Target, Lost.m_At, RuntimeClock::now(),
-                  std::move(Lost.m_Implicated), After);
+    LostServer &Lost = Found->second;
+    Waiting = std::move(Lost.m_Probed.m_Waiting);
+    if (Running && !Lost.m_Later.m_Waiting.empty()) {
+      Lost.m_Probed = std::exchange(Lost.m_Later, {});
+      sendProbe(Lost.m_Target, 0, After);
+    } else {
+      // A server that has ended doesn't come back as the same run.
+      Waiting.insert(Waiting.end(), Lost.m_Later.m_Waiting.begin(),
+                     Lost.m_Later.m_Waiting.end());
+      if (!Running) {
+        Implicated By = std::move(Lost.m_Probed.m_Implicated);
+        By.m_Requests += Lost.m_Later.m_Implicated.m_Requests;
+        By.m_Suspects.merge(Lost.m_Later.m_Implicated.m_Suspects);
+        recordCrash(Lost.m_Target, Lost.m_Probed.m_At, RuntimeClock::now(),
+                    std::move(By), After);
+      }
+      m_Lost.erase(Found);
+    }
   }
   runAll(After);
-  for (const auto &Done : Lost.m_Waiting)
+  for (const auto &Done : Waiting)
     Done(Running);
 }
 
--- a/Source/Gateway/CrashGuard.h
+++ b/Source/Gateway/CrashGuard.h
@@ -115,14 +115,23 @@
     std::uint32_t m_Requests = 0;
     std::set<SuspectId> m_Suspects;
   };
-  // A server run of which a connection was lost, until a probe has ended.
-  struct LostServer {
-    BackendTarget m_Target;
+  // Lost connections that the result of one probe decides on.
+  struct LostConnections {
+    // When the first of them was lost.
     TimePoint m_At;
-    // Requests whose attempts ended with their connections meanwhile.
+    // Requests whose attempts ended with their connections.
     Implicated m_Implicated;
     std::vector<std::function<void(bool Running)>> m_Waiting;
   };
+  // A server run of which a connection was lost, until a probe has ended.
+  struct LostServer {
+    BackendTarget m_Target;
+    // Lost before the probe was sent.
+    LostConnections m_Probed;
+    // Lost since: if the server runs, another probe follows, as it may have
+    // answered the first one before it ended.
+    LostConnections m_Later;
+  };
   // Calls that are made after the mutex is released.
   using Calls = std::vector<std::function<void()>>;
 
@@ -133,8 +142,9 @@
   bool mayTry(const Suspect &Of, Number Request) const;
   void releaseTrials(Number Request);
   void recordSound(Watched &Each, TimePoint Now, Calls &After);
-  LostServer &probe(const BackendTarget &Target, TimePoint Now,
-                    std::function<void(bool Running)> Done, Calls &After);
+  LostConnections &probe(const BackendTarget &Target, TimePoint Now,
+                         std::function<void(bool Running)> Done, Calls &After);
+  void sendProbe(const BackendTarget &Target, unsigned Resets, Calls &After);
   void onProbed(const ServerRun &Run, bool Running);
   static void implicate(Watched &Each, Implicated &By);
   void recordCrash(const BackendTarget &Target, TimePoint At, TimePoint Now,
--- a/Tests/Gateway/testCrashGuard.cpp
+++ b/Tests/Gateway/testCrashGuard.cpp
@@ -16,6 +16,8 @@
 #include <catch2/trompeloeil.hpp>
 #include <fmt/format.h>
 
+#include <boost/asio/post.hpp>
+
 #include <future>
 
 using namespace mangocart;
@@ -144,8 +146,8 @@
 struct Fixture {
   Fixture()
       : m_Workers(1), m_Engine(m_Workers, {},
-                               [](const std::shared_ptr<HttpExchange> &E) {
-                                 E->respond({{200, {}}, "{}"});
+                               [this](const std::shared_ptr<HttpExchange> &E) {
+                                 onProbe(E);
                                }),
         m_Probe(NAMED_ALLOW_CALL(m_Protocol, livenessProbe())
                     .RETURN(HttpRequest{"GET", "/", {}, {}, {}})),
@@ -155,6 +157,12 @@
   }
   ~Fixture() { m_Workers.stop(); }
 
+  void onProbe(const std::shared_ptr<HttpExchange> &Exchange) {
+    if (m_HoldsProbe)
+      m_HeldProbe.set_value(Exchange);
+    else
+      Exchange->respond({{200, {}}, "{}"});
+  }
   BackendTarget running() const {
     return {"running", Service, "a", {EngineAddress, m_Engine.port()}, 1};
   }
@@ -168,6 +176,9 @@
     return Running.get_future().get();
   }
 
+  // The engine keeps its next probe without an answer.
+  std::atomic<bool> m_HoldsProbe{false};
+  std::promise<std::shared_ptr<HttpExchange>> m_HeldProbe;
   WorkerPool m_Workers;
   HttpServer m_Engine;
   MockProtocol m_Protocol;
@@ -278,3 +289,27 @@
   CHECK_FALSE(Third.allows(Third.beginPlain("bad")));
   RuntimeClock::resume();
 }
+
+// Guards against an answer that ended with its server and is taken for whole,
+// because the server had answered an earlier probe just before.
+TEST_CASE("a probe that was sent before a connection ended doesn't show that "
+          "its server still runs") {
+  Fixture F;
+  F.m_HoldsProbe = true;
+  std::promise<bool> First;
+  std::promise<bool> Second;
+  const auto Verify = [&](std::promise<bool> &Result) {
+    F.m_First.m_Guard->verifyRunning(
+        F.running(), F.m_First.m_Executor,
+        [&Result](bool Running) { Result.set_value(Running); });
+  };
+  Verify(First);
+  const auto Probe = F.m_HeldProbe.get_future().get();
+  F.m_Engine.closeListener();
+  Verify(Second);
+  boost::asio::post(Probe->executor(), [Probe] {
+    Probe->respond({{200, {}}, "{}"});
+  });
+  CHECK(First.get_future().get());
+  CHECK_FALSE(Second.get_future().get());
+}
