--- a/Tests/Routing/testCrashEvidenceRequests.cpp
+++ b/Tests/Routing/testCrashEvidenceRequests.cpp
@@ -369,8 +369,8 @@
 TEST_CASE("requests that crash servers are kept from them, sound ones are "
           "served") {
   const RequestModel Models[] = {
-      {60, 6, 5, 1, 1, 0.4, 0, 1, 3s},   {60, 6, 5, 2, 2, 2.0, 0, 1, 3s},
-      {13, 3, 5, 2, 2, 2.0, 0, 1, 3s},   {60, 6, 5, 1, 1, 1.0, 0.33, 1, 1200ms},
+      {60, 6, 5, 1, 1, 0.4, 0, 1, 3s},  {60, 6, 5, 2, 2, 2.0, 0, 1, 3s},
+      {13, 3, 5, 2, 2, 2.0, 0, 1, 3s},  {60, 6, 5, 1, 1, 1.0, 0.33, 1, 1200ms},
       {90, 60, 5, 1, 3, 5.0, 0, 1, 3s},
   };
   for (const RequestModel &Model : Models) {
