Tests: most servers of a service ask for pauses again and again

Guards against a way to a server that doesn't look at its pause, and against a pause that is forgotten before its end. One gateway, four of six engines ask for 2.5 s in four rounds, the others name a limit, crash or leave, and the configuration changes; streams, resumed streams, plain requests, repeats and requests that aren't idempotent.

--- a/Tests/Gateways/EngineFleet.cpp
+++ b/Tests/Gateways/EngineFleet.cpp
@@ -401,7 +401,7 @@
                                 std::string Body) {
   const std::lock_guard Lock(m_Mutex);
   m_Arrivals.push_back({Clock::now(), Each.m_Rank, Each.m_Id, std::move(Parts),
-                        std::move(Body)});
+                        std::move(Body), Each.m_Rejects});
 }
 
 std::vector<Arrival> EngineFleet::arrivals() const {
--- a/Tests/Gateways/EngineFleet.h
+++ b/Tests/Gateways/EngineFleet.h
@@ -55,6 +55,8 @@
   std::string m_Engine;
   std::vector<std::string> m_Parts;
   std::string m_Body;
+  // The engine rejected it, with the headers that it adds to its answers.
+  bool m_IsRejected = false;
 };
 
 struct Crash {
--- a/Tests/Gateways/GatewayDeployment.cpp
+++ b/Tests/Gateways/GatewayDeployment.cpp
@@ -21,7 +21,7 @@
 constexpr std::uint16_t HealthPort = 8220;
 constexpr std::chrono::seconds StartTimeout{20};
 
-constexpr const char *Configuration = R"({"version":1,"routes":[
+constexpr const char *Configuration = R"({"version":VERSION,"routes":[
 {"name":"streams","host":"test.example","path_prefix":"/stream/",
  "route_type":"stream","timeout_ms":8000,"target_latency_ms":400,"priority":1,
  "service":"engines","max_attempts":2,"public":true,"session_affinity":true,
@@ -130,6 +130,19 @@
   m_Gateways[Index]->signal(SignalNumber);
 }
 
+void GatewayDeployment::configure(unsigned Version) {
+  std::string Text = Configuration;
+  const std::string Name = "VERSION";
+  Text.replace(Text.find(Name), Name.size(), std::to_string(Version));
+  const HttpRequest Put{
+      "PUT",
+      "/config",
+      {{"Host", "voter"}, {"Content-Type", "application/json"}},
+      Text,
+      {}};
+  REQUIRE(waitFor([&] { return call(voter(), Put).m_Head.m_Status == 200; }));
+}
+
 void GatewayDeployment::start() {
   const std::string File = writeSettings(
       "voter", fmt::format("name = \"voter\"\navailability_zone = \"z0\"\n"
@@ -146,13 +159,7 @@
       (m_Folder / "voter.log").string());
   for (unsigned I = 0; I < gatewayCount(); ++I)
     startGateway(I);
-  const HttpRequest Put{
-      "PUT",
-      "/config",
-      {{"Host", "voter"}, {"Content-Type", "application/json"}},
-      Configuration,
-      {}};
-  REQUIRE(waitFor([&] { return call(voter(), Put).m_Head.m_Status == 200; }));
+  configure(1);
   for (unsigned I = 0; I < gatewayCount(); ++I) {
     const HttpTarget Health{gateway(I).m_Address, HealthPort};
     REQUIRE(waitFor([&] {
--- a/Tests/Gateways/GatewayDeployment.h
+++ b/Tests/Gateways/GatewayDeployment.h
@@ -25,6 +25,9 @@
 
   // Starts all processes and waits until every gateway is ready.
   void start();
+  // Sends the configuration to the voter under the version, with the same
+  // content.
+  void configure(unsigned Version);
   void startGateway(unsigned Index);
   void signalGateway(unsigned Index, int SignalNumber);
 
--- a/Tests/Gateways/testServerNotices.cpp
+++ b/Tests/Gateways/testServerNotices.cpp
@@ -24,9 +24,20 @@
   return {{40.0, true, Parts}, {10.0, false, Parts}};
 }
 
+// All ways to a server: streams, some of which are resumed, and plain requests
+// with and without repeats.
+std::vector<CallerKind> allCallers() {
+  std::vector<CallerKind> Kinds = callers();
+  const auto Own = [](Random &R) { return fmt::format("{:x}", R()); };
+  Kinds.push_back({10.0, false, {}, Own, false, 2});
+  Kinds.push_back({10.0, false, {}, Own, true, 2});
+  return Kinds;
+}
+
 // One gateway, since the engines can't tell gateways apart.
 struct Played {
-  explicit Played(int Octet) : m_Gateways(Octet, 1) {
+  explicit Played(int Octet, std::vector<CallerKind> Callers = callers())
+      : m_Gateways(Octet, 1) {
     m_Gateways.start();
     FleetOptions Options;
     Options.m_Network = m_Gateways.engineNetwork();
@@ -35,7 +46,7 @@
     m_Fleet->start();
     std::this_thread::sleep_for(1s);
     m_Load = std::make_unique<CallerLoad>(std::vector{m_Gateways.gateway(0)},
-                                          callers(), 11);
+                                          std::move(Callers), 11);
     m_Load->start();
     std::this_thread::sleep_for(2s);
   }
@@ -125,3 +136,46 @@
       CHECK(Each.m_EndedAfter < 200ms);
     }
 }
+
+// Guards against a way to a server that doesn't look at its pause, and against
+// a pause that is forgotten before its end: when several servers ask at once
+// and again, while others name a limit, leave or crash, and while the
+// configuration changes.
+TEST_CASE("most servers of a service ask for pauses again and again and get no "
+          "requests until each one ends") {
+  constexpr auto Pause = 2500ms;
+  constexpr auto Grace = 500ms;
+  constexpr unsigned Pausing = 4;
+  Played P(80, allCallers());
+  P.m_Fleet->setHeaders(4, "Server-Limit: 20\r\n");
+  for (int Round = 0; Round < 4; ++Round) {
+    for (unsigned I = 0; I < Pausing; ++I) {
+      P.m_Fleet->setHeaders(I, "Retry-After: 2.5\r\n");
+      P.m_Fleet->setRejecting(I, true);
+    }
+    std::this_thread::sleep_for(1s);
+    if (Round == 1)
+      P.m_Fleet->endEngine(5);
+    if (Round == 2)
+      P.m_Fleet->setHeaders(5, "Server-Leaving: 1\r\n");
+    if (Round == 3)
+      P.m_Gateways.configure(2);
+    std::this_thread::sleep_for(Pause - 1s);
+    for (unsigned I = 0; I < Pausing; ++I) {
+      P.m_Fleet->setHeaders(I, "");
+      P.m_Fleet->setRejecting(I, false);
+    }
+    std::this_thread::sleep_for(1s);
+  }
+  const auto Arrivals = P.m_Fleet->arrivals();
+  std::size_t Asked = 0;
+  for (const Arrival &Each : Arrivals)
+    if (Each.m_IsRejected) {
+      ++Asked;
+      CHECK(P.arrivals(Each.m_Index, Each.m_At + Grace, Each.m_At + Pause) <=
+            2);
+    }
+  // Each server was asked in each round, or had not yet ended its pause.
+  CHECK(Asked >= 2 * Pausing);
+  P.m_Load->finish();
+}
