Gateway: a call that finds no server doesn't delay others in the queue

A call that had tried the only free server, while the others paused, stood first in the queue of its service; each pass through the queue ended at it, so calls that the free server could take waited too, until the first one could no longer meet its target. A pass now goes on behind such calls, up to 16 of them.

testServiceDispatcher failed before: the second call wasn't dispatched.

--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -34,6 +34,7 @@
 
 std::string describe(const std::set<SuspectId> &Suspects) {
   std::vector<std::string> Names;
+  Names.reserve(Suspects.size());
   for (const SuspectId &Each : Suspects)
     Names.push_back(toString(Each));
   return fmt::format("{}", fmt::join(Names, ","));
--- a/Source/Gateway/ServiceDispatcher.cpp
+++ b/Source/Gateway/ServiceDispatcher.cpp
@@ -4,8 +4,17 @@
 #include "Core/PostTask.h"
 #include "Entry/MembershipDirectory.h"
 
+#include <set>
+
 namespace mangocart {
 
+namespace {
+
+// Bounds the work of one pass through the queue.
+constexpr std::size_t MaxPassedOver = 16;
+
+} // namespace
+
 std::string_view toString(DispatchRejection Rejection) {
   switch (Rejection) {
   case DispatchRejection::None:
@@ -141,12 +150,19 @@
                                               ServiceEntry &Entry,
                                               TimePoint Now) {
   const ServiceState State = updateState(Service, Entry.m_Queue, Now);
-  while (const auto Next = nextCall(Entry.m_Queue, Now)) {
+  std::set<std::uint64_t> PassedOver;
+  while (const auto Next = nextCall(Entry.m_Queue, Now, PassedOver)) {
     const std::uint64_t Number = Entry.m_Queue.m_Waiting[*Next].m_Number;
     const auto Found = Entry.m_Pending.find(Number);
     auto Target = choose(Found->second.m_Call);
-    if (!Target)
-      break;
+    if (!Target) {
+      // A call that has tried a server may find none where others still do.
+      if (Found->second.m_Call.m_Tried.empty() ||
+          PassedOver.size() >= MaxPassedOver)
+        break;
+      PassedOver.insert(Number);
+      continue;
+    }
     recordDispatched(Entry.m_Queue, *Next, Now);
     PendingCall Sent = std::move(Found->second);
     Entry.m_Pending.erase(Found);
--- a/Source/Gateway/ServiceQueue.cpp
+++ b/Source/Gateway/ServiceQueue.cpp
@@ -92,13 +92,16 @@
   Queue.m_Waiting.push_back(Call);
 }
 
-std::optional<std::size_t> nextCall(const ServiceQueue &Queue, TimePoint Now) {
-  const auto Best =
-      std::min_element(Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
-                       [&](const WaitingCall &A, const WaitingCall &B) {
-                         return precedes(Queue, A, B, Now);
-                       });
-  if (Best == Queue.m_Waiting.end())
+std::optional<std::size_t> nextCall(const ServiceQueue &Queue, TimePoint Now,
+                                    const std::set<std::uint64_t> &PassedOver) {
+  const auto Best = std::min_element(
+      Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
+      [&](const WaitingCall &A, const WaitingCall &B) {
+        const bool PassesA = PassedOver.contains(A.m_Number);
+        const bool PassesB = PassedOver.contains(B.m_Number);
+        return PassesA != PassesB ? PassesB : precedes(Queue, A, B, Now);
+      });
+  if (Best == Queue.m_Waiting.end() || PassedOver.contains(Best->m_Number))
     return std::nullopt;
   return static_cast<std::size_t>(Best - Queue.m_Waiting.begin());
 }
--- a/Source/Gateway/ServiceQueue.h
+++ b/Source/Gateway/ServiceQueue.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace mangocart {
@@ -93,8 +94,11 @@
 
 void enqueue(ServiceQueue &Queue, const WaitingCall &Call, TimePoint Now);
 
-// Index in m_Waiting of the call to dispatch next; nullopt if none waits.
-std::optional<std::size_t> nextCall(const ServiceQueue &Queue, TimePoint Now);
+// Index in m_Waiting of the call to dispatch next, without those whose numbers
+// are passed over; nullopt if none is left.
+std::optional<std::size_t>
+nextCall(const ServiceQueue &Queue, TimePoint Now,
+         const std::set<std::uint64_t> &PassedOver = {});
 
 // Removes a call that was dispatched, and updates the dispatch rate.
 void recordDispatched(ServiceQueue &Queue, std::size_t Index, TimePoint Now);
--- /dev/null
+++ b/Tests/Gateway/testServiceDispatcher.cpp
@@ -0,0 +1,91 @@
+// Calls for servers that pause, before a directory of two servers. Guards
+// against calls that wait for servers that they can't be sent to, and against
+// others that wait behind them.
+#include "Gateway/ServiceDispatcher.h"
+
+#include "Entry/MembershipDirectory.h"
+#include "Events/EventLog.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace mangocart;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Service = "bookings";
+
+struct Fixture {
+  Fixture()
+      : m_Events({"gateway", "g", "a"}, "/dev/null"),
+        m_Directory(m_Events, "a", 1, 1), m_Dispatcher(m_Directory, 1) {
+    RuntimeClock::pause();
+    for (int I = 0; I < 2; ++I) {
+      Member Server;
+      Server.m_BackendServer = fmt::format("s{}", I);
+      Server.m_Service = Service;
+      Server.m_Address = "127.90.8.1";
+      Server.m_PeerPort = static_cast<std::uint16_t>(9000 + I);
+      m_Directory.announced(Server);
+    }
+  }
+  ~Fixture() { RuntimeClock::resume(); }
+
+  void pause(const std::string &Server, Duration For) {
+    ServerNotice Notice;
+    Notice.m_Pause = For;
+    const auto Target = m_Directory.locate(Server);
+    REQUIRE(Target);
+    m_Directory.noteAnswer(*Target, Notice);
+  }
+
+  // The result is set once the call is dispatched or rejected.
+  void submit(std::optional<DispatchResult> &Result,
+              std::vector<std::string> Tried) {
+    DispatchRequest Call;
+    Call.m_Service = Service;
+    Call.m_MaxOutstanding = 8;
+    Call.m_Tried = std::move(Tried);
+    const TimePoint Now = RuntimeClock::now();
+    Call.m_Times.m_Arrived = Now;
+    Call.m_Times.m_TargetTime = Now + 400ms;
+    Call.m_Times.m_Deadline = Call.m_Times.m_CallerTimeoutAt = Now + 4s;
+    m_Dispatcher.submit(
+        std::move(Call), m_Context.get_executor(),
+        [&Result](DispatchResult Done) { Result = std::move(Done); });
+    run();
+  }
+
+  void run() {
+    m_Context.restart();
+    m_Context.poll();
+  }
+
+  boost::asio::io_context m_Context;
+  EventLog m_Events;
+  MembershipDirectory m_Directory;
+  ServiceDispatcher m_Dispatcher;
+};
+
+} // namespace
+
+TEST_CASE("a call that only a pausing server can take doesn't delay others") {
+  Fixture F;
+  F.pause("s1", 1s);
+  std::optional<DispatchResult> Restricted;
+  std::optional<DispatchResult> Other;
+  F.submit(Restricted, {"s0"});
+  CHECK_FALSE(Restricted);
+  F.submit(Other, {});
+  REQUIRE(Other);
+  REQUIRE(Other->m_Target);
+  CHECK(Other->m_Target->m_Name == "s0");
+  RuntimeClock::advance(1s);
+  F.m_Dispatcher.dispatchWaiting();
+  F.run();
+  REQUIRE(Restricted);
+  REQUIRE(Restricted->m_Target);
+  CHECK(Restricted->m_Target->m_Name == "s1");
+}
