Gateway: a call is rejected at once if its untried servers pause too long

A call that had been rejected by one server was queued while all others of the service paused for longer than its caller waits, and was rejected only near the caller's time limit. It is now rejected at once; the caller's next attempt may go to the first server again.

testServiceDispatcher failed before: the call had no result.

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -304,12 +304,16 @@
 }
 
 ServiceAvailability
-MembershipDirectory::availability(std::string_view Service) const {
+MembershipDirectory::availability(std::string_view Service,
+                                  const std::vector<std::string> &Tried) const {
   const TimePoint Now = RuntimeClock::now();
   const std::lock_guard Lock(m_Mutex);
   ServiceAvailability Found;
   std::optional<TimePoint> FirstEnd;
-  for (const CandidateView &Each : usableViews(Service)) {
+  ChoiceRequest Untried;
+  Untried.m_Service = Service;
+  Untried.m_Tried = &Tried;
+  for (const CandidateView &Each : candidates(Untried)) {
     const auto Until =
         pausedUntil(m_Routing.m_Notices, Each.m_Member->m_BackendServer, Now);
     if (!Until)
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -106,7 +106,10 @@
   // ejected or reinstated.
   void sweepMembers();
   std::vector<MemberView> members() const;
-  ServiceAvailability availability(std::string_view Service) const;
+  // Tried: servers that don't count.
+  ServiceAvailability
+  availability(std::string_view Service,
+               const std::vector<std::string> &Tried = {}) const;
   // Number of the service's parts that fail independently: rank groups and
   // servers without one, that accept new requests.
   std::size_t independentUnits(std::string_view Service) const;
--- a/Source/Gateway/ServiceDispatcher.cpp
+++ b/Source/Gateway/ServiceDispatcher.cpp
@@ -80,6 +80,17 @@
   return Result;
 }
 
+bool ServiceDispatcher::mayBeSentInTime(const DispatchRequest &Call,
+                                        const ServiceQueue &Queue,
+                                        TimePoint Now) const {
+  if (Call.m_Tried.empty())
+    return true;
+  const ServiceAvailability Untried =
+      m_Directory.availability(Call.m_Service, Call.m_Tried);
+  return Untried.m_Servers > 0 || !Untried.m_ResumesAt ||
+         *Untried.m_ResumesAt < latestStart(Queue, Call.m_Times, Now);
+}
+
 std::uint64_t ServiceDispatcher::submit(DispatchRequest Call,
                                         boost::asio::any_io_executor Executor,
                                         Handler Done) {
@@ -98,7 +109,8 @@
   const WaitingCall Times = Pending.m_Call.m_Times;
   const ServiceState State =
       updateState(Pending.m_Call.m_Service, Entry.m_Queue, Now);
-  if (!shouldEnqueue(Entry.m_Queue, Times, State, Now)) {
+  if (!shouldEnqueue(Entry.m_Queue, Times, State, Now) ||
+      !mayBeSentInTime(Pending.m_Call, Entry.m_Queue, Now)) {
     postResult(std::move(Pending),
                makeRejection(Entry.m_Queue, Times, State, Now));
     return Number;
--- a/Source/Gateway/ServiceDispatcher.h
+++ b/Source/Gateway/ServiceDispatcher.h
@@ -91,6 +91,10 @@
   // Looks up and records the state of the service.
   ServiceState updateState(const std::string &Service, ServiceQueue &Queue,
                            TimePoint Now) const;
+  // Whether the call can be sent before its caller disconnects, judged by the
+  // pauses of the servers that it has not tried.
+  bool mayBeSentInTime(const DispatchRequest &Call, const ServiceQueue &Queue,
+                       TimePoint Now) const;
   void dispatchWaitingLocked(const std::string &Service, ServiceEntry &Entry,
                              TimePoint Now);
   void postResult(PendingCall Call, DispatchResult Result);
--- a/Source/Gateway/ServiceQueue.cpp
+++ b/Source/Gateway/ServiceQueue.cpp
@@ -74,11 +74,15 @@
                   Queue.m_Options.m_MinOutageLeft);
 }
 
+TimePoint latestStart(const ServiceQueue &Queue, const WaitingCall &Call,
+                      TimePoint Now) {
+  return Call.m_CallerTimeoutAt - Queue.m_Options.m_RejectionMargin -
+         expectedFirstByte(Queue, Now);
+}
+
 bool shouldEnqueue(const ServiceQueue &Queue, const WaitingCall &Call,
                    ServiceState State, TimePoint Now) {
-  const TimePoint LastStart = Call.m_CallerTimeoutAt -
-                              Queue.m_Options.m_RejectionMargin -
-                              expectedFirstByte(Queue, Now);
+  const TimePoint LastStart = latestStart(Queue, Call, Now);
   if (State == ServiceState::Unavailable)
     return Now + expectedOutageLeft(Queue, Now) < LastStart;
   const bool OnTime = canMeetTarget(Queue, Call, Now);
--- a/Source/Gateway/ServiceQueue.h
+++ b/Source/Gateway/ServiceQueue.h
@@ -88,6 +88,11 @@
 // Expected remaining time of the current outage.
 Duration expectedOutageLeft(const ServiceQueue &Queue, TimePoint Now);
 
+// The latest time at which the call is sent, so that its answer begins before
+// its caller disconnects.
+TimePoint latestStart(const ServiceQueue &Queue, const WaitingCall &Call,
+                      TimePoint Now);
+
 // Whether a call that finds no free capacity should be queued.
 bool shouldEnqueue(const ServiceQueue &Queue, const WaitingCall &Call,
                    ServiceState State, TimePoint Now);
--- a/Tests/Gateway/testServiceDispatcher.cpp
+++ b/Tests/Gateway/testServiceDispatcher.cpp
@@ -89,3 +89,14 @@
   REQUIRE(Restricted->m_Target);
   CHECK(Restricted->m_Target->m_Name == "s1");
 }
+
+TEST_CASE("a call is rejected at once if the servers that it has not tried "
+          "pause for longer than its caller waits") {
+  Fixture F;
+  F.pause("s1", 10s);
+  std::optional<DispatchResult> Result;
+  F.submit(Result, {"s0"});
+  REQUIRE(Result);
+  CHECK_FALSE(Result->m_Target);
+  CHECK(Result->m_RetryAfter > 0s);
+}
