--- a/Tests/Gateway/testReportMessages.cpp
+++ b/Tests/Gateway/testReportMessages.cpp
@@ -58,6 +58,27 @@
   }
 }
 
+TEST_CASE(
+    "suspects of both kinds arrive, those of unknown kinds are left out") {
+  const SuspectId Request{SuspectKind::Request, "d1"};
+  const ServerCrash Crash{
+      "drafts", Now, {{"g1", {2, {{part("d1"), {}}, {Request, {}}}}}}};
+  schema::LoadReport Report;
+  addCrash(Report, {"e1", 7}, Crash, "g1", Now);
+  addAcquittal(Report, {"drafts", Request}, Now - 100ms, Now);
+  // As a gateway of a later version might send it.
+  constexpr auto Unknown = static_cast<schema::SuspectKind>(7);
+  schema::ImplicatedSuspect &Later = *Report.mutable_crashes(0)->add_suspects();
+  Later.set_kind(Unknown);
+  Later.set_id("d1");
+  const ServerCrash Read = crashFromSchema(Report.crashes(0), Now);
+  CHECK(Read.m_Reports == Crash.m_Reports);
+  CHECK(suspectFromSchema(Report.acquittals(0)) == Suspect{"drafts", Request});
+  schema::Acquittal Acquittal;
+  Acquittal.set_kind(Unknown);
+  CHECK_FALSE(suspectFromSchema(Acquittal));
+}
+
 TEST_CASE("limits arrive with their age, and as none after they were lifted") {
   schema::LoadReport Report;
   addLimits(Report,
