Gateway: a machine without a sign of life implicates none of its requests

Cause: a server whose machine gave no sign of life counted as crashed under the requests that waited there. A machine is silent because it is cut off or stands still, which no request causes, and gateways notice machines that stop at one moment up to seconds apart, so a request that is sent on from one to the next looks like the cause. A server that ends under a request closes its connections; only that counts now. An answer that never begins still makes a request go elsewhere.

Evidence: testCrashingRequest, machines that stand still, failed before (13 suspects held, at all four gateways) and passes. The test of testCrashGuard for a silent server that answers later has the guard told of its end by a probe without an answer instead of the call that is gone; it checks the same.

--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -358,16 +358,6 @@
     Done(Running);
 }
 
-void CrashGuard::serverSilent(const BackendTarget &Target) {
-  Calls After;
-  {
-    const std::lock_guard Lock(m_Mutex);
-    const TimePoint Now = RuntimeClock::now();
-    recordCrash(Target, Now, Now, {}, After);
-  }
-  runAll(After);
-}
-
 void CrashGuard::implicate(Watched &Each, Implicated &By) {
   if (std::exchange(Each.m_IsCounted, true))
     return;
--- a/Source/Gateway/CrashGuard.h
+++ b/Source/Gateway/CrashGuard.h
@@ -78,8 +78,6 @@
   // The attempt's connection was lost. Done is called on the request's executor
   // once it is known whether the server has ended, if that matters.
   void connectionLost(Number Request, std::function<void()> Done);
-  // The server gives no sign of life.
-  void serverSilent(const BackendTarget &Target);
   // Finds out whether the server still runs. Done is called on the executor.
   void verifyRunning(const BackendTarget &Target,
                      boost::asio::any_io_executor Executor,
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -273,12 +273,8 @@
     return;
   m_MonitorId = m_Context.m_AttemptMonitor.begin(
       *m_Target, m_Exchange->executor(), [Weak = weak_from_this()] {
-        const auto Self = Weak.lock();
-        if (!Self)
-          return;
-        if (Self->m_Target)
-          Self->m_Context.m_CrashGuard.serverSilent(*Self->m_Target);
-        Self->failOver("the backend server's machine does not respond");
+        if (const auto Self = Weak.lock())
+          Self->failOver("the backend server's machine does not respond");
       });
   const auto Timeout = attemptTimeout(
       m_Context.m_Dispatcher.expectedFirstByte(m_Request.m_Service),
--- a/Tests/Gateway/testCrashGuard.cpp
+++ b/Tests/Gateway/testCrashGuard.cpp
@@ -247,9 +247,10 @@
 TEST_CASE("a server that gave no sign of life for a while counts as running "
           "once it answers") {
   Fixture F;
-  const auto Request = F.m_First.send({"all", "x"}, F.running());
-  F.m_First.m_Guard->serverSilent(F.running());
-  F.m_First.m_Guard->attemptEnded(Request);
+  F.m_HoldsProbe = true;
+  F.m_First.lose(F.m_First.send({"all", "x"}, F.running()));
+  CHECK_FALSE(F.m_First.allows(F.m_First.begin({"all", "x"})));
+  F.m_HoldsProbe = false;
   CHECK(F.verify(F.running()));
   CHECK_FALSE(F.verify(Fixture::ended("e1")));
 }
--- a/Tests/Gateways/EngineFleet.cpp
+++ b/Tests/Gateways/EngineFleet.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <fcntl.h>
+#include <functional>
 #include <optional>
 #include <sstream>
 
@@ -54,6 +55,7 @@
   std::string m_Headers;
   unsigned m_Rank = 0;
   bool m_Rejects = false;
+  bool m_Frozen = false;
   bool m_Up = false;
   tcp::acceptor m_Acceptor;
   asio::steady_timer m_Restart;
@@ -96,6 +98,12 @@
     m_Socket.close(Ignored);
   }
 
+  // Goes on with what stopped when the machine froze.
+  void wake() {
+    if (auto Next = std::exchange(m_Stopped, {}))
+      Next();
+  }
+
   // The rank group has broken: begun answers are cut off, others not run.
   void onGroupBroken() {
     if (m_State == State::Writing)
@@ -115,6 +123,10 @@
   }
 
   void handle() {
+    if (m_Engine.m_Frozen) {
+      m_Stopped = [this] { handle(); };
+      return;
+    }
     if (m_Request.method() == http::verb::get)
       return respond(200, {}, "{}");
     m_Parts = partsOf(std::string(m_Request[PartsHeader]));
@@ -223,7 +235,11 @@
   template <class Task> void after(milliseconds Delay, Task Next) {
     m_Timer.expires_after(Delay);
     m_Timer.async_wait([Self = shared_from_this(), Next](error_code Error) {
-      if (!Error && !Self->m_Closed)
+      if (Error || Self->m_Closed)
+        return;
+      if (Self->m_Engine.m_Frozen)
+        Self->m_Stopped = Next;
+      else
         Next();
     });
   }
@@ -248,6 +264,7 @@
   boost::beast::flat_buffer m_Buffer;
   http::request<http::string_body> m_Request;
   std::vector<std::string> m_Parts;
+  std::function<void()> m_Stopped;
   std::string m_Output;
   std::size_t m_NextEvent = 1;
   State m_State = State::Idle;
@@ -305,7 +322,7 @@
 
 void EngineFleet::announceAll() {
   for (const auto &Each : m_Engines)
-    if (Each->m_Up)
+    if (Each->m_Up && !Each->m_Frozen)
       announce(*Each);
   m_AnnounceTimer.expires_after(AnnounceInterval);
   m_AnnounceTimer.async_wait([this](error_code Error) {
@@ -432,4 +449,19 @@
              [this, Index, Rejects] { m_Engines[Index]->m_Rejects = Rejects; });
 }
 
+void EngineFleet::setFrozen(unsigned Index, bool Frozen) {
+  asio::post(m_Context, [this, Index, Frozen] {
+    Engine &Each = *m_Engines[Index];
+    Each.m_Frozen = Frozen;
+    if (!Frozen)
+      wake(Each);
+  });
+}
+
+void EngineFleet::wake(Engine &Each) {
+  const auto Sessions = Each.m_Sessions;
+  for (const auto &Connection : Sessions)
+    Connection->wake();
+}
+
 } // namespace mangocart::test
--- a/Tests/Gateways/EngineFleet.h
+++ b/Tests/Gateways/EngineFleet.h
@@ -82,6 +82,9 @@
   void setHeaders(unsigned Index, std::string Lines);
   // The engine rejects all requests as not run from now on, or stops doing so.
   void setRejecting(unsigned Index, bool Rejects);
+  // The engine's machine stands still: nothing is answered or announced, begun
+  // answers stop. They go on when it wakes.
+  void setFrozen(unsigned Index, bool Frozen);
 
 private:
   struct Engine;
@@ -91,6 +94,7 @@
   void accept(Engine &Each);
   void announceAll();
   void announce(const Engine &Each);
+  void wake(Engine &Each);
   void crash(Engine &Each, const std::string &Cause);
   void breakGroup(const std::string &FaultyAddress);
   void formGroup();
--- a/Tests/Gateways/testCrashingRequest.cpp
+++ b/Tests/Gateways/testCrashingRequest.cpp
@@ -272,3 +272,35 @@
   for (unsigned I = 0; I < 4; ++I)
     CHECK(On.m_Gateways.log(I).find("\"event\":4106") == std::string::npos);
 }
+
+// Guards against machines that stand still and are taken for servers that the
+// requests there have ended: what comes again, or shares a part of its prompt,
+// would be held back for it.
+TEST_CASE("requests at machines that stand still for a while are not held back",
+          "[request]") {
+  Scenario Played{"machines stand still", {}};
+  Played.m_Retries = 1;
+  std::vector<CallerKind> Kinds = callers(Played);
+  // Each subject comes a few times.
+  Kinds[0].m_Parts = [Count = 0U](Random &) mutable {
+    return std::vector<std::string>{"5e", fmt::format("a{}", ++Count / 4)};
+  };
+  Deployment On({}, 88);
+  CallerLoad Load(On.targets(false), Kinds, 5);
+  Load.start();
+  for (int Round = 0; Round < 4; ++Round) {
+    std::this_thread::sleep_for(2s);
+    for (const unsigned I : {0, 1})
+      On.m_Fleet->setFrozen(I, true);
+    std::this_thread::sleep_for(4s);
+    for (const unsigned I : {0, 1})
+      On.m_Fleet->setFrozen(I, false);
+  }
+  const auto &Records = Load.finish();
+  const SoundRequests All = countSound(Records, {});
+  INFO("answered " << All.m_Answered << " of " << All.m_Sent);
+  CHECK(All.m_Answered >= 0.95 * static_cast<double>(All.m_Sent));
+  checkNoneCutShort(Records);
+  for (unsigned I = 0; I < 4; ++I)
+    CHECK(On.m_Gateways.log(I).find("\"event\":4106") == std::string::npos);
+}
