Routing: recent requests in a file pair of their own, tests of cut gateways

The record of recent requests moves out of CrashEvidence and gets tests. testCrashGuard plays gateways that hear of each other's crashes only after a cut. Corrections for the linter in tests.

--- a/Source/Routing/CrashEvidence.cpp
+++ b/Source/Routing/CrashEvidence.cpp
@@ -55,8 +55,7 @@
   if (Of.m_Id.m_Kind != SuspectKind::Request ||
       Service == Evidence.m_RecentRequests.end())
     return nullptr;
-  const auto Found = Service->second.m_ById.find(Of.m_Id.m_Text);
-  return Found == Service->second.m_ById.end() ? nullptr : &Found->second;
+  return findRequest(Service->second, Of.m_Id.m_Text);
 }
 
 // Sound answers on the suspect, and all that they are compared with.
@@ -238,20 +237,6 @@
       }));
 }
 
-void recordRecent(CrashEvidence &Evidence, const Suspect &Of, TimePoint Now) {
-  RecentRequests &Recent = Evidence.m_RecentRequests[Of.m_Service];
-  Recent.m_Order.push_back(Of.m_Id.m_Text);
-  RecentRequest &Added = Recent.m_ById[Of.m_Id.m_Text];
-  ++Added.m_Count;
-  Added.m_LastAt = Now;
-  if (Recent.m_Order.size() <= Evidence.m_Options.m_MaxRecentRequests)
-    return;
-  const auto Oldest = Recent.m_ById.find(Recent.m_Order.front());
-  if (--Oldest->second.m_Count == 0)
-    Recent.m_ById.erase(Oldest);
-  Recent.m_Order.pop_front();
-}
-
 void storeAcquittal(CrashEvidence &Evidence, const Suspect &Of, TimePoint At) {
   auto &Acquittals = Evidence.m_Acquittals;
   TimePoint &Latest = Acquittals[Of];
@@ -350,7 +335,8 @@
     if (mergeAcquittal(Evidence, Each, Now, Now))
       Acquitted.push_back(Each);
     if (Id.m_Kind == SuspectKind::Request) {
-      recordRecent(Evidence, Each, Now);
+      recordRequest(Evidence.m_RecentRequests[Service], Id.m_Text,
+                    Options.m_MaxRecentRequests, Now);
       continue;
     }
     increment(Evidence.m_SoundAnswers[Each], Options, Now);
--- a/Source/Routing/CrashEvidence.h
+++ b/Source/Routing/CrashEvidence.h
@@ -17,11 +17,11 @@
 #define MANGOCART_ROUTING_CRASHEVIDENCE_H
 
 #include "Core/RuntimeClock.h"
+#include "Routing/RecentRequests.h"
 
 #include <compare>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -171,24 +171,6 @@
   bool operator==(const DecayingCount &) const = default;
 };
 
-// How often a request was among the recent ones, and when it was last answered.
-struct RecentRequest {
-  std::size_t m_Count = 0;
-  TimePoint m_LastAt;
-
-  bool operator==(const RecentRequest &) const = default;
-};
-
-// The latest requests of a service with sound answers.
-struct RecentRequests {
-  // In order of their answers.
-  std::deque<std::string> m_Order;
-  // The same, each once.
-  std::map<std::string, RecentRequest> m_ById;
-
-  bool operator==(const RecentRequests &) const = default;
-};
-
 struct CrashEvidence {
   CrashEvidenceOptions m_Options;
   std::map<ServerRun, ServerCrash> m_Crashes;
--- a/Tests/Gateway/testCrashGuard.cpp
+++ b/Tests/Gateway/testCrashGuard.cpp
@@ -83,6 +83,7 @@
 
   CrashGuard::Number begin(std::vector<std::string> Parts) {
     std::vector<SuspectId> Suspects;
+    Suspects.reserve(Parts.size());
     for (std::string &Part : Parts)
       Suspects.push_back({SuspectKind::PromptPart, std::move(Part)});
     return watch(std::move(Suspects));
@@ -291,6 +292,29 @@
   RuntimeClock::resume();
 }
 
+TEST_CASE("gateways that were cut off from each other hold a request once they "
+          "hear of each other's crashes") {
+  Fixture F;
+  F.m_First.lose(F.m_First.sendPlain("bad", Fixture::ended("e1")));
+  F.m_First.crashNews();
+  RuntimeClock::pause();
+  RuntimeClock::advance(3s);
+  F.m_Second.lose(F.m_Second.sendPlain("bad", Fixture::ended("e2")));
+  F.m_Second.crashNews();
+  CHECK(F.m_First.allows(F.m_First.beginPlain("bad")));
+  CHECK(F.m_Second.allows(F.m_Second.beginPlain("bad")));
+  // Their streams are open again.
+  schema::LoadReport First;
+  schema::LoadReport Second;
+  F.m_First.m_Guard->addAll(First);
+  F.m_Second.m_Guard->addAll(Second);
+  F.m_First.m_Guard->merge(Second);
+  F.m_Second.m_Guard->merge(First);
+  CHECK_FALSE(F.m_First.allows(F.m_First.beginPlain("bad")));
+  CHECK_FALSE(F.m_Second.allows(F.m_Second.beginPlain("bad")));
+  RuntimeClock::resume();
+}
+
 // Guards against an answer that ended with its server and is taken for whole,
 // because the server had answered an earlier probe just before.
 TEST_CASE("a probe that was sent before a connection ended doesn't show that "
--- a/Tests/Routing/testCrashEvidence.cpp
+++ b/Tests/Routing/testCrashEvidence.cpp
@@ -25,6 +25,7 @@
 
 std::vector<SuspectId> parts(const std::vector<std::string> &Texts) {
   std::vector<SuspectId> Ids;
+  Ids.reserve(Texts.size());
   for (const std::string &Text : Texts)
     Ids.push_back({SuspectKind::PromptPart, Text});
   return Ids;
