Gateway: no special case for requests that the crash guard doesn't watch

Since whole requests are suspects, every request is watched, so the number 0 and the checks for it in seven functions served none; a number that isn't watched is found in no list, which each function handles already. Behaviour stays.

--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -64,16 +64,12 @@
 }
 
 CrashGuard::Number CrashGuard::begin(GuardedRequest Request) {
-  if (Request.m_Suspects.empty())
-    return 0;
   const std::lock_guard Lock(m_Mutex);
   m_Watched[++m_LastNumber].m_Request = std::move(Request);
   return m_LastNumber;
 }
 
 void CrashGuard::end(Number Request) {
-  if (Request == 0)
-    return;
   const std::lock_guard Lock(m_Mutex);
   releaseTrials(Request);
   m_Watched.erase(Request);
@@ -82,8 +78,6 @@
 // --- Decisions
 
 GuardDecision CrashGuard::decide(Number Request, bool Reserve) {
-  if (Request == 0)
-    return {};
   const std::lock_guard Lock(m_Mutex);
   const auto Found = m_Watched.find(Request);
   if (Found == m_Watched.end() || Found->second.m_IsSound ||
@@ -146,8 +140,6 @@
 // --- Attempts
 
 void CrashGuard::attemptSent(Number Request, const BackendTarget &Target) {
-  if (Request == 0)
-    return;
   const std::lock_guard Lock(m_Mutex);
   const auto Found = m_Watched.find(Request);
   if (Found == m_Watched.end())
@@ -158,8 +150,6 @@
 }
 
 void CrashGuard::dataReceived(Number Request) {
-  if (Request == 0)
-    return;
   Calls After;
   {
     const std::lock_guard Lock(m_Mutex);
@@ -177,8 +167,6 @@
 }
 
 void CrashGuard::answered(Number Request) {
-  if (Request == 0)
-    return;
   Calls After;
   {
     const std::lock_guard Lock(m_Mutex);
@@ -190,8 +178,6 @@
 }
 
 void CrashGuard::attemptEnded(Number Request) {
-  if (Request == 0)
-    return;
   const std::lock_guard Lock(m_Mutex);
   releaseTrials(Request);
   const auto Found = m_Watched.find(Request);
@@ -227,8 +213,6 @@
 }
 
 void CrashGuard::connectionLost(Number Request, std::function<void()> Done) {
-  if (Request == 0)
-    return Done();
   Calls After;
   {
     const std::lock_guard Lock(m_Mutex);
--- a/Source/Gateway/CrashGuard.h
+++ b/Source/Gateway/CrashGuard.h
@@ -55,8 +55,8 @@
 // their executors without holding it.
 class CrashGuard : public std::enable_shared_from_this<CrashGuard> {
 public:
-  // Number of a watched request; 0 for a request without suspects, for which
-  // all functions do nothing.
+  // Number of a watched request, from 1 on. For one that is not watched, all
+  // functions do nothing but call Done.
   using Number = std::uint64_t;
 
   CrashGuard(boost::asio::io_context &Worker, HttpClients &Clients,
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -121,7 +121,7 @@
   std::shared_ptr<HttpCall> m_HttpCall;
   std::optional<BackendTarget> m_Target;
   TimePoint m_SentAt;
-  // Number of the request at the crash guard; 0 if it is not watched.
+  // Number of the request at the crash guard; 0 before it is watched.
   std::uint64_t m_GuardNumber = 0;
   // The suspect because of which the request was rejected.
   std::optional<SuspectId> m_HeldFor;
