Tests: one answer to whether a caller was answered

isWhole() stood in two test files of testGateways, and 'a 200 that ended in good order' in five places; both are functions of CallerLoad now. Assertions and bounds stay.

--- a/Tests/Gateways/CallerLoad.cpp
+++ b/Tests/Gateways/CallerLoad.cpp
@@ -18,6 +18,16 @@
 
 } // namespace
 
+bool isAnswered(const CallRecord &Record) {
+  return Record.m_Status == 200 && Record.m_Ended;
+}
+
+bool isWhole(const CallRecord &Record) {
+  return isAnswered(Record) &&
+         (Record.m_Body == "whole answer" ||
+          Record.m_Body.find("data: last") != std::string::npos);
+}
+
 CallerLoad::CallerLoad(std::vector<HttpTarget> Gateways,
                        std::vector<CallerKind> Kinds, std::uint64_t Seed)
     : m_Gateways(std::move(Gateways)), m_Kinds(std::move(Kinds)),
@@ -112,8 +122,8 @@
 
 void CallerLoad::onEnded(CallRecord &Record, const HttpRequest &Request) {
   Record.m_EndedAfter = since(Record.m_SentAt);
-  const bool IsAnswered = Record.m_Ended && Record.m_Status == 200;
-  if (IsAnswered || Record.m_Attempts > m_Kinds[Record.m_Kind].m_Retries)
+  if (isAnswered(Record) ||
+      Record.m_Attempts > m_Kinds[Record.m_Kind].m_Retries)
     return;
   Record.m_Ended = false;
   send(Record, Request);
--- a/Tests/Gateways/CallerLoad.h
+++ b/Tests/Gateways/CallerLoad.h
@@ -47,6 +47,11 @@
   bool m_Ended = false;
 };
 
+// A success whose end looked complete.
+bool isAnswered(const CallRecord &Record);
+// The same with all that an engine of EngineFleet answers.
+bool isWhole(const CallRecord &Record);
+
 class CallerLoad {
 public:
   CallerLoad(std::vector<HttpTarget> Gateways, std::vector<CallerKind> Kinds,
--- a/Tests/Gateways/testCrashingPart.cpp
+++ b/Tests/Gateways/testCrashingPart.cpp
@@ -88,12 +88,6 @@
          2 * StableWindow;
 }
 
-bool isWhole(const CallRecord &Record) {
-  return Record.m_Status == 200 && Record.m_Ended &&
-         (Record.m_Body == "whole answer" ||
-          Record.m_Body.find("data: last") != std::string::npos);
-}
-
 // Fraction of the sound requests sent after the time that were answered.
 double soundAnswered(const std::deque<CallRecord> &Records,
                      Clock::time_point After) {
@@ -165,7 +159,7 @@
   // An answer that a crash cut short never looks complete.
   CHECK(
       std::count_if(Records.begin(), Records.end(), [](const CallRecord &Each) {
-        return Each.m_Status == 200 && Each.m_Ended && !isWhole(Each);
+        return isAnswered(Each) && !isWhole(Each);
       }) == 0);
 }
 
--- a/Tests/Gateways/testCrashingRequest.cpp
+++ b/Tests/Gateways/testCrashingRequest.cpp
@@ -108,12 +108,6 @@
   return From + 2 * StableWindow;
 }
 
-bool isWhole(const CallRecord &Record) {
-  return Record.m_Status == 200 && Record.m_Ended &&
-         (Record.m_Body == "whole answer" ||
-          Record.m_Body.find("data: last") != std::string::npos);
-}
-
 struct SoundRequests {
   std::size_t m_Sent = 0;
   std::size_t m_Answered = 0;
@@ -135,7 +129,7 @@
 void checkNoneCutShort(const std::deque<CallRecord> &Records) {
   CHECK(
       std::count_if(Records.begin(), Records.end(), [](const CallRecord &Each) {
-        return Each.m_Status == 200 && Each.m_Ended && !isWhole(Each);
+        return isAnswered(Each) && !isWhole(Each);
       }) == 0);
 }
 
--- a/Tests/Gateways/testServerLimits.cpp
+++ b/Tests/Gateways/testServerLimits.cpp
@@ -47,9 +47,8 @@
 
 double answered(const std::deque<CallRecord> &Records) {
   const auto Count =
-      std::count_if(Records.begin(), Records.end(), [](const CallRecord &Each) {
-        return Each.m_Status == 200 && Each.m_Ended;
-      });
+      std::count_if(Records.begin(), Records.end(),
+                    [](const CallRecord &Each) { return isAnswered(Each); });
   return static_cast<double>(Count) / static_cast<double>(Records.size());
 }
 
--- a/Tests/Gateways/testServerNotices.cpp
+++ b/Tests/Gateways/testServerNotices.cpp
@@ -63,10 +63,9 @@
   // Fraction of the requests that were answered.
   double answered() {
     const auto &Records = m_Load->finish();
-    const auto Count = std::count_if(
-        Records.begin(), Records.end(), [](const CallRecord &Each) {
-          return Each.m_Status == 200 && Each.m_Ended;
-        });
+    const auto Count =
+        std::count_if(Records.begin(), Records.end(),
+                      [](const CallRecord &Each) { return isAnswered(Each); });
     return static_cast<double>(Count) / static_cast<double>(Records.size());
   }
 
