Gateway, Schema: pass times, cold rates and zones of the configuration are read

Cause: the services of two new deployments declare what a pass of an engine costs and how many requests a cold backend server accepts; nothing read it. Nothing uses them yet.

--- a/Source/Gateway/RoutingPlan.h
+++ b/Source/Gateway/RoutingPlan.h
@@ -88,12 +88,23 @@
   // Mean number of prompt tokens and of output tokens per request.
   double m_MeanPromptTokens = 0.0;
   double m_MeanOutputTokens = 0.0;
-  // Prefill speed in prompt tokens per second.
+  // Prefill speed in prompt tokens per second, and the additional time per
+  // million pairs of a prompt token and an earlier token, in milliseconds.
   double m_PrefillTokensPerSecond = 0.0;
+  double m_PrefillMsPerMillionPairs = 0.0;
+  // Maximum number of prompt tokens that a replica prefills per step; 0 if
+  // unknown.
+  std::uint32_t m_MaxPrefillTokensPerStep = 0;
   // Base duration of a decode step, and the time that each running request adds
   // to it, in milliseconds.
   double m_DecodeStepMs = 0.0;
   double m_DecodeStepMsPerRequest = 0.0;
+  // Time that 1,000 context tokens of a running request add to a decode step,
+  // in milliseconds.
+  double m_DecodeStepMsPer1000ContextTokens = 0.0;
+  // Decode steps of a pass; an event of a stream holds as many tokens. 0 if
+  // unknown.
+  std::uint32_t m_StepsPerPass = 0;
   // Set if the replicas are ranks of rank groups.
   std::optional<ExpertLayout> m_Experts;
 
@@ -106,6 +117,11 @@
   // Maximum number of connections to one backend server, over all callers.
   std::uint32_t m_MaxConnections = 0;
   std::optional<EngineConfig> m_Engine;
+  // How long a backend server is cold after its start, and the requests per
+  // second that it accepts from all gateways together meanwhile; 0 if there is
+  // no limit.
+  Duration m_ColdDuration = Duration::zero();
+  double m_ColdRequestsPerSecond = 0.0;
 
   bool operator==(const ServiceConfig &) const = default;
 };
--- a/Tests/Platform/testPlatformConfiguration.cpp
+++ b/Tests/Platform/testPlatformConfiguration.cpp
@@ -23,8 +23,10 @@
   "priority":2,"service":"desk","max_attempts":1,"public":true}],
  "services":[
  {"name":"llm","health_path":"/health","max_connections":408,
+  "cold_start_s":2.5,"cold_per_s":14.5,
   "engine":{"slots":12,"kv_capacity_tokens":372000,"link_mbps":44000.0,
    "step_ms":5.85,"per_seq_ms":0.355,"read_per_s":61200.0,
+   "context_per_k":0.036,"pairs_per_m":0.325,"chunk":512,"stride":5,
    "usual":{"prompt":835,"answer":139},"sets":3,"experts":96,"places":11,
    "spare":4,"expert_mb":780.0,"expert_share":0.85}},
  {"name":"desk","health_path":"/health","max_connections":96}],
@@ -69,6 +71,10 @@
   const EngineConfig &Engine = *P.m_Services[0].m_Engine;
   CHECK(Engine.m_Slots == 12);
   CHECK(Engine.m_MeanPromptTokens == 835);
+  CHECK(Engine.m_StepsPerPass == 5);
+  CHECK(Engine.m_MaxPrefillTokensPerStep == 512);
+  CHECK(Engine.m_DecodeStepMsPer1000ContextTokens == 0.036);
+  CHECK(Engine.m_PrefillMsPerMillionPairs == 0.325);
   REQUIRE(Engine.m_Experts);
   CHECK(Engine.m_Experts->m_Layers == 3);
   CHECK(Engine.m_Experts->m_SlotsPerRank == 11);
@@ -76,6 +82,10 @@
   // 780 MB over 44,000 Mbit/s.
   CHECK(Engine.m_Experts->m_CopyTime / 1ms == 141);
   CHECK_FALSE(P.m_Services[1].m_Engine);
+  CHECK(P.m_Services[0].m_ColdDuration == 2500ms);
+  CHECK(P.m_Services[0].m_ColdRequestsPerSecond == 14.5);
+  CHECK(P.m_Services[1].m_ColdDuration == 0s);
+  CHECK(P.m_Services[1].m_ColdRequestsPerSecond == 0);
   CHECK(P.m_Limits.m_MaxHeaderBytes == 8192);
   CHECK(P.m_Limits.m_IdleTimeout == 9s);
   CHECK(P.m_Customers[0] == CustomerConfig{"school", {"k1", "k2"}, 1});
--- a/Tests/Platform/testSettingsTemplates.cpp
+++ b/Tests/Platform/testSettingsTemplates.cpp
@@ -33,7 +33,9 @@
           {"bounds.retry_budget_ratio", "0.2"},
           {"bounds.budget_slack", "88"},
           {"bounds.budget_window_s", "10"},
-          {"bounds.grace_s", "8"}};
+          {"bounds.grace_s", "8"},
+          {"bounds.cold_overshoot", "1.5"},
+          {"bounds.cold_slack", "5"}};
 }
 
 void replaceAll(std::string &Text, const std::string &Old,
@@ -48,6 +50,10 @@
 std::string render(std::string Text, const Fields &Values) {
   replaceAll(Text, "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}",
              "\"10.1.0.42:8229\",\"10.2.0.30:8229\"");
+  replaceAll(Text, "{{#zones}}\"{{@}}\"{{,}}{{/zones}}",
+             "\"zone-a\",\"zone-b\"");
+  replaceAll(Text, "{{#zones}}\"{{@}}={{.}}\"{{,}}{{/zones}}",
+             "\"zone-a=north\",\"zone-b=south\"");
   for (std::size_t Begin = Text.find("{{#"); Begin != std::string::npos;
        Begin = Text.find("{{#")) {
     const std::size_t NameEnd = Text.find("}}", Begin);
@@ -114,6 +120,8 @@
   CHECK(Gateway.retry_slack() == 34.10526315789474);
   CHECK(Gateway.retry_window_ms() == 2500);
   CHECK(Gateway.drain_max_ms() == 750);
+  CHECK(Gateway.cold_burst_factor() == 1.5);
+  CHECK(Gateway.cold_burst_slack() == 5.0);
   CHECK(Gateway.announce_interval_ms() == 1200);
   CHECK(voterSettings(Values).announce_interval_ms() == 1200);
   CHECK(balancerSettings(Values).announce_interval_ms() == 1200);
@@ -123,13 +131,16 @@
   Fields Values = deploymentFields();
   for (const char *Name :
        {"bounds.retry_budget_ratio", "bounds.budget_slack",
-        "bounds.budget_window_s", "bounds.grace_s", "fault_tolerance.machines"})
+        "bounds.budget_window_s", "bounds.grace_s", "bounds.cold_overshoot",
+        "bounds.cold_slack", "fault_tolerance.machines"})
     Values[Name] = "0";
   const schema::GatewaySettings Gateway = gatewaySettings(Values);
   CHECK(Gateway.retry_ratio() == 0.0);
   CHECK(Gateway.retry_slack() == 0.0);
   CHECK(Gateway.retry_window_ms() == 0);
   CHECK(Gateway.drain_max_ms() == 0);
+  CHECK(Gateway.cold_burst_factor() == 0.0);
+  CHECK(Gateway.cold_burst_slack() == 0.0);
   CHECK(voterSettings(Values).tolerated_losses() == 0);
 }
 
@@ -139,12 +150,16 @@
   Values.erase("bounds.budget_window_s");
   Values["bounds.grace_s"] = "false";
   Values["bounds.retry_budget_ratio"] = "false";
+  Values.erase("bounds.cold_overshoot");
+  Values["bounds.cold_slack"] = "false";
   Values.erase("fault_tolerance.machines");
   const schema::GatewaySettings Gateway = gatewaySettings(Values);
   CHECK(Gateway.retry_ratio() == 0.1);
   CHECK(Gateway.retry_slack() == 10.0);
   CHECK(Gateway.retry_window_ms() == 10000);
   CHECK(Gateway.drain_max_ms() == 8000);
+  CHECK(Gateway.cold_burst_factor() == 1.0);
+  CHECK(Gateway.cold_burst_slack() == 0.0);
   CHECK(voterSettings(Values).tolerated_losses() == 1);
 }
 
@@ -164,3 +179,13 @@
   CHECK(voterSettings(Values).tolerated_losses() == 12);
   CHECK(balancerSettings(Values).announce_interval_ms() == 60000);
 }
+
+TEST_CASE("templates: the availability zones and their regions are listed") {
+  const schema::GatewaySettings Gateway = gatewaySettings(deploymentFields());
+  REQUIRE(Gateway.zone_regions_size() == 2);
+  CHECK(Gateway.zone_regions(0) == "zone-a=north");
+  CHECK(Gateway.zone_regions(1) == "zone-b=south");
+  const schema::VoterSettings Voter = voterSettings(deploymentFields());
+  REQUIRE(Voter.availability_zones_size() == 2);
+  CHECK(Voter.availability_zones(1) == "zone-b");
+}
