Gateway: engines of services with several priorities get the urgency of requests

The engine's own queue ordered all requests alike, whatever the priority of their route or customer.

--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -8,6 +8,7 @@
 #include "Gateway/CrashGuard.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/RequestDigest.h"
+#include "Gateway/RequestPriority.h"
 #include "Gateway/ResponseBuffering.h"
 #include "Http/HttpClients.h"
 #include "Raft/RaftPeers.h"
@@ -163,9 +164,7 @@
   if (Route.m_CallerIdleTimeout > Duration::zero())
     Times.m_CallerTimeoutAt =
         std::min(m_Deadline, m_LastProgress + Route.m_CallerIdleTimeout);
-  Times.m_Priority = m_Request.m_Customer && m_Request.m_Customer->m_Priority
-                         ? *m_Request.m_Customer->m_Priority
-                         : Route.m_Priority;
+  Times.m_Priority = priorityOf(Route, m_Request.m_Customer);
   return Request;
 }
 
@@ -245,6 +244,9 @@
   Metadata.m_LastEventId = m_Splitter.lastId()
                                ? m_Splitter.lastId()
                                : m_Request.m_Caller.m_LastEventId;
+  Metadata.m_Urgency =
+      urgencyOf(*m_Request.m_Plan, m_Request.m_Service,
+                priorityOf(*m_Request.m_Route, m_Request.m_Customer));
   m_Context.m_Metrics.m_Attempts.add();
   if (m_State.m_AttemptCount > 0)
     m_Context.m_Metrics.m_Retries.add();
--- a/Source/Gateway/RoutingPlan.cpp
+++ b/Source/Gateway/RoutingPlan.cpp
@@ -1,6 +1,8 @@
 // Validation and lookups of a plan.
 #include "Gateway/RoutingPlan.h"
 
+#include "Gateway/RequestPriority.h"
+
 #include <fmt/format.h>
 
 #include <set>
@@ -78,6 +80,7 @@
       m_Customers.emplace(Key, &Customer);
   for (const ServiceConfig &Service : m_Plan.m_Services)
     m_Services.emplace(Service.m_Name, &Service);
+  m_WithPriorities = servicesWithPriorities(m_Plan);
 }
 
 const RouteConfig *RoutingPlanIndex::findRoute(std::string_view Host,
@@ -108,4 +111,8 @@
   return Found == m_Services.end() ? nullptr : Found->second;
 }
 
+bool RoutingPlanIndex::hasPriorities(std::string_view Service) const {
+  return m_WithPriorities.contains(Service);
+}
+
 } // namespace mangocart
--- a/Source/Gateway/RoutingPlan.h
+++ b/Source/Gateway/RoutingPlan.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -171,6 +172,8 @@
                                std::string_view Path) const;
   const CustomerConfig *findCustomer(std::string_view Key) const;
   const ServiceConfig *findService(std::string_view Name) const;
+  // Whether the service gets requests of more than one priority.
+  bool hasPriorities(std::string_view Service) const;
 
 private:
   RoutingPlan m_Plan;
@@ -180,6 +183,7 @@
       m_Routes;
   std::map<std::string, const CustomerConfig *, std::less<>> m_Customers;
   std::map<std::string, const ServiceConfig *, std::less<>> m_Services;
+  std::set<std::string, std::less<>> m_WithPriorities;
 };
 
 using RoutingPlanPtr = std::shared_ptr<const RoutingPlanIndex>;
--- a/Tests/Platform/testPlatformCallerProtocol.cpp
+++ b/Tests/Platform/testPlatformCallerProtocol.cpp
@@ -109,6 +109,10 @@
   CHECK(header(Out, "X-Mangocart-Deadline-Ms") == "7500");
   CHECK(header(Out, "X-Mangocart-Expect-Instance") == "i-7");
   CHECK(header(Out, "X-Mangocart-Tenant") == "school");
+  CHECK(header(Out, "X-Mangocart-Request-Urgency") == "none");
+  Metadata.m_Urgency = 2;
+  CHECK(header(PlatformCallerProtocol().forward(request(), Metadata),
+               "X-Mangocart-Request-Urgency") == "2");
   CHECK(header(Out, "Last-Event-Id") == "20");
   for (const char *Dropped :
        {"X-Mangocart-Key", "Connection", "X-Hop", "Expect"})
