Gateway: waiting calls by priority, customers and returns, with a reserve

Calls waited in one order per gateway: a less urgent call of one gateway took the slot that an urgent arrival at another one needed, one customer could displace all others, and callers rejected within a moment came back within a moment.

WaitingOrder ranks waiting calls: on time before late, a priority that is owed a call, priority, customers by what they recently got (CustomerShares), callers that come back, arrival. ReturnTimes gives each rejected caller a time of its own. A waiting call that the present rate can't reach in time is rejected at once; the rate falls while nothing is dispatched, and the end of an outage no longer counts as such time.

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -173,6 +173,12 @@
   return countSlots(m_Routing, Candidates, Request, RuntimeClock::now());
 }
 
+FreeCapacity MembershipDirectory::freeCapacity(const ChoiceRequest &Request) {
+  const std::lock_guard Lock(m_Mutex);
+  return mangocart::freeCapacity(m_Routing, candidates(Request), Request,
+                                 RuntimeClock::now());
+}
+
 void MembershipDirectory::callStarted(const BackendTarget &Target,
                                       const CallSize &Size) {
   const std::lock_guard Lock(m_Mutex);
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -76,6 +76,7 @@
   // Maximum number of in-flight requests of the service at this entry; empty if
   // no server is known to be alive.
   std::optional<std::size_t> slots(const ChoiceRequest &Request);
+  FreeCapacity freeCapacity(const ChoiceRequest &Request);
 
   void callStarted(const BackendTarget &Target, const CallSize &Size) override;
   void callProgressed(const BackendTarget &Target) override;
--- a/Source/Entry/RoutingState.cpp
+++ b/Source/Entry/RoutingState.cpp
@@ -154,6 +154,24 @@
   return Slots;
 }
 
+FreeCapacity freeCapacity(RoutingState &State,
+                          std::span<const CandidateView> Candidates,
+                          const ChoiceRequest &Request, TimePoint Now) {
+  const std::uint32_t Limit = limitFor(State, Request, Now);
+  FreeCapacity Free{0, State.m_EntryCount};
+  for (const ReplicaCandidate &Each :
+       toReplicas(State, Candidates, Request, Now)) {
+    if (Each.m_Full || Each.m_Ejected || Each.m_Suspect)
+      continue;
+    // Without recent reports of the other entries, only that it isn't full is
+    // known.
+    const std::uint32_t InFlight = Each.m_OutstandingRequests +
+                                   Each.m_OtherEntriesRequests.value_or(Limit);
+    Free.m_Requests += Limit > InFlight ? Limit - InFlight : 1;
+  }
+  return Free;
+}
+
 void recordCallStarted(RoutingState &State, const BackendTarget &Target,
                        const CallSize &Size, TimePoint Now) {
   OwnCalls &Own = State.m_OwnCalls[Target.m_Name];
--- a/Source/Entry/RoutingState.h
+++ b/Source/Entry/RoutingState.h
@@ -76,6 +76,20 @@
                        std::span<const CandidateView> Candidates,
                        const ChoiceRequest &Request, TimePoint Now);
 
+// What a service can take beyond its in-flight requests.
+struct FreeCapacity {
+  // Over all servers that aren't full, ejected or suspect.
+  std::size_t m_Requests = 0;
+  // Number of entries that share it.
+  std::uint32_t m_Entries = 1;
+
+  bool operator==(const FreeCapacity &) const = default;
+};
+
+FreeCapacity freeCapacity(RoutingState &State,
+                          std::span<const CandidateView> Candidates,
+                          const ChoiceRequest &Request, TimePoint Now);
+
 void recordCallStarted(RoutingState &State, const BackendTarget &Target,
                        const CallSize &Size, TimePoint Now);
 void recordCallProgress(RoutingState &State, const BackendTarget &Target,
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -73,7 +73,7 @@
       m_Directory(m_Events, m_Settings.availability_zone(), 1,
                   RuntimeClock::wallMilliseconds()),
       m_Clients(m_Workers, backendClientOptions()),
-      m_Dispatcher(m_Directory, RuntimeClock::wallMilliseconds()),
+      m_Dispatcher(m_Directory, m_Events, RuntimeClock::wallMilliseconds()),
       m_RetryBudgets(repeatOptions(m_Settings)),
       m_AttemptMonitor(std::make_shared<AttemptMonitor>(
           m_Workers.worker(0), m_Clients, Protocol, m_Events)),
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -38,6 +38,7 @@
           "Time from a request's arrival to the first byte of its answer.")),
       m_TotalTime(
           Registry.histogram("mangocart_gateway_whole_seconds",
-                             "Time from a request's arrival to its end.")) {}
+                             "Time from a request's arrival to its end.")),
+      m_Priorities(Registry) {}
 
 } // namespace mangocart
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -2,6 +2,7 @@
 #ifndef MANGOCART_GATEWAY_GATEWAYMETRICS_H
 #define MANGOCART_GATEWAY_GATEWAYMETRICS_H
 
+#include "Gateway/PriorityMetrics.h"
 #include "Metrics/MetricRegistry.h"
 
 namespace mangocart {
@@ -25,6 +26,7 @@
   // and to its end.
   Histogram &m_FirstByte;
   Histogram &m_TotalTime;
+  PriorityMetrics m_Priorities;
 };
 
 } // namespace mangocart
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -41,6 +41,10 @@
 // Limit of outstanding requests from all gateways for a backend server that is
 // no engine; the server queues some of them.
 constexpr std::uint32_t DefaultMaxOutstanding = 16;
+// A caller that has used at least this much of its time comes back after a
+// rejection. Half of the shortest Retry-After of a service that is short of
+// capacity; the caller's own delays are far shorter.
+constexpr Duration MinUsedTime = milliseconds(100);
 
 bool isSuccess(unsigned Status) {
   return Status >= FirstSuccess && Status < FirstRedirect;
@@ -135,6 +139,22 @@
   return m_Request.m_Route->m_Kind == RouteKind::Stream;
 }
 
+std::uint32_t ProxiedRequest::priority() const {
+  return priorityOf(*m_Request.m_Route, m_Request.m_Customer);
+}
+
+Duration ProxiedRequest::usedTime() const {
+  const Duration Timeout = m_Request.m_Route->m_Timeout;
+  return std::max(Duration::zero(),
+                  Timeout - m_Request.m_Caller.m_TimeLeft.value_or(Timeout));
+}
+
+bool ProxiedRequest::isReturned() const {
+  return usedTime() >= MinUsedTime &&
+         (m_Request.m_Plan->hasPriorities(m_Request.m_Service) ||
+          m_Request.m_Plan->plan().m_Customers.size() > 1);
+}
+
 DispatchRequest ProxiedRequest::makeDispatchRequest() const {
   const RouteConfig &Route = *m_Request.m_Route;
   const ServiceConfig *Service =
@@ -150,21 +170,19 @@
   Request.m_FailedZone = m_FailedZone;
   WaitingCall &Times = Request.m_Times;
   Times.m_Arrived = m_ArrivedAt;
-  // A caller that retries has already used part of its time, so its remaining
-  // time is less than the route's timeout.
-  const Duration Elapsed =
-      std::max(Duration::zero(),
-               Route.m_Timeout -
-                   m_Request.m_Caller.m_TimeLeft.value_or(Route.m_Timeout));
   Times.m_TargetTime = m_ResponseStarted
                            ? m_ArrivedAt
-                           : m_ArrivedAt + Route.m_TargetLatency - Elapsed;
+                           : m_ArrivedAt + Route.m_TargetLatency - usedTime();
   Times.m_Deadline = m_Deadline;
   Times.m_CallerTimeoutAt = m_Deadline;
   if (Route.m_CallerIdleTimeout > Duration::zero())
     Times.m_CallerTimeoutAt =
         std::min(m_Deadline, m_LastProgress + Route.m_CallerIdleTimeout);
-  Times.m_Priority = priorityOf(Route, m_Request.m_Customer);
+  Times.m_Priority = priority();
+  if (m_Request.m_Customer)
+    Times.m_Customer = m_Request.m_Customer->m_Name;
+  Times.m_Returned = isReturned();
+  Times.m_IsRetry = !m_Tried.empty();
   return Request;
 }
 
@@ -175,6 +193,8 @@
     return onDeadline();
   if (failIfHeld(false))
     return;
+  if (m_Tried.empty() && isReturned())
+    m_Context.m_Metrics.m_Priorities.recordReturned(priority());
   m_DispatchId = 0;
   m_DispatchId = m_Context.m_Dispatcher.submit(
       makeDispatchRequest(), m_Exchange->executor(),
@@ -191,8 +211,13 @@
     reportResult(CallResult::Cancelled);
     return;
   }
-  if (!m_Target)
+  PriorityMetrics &Priorities = m_Context.m_Metrics.m_Priorities;
+  if (!m_Target) {
+    Priorities.recordRejected(priority(), isReturned());
     return fail(toString(Result.m_Rejection), Result.m_RetryAfter);
+  }
+  if (m_Tried.empty())
+    Priorities.recordDispatched(priority(), RuntimeClock::now() - m_ArrivedAt);
   if (!failIfHeld(true))
     send();
 }
@@ -245,8 +270,7 @@
                                ? m_Splitter.lastId()
                                : m_Request.m_Caller.m_LastEventId;
   Metadata.m_Urgency =
-      urgencyOf(*m_Request.m_Plan, m_Request.m_Service,
-                priorityOf(*m_Request.m_Route, m_Request.m_Customer));
+      urgencyOf(*m_Request.m_Plan, m_Request.m_Service, priority());
   m_Context.m_Metrics.m_Attempts.add();
   if (m_State.m_AttemptCount > 0)
     m_Context.m_Metrics.m_Retries.add();
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -100,6 +100,13 @@
   ResponseKind responseKind() const;
   HttpHead callerHead() const;
   Duration timeLeft() const;
+  std::uint32_t priority() const;
+  // The part of its time that the caller had used when the request arrived. A
+  // caller that retries sends a remaining time below the route's timeout.
+  Duration usedTime() const;
+  // Whether the caller comes back after a rejection. Always false for services
+  // without priorities or customers to tell apart: their calls go by arrival.
+  bool isReturned() const;
   bool responseIsStream() const;
 
   GatewayContext &m_Context;
--- a/Source/Gateway/ServiceDispatcher.cpp
+++ b/Source/Gateway/ServiceDispatcher.cpp
@@ -3,6 +3,7 @@
 
 #include "Core/PostTask.h"
 #include "Entry/MembershipDirectory.h"
+#include "Events/EventLog.h"
 
 #include <set>
 
@@ -13,6 +14,17 @@
 // Bounds the work of one pass through the queue.
 constexpr std::size_t MaxPassedOver = 16;
 
+ChoiceRequest choiceRequest(const DispatchRequest &Call) {
+  ChoiceRequest Request;
+  Request.m_Service = Call.m_Service;
+  Request.m_Policy = "score";
+  Request.m_MaxOutstanding = Call.m_MaxOutstanding;
+  Request.m_Size = Call.m_Size;
+  Request.m_Tried = &Call.m_Tried;
+  Request.m_FailedZone = Call.m_FailedZone;
+  return Request;
+}
+
 } // namespace
 
 std::string_view toString(DispatchRejection Rejection) {
@@ -37,20 +49,39 @@
 }
 
 std::optional<BackendTarget>
-ServiceDispatcher::choose(const DispatchRequest &Call) {
-  ChoiceRequest Request;
-  Request.m_Service = Call.m_Service;
-  Request.m_Policy = "score";
-  Request.m_MaxOutstanding = Call.m_MaxOutstanding;
-  Request.m_Size = Call.m_Size;
-  Request.m_Tried = &Call.m_Tried;
-  Request.m_FailedZone = Call.m_FailedZone;
-  std::optional<BackendTarget> Target = m_Directory.choose(Request);
+ServiceDispatcher::choose(const DispatchRequest &Call, ServiceQueue &Queue,
+                          TimePoint Now) {
+  std::optional<BackendTarget> Target = m_Directory.choose(choiceRequest(Call));
   if (Target)
     m_Directory.callStarted(*Target, Call.m_Size);
+  else if (Call.m_Tried.empty())
+    recordShortage(Queue.m_Reserve, Now);
   return Target;
 }
 
+bool ServiceDispatcher::mustHold(const DispatchRequest &Call,
+                                 ServiceQueue &Queue, TimePoint Now) const {
+  if (!isShort(Queue.m_Reserve, Now) ||
+      urgentArrivalsPerSecond(Queue.m_Reserve, Call.m_Times.m_Priority, Now) <=
+          0.0)
+    return false;
+  const FreeCapacity Free = m_Directory.freeCapacity(choiceRequest(Call));
+  return isHeld(Queue, Call.m_Times, Free.m_Requests, Free.m_Entries, Now);
+}
+
+void ServiceDispatcher::logShortage(const std::string &Service,
+                                    ServiceEntry &Entry, TimePoint Now) {
+  const PriorityReserve &Reserve = Entry.m_Queue.m_Reserve;
+  const bool IsShort = isShort(Reserve, Now);
+  if (IsShort == Entry.m_IsShort)
+    return;
+  Entry.m_IsShort = IsShort;
+  m_Events.write(Event::CapacityShortage,
+                 {{"service", Service},
+                  {"short", IsShort},
+                  {"waiting", Entry.m_Queue.m_Waiting.size()}});
+}
+
 ServiceState ServiceDispatcher::updateState(const std::string &Service,
                                             ServiceQueue &Queue,
                                             TimePoint Now) const {
@@ -67,10 +98,11 @@
             Result = std::move(Result)]() mutable { Done(std::move(Result)); });
 }
 
-DispatchResult ServiceDispatcher::makeRejection(const ServiceQueue &Queue,
+DispatchResult ServiceDispatcher::makeRejection(ServiceQueue &Queue,
                                                 const WaitingCall &Call,
                                                 ServiceState State,
                                                 TimePoint Now) {
+  recordRejected(Queue, Call, Now);
   DispatchResult Result;
   Result.m_Rejection = State == ServiceState::Available
                            ? DispatchRejection::Busy
@@ -99,8 +131,11 @@
   ServiceEntry &Entry = entryOf(Call.m_Service, Now);
   const std::uint64_t Number = Call.m_Times.m_Number = ++m_LastNumber;
   PendingCall Pending{std::move(Call), std::move(Executor), std::move(Done)};
-  if (Entry.m_Queue.m_Waiting.empty()) {
-    if (auto Target = choose(Pending.m_Call)) {
+  recordArrival(Entry.m_Queue, Pending.m_Call.m_Times, Now);
+  if (Entry.m_Queue.m_Waiting.empty() &&
+      !mustHold(Pending.m_Call, Entry.m_Queue, Now)) {
+    if (auto Target = choose(Pending.m_Call, Entry.m_Queue, Now)) {
+      recordImmediate(Entry.m_Queue, Pending.m_Call.m_Times, Now);
       postResult(std::move(Pending),
                  {std::move(Target), DispatchRejection::None, {}, 0});
       return Number;
@@ -166,7 +201,13 @@
   while (const auto Next = nextCall(Entry.m_Queue, Now, PassedOver)) {
     const std::uint64_t Number = Entry.m_Queue.m_Waiting[*Next].m_Number;
     const auto Found = Entry.m_Pending.find(Number);
-    auto Target = choose(Found->second.m_Call);
+    if (mustHold(Found->second.m_Call, Entry.m_Queue, Now)) {
+      if (PassedOver.size() >= MaxPassedOver)
+        break;
+      PassedOver.insert(Number);
+      continue;
+    }
+    auto Target = choose(Found->second.m_Call, Entry.m_Queue, Now);
     if (!Target) {
       // A call that has tried a server may find none where others still do.
       if (Found->second.m_Call.m_Tried.empty() ||
@@ -190,6 +231,7 @@
     postResult(std::move(Expired),
                makeRejection(Entry.m_Queue, Ended, State, Now));
   }
+  logShortage(Service, Entry, Now);
 }
 
 } // namespace mangocart
--- a/Source/Gateway/ServiceDispatcher.h
+++ b/Source/Gateway/ServiceDispatcher.h
@@ -16,6 +16,7 @@
 
 namespace mangocart {
 
+class EventLog;
 class MembershipDirectory;
 
 // A call that needs a backend server.
@@ -58,8 +59,9 @@
 public:
   using Handler = std::function<void(DispatchResult)>;
 
-  ServiceDispatcher(MembershipDirectory &Directory, std::uint64_t Seed)
-      : m_Directory(Directory), m_Random(Seed) {}
+  ServiceDispatcher(MembershipDirectory &Directory, EventLog &Events,
+                    std::uint64_t Seed)
+      : m_Directory(Directory), m_Events(Events), m_Random(Seed) {}
 
   // Returns the call's number, for cancel().
   std::uint64_t submit(DispatchRequest Call,
@@ -84,10 +86,19 @@
   struct ServiceEntry {
     ServiceQueue m_Queue;
     std::map<std::uint64_t, PendingCall> m_Pending;
+    // As last written to the event log.
+    bool m_IsShort = false;
   };
 
   ServiceEntry &entryOf(const std::string &Service, TimePoint Now);
-  std::optional<BackendTarget> choose(const DispatchRequest &Call);
+  // Chooses a server and records a shortage if there is none.
+  std::optional<BackendTarget> choose(const DispatchRequest &Call,
+                                      ServiceQueue &Queue, TimePoint Now);
+  // Whether the call must leave the free capacity to more urgent arrivals.
+  bool mustHold(const DispatchRequest &Call, ServiceQueue &Queue,
+                TimePoint Now) const;
+  void logShortage(const std::string &Service, ServiceEntry &Entry,
+                   TimePoint Now);
   // Looks up and records the state of the service.
   ServiceState updateState(const std::string &Service, ServiceQueue &Queue,
                            TimePoint Now) const;
@@ -98,11 +109,11 @@
   void dispatchWaitingLocked(const std::string &Service, ServiceEntry &Entry,
                              TimePoint Now);
   void postResult(PendingCall Call, DispatchResult Result);
-  DispatchResult makeRejection(const ServiceQueue &Queue,
-                               const WaitingCall &Call, ServiceState State,
-                               TimePoint Now);
+  DispatchResult makeRejection(ServiceQueue &Queue, const WaitingCall &Call,
+                               ServiceState State, TimePoint Now);
 
   MembershipDirectory &m_Directory;
+  EventLog &m_Events;
   std::mutex m_Mutex;
   // The members below are guarded by m_Mutex.
   std::map<std::string, ServiceEntry> m_Services;
--- a/Source/Gateway/ServiceQueue.cpp
+++ b/Source/Gateway/ServiceQueue.cpp
@@ -1,43 +1,74 @@
 // Order of dispatch, expected waits and rejections.
 #include "Gateway/ServiceQueue.h"
 
+#include "Gateway/WaitingOrder.h"
+
 #include <algorithm>
 
 namespace mangocart {
 
 namespace {
 
-bool canMeetTarget(const ServiceQueue &Queue, const WaitingCall &Call,
-                   TimePoint Now) {
-  return Now + expectedFirstByte(Queue, Now) <= Call.m_TargetTime;
+// Calls per second that the service takes from this gateway. Time in which
+// calls wait and none is dispatched lowers the rate at once.
+double dispatchRate(const ServiceQueue &Queue, TimePoint Now) {
+  ServiceRate Rate = Queue.m_Rate;
+  if (!Queue.m_Waiting.empty() && !Queue.m_UnavailableSince)
+    recordServed(Rate, 0, Queue.m_Options.m_Rate, Now);
+  return std::max(tokensPerSecond(Rate), 0.1);
+}
+
+// Calls per second that are left for others while calls more urgent than the
+// priority arrive at the present rate.
+double rateBelow(const ServiceQueue &Queue, std::uint32_t Priority,
+                 TimePoint Now) {
+  const double Rate = dispatchRate(Queue, Now);
+  const double Urgent =
+      isShort(Queue.m_Reserve, Now)
+          ? urgentArrivalsPerSecond(Queue.m_Reserve, Priority, Now)
+          : 0.0;
+  return std::max(Rate - Urgent, Rate * Queue.m_Options.m_MinCapacityShare);
 }
 
-Duration drainTime(const ServiceQueue &Queue, double Calls) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      Calls / std::max(tokensPerSecond(Queue.m_Rate), 0.1)));
+Duration timeFor(double Calls, double PerSecond) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Calls / PerSecond));
 }
 
-// Number of waiting calls that are dispatched before a new one, which can meet
-// its target (OnTime) or not.
-double callsAhead(const ServiceQueue &Queue, bool OnTime, TimePoint Now) {
+// Time in which that many calls of the priority are dispatched.
+Duration drainTime(const ServiceQueue &Queue, double Calls,
+                   std::uint32_t Priority, TimePoint Now) {
+  return timeFor(Calls, rateBelow(Queue, Priority, Now));
+}
+
+// Number of waiting calls that are dispatched before a new one.
+double callsAhead(const ServiceQueue &Queue, const WaitingCall &Call,
+                  TimePoint Now) {
+  const WaitingRank Rank = rankOf(Queue, Call, Now);
   return static_cast<double>(
       std::count_if(Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
                     [&](const WaitingCall &Other) {
-                      return !OnTime || canMeetTarget(Queue, Other, Now);
+                      return rankOf(Queue, Other, Now) <= Rank;
                     }));
 }
 
-// Whether A is dispatched before B.
-bool precedes(const ServiceQueue &Queue, const WaitingCall &A,
-              const WaitingCall &B, TimePoint Now) {
-  const bool OnTimeA = canMeetTarget(Queue, A, Now);
-  const bool OnTimeB = canMeetTarget(Queue, B, Now);
-  if (OnTimeA != OnTimeB)
-    return OnTimeA;
-  if (A.m_Priority != B.m_Priority)
-    return A.m_Priority < B.m_Priority;
-  return OnTimeA ? A.m_Arrived < B.m_Arrived
-                 : A.m_CallerTimeoutAt < B.m_CallerTimeoutAt;
+// Numbers of the waiting calls that are not expected to be dispatched before
+// their callers disconnect. The first one in the order never is among them: its
+// dispatch shows the rate.
+std::set<std::uint64_t> hopelessCalls(const ServiceQueue &Queue,
+                                      TimePoint Now) {
+  std::set<std::uint64_t> Hopeless;
+  double Ahead = 0.0;
+  for (const std::size_t Index : dispatchOrder(Queue, Now)) {
+    const WaitingCall &Call = Queue.m_Waiting[Index];
+    const Duration Left = latestStart(Queue, Call, Now) - Now;
+    if (drainTime(Queue, Ahead, Call.m_Priority, Now) >
+        Left * Queue.m_Options.m_HopelessFactor)
+      Hopeless.insert(Call.m_Number);
+    else
+      ++Ahead;
+  }
+  return Hopeless;
 }
 
 } // namespace
@@ -61,6 +92,8 @@
   Queue.m_MeanOutage = Before + std::chrono::duration_cast<Duration>(
                                     (Lasted - Before) * Options.m_OutageWeight);
   Queue.m_UnavailableSince.reset();
+  // The outage says nothing about the rate of a service that runs.
+  recordBusyStart(Queue.m_Rate, Now);
 }
 
 Duration expectedOutageLeft(const ServiceQueue &Queue, TimePoint Now) {
@@ -80,14 +113,39 @@
          expectedFirstByte(Queue, Now);
 }
 
+bool canMeetTarget(const ServiceQueue &Queue, const WaitingCall &Call,
+                   TimePoint Now) {
+  return Now + expectedFirstByte(Queue, Now) <= Call.m_TargetTime;
+}
+
+void recordArrival(ServiceQueue &Queue, const WaitingCall &Call,
+                   TimePoint Now) {
+  if (!Call.m_IsRetry)
+    recordArrival(Queue.m_Reserve, Call.m_Priority, Now);
+}
+
+bool isHeld(ServiceQueue &Queue, const WaitingCall &Call, std::size_t Free,
+            std::size_t Gateways, TimePoint Now) {
+  if (Call.m_IsRetry || isPriorityOwed(Queue.m_Shares, Call.m_Priority))
+    return false;
+  // Not so long that the call becomes late.
+  if (canMeetTarget(Queue, Call, Now) &&
+      !canMeetTarget(Queue, Call, Now + Queue.m_Reserve.m_Options.m_Horizon))
+    return false;
+  return mustHold(Queue.m_Reserve, Call.m_Priority, Free, Gateways, Now);
+}
+
 bool shouldEnqueue(const ServiceQueue &Queue, const WaitingCall &Call,
                    ServiceState State, TimePoint Now) {
   const TimePoint LastStart = latestStart(Queue, Call, Now);
   if (State == ServiceState::Unavailable)
     return Now + expectedOutageLeft(Queue, Now) < LastStart;
-  const bool OnTime = canMeetTarget(Queue, Call, Now);
-  const Duration Wait = drainTime(Queue, callsAhead(Queue, OnTime, Now) + 1);
-  return Now + Wait < LastStart;
+  const double Ahead = callsAhead(Queue, Call, Now);
+  // Without a call that waits, the rate at which calls are dispatched couldn't
+  // be observed.
+  if (Ahead < 1.0)
+    return Now < LastStart;
+  return Now + drainTime(Queue, Ahead + 1, Call.m_Priority, Now) < LastStart;
 }
 
 void enqueue(ServiceQueue &Queue, const WaitingCall &Call, TimePoint Now) {
@@ -98,24 +156,41 @@
 
 std::optional<std::size_t> nextCall(const ServiceQueue &Queue, TimePoint Now,
                                     const std::set<std::uint64_t> &PassedOver) {
-  const auto Best = std::min_element(
-      Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
-      [&](const WaitingCall &A, const WaitingCall &B) {
-        const bool PassesA = PassedOver.contains(A.m_Number);
-        const bool PassesB = PassedOver.contains(B.m_Number);
-        return PassesA != PassesB ? PassesB : precedes(Queue, A, B, Now);
-      });
-  if (Best == Queue.m_Waiting.end() || PassedOver.contains(Best->m_Number))
-    return std::nullopt;
-  return static_cast<std::size_t>(Best - Queue.m_Waiting.begin());
+  std::optional<std::size_t> Best;
+  WaitingRank BestRank;
+  for (std::size_t I = 0; I < Queue.m_Waiting.size(); ++I) {
+    if (PassedOver.contains(Queue.m_Waiting[I].m_Number))
+      continue;
+    const WaitingRank Rank = rankOf(Queue, Queue.m_Waiting[I], Now);
+    if (Best && BestRank <= Rank)
+      continue;
+    Best = I;
+    BestRank = Rank;
+  }
+  return Best;
 }
 
 void recordDispatched(ServiceQueue &Queue, std::size_t Index, TimePoint Now) {
+  recordImmediate(Queue, Queue.m_Waiting[Index], Now);
   Queue.m_Waiting.erase(Queue.m_Waiting.begin() +
                         static_cast<std::ptrdiff_t>(Index));
   recordServed(Queue.m_Rate, 1, Queue.m_Options.m_Rate, Now);
 }
 
+void recordImmediate(ServiceQueue &Queue, const WaitingCall &Call,
+                     TimePoint Now) {
+  if (!Call.m_IsRetry)
+    recordCall(Queue.m_Shares, Call.m_Priority, Call.m_Customer,
+               CallEnd::Served, Now);
+}
+
+void recordRejected(ServiceQueue &Queue, const WaitingCall &Call,
+                    TimePoint Now) {
+  if (!Call.m_IsRetry)
+    recordCall(Queue.m_Shares, Call.m_Priority, Call.m_Customer,
+               CallEnd::Rejected, Now);
+}
+
 void recordFirstByte(ServiceQueue &Queue, Duration Observed, TimePoint Now) {
   recordFirstToken(Queue.m_FirstByte, Observed, Queue.m_Options.m_FirstByte,
                    Now);
@@ -132,9 +207,13 @@
   const Duration First = State == ServiceState::Unavailable
                              ? Duration::zero()
                              : expectedFirstByte(Queue, Now);
+  const std::set<std::uint64_t> Hopeless = State == ServiceState::Unavailable
+                                               ? std::set<std::uint64_t>()
+                                               : hopelessCalls(Queue, Now);
   std::erase_if(Queue.m_Waiting, [&](const WaitingCall &Call) {
-    const bool IsExpired = Now + First + Queue.m_Options.m_RejectionMargin >=
-                           Call.m_CallerTimeoutAt;
+    const bool IsExpired = Hopeless.contains(Call.m_Number) ||
+                           Now + First + Queue.m_Options.m_RejectionMargin >=
+                               Call.m_CallerTimeoutAt;
     if (IsExpired)
       Expired.push_back(Call);
     return IsExpired;
@@ -148,19 +227,27 @@
   });
 }
 
-Duration retryAfter(const ServiceQueue &Queue, const WaitingCall &Call,
+Duration retryAfter(ServiceQueue &Queue, const WaitingCall &Call,
                     ServiceState State, TimePoint Now, Random &Generator) {
-  const auto Longest = std::chrono::duration_cast<Duration>(
-      (Call.m_Deadline - Now) * Queue.m_Options.m_RetryAfterShare);
-  const Duration Wait =
-      State == ServiceState::Available
-          ? drainTime(Queue, callsAhead(Queue, false, Now) + 1)
-          : expectedOutageLeft(Queue, Now);
-  const double Spread =
-      1.0 + Queue.m_Options.m_RetrySpread * uniformReal(Generator);
-  const auto Drawn = std::chrono::duration_cast<Duration>(Wait * Spread);
-  return std::clamp(Drawn, std::min(Queue.m_Options.m_MinRetryAfter, Longest),
-                    std::max(Longest, Duration::zero()));
+  const auto Longest =
+      std::max(std::chrono::duration_cast<Duration>(
+                   (Call.m_Deadline - Now) * Queue.m_Options.m_RetryAfterShare),
+               Duration::zero());
+  const Duration Wait = State == ServiceState::Available
+                            ? drainTime(Queue, callsAhead(Queue, Call, Now) + 1,
+                                        Call.m_Priority, Now)
+                            : expectedOutageLeft(Queue, Now);
+  ReturnRequest Request;
+  Request.m_Priority = Call.m_Priority;
+  Request.m_Earliest = Now + std::max(Wait, Queue.m_Options.m_MinRetryAfter);
+  Request.m_Latest = Now + Longest;
+  // A caller that comes back can hardly be on time any more, so new calls of
+  // its priority are dispatched before it.
+  Request.m_Spacing = timeFor(1, rateBelow(Queue, Call.m_Priority + 1, Now));
+  const Duration After = assignReturn(Queue.m_Returns, Request) - Now;
+  const auto Jitter = std::chrono::duration_cast<Duration>(
+      Request.m_Spacing * uniformReal(Generator));
+  return std::min(After + Jitter, Longest);
 }
 
 } // namespace mangocart
--- a/Source/Gateway/ServiceQueue.h
+++ b/Source/Gateway/ServiceQueue.h
@@ -1,21 +1,24 @@
 // Queue of the calls of one service that wait at a gateway for capacity at a
 // backend server: order of dispatch, admission and expiry.
 //
-// Calls that can still meet their target latency are dispatched before calls
-// that cannot, so that under overload most served calls are on time instead of
-// all being late. Within each class the higher priority and then the earlier
-// arrival goes first. A call that cannot be answered before its caller
-// disconnects is rejected.
+// WaitingOrder has the order, PriorityReserve the capacity that less urgent
+// calls leave to others, CustomerShares what priorities and customers recently
+// got, ReturnTimes when rejected callers come back. A call that cannot be
+// answered before its caller disconnects is rejected.
 #ifndef MANGOCART_GATEWAY_SERVICEQUEUE_H
 #define MANGOCART_GATEWAY_SERVICEQUEUE_H
 
 #include "Core/Random.h"
 #include "Core/RuntimeClock.h"
+#include "Gateway/CustomerShares.h"
+#include "Gateway/PriorityReserve.h"
+#include "Gateway/ReturnTimes.h"
 #include "Routing/ServiceRate.h"
 
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace mangocart {
@@ -33,6 +36,12 @@
   TimePoint m_Deadline;
   // 0 is the most urgent.
   std::uint32_t m_Priority = 0;
+  // Empty if the route requires no key.
+  std::string m_Customer;
+  // The caller comes back after a rejection.
+  bool m_Returned = false;
+  // Another attempt of a call that has been dispatched before.
+  bool m_IsRetry = false;
 
   bool operator==(const WaitingCall &) const = default;
 };
@@ -43,8 +52,13 @@
   // Callers honour a Retry-After of at most this share of their remaining time.
   double m_RetryAfterShare = 1.0 / 3.0;
   Duration m_MinRetryAfter = std::chrono::milliseconds(200);
-  // Retry-After is drawn from [wait, wait * (1 + spread)].
-  double m_RetrySpread = 0.5;
+  // A waiting call is rejected when the expected wait exceeds its remaining
+  // time this many times. The rate is known from few calls only, and a call
+  // that was let in shouldn't be rejected for a deviation of it.
+  double m_HopelessFactor = 4.0;
+  // A priority is expected to get at least this fraction of the capacity,
+  // whatever arrives of more urgent ones.
+  double m_MinCapacityShare = 0.25;
   ServiceRateOptions m_Rate{std::chrono::seconds(2), 20.0,
                             std::chrono::seconds(1)};
   FirstTokenLatencyOptions m_FirstByte{std::chrono::milliseconds(150), 0.1,
@@ -74,6 +88,9 @@
   std::optional<TimePoint> m_ResumesAt;
   // Moving average of the duration of outages.
   std::optional<Duration> m_MeanOutage;
+  CustomerShares m_Shares;
+  PriorityReserve m_Reserve;
+  ReturnTimes m_Returns;
 };
 
 // Unavailable: no backend server of the service accepts requests, so the
@@ -93,6 +110,19 @@
 TimePoint latestStart(const ServiceQueue &Queue, const WaitingCall &Call,
                       TimePoint Now);
 
+// Whether the call's answer can begin within its target latency if it is sent
+// now.
+bool canMeetTarget(const ServiceQueue &Queue, const WaitingCall &Call,
+                   TimePoint Now);
+
+// Must be called for each call before the functions below.
+void recordArrival(ServiceQueue &Queue, const WaitingCall &Call, TimePoint Now);
+
+// Whether the call must leave the free capacity to more urgent arrivals. Free:
+// further requests that the service can take.
+bool isHeld(ServiceQueue &Queue, const WaitingCall &Call, std::size_t Free,
+            std::size_t Gateways, TimePoint Now);
+
 // Whether a call that finds no free capacity should be queued.
 bool shouldEnqueue(const ServiceQueue &Queue, const WaitingCall &Call,
                    ServiceState State, TimePoint Now);
@@ -107,20 +137,27 @@
 
 // Removes a call that was dispatched, and updates the dispatch rate.
 void recordDispatched(ServiceQueue &Queue, std::size_t Index, TimePoint Now);
+// Records a call that was dispatched without waiting.
+void recordImmediate(ServiceQueue &Queue, const WaitingCall &Call,
+                     TimePoint Now);
+// Records a call that was rejected.
+void recordRejected(ServiceQueue &Queue, const WaitingCall &Call,
+                    TimePoint Now);
 void recordFirstByte(ServiceQueue &Queue, Duration Observed, TimePoint Now);
 // Mean time from sending a call to the first byte of its response.
 Duration expectedFirstByte(const ServiceQueue &Queue, TimePoint Now);
 
 // Removes and returns the calls that can no longer be answered before their
-// callers disconnect.
+// callers disconnect, or are not expected to be dispatched by then.
 std::vector<WaitingCall> removeExpired(ServiceQueue &Queue, ServiceState State,
                                        TimePoint Now);
 // Removes a call whose caller has disconnected.
 void removeCall(ServiceQueue &Queue, std::uint64_t Number);
 
-// Retry-After of a rejected call: the expected wait for capacity with a random
-// spread, at most what callers honour.
-Duration retryAfter(const ServiceQueue &Queue, const WaitingCall &Call,
+// Retry-After of a rejected call: a time of its own after the expected wait for
+// capacity, at most what callers honour. It has a random part shorter than the
+// distance to the next one, so that the times of several gateways differ.
+Duration retryAfter(ServiceQueue &Queue, const WaitingCall &Call,
                     ServiceState State, TimePoint Now, Random &Generator);
 
 } // namespace mangocart
--- a/Tests/Gateway/testServiceQueue.cpp
+++ b/Tests/Gateway/testServiceQueue.cpp
@@ -241,3 +241,72 @@
   recordState(Q, ServiceState::Available, Start + 5s);
   CHECK_FALSE(Q.m_MeanOutage);
 }
+
+namespace {
+
+WaitingCall callOf(std::uint64_t Number, std::uint32_t Priority,
+                   std::string Customer, bool Returned = false) {
+  WaitingCall Call = call(Number, Start);
+  Call.m_Priority = Priority;
+  Call.m_Customer = std::move(Customer);
+  Call.m_Returned = Returned;
+  return Call;
+}
+
+std::vector<std::uint64_t> order(ServiceQueue Q) {
+  std::vector<std::uint64_t> Order;
+  std::set<std::uint64_t> Passed;
+  while (const auto Next = nextCall(Q, Start, Passed)) {
+    Order.push_back(Q.m_Waiting[*Next].m_Number);
+    Passed.insert(Order.back());
+  }
+  return Order;
+}
+
+} // namespace
+
+TEST_CASE(
+    "within a priority customers below their share go first, then callers "
+    "that come back, then the earlier arrival") {
+  ServiceQueue Q = queue(20);
+  for (int I = 0; I < 20; ++I)
+    recordImmediate(Q, callOf(0, 1, "large"), Start);
+  for (const char *Small : {"a", "b", "c"})
+    recordImmediate(Q, callOf(0, 1, Small), Start);
+  enqueue(Q, callOf(1, 1, "large", true), Start);
+  enqueue(Q, callOf(2, 1, "a"), Start);
+  enqueue(Q, callOf(3, 1, "b", true), Start);
+  enqueue(Q, callOf(4, 1, "c"), Start);
+  enqueue(Q, callOf(5, 0, "large"), Start);
+  CHECK(order(Q) == std::vector<std::uint64_t>{5, 3, 2, 4, 1});
+  // A priority that only sees rejections is owed a call before all others.
+  for (int I = 0; I < 6; ++I)
+    recordRejected(Q, callOf(0, 2, "d"), Start);
+  enqueue(Q, callOf(6, 2, "d"), Start);
+  CHECK(order(Q).front() == 6);
+}
+
+TEST_CASE("a call that waits is rejected as soon as no more calls are "
+          "dispatched, except the first") {
+  ServiceQueue Q = queue(20);
+  Q.m_Rate = startServiceRate({2s, 20, 1s}, Start);
+  for (std::uint64_t I = 1; I <= 20; ++I)
+    enqueue(Q, call(I, Start, 400ms, 8s), Start);
+  CHECK(removeExpired(Q, ServiceState::Available, Start).empty());
+  const auto Rejected =
+      removeExpired(Q, ServiceState::Available, Start + 4s).size();
+  CHECK(Rejected > 0);
+  CHECK(Rejected < 20);
+}
+
+TEST_CASE("a call is not held for urgent arrivals until it would be late") {
+  ServiceQueue Q = queue(20);
+  for (TimePoint Now = Start - 4s; Now < Start; Now += 100ms)
+    recordArrival(Q, callOf(0, 0, "a"), Now);
+  recordShortage(Q.m_Reserve, Start);
+  const WaitingCall Call = call(1, Start);
+  CHECK(isHeld(Q, Call, 1, 16, Start));
+  const TimePoint LatestStart = Call.m_TargetTime - expectedFirstByte(Q, Start);
+  CHECK_FALSE(isHeld(Q, Call, 1, 16, LatestStart - 40ms));
+  CHECK_FALSE(isHeld(Q, callOf(2, 0, "a"), 1, 16, Start));
+}
