Gateway: a caller that comes back is rejected only if waiting is hopeless

A caller that comes back was rejected as soon as the expected wait exceeded its time, though the rate is known from few calls and the caller has no other chance. It now waits like calls that were let in before.

--- a/Source/Gateway/ServiceQueue.cpp
+++ b/Source/Gateway/ServiceQueue.cpp
@@ -145,7 +145,12 @@
   // be observed.
   if (Ahead < 1.0)
     return Now < LastStart;
-  return Now + drainTime(Queue, Ahead + 1, Call.m_Priority, Now) < LastStart;
+  // A caller that comes back has no other chance, so it waits unless that is
+  // hopeless.
+  const double Factor =
+      Call.m_Returned ? Queue.m_Options.m_HopelessFactor : 1.0;
+  return drainTime(Queue, Ahead + 1, Call.m_Priority, Now) <
+         (LastStart - Now) * Factor;
 }
 
 void enqueue(ServiceQueue &Queue, const WaitingCall &Call, TimePoint Now) {
--- a/Source/Gateway/ServiceQueue.h
+++ b/Source/Gateway/ServiceQueue.h
@@ -52,9 +52,10 @@
   // Callers honour a Retry-After of at most this share of their remaining time.
   double m_RetryAfterShare = 1.0 / 3.0;
   Duration m_MinRetryAfter = std::chrono::milliseconds(200);
-  // A waiting call is rejected when the expected wait exceeds its remaining
-  // time this many times. The rate is known from few calls only, and a call
-  // that was let in shouldn't be rejected for a deviation of it.
+  // A waiting call, or one whose caller comes back, is rejected when the
+  // expected wait exceeds its remaining time this many times. The rate is known
+  // from few calls only, and such a call shouldn't be rejected for a deviation
+  // of it.
   double m_HopelessFactor = 4.0;
   // A priority is expected to get at least this fraction of the capacity,
   // whatever arrives of more urgent ones.
--- a/Tests/Gateway/testServiceQueue.cpp
+++ b/Tests/Gateway/testServiceQueue.cpp
@@ -310,3 +310,20 @@
   CHECK_FALSE(isHeld(Q, Call, 1, 16, LatestStart - 90ms));
   CHECK_FALSE(isHeld(Q, callOf(2, 0, "a"), 1, 16, Start));
 }
+
+TEST_CASE(
+    "a caller that comes back waits longer before it is rejected than one "
+    "that has another chance") {
+  ServiceQueue Q = queue(10);
+  for (std::uint64_t I = 1; I <= 30; ++I)
+    Q.m_Waiting.push_back(call(I, Start, 0ms));
+  WaitingCall Call = call(99, Start, 0ms, 2100ms);
+  CHECK_FALSE(shouldEnqueue(Q, Call, ServiceState::Available, Start));
+  Call.m_Returned = true;
+  for (WaitingCall &Each : Q.m_Waiting)
+    Each.m_Returned = true;
+  CHECK(shouldEnqueue(Q, Call, ServiceState::Available, Start));
+  for (std::uint64_t I = 31; I <= 100; ++I)
+    Q.m_Waiting.push_back(Q.m_Waiting.front());
+  CHECK_FALSE(shouldEnqueue(Q, Call, ServiceState::Available, Start));
+}
