Gateway: free capacity without load reports is the gateway's own part

Without reports of other gateways each server that wasn't full counted as one free request, so a lone gateway kept capacity back that it had.

--- a/Source/Entry/RoutingState.cpp
+++ b/Source/Entry/RoutingState.cpp
@@ -163,11 +163,13 @@
        toReplicas(State, Candidates, Request, Now)) {
     if (Each.m_Full || Each.m_Ejected || Each.m_Suspect)
       continue;
-    // Without recent reports of the other entries, only that it isn't full is
-    // known.
-    const std::uint32_t InFlight = Each.m_OutstandingRequests +
-                                   Each.m_OtherEntriesRequests.value_or(Limit);
-    Free.m_Requests += Limit > InFlight ? Limit - InFlight : 1;
+    // Without recent reports of the other entries, the entry's own part counts.
+    const std::uint32_t Own = Each.m_OutstandingRequests;
+    const std::uint32_t Bound =
+        Each.m_OtherEntriesRequests
+            ? Limit - std::min(Limit, *Each.m_OtherEntriesRequests)
+            : (Limit + State.m_EntryCount - 1) / State.m_EntryCount;
+    Free.m_Requests += Bound > Own ? Bound - Own : 1;
   }
   return Free;
 }
--- a/Source/Gateway/ServiceQueue.cpp
+++ b/Source/Gateway/ServiceQueue.cpp
@@ -58,6 +58,8 @@
 std::set<std::uint64_t> hopelessCalls(const ServiceQueue &Queue,
                                       TimePoint Now) {
   std::set<std::uint64_t> Hopeless;
+  if (Queue.m_Waiting.size() < 2)
+    return Hopeless;
   double Ahead = 0.0;
   for (const std::size_t Index : dispatchOrder(Queue, Now)) {
     const WaitingCall &Call = Queue.m_Waiting[Index];
--- a/Tests/Gateway/testServiceDispatcher.cpp
+++ b/Tests/Gateway/testServiceDispatcher.cpp
@@ -44,13 +44,14 @@
 
   // The result is set once the call is dispatched or rejected.
   void submit(std::optional<DispatchResult> &Result,
-              std::vector<std::string> Tried) {
+              std::vector<std::string> Tried, std::uint32_t Priority = 0) {
     DispatchRequest Call;
     Call.m_Service = Service;
     Call.m_MaxOutstanding = 8;
     Call.m_Tried = std::move(Tried);
     const TimePoint Now = RuntimeClock::now();
     Call.m_Times.m_Arrived = Now;
+    Call.m_Times.m_Priority = Priority;
     Call.m_Times.m_TargetTime = Now + 400ms;
     Call.m_Times.m_Deadline = Call.m_Times.m_CallerTimeoutAt = Now + 4s;
     m_Dispatcher.submit(
@@ -59,6 +60,28 @@
     run();
   }
 
+  void end(const BackendTarget &Target) {
+    m_Directory.callEnded(Target, {}, {CallResult::Answered, 100ms});
+    m_Dispatcher.dispatchWaiting();
+    run();
+  }
+
+  // Occupies all places of both servers with urgent calls, after a while of
+  // urgent arrivals at 20 per second.
+  BackendTarget fill() {
+    std::optional<DispatchResult> Result;
+    for (int I = 0; I < 60 + 16; ++I) {
+      RuntimeClock::advance(50ms);
+      Result.reset();
+      submit(Result, {});
+      REQUIRE(Result);
+      REQUIRE(Result->m_Target);
+      if (I < 60)
+        end(*Result->m_Target);
+    }
+    return *Result->m_Target;
+  }
+
   void run() {
     m_Context.restart();
     m_Context.poll();
@@ -101,3 +124,24 @@
   CHECK_FALSE(Result->m_Target);
   CHECK(Result->m_RetryAfter > 0s);
 }
+
+TEST_CASE("the only free place is kept for an urgent call while capacity is "
+          "short, and used by others when none comes") {
+  Fixture F;
+  const BackendTarget Filled = F.fill();
+  std::optional<DispatchResult> LessUrgent;
+  std::optional<DispatchResult> Urgent;
+  F.submit(LessUrgent, {}, 1);
+  F.end(Filled);
+  CHECK_FALSE(LessUrgent);
+  F.submit(Urgent, {});
+  REQUIRE(Urgent);
+  REQUIRE(Urgent->m_Target);
+  F.end(*Urgent->m_Target);
+  CHECK_FALSE(LessUrgent);
+  RuntimeClock::advance(200ms);
+  F.m_Dispatcher.dispatchWaiting();
+  F.run();
+  REQUIRE(LessUrgent);
+  CHECK(LessUrgent->m_Target);
+}
