--- a/Tests/Gateway/testServiceQueue.cpp
+++ b/Tests/Gateway/testServiceQueue.cpp
@@ -327,3 +327,21 @@
     Q.m_Waiting.push_back(Q.m_Waiting.front());
   CHECK_FALSE(shouldEnqueue(Q, Call, ServiceState::Available, Start));
 }
+
+TEST_CASE("callers that are rejected at the same time come back one after the "
+          "other, at the rate of the service") {
+  Random Generator(1);
+  ServiceQueue Q = queue(10);
+  for (std::uint64_t I = 0; I < 5; ++I)
+    Q.m_Waiting.push_back(call(I, Start));
+  Duration Last = Duration::zero();
+  for (int I = 0; I < 16; ++I) {
+    const Duration After = retryAfter(
+        Q, call(99, Start), ServiceState::Available, Start, Generator);
+    CHECK(After > Last);
+    // 5 calls wait, and each takes 100 ms.
+    CHECK(After >= 600ms + I * 100ms);
+    CHECK(After < 600ms + (I + 1) * 100ms);
+    Last = After;
+  }
+}
