--- a/Source/Entry/RoutingState.cpp
+++ b/Source/Entry/RoutingState.cpp
@@ -154,6 +154,26 @@
   return Slots;
 }
 
+FreeCapacity freeCapacity(RoutingState &State,
+                          std::span<const CandidateView> Candidates,
+                          const ChoiceRequest &Request, TimePoint Now) {
+  const std::uint32_t Limit = limitFor(State, Request, Now);
+  FreeCapacity Free{0, State.m_EntryCount};
+  for (const ReplicaCandidate &Each :
+       toReplicas(State, Candidates, Request, Now)) {
+    if (Each.m_Full || Each.m_Ejected || Each.m_Suspect)
+      continue;
+    // Without recent reports of the other entries, the entry's own part counts.
+    const std::uint32_t Own = Each.m_OutstandingRequests;
+    const std::uint32_t Bound =
+        Each.m_OtherEntriesRequests
+            ? Limit - std::min(Limit, *Each.m_OtherEntriesRequests)
+            : (Limit + State.m_EntryCount - 1) / State.m_EntryCount;
+    Free.m_Requests += Bound > Own ? Bound - Own : 1;
+  }
+  return Free;
+}
+
 void recordCallStarted(RoutingState &State, const BackendTarget &Target,
                        const CallSize &Size, TimePoint Now) {
   OwnCalls &Own = State.m_OwnCalls[Target.m_Name];
