Membership, platform: announcements and answers say how long a server stays cold

Backend servers of a service with a cold rate announce cold_remaining_ms and repeat it in a header of their answers. The membership table keeps the time until which a server is cold, also in records that are passed on. Becoming cold, or no longer being cold before the announced time, is a change of state that is pushed at once; the countdown is none.

--- a/Source/Membership/MembershipTable.cpp
+++ b/Source/Membership/MembershipTable.cpp
@@ -145,6 +145,16 @@
          Known.m_PeerPort != Record.m_PeerPort;
 }
 
+// Whether the server has become cold again, stays cold for longer, or is no
+// longer cold before the announced time. A countdown is no change, and neither
+// is its end.
+bool hasColdChanged(const MembershipLimits &Limits, const Member &Known,
+                    const Member &Record, TimePoint Now) {
+  return Record.m_ColdUntil > Known.m_ColdUntil + Limits.m_ColdEndTolerance ||
+         std::max(Record.m_ColdUntil, Now) + Limits.m_ColdEndTolerance <
+             Known.m_ColdUntil;
+}
+
 MergeResult insertNew(MembershipTable &Table, const Member &Record,
                       TimePoint HeartbeatAt, TimePoint Now) {
   TableEntry Entry;
@@ -214,7 +224,8 @@
   const Member &Known = Entry.m_Member;
   const bool StateChanged = Record.m_State != Known.m_State ||
                             Record.m_GroupEpoch != Known.m_GroupEpoch ||
-                            Record.m_GroupBroken != Known.m_GroupBroken;
+                            Record.m_GroupBroken != Known.m_GroupBroken ||
+                            hasColdChanged(Table.m_Limits, Known, Record, Now);
   if (StateChanged || shouldPropagateRefresh(Table, Entry, Record, Now))
     markChanged(Table, Entry, Now);
   Entry.m_Member = Record;
@@ -419,6 +430,9 @@
   Record.m_Group = Message.group();
   Record.m_GroupEpoch = Message.group_epoch();
   Record.m_GroupBroken = Message.group_broken();
+  if (Message.cold_remaining_ms() > 0)
+    Record.m_ColdUntil =
+        Now - HeartbeatAge + milliseconds(Message.cold_remaining_ms());
   return Record;
 }
 
@@ -442,6 +456,11 @@
   Message.set_group(Record.m_Group);
   Message.set_group_epoch(Record.m_GroupEpoch);
   Message.set_group_broken(Record.m_GroupBroken);
+  // Rounded up, so that a cold server isn't passed on as one that is not.
+  const auto ColdRemaining = std::chrono::ceil<milliseconds>(
+      std::max(Duration::zero(), Record.m_ColdUntil - Now));
+  Message.set_cold_remaining_ms(
+      static_cast<std::uint32_t>(ColdRemaining.count()));
 }
 
 void deltaToSchema(const MemberDelta &Change, TimePoint Now,
--- a/Source/Membership/MembershipTable.h
+++ b/Source/Membership/MembershipTable.h
@@ -61,6 +61,8 @@
   // Incremented whenever the group is formed.
   std::uint64_t m_GroupEpoch = 0;
   bool m_GroupBroken = false;
+  // The backend server is cold until then; a time in the past if it isn't.
+  TimePoint m_ColdUntil;
 
   bool operator==(const Member &) const = default;
 };
@@ -94,6 +96,9 @@
   Duration m_TombstoneRetention = std::chrono::minutes(10);
   // Minimum interval between propagated heartbeats that change nothing else.
   Duration m_RefreshInterval = std::chrono::seconds(2);
+  // The announced end of a cold phase varies by the delays of announcements.
+  // Only a larger difference is a change of state.
+  Duration m_ColdEndTolerance = std::chrono::seconds(1);
 
   bool operator==(const MembershipLimits &) const = default;
 };
@@ -133,7 +138,8 @@
 enum class MergeResult {
   // A new server, or a new incarnation of a known one.
   Joined,
-  // Same incarnation, another state.
+  // Same incarnation, another state; also cold again, or no longer cold before
+  // the announced time.
   StateChanged,
   // Same state, newer heartbeat.
   Refreshed,
--- a/Source/Routing/ServerNotices.h
+++ b/Source/Routing/ServerNotices.h
@@ -42,6 +42,8 @@
   std::optional<double> m_RequestsPerSecond;
   // The server wants no requests from this gateway for so long.
   std::optional<Duration> m_Pause;
+  // How long the server stays cold; zero if it isn't cold.
+  Duration m_ColdRemaining = Duration::zero();
 
   bool operator==(const ServerNotice &) const = default;
 };
--- a/Tests/Membership/testMembershipTable.cpp
+++ b/Tests/Membership/testMembershipTable.cpp
@@ -325,6 +325,55 @@
   CHECK(candidates(Table, Begin) == "a1 a2 b1");
 }
 
+// Guards against a gateway that learns seconds later that a server is cold
+// again, and against a push to all gateways with each heartbeat of a cold one.
+TEST_CASE("a server that becomes cold is a change, its countdown is none") {
+  MembershipTable Table;
+  std::uint64_t Counter = 0;
+  const auto Announce = [&](Duration At, Duration Remaining) {
+    Member Record = member("a", 1, ++Counter);
+    if (Remaining > 0s)
+      Record.m_ColdUntil = Begin + At + Remaining;
+    return merge(Table, Record, 0s, Begin + At);
+  };
+  CHECK(Announce(0s, 0s) == MergeResult::Joined);
+  CHECK(Announce(250ms, 10s) == MergeResult::StateChanged);
+  const std::uint64_t Change = Table.m_LastChangeNumber;
+  // Announcements that are up to 200 ms late.
+  CHECK(Announce(500ms, 9750ms) == MergeResult::Refreshed);
+  CHECK(Announce(950ms, 9500ms) == MergeResult::Refreshed);
+  CHECK(Announce(1s, 9250ms) == MergeResult::Refreshed);
+  CHECK(Table.m_LastChangeNumber == Change);
+  // Cold again, for longer.
+  CHECK(Announce(2s, 10s) == MergeResult::StateChanged);
+  CHECK(Announce(11900ms, 100ms) == MergeResult::Refreshed);
+  CHECK(Announce(12100ms, 0s) == MergeResult::Refreshed);
+  // No longer cold before the time.
+  CHECK(Announce(13s, 10s) == MergeResult::StateChanged);
+  CHECK(Announce(14s, 0s) == MergeResult::StateChanged);
+  // Cold for a moment.
+  CHECK(Announce(15s, 300ms) == MergeResult::StateChanged);
+}
+
+TEST_CASE("a record that is passed on names the rest of the cold time") {
+  Member Sent = member("a");
+  Sent.m_LoadMeasuredAt = Begin;
+  Sent.m_ColdUntil = Begin + 10s;
+  // The heartbeat was received 3 s ago.
+  schema::MemberRecord Message;
+  deltaToSchema({Sent, 3s}, Begin + 3s, Message);
+  CHECK(Message.announcement().cold_remaining_ms() == 10000);
+  const Member Received =
+      memberFromSchema(Message.announcement(), 3s, Begin + 3s);
+  CHECK(Received.m_ColdUntil == Begin + 10s);
+  // Passed on after its end.
+  schema::MemberRecord Late;
+  deltaToSchema({Sent, 0s}, Begin + 11s, Late);
+  CHECK(Late.announcement().cold_remaining_ms() == 0);
+  CHECK(memberFromSchema(Late.announcement(), 0s, Begin).m_ColdUntil ==
+        TimePoint());
+}
+
 TEST_CASE("a refusal marks a group as broken before it is announced") {
   MembershipTable Table;
   merge(Table, rank("a1", 1, 1, false), 0s, Begin);
--- a/Tests/Platform/testPlatformCallerProtocol.cpp
+++ b/Tests/Platform/testPlatformCallerProtocol.cpp
@@ -190,6 +190,23 @@
   CHECK(PauseIn(503, "1e300") == 24h);
 }
 
+TEST_CASE("a cold server says how long it stays cold") {
+  const auto ColdIn = [](unsigned Status, const char *Value) {
+    return PlatformCallerProtocol()
+        .readNotice({Status, {{"x-mangocart-cold-ms", Value}}})
+        .m_ColdRemaining;
+  };
+  CHECK(ColdIn(200, "2500") == 2500ms);
+  CHECK(ColdIn(503, "0.5") == 500us);
+  CHECK(ColdIn(200, "1e300") == 24h);
+  CHECK(ColdIn(200, "0") == 0s);
+  CHECK(ColdIn(200, "soon") == 0s);
+  CHECK(ColdIn(200, "-1") == 0s);
+  // Another server has answered.
+  CHECK(ColdIn(421, "2500") == 0s);
+  CHECK(PlatformCallerProtocol().readNotice({200, {}}).m_ColdRemaining == 0s);
+}
+
 TEST_CASE("a response belongs to the request whose ID it contains") {
   const PlatformCallerProtocol P;
   CHECK(P.matchesRequest({200, {{"X-Mangocart-Request-Id", "9c41"}}}, "9c41"));
--- a/Tests/Platform/testPlatformControlProtocol.cpp
+++ b/Tests/Platform/testPlatformControlProtocol.cpp
@@ -68,6 +68,33 @@
   CHECK(statusOf(read(call("POST", "/instances/i-7", Whole))) == 405);
 }
 
+TEST_CASE("a cold backend server announces how long it stays cold") {
+  RuntimeClock::pause();
+  const auto ColdIn = [](const std::string &Value) -> std::optional<Duration> {
+    const ControlCall Call =
+        read(call("PUT", "/instances/i-7",
+                  R"({"service":"llm","address":"10.1.0.9:8080","zone":"a",)"
+                  R"("slots":1,"state":"ready","sequence":4)" +
+                      Value + "}"));
+    if (statusOf(Call) == 400)
+      return std::nullopt;
+    const TimePoint Until = std::get<AnnounceServer>(Call).m_Record.m_ColdUntil;
+    return Until == TimePoint() ? Duration::zero()
+                                : Until - RuntimeClock::now();
+  };
+  CHECK(ColdIn("") == Duration::zero());
+  CHECK(ColdIn(R"(,"cold_remaining_ms":0)") == Duration::zero());
+  CHECK(ColdIn(R"(,"cold_remaining_ms":2500)") ==
+        std::chrono::milliseconds(2500));
+  CHECK(ColdIn(R"(,"cold_remaining_ms":0.4)") == std::chrono::milliseconds(1));
+  CHECK(ColdIn(R"(,"cold_remaining_ms":1e300)") == std::chrono::hours(24));
+  for (const char *Wrong : {R"("2500")", "null", "-1", "true", "[1]", "{}"}) {
+    INFO(Wrong);
+    CHECK_FALSE(ColdIn(R"(,"cold_remaining_ms":)" + std::string(Wrong)));
+  }
+  RuntimeClock::resume();
+}
+
 TEST_CASE("a backend server leaves, with and without a body") {
   const ControlCall Bare = read(call("DELETE", "/instances/i-7"));
   REQUIRE(std::holds_alternative<AnnounceServer>(Bare));
