Routing, Gateway: allowances of cold backend servers

A cold server crashes if all gateways together send it much more than its cold rate. Each gateway now keeps to a part of a fixed number of permits in each window of 1.01 s, by rendezvous hashing over the list of gateways. The permits (13 for 14 requests a second) are at most half of what a cold server bears in a second, so that two different divisions at once keep the bound. The same permits apply to servers that aren't known to be cold, until they have answered.

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -50,18 +50,46 @@
   return Calls;
 }
 
-void MembershipDirectory::setGateways(GatewayList Gateways) {
+void MembershipDirectory::setGateways(GatewayList Gateways, bool HasMajority) {
   const std::lock_guard Lock(m_Mutex);
+  updateGateways(m_Routing.m_Cold, Gateways, HasMajority, RuntimeClock::now());
   m_Routing.m_Notices.m_Gateways = std::move(Gateways);
 }
 
+void MembershipDirectory::setColdRates(
+    std::map<std::string, double, std::less<>> Rates) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Routing.m_Cold.m_Rates = std::move(Rates);
+}
+
+void MembershipDirectory::setColdBurst(double Factor, double Slack) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Routing.m_Cold.m_Options.m_BurstFactor = Factor;
+  m_Routing.m_Cold.m_Options.m_BurstSlack = Slack;
+}
+
+std::optional<TimePoint> MembershipDirectory::nextColdPermit() const {
+  const std::lock_guard Lock(m_Mutex);
+  return mangocart::nextColdPermit(m_Table, m_Routing.m_Cold,
+                                   RuntimeClock::now());
+}
+
+ColdCounts MembershipDirectory::coldCounts() const {
+  const std::lock_guard Lock(m_Mutex);
+  return {m_ReportedCold.size(), m_Routing.m_HeldByAllowance};
+}
+
 void MembershipDirectory::noteAnswer(const BackendTarget &Target,
-                                     const ServerNotice &Notice) {
+                                     const ServerNotice &Notice,
+                                     std::optional<TimePoint> SentAt) {
   bool HasLeft = false;
   {
     const std::lock_guard Lock(m_Mutex);
-    recordNotice(m_Routing.m_Notices, Target.m_Name, Notice,
-                 RuntimeClock::now());
+    const TimePoint Now = RuntimeClock::now();
+    recordNotice(m_Routing.m_Notices, Target.m_Name, Notice, Now);
+    if (SentAt && m_Routing.m_Cold.m_Rates.contains(Target.m_Service))
+      recordColdAnswer(m_Routing.m_Cold, Target.m_Name, Notice.m_ColdRemaining,
+                       *SentAt, Now);
     HasLeft = Notice.m_IsLeaving && advanceState(Target, MemberState::Leaving);
   }
   if (HasLeft)
@@ -274,12 +302,22 @@
 void MembershipDirectory::sweepMembers() {
   std::vector<HealthChange> Changes;
   std::vector<ServiceEjectionChange> Ejections;
+  std::vector<ColdChange> Cold;
   {
     const std::lock_guard Lock(m_Mutex);
+    removeExpired(m_Routing.m_Cold, RuntimeClock::now());
+    Cold = coldChanges(m_Table, m_Routing.m_Cold, m_ReportedCold,
+                       RuntimeClock::now());
     Changes = sweep(m_Table, RuntimeClock::now());
     removeExpired(m_Routing.m_Notices, RuntimeClock::now());
     Ejections = updateAllEjections(m_Routing, RuntimeClock::now());
   }
+  for (const ColdChange &Change : Cold)
+    m_Events.write(Change.m_IsCold ? Event::BackendServerCold
+                                   : Event::BackendServerNoLongerCold,
+                   {{"backend_server", Change.m_BackendServer},
+                    {"own_permits", Change.m_OwnPermits},
+                    {"all_permits", Change.m_AllPermits}});
   for (const ServiceEjectionChange &Report : Ejections)
     m_Events.write(Event::BackendServerEjected,
                    {{"service", Report.m_Service},
@@ -313,9 +351,19 @@
   ChoiceRequest Untried;
   Untried.m_Service = Service;
   Untried.m_Tried = &Tried;
-  for (const CandidateView &Each : candidates(Untried)) {
-    const auto Until =
-        pausedUntil(m_Routing.m_Notices, Each.m_Member->m_BackendServer, Now);
+  const std::vector<CandidateView> Candidates = candidates(Untried);
+  const std::vector<ColdQuery> Queries =
+      coldQueries(m_Routing, Candidates, Now);
+  for (std::size_t I = 0; I < Candidates.size(); ++I) {
+    std::optional<TimePoint> Until = pausedUntil(
+        m_Routing.m_Notices, Candidates[I].m_Member->m_BackendServer, Now);
+    if (!Until && !Queries.empty() &&
+        !hasPart(m_Routing.m_Cold, Queries[I], Now)) {
+      // Only other gateways send to this server, unless this one is new.
+      Until = withoutPartUntil(m_Routing.m_Cold, Now);
+      if (!Until)
+        continue;
+    }
     if (!Until)
       ++Found.m_Servers;
     else if (!FirstEnd || *Until < *FirstEnd)
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -4,6 +4,7 @@
 #define MANGOCART_ENTRY_MEMBERSHIPDIRECTORY_H
 
 #include "Entry/BackendDirectory.h"
+#include "Entry/ColdReport.h"
 #include "Entry/RoutingState.h"
 #include "Membership/MembershipTable.h"
 #include "Routing/GroupStall.h"
@@ -11,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <vector>
 
 namespace mangocart::schema {
@@ -28,6 +30,15 @@
   std::uint32_t m_OwnOutstanding = 0;
 };
 
+// Cold servers of services with a cold rate.
+struct ColdCounts {
+  std::size_t m_ColdServers = 0;
+  // Choices that found no server while an allowance excluded one.
+  std::uint64_t m_HeldByAllowance = 0;
+
+  bool operator==(const ColdCounts &) const = default;
+};
+
 struct ServiceAvailability {
   // Number of backend servers that accept new requests.
   std::size_t m_Servers = 0;
@@ -55,10 +66,20 @@
   // In-flight calls of another entry, and of this one.
   void setOtherEntryCalls(const std::string &Entry, OutstandingCalls Calls);
   OutstandingCalls ownCalls() const;
-  // All known gateways, for the shares of limits that servers name.
-  void setGateways(GatewayList Gateways);
-  // Records what an answer of the server says of it.
-  void noteAnswer(const BackendTarget &Target, const ServerNotice &Notice);
+  // All known gateways, for the shares of limits that servers name and of cold
+  // servers. HasMajority: a majority of the voters is connected.
+  void setGateways(GatewayList Gateways, bool HasMajority = false);
+  // The services with a cold rate, and what cold servers bear beyond it.
+  void setColdRates(std::map<std::string, double, std::less<>> Rates);
+  void setColdBurst(double Factor, double Slack);
+  // When waiting requests may next be sent to a cold server whose permits this
+  // gateway has used up; no value if there is none.
+  std::optional<TimePoint> nextColdPermit() const;
+  ColdCounts coldCounts() const;
+  // Records what an answer of the server says of it. SentAt: when its request
+  // was sent; no value if another server may have answered.
+  void noteAnswer(const BackendTarget &Target, const ServerNotice &Notice,
+                  std::optional<TimePoint> SentAt = std::nullopt);
   // Limits that other gateways have not been told of yet, and all known ones.
   std::map<std::string, LimitSighting> takeLimitNews();
   std::map<std::string, LimitSighting> knownLimits() const;
@@ -102,8 +123,8 @@
   // Merges a record received from another entry.
   void heard(const schema::MemberRecord &Record);
   DeltaBatch differences(std::uint64_t Since, std::size_t MaxRecords);
-  // Logs members that became suspect, lost or healthy, and servers that were
-  // ejected or reinstated.
+  // Logs members that became suspect, lost, healthy, cold or no longer cold,
+  // and servers that were ejected or reinstated.
   void sweepMembers();
   std::vector<MemberView> members() const;
   // Tried: servers that don't count.
@@ -139,6 +160,8 @@
   MembershipTable m_Table;
   RoutingState m_Routing;
   GroupStallDetector m_Stalls;
+  // Servers that were logged as cold.
+  std::set<std::string> m_ReportedCold;
 };
 
 } // namespace mangocart
--- a/Source/Entry/RoutingState.cpp
+++ b/Source/Entry/RoutingState.cpp
@@ -40,6 +40,21 @@
   return Sum;
 }
 
+bool isAllowed(const RoutingState &State, const ColdQuery &Query,
+               TimePoint Now) {
+  const auto Next = nextAllowed(State.m_Cold, Query, Now);
+  return Next && *Next <= Now;
+}
+
+bool isHeldByAllowance(const RoutingState &State,
+                       std::span<const CandidateView> Candidates,
+                       TimePoint Now) {
+  const std::vector<ColdQuery> Queries = coldQueries(State, Candidates, Now);
+  return std::any_of(
+      Queries.begin(), Queries.end(),
+      [&](const ColdQuery &Each) { return !isAllowed(State, Each, Now); });
+}
+
 ReplicaCandidate toReplica(RoutingState &State, ServiceRouting &Routing,
                            const CandidateView &From,
                            const ChoiceRequest &Request, std::uint32_t Limit,
@@ -89,6 +104,10 @@
   Replicas.reserve(Candidates.size());
   for (const CandidateView &Each : Candidates)
     Replicas.push_back(toReplica(State, Routing, Each, Request, Limit, Now));
+  const std::vector<ColdQuery> Queries = coldQueries(State, Candidates, Now);
+  for (std::size_t I = 0; I < Queries.size(); ++I)
+    Replicas[I].m_Full =
+        Replicas[I].m_Full || !isAllowed(State, Queries[I], Now);
   return Replicas;
 }
 
@@ -106,6 +125,19 @@
 
 } // namespace
 
+std::vector<ColdQuery> coldQueries(const RoutingState &State,
+                                   std::span<const CandidateView> Candidates,
+                                   TimePoint Now) {
+  std::vector<ColdQuery> Queries;
+  if (State.m_Cold.m_Rates.empty())
+    return Queries;
+  for (const CandidateView &Each : Candidates)
+    Queries.push_back({Each.m_Member->m_BackendServer, Each.m_Member->m_Service,
+                       Each.m_Member->m_ColdUntil});
+  allowReserve(State.m_Cold, Queries, Now);
+  return Queries;
+}
+
 ServiceRouting &routingOf(RoutingState &State, std::string_view Service) {
   const auto Found = State.m_Services.find(Service);
   if (Found != State.m_Services.end())
@@ -132,9 +164,12 @@
   ReplicaChoiceOptions Options = ChoiceDefaults;
   Options.m_Policy =
       parseRoutingPolicy(Request.m_Policy).value_or(RoutingPolicy::Score);
-  return chooseReplica(Replicas, toRouted(State, Request), Options,
-                       routingOf(State, Request.m_Service).m_Choice,
-                       State.m_Random);
+  const auto Chosen = chooseReplica(
+      Replicas, toRouted(State, Request), Options,
+      routingOf(State, Request.m_Service).m_Choice, State.m_Random);
+  if (!Chosen && isHeldByAllowance(State, Candidates, Now))
+    ++State.m_HeldByAllowance;
+  return Chosen;
 }
 
 std::size_t countSlots(RoutingState &State,
@@ -160,6 +195,7 @@
   ++Own.m_Requests;
   Own.m_Tokens += Size.m_Tokens;
   recordSent(State.m_Notices, Target.m_Name, Now);
+  recordColdSent(State.m_Cold, Target.m_Name, Target.m_Service, Now);
   ServiceRouting &Routing = routingOf(State, Target.m_Service);
   Routing.m_MeanTokens +=
       MeanTokensWeight *
--- a/Source/Entry/RoutingState.h
+++ b/Source/Entry/RoutingState.h
@@ -9,6 +9,7 @@
 #include "Entry/BackendDirectory.h"
 #include "Membership/MembershipTable.h"
 #include "Routing/CacheHints.h"
+#include "Routing/ColdAllowance.h"
 #include "Routing/ConcurrencyLimit.h"
 #include "Routing/OutlierDetector.h"
 #include "Routing/ReplicaChoice.h"
@@ -52,12 +53,22 @@
   CacheHints m_Hints;
   // Empty if backend servers say nothing of themselves in their answers.
   ServerNotices m_Notices;
+  // Without rates if no service has a cold rate.
+  ColdAllowance m_Cold;
+  // Choices that found no server while an allowance excluded one.
+  std::uint64_t m_HeldByAllowance = 0;
   Random m_Random;
 };
 
 // State of the service, created on first use.
 ServiceRouting &routingOf(RoutingState &State, std::string_view Service);
 
+// What the allowances of cold servers need to know of each candidate; empty if
+// no service has a cold rate.
+std::vector<ColdQuery> coldQueries(const RoutingState &State,
+                                   std::span<const CandidateView> Candidates,
+                                   TimePoint Now);
+
 std::uint32_t ownRequests(const RoutingState &State,
                           std::string_view BackendServer);
 
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -24,6 +24,10 @@
 constexpr Duration MaintenanceInterval = milliseconds(250);
 // Waiting requests are also dispatched when something has changed.
 constexpr Duration DispatchInterval = milliseconds(50);
+// With cold servers waiting requests are dispatched when the next one is
+// permitted, as 50 ms in each second would leave too much unused. Many permits
+// shortly after each other share a dispatch.
+constexpr Duration MinDispatchInterval = milliseconds(5);
 
 HttpLimits callerLimits(const schema::GatewaySettings &Settings,
                         const CallerLimits &Limits) {
@@ -117,7 +121,8 @@
                 m_LoadExchange->setGateways(Gateways);
                 m_CrashGuard->setGateways(Gateways);
                 m_Directory.setGateways(
-                    gatewayList(ownEndpoint(m_Settings), Gateways));
+                    gatewayList(ownEndpoint(m_Settings), Gateways),
+                    m_VoterWatch->hasMajority());
               },
               toString(ownEndpoint(m_Settings)),
               {}},
@@ -131,6 +136,9 @@
       m_MaintenanceTimer(m_Workers.worker(0)),
       m_DispatchTimer(m_Workers.worker(0)) {
   m_Events.limitRequestLines(m_Settings.log_lines_per_second());
+  m_Directory.setColdBurst(m_Settings.cold_burst_factor(),
+                           m_Settings.cold_burst_slack());
+  addColdMetrics(m_Registry, m_Directory);
   m_Directory.setLimits(
       announceLimits(milliseconds(m_Settings.announce_interval_ms())));
   m_Directory.onMemberChange([this] { m_Dispatcher.dispatchWaiting(); });
@@ -179,7 +187,11 @@
 
 void GatewayDaemon::dispatchPeriodically() {
   m_Dispatcher.dispatchWaiting();
-  m_DispatchTimer.expires_after(DispatchInterval);
+  Duration Interval = DispatchInterval;
+  if (const auto Permit = m_Directory.nextColdPermit())
+    Interval = std::clamp(*Permit - RuntimeClock::now(), MinDispatchInterval,
+                          DispatchInterval);
+  m_DispatchTimer.expires_after(Interval);
   m_DispatchTimer.async_wait([this](boost::system::error_code Error) {
     if (!Error)
       dispatchPeriodically();
@@ -215,6 +227,7 @@
 }
 
 void GatewayDaemon::planChanged(const RoutingPlan &Plan) {
+  m_Directory.setColdRates(coldRates(Plan));
   m_CallerServer.setLimits(callerLimits(m_Settings, Plan.m_Limits));
 }
 
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -1,6 +1,8 @@
 // Metric names and help texts.
 #include "Gateway/GatewayMetrics.h"
 
+#include "Entry/MembershipDirectory.h"
+
 namespace mangocart {
 
 GatewayMetrics::GatewayMetrics(MetricRegistry &Registry)
@@ -40,4 +42,18 @@
           Registry.histogram("mangocart_gateway_whole_seconds",
                              "Time from a request's arrival to its end.")) {}
 
+void addColdMetrics(MetricRegistry &Registry,
+                    const MembershipDirectory &Directory) {
+  Registry.gaugeFrom(
+      "mangocart_gateway_cold_servers",
+      "Backend servers that are cold, of services with a cold rate.",
+      [&Directory] {
+        return static_cast<double>(Directory.coldCounts().m_ColdServers);
+      });
+  Registry.counterFrom(
+      "mangocart_gateway_allowance_holds_total",
+      "Choices without a server while an allowance held one back.",
+      [&Directory] { return Directory.coldCounts().m_HeldByAllowance; });
+}
+
 } // namespace mangocart
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -6,6 +6,8 @@
 
 namespace mangocart {
 
+class MembershipDirectory;
+
 struct GatewayMetrics {
   explicit GatewayMetrics(MetricRegistry &Registry);
 
@@ -27,6 +29,10 @@
   Histogram &m_TotalTime;
 };
 
+// Adds metrics of cold servers, which the directory counts.
+void addColdMetrics(MetricRegistry &Registry,
+                    const MembershipDirectory &Directory);
+
 } // namespace mangocart
 
 #endif
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -311,9 +311,12 @@
   m_Head = std::move(Head);
   m_HeadReceived = true;
   m_Context.m_AttemptMonitor.onDataReceived(*m_Target);
-  m_Context.m_Directory.noteAnswer(*m_Target,
-                                   m_Context.m_Protocol.readNotice(m_Head));
-  const bool Ran = responseKind() == ResponseKind::Ran;
+  const ResponseKind Kind = responseKind();
+  m_Context.m_Directory.noteAnswer(
+      *m_Target, m_Context.m_Protocol.readNotice(m_Head),
+      Kind == ResponseKind::WrongServer ? std::optional<TimePoint>()
+                                        : m_SentAt);
+  const bool Ran = Kind == ResponseKind::Ran;
   m_ForwardingMode = responseIsStream() && Ran && isSuccess(m_Head.m_Status)
                          ? ForwardingMode::Events
                          : ForwardingMode::Buffered;
--- a/Source/Gateway/RoutingPlan.cpp
+++ b/Source/Gateway/RoutingPlan.cpp
@@ -36,6 +36,14 @@
 
 } // namespace
 
+std::map<std::string, double, std::less<>> coldRates(const RoutingPlan &Plan) {
+  std::map<std::string, double, std::less<>> Rates;
+  for (const ServiceConfig &Each : Plan.m_Services)
+    if (Each.m_ColdRequestsPerSecond > 0.0)
+      Rates[Each.m_Name] = Each.m_ColdRequestsPerSecond;
+  return Rates;
+}
+
 std::uint64_t totalWeight(const RouteConfig &Route) {
   std::uint64_t Sum = 0;
   for (const WeightedService &Each : Route.m_Services)
--- a/Source/Gateway/RoutingPlan.h
+++ b/Source/Gateway/RoutingPlan.h
@@ -154,6 +154,9 @@
   bool operator==(const RoutingPlan &) const = default;
 };
 
+// The cold rate of each service that has one.
+std::map<std::string, double, std::less<>> coldRates(const RoutingPlan &Plan);
+
 // Returns why the plan is invalid, or nullopt if it is valid.
 std::optional<std::string> findError(const RoutingPlan &Plan);
 
--- a/Source/Gateway/VoterWatch.cpp
+++ b/Source/Gateway/VoterWatch.cpp
@@ -64,6 +64,15 @@
       }));
 }
 
+bool VoterWatch::hasMajority() const {
+  const auto Connected =
+      std::count_if(m_Links.begin(), m_Links.end(), [&](const auto &Each) {
+        return Each.second.m_Stream && Each.second.m_HasUpdate &&
+               m_Members.contains(Each.first);
+      });
+  return static_cast<std::size_t>(Connected) * 2 > m_Members.size();
+}
+
 bool VoterWatch::isKnown(const PeerEndpoint &Voter) const {
   return m_Seeds.contains(Voter) || m_Members.contains(Voter);
 }
--- a/Source/Gateway/VoterWatch.h
+++ b/Source/Gateway/VoterWatch.h
@@ -61,6 +61,8 @@
   void setSeeds(std::vector<PeerEndpoint> Seeds);
   // Number of connected voters from which an update was received.
   std::size_t connected() const;
+  // Whether updates were received from a majority of the known voters.
+  bool hasMajority() const;
 
 private:
   struct Link {
--- a/Tests/Entry/testRoutingState.cpp
+++ b/Tests/Entry/testRoutingState.cpp
@@ -59,3 +59,64 @@
     CHECK(countSlots(State, Candidates, Request, Now) == Case.m_Slots);
   }
 }
+
+namespace {
+
+// One gateway before two servers of a service with a cold rate.
+struct ColdFixture {
+  ColdFixture() {
+    m_State.m_Cold.m_Options.m_BurstFactor = 1.5;
+    m_State.m_Cold.m_Options.m_BurstSlack = 5.0;
+    m_State.m_Cold.m_Rates["assistant"] = 14.0;
+    updateGateways(m_State.m_Cold, {"g", {"g"}}, true, m_Now - 10s);
+    for (const char *Name : {"cold", "warm"}) {
+      m_Members.emplace_back();
+      m_Members.back().m_BackendServer = Name;
+      m_Members.back().m_Service = "assistant";
+      m_Members.back().m_LoadMeasuredAt = m_Now;
+    }
+    m_Members[0].m_ColdUntil = m_Now + 1min;
+  }
+
+  // The server that gets a request, or nothing.
+  std::string send(std::size_t Servers) {
+    std::vector<CandidateView> Candidates;
+    for (std::size_t I = 0; I < Servers; ++I)
+      Candidates.push_back({&m_Members[I], false});
+    ChoiceRequest Request;
+    Request.m_Service = "assistant";
+    Request.m_Policy = "score";
+    Request.m_MaxOutstanding = 1000;
+    const auto Chosen = chooseCandidate(m_State, Candidates, Request, m_Now);
+    if (!Chosen)
+      return "";
+    BackendTarget Target;
+    Target.m_Name = m_Members[*Chosen].m_BackendServer;
+    Target.m_Service = "assistant";
+    recordCallStarted(m_State, Target, {}, m_Now);
+    return Target.m_Name;
+  }
+
+  const TimePoint m_Now{1h};
+  RoutingState m_State;
+  std::vector<Member> m_Members;
+};
+
+} // namespace
+
+TEST_CASE("a cold server whose permits are used up gets no request") {
+  ColdFixture F;
+  for (int I = 0; I < 13; ++I)
+    CHECK(F.send(1) == "cold");
+  CHECK(F.send(1) == "");
+  CHECK(F.m_State.m_HeldByAllowance == 1);
+  CHECK(F.send(2) == "warm");
+}
+
+TEST_CASE("a cold server of a service without a cold rate gets any request") {
+  ColdFixture F;
+  F.m_State.m_Cold.m_Rates.clear();
+  for (int I = 0; I < 100; ++I)
+    CHECK(F.send(1) == "cold");
+  CHECK(F.m_State.m_HeldByAllowance == 0);
+}
