--- a/Tests/Gateway/testServiceDispatcher.cpp
+++ b/Tests/Gateway/testServiceDispatcher.cpp
@@ -100,3 +100,53 @@
   CHECK_FALSE(Result->m_Target);
   CHECK(Result->m_RetryAfter > 0s);
 }
+
+TEST_CASE("a call for cold servers waits for the next permit") {
+  Fixture F;
+  F.m_Directory.setColdBurst(1.0, 0.0);
+  F.m_Directory.setColdRates({{Service, 1.0}});
+  F.m_Directory.setGateways({"g", {"g"}}, true);
+  const TimePoint Until = RuntimeClock::now() + 1min;
+  for (int I = 0; I < 2; ++I) {
+    const auto Target = F.m_Directory.locate(fmt::format("s{}", I));
+    REQUIRE(Target);
+    ServerNotice Cold;
+    Cold.m_ColdRemaining = Until - RuntimeClock::now();
+    F.m_Directory.noteAnswer(*Target, Cold, RuntimeClock::now());
+  }
+  CHECK_FALSE(F.m_Directory.nextColdPermit());
+  RuntimeClock::advance(2s);
+  std::optional<DispatchResult> First;
+  std::optional<DispatchResult> Second;
+  std::optional<DispatchResult> Third;
+  F.submit(First, {});
+  F.submit(Second, {});
+  F.submit(Third, {});
+  REQUIRE((First && First->m_Target));
+  REQUIRE((Second && Second->m_Target));
+  CHECK(First->m_Target->m_Name != Second->m_Target->m_Name);
+  CHECK_FALSE(Third);
+  const auto Next = F.m_Directory.nextColdPermit();
+  REQUIRE(Next);
+  RuntimeClock::advance(*Next - RuntimeClock::now());
+  F.m_Dispatcher.dispatchWaiting();
+  F.run();
+  REQUIRE((Third && Third->m_Target));
+  CHECK(F.m_Directory.coldCounts().m_HeldByAllowance > 0);
+}
+
+TEST_CASE("a gateway without a part of any cold server rejects at once") {
+  Fixture F;
+  F.m_Directory.setColdRates({{Service, 1.0}});
+  GatewayList Gateways{"g", {"g"}};
+  // One of 400 has the permit of a server.
+  for (int I = 0; I < 400; ++I)
+    Gateways.m_All.push_back(fmt::format("h{}", I));
+  F.m_Directory.setGateways(Gateways, true);
+  RuntimeClock::advance(2s);
+  std::optional<DispatchResult> Result;
+  F.submit(Result, {});
+  REQUIRE(Result);
+  CHECK_FALSE(Result->m_Target);
+  CHECK(Result->m_Rejection == DispatchRejection::NoBackendServer);
+}
--- a/Tests/Gateways/EngineFleet.cpp
+++ b/Tests/Gateways/EngineFleet.cpp
@@ -53,6 +53,7 @@
   std::string m_Id;
   std::string m_Ip;
   std::string m_Headers;
+  Clock::time_point m_ColdUntil;
   unsigned m_Rank = 0;
   bool m_Rejects = false;
   bool m_Frozen = false;
@@ -334,8 +335,12 @@
 void EngineFleet::announce(const Engine &Each) {
   std::string Body = fmt::format(
       R"({{"service":"engines","address":"{}:{}","zone":"z{}","version":"v1",)"
-      R"("slots":8,"state":"ready","cold_remaining_ms":0,"sequence":{})",
-      Each.m_Ip, EnginePort, Each.m_Rank % 3, ++m_Sequence);
+      R"("slots":8,"state":"ready","cold_remaining_ms":{},"sequence":{})",
+      Each.m_Ip, EnginePort, Each.m_Rank % 3,
+      std::max<std::int64_t>(
+          0, std::chrono::ceil<milliseconds>(Each.m_ColdUntil - Clock::now())
+                 .count()),
+      ++m_Sequence);
   if (m_Options.m_Grouped)
     Body += fmt::format(
         R"(,"group":{{"name":"g","epoch":{},"rank":{},"state":"{}"}},"size":{})",
@@ -444,6 +449,15 @@
   });
 }
 
+void EngineFleet::setCold(unsigned Index, milliseconds For) {
+  asio::post(m_Context, [this, Index, For] {
+    Engine &Each = *m_Engines[Index];
+    Each.m_ColdUntil = Clock::now() + For;
+    Each.m_Headers = fmt::format("X-Mangocart-Cold-Ms: {}\r\n", For.count());
+    announce(Each);
+  });
+}
+
 void EngineFleet::setRejecting(unsigned Index, bool Rejects) {
   asio::post(m_Context,
              [this, Index, Rejects] { m_Engines[Index]->m_Rejects = Rejects; });
--- a/Tests/Gateways/EngineFleet.h
+++ b/Tests/Gateways/EngineFleet.h
@@ -80,6 +80,9 @@
   // Header lines that the engine adds to all its answers from now on, each with
   // its line end.
   void setHeaders(unsigned Index, std::string Lines);
+  // The engine announces that it is cold for so long, and adds the rest to all
+  // its answers.
+  void setCold(unsigned Index, std::chrono::milliseconds For);
   // The engine rejects all requests as not run from now on, or stops doing so.
   void setRejecting(unsigned Index, bool Rejects);
   // The engine's machine stands still: nothing is answered or announced, begun
--- a/Tests/Gateways/GatewayDeployment.cpp
+++ b/Tests/Gateways/GatewayDeployment.cpp
@@ -33,7 +33,7 @@
  "route_type":"non_idempotent","timeout_ms":4000,"target_latency_ms":400,
  "priority":1,"service":"engines","max_attempts":2,"public":true}],
 "services":[{"name":"engines","health_path":"/health","max_connections":300,
- "protocol":"h1","tls":false,"engine":{"slots":8,"kv_capacity_tokens":372000,
+ "protocol":"h1","tls":false,COLD"engine":{"slots":8,"kv_capacity_tokens":372000,
  "models":[{"name":"m"}],"step_ms":5.85,"per_seq_ms":0.355,
  "read_per_s":61200.0,"usual":{"prompt":835,"answer":139}}}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
@@ -117,7 +117,8 @@
                         "health_endpoint = \"{}:{}\"\npeer_port = 7340\n"
                         "metrics_port = 9464\nseeds = [\"{}:{}\"]\n"
                         "announce_interval_ms = 1200\nretry_ratio = 0.2\n"
-                        "retry_slack = 80\nlog_lines_per_second = 2000\n",
+                        "retry_slack = 80\nlog_lines_per_second = 2000\n"
+                        "cold_burst_factor = 1.5\ncold_burst_slack = 5\n",
                         Name, Index % 3, Address, CallerPort, Address,
                         HealthPort, voter().m_Address, ControlPort));
   m_Gateways[Index] = std::make_unique<ChildProcess>(
@@ -134,6 +135,12 @@
   std::string Text = Configuration;
   const std::string Name = "VERSION";
   Text.replace(Text.find(Name), Name.size(), std::to_string(Version));
+  const std::string Cold = "COLD";
+  Text.replace(
+      Text.find(Cold), Cold.size(),
+      m_ColdRate > 0.0
+          ? fmt::format(R"("cold_start_s":60,"cold_per_s":{},)", m_ColdRate)
+          : "");
   const HttpRequest Put{
       "PUT",
       "/config",
--- a/Tests/Gateways/GatewayDeployment.h
+++ b/Tests/Gateways/GatewayDeployment.h
@@ -23,6 +23,8 @@
   GatewayDeployment(const GatewayDeployment &) = delete;
   GatewayDeployment &operator=(const GatewayDeployment &) = delete;
 
+  // Cold rate of the service, 0 for none; to be called before start().
+  void setColdRate(double PerSecond) { m_ColdRate = PerSecond; }
   // Starts all processes and waits until every gateway is ready.
   void start();
   // Sends the configuration to the voter under the version, with the same
@@ -46,6 +48,7 @@
                             const std::string &Text) const;
 
   const int m_Octet;
+  double m_ColdRate = 0.0;
   std::filesystem::path m_Folder;
   std::unique_ptr<ChildProcess> m_Voter;
   std::vector<std::unique_ptr<ChildProcess>> m_Gateways;
