--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -7,6 +7,8 @@
 
 namespace mangocart {
 
+class MembershipDirectory;
+
 struct GatewayMetrics {
   explicit GatewayMetrics(MetricRegistry &Registry);
 
@@ -29,6 +31,10 @@
   PriorityMetrics m_Priorities;
 };
 
+// Adds metrics of cold servers, which the directory counts.
+void addColdMetrics(MetricRegistry &Registry,
+                    const MembershipDirectory &Directory);
+
 } // namespace mangocart
 
 #endif
