Routing, Gateway: prompts are spread by pending prompt tokens

Cause: a gateway knew only the tokens of its own requests, so a short prompt could wait for further passes behind long ones of other gateways.

Change: gateways count the prompt tokens of requests whose answers have not begun and send them with their load reports. For services with an engine and known passes, a request goes to the rank that prefills it in the fewest passes, then to the one with the fewest requests, among the gateway's own part of the ranks and one random rank. Other services are chosen as before. New metrics: pending prompt tokens, and time to the first event by prompt size.

--- a/Source/Entry/BackendDirectory.h
+++ b/Source/Entry/BackendDirectory.h
@@ -50,6 +50,9 @@
   const std::vector<std::string> *m_Tried = nullptr;
   // Availability zone of the last failed attempt; empty for none.
   std::string_view m_FailedZone;
+  // Prompt tokens that a server of the service prefills in a pass; 0 if the
+  // service has no engine with prompts, or its passes are unknown.
+  std::uint64_t m_PrefillTokensPerPass = 0;
 };
 
 enum class CallResult {
@@ -67,6 +70,8 @@
   CallResult m_Result = CallResult::Cancelled;
   // Time from sending the call to the end of the answer.
   Duration m_Time{0};
+  // The beginning of the answer was reported before.
+  bool m_HasBegun = false;
 
   bool operator==(const CallReport &) const = default;
 };
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -47,11 +47,13 @@
   OutstandingCalls Calls;
   for (const auto &[Name, Own] : m_Routing.m_OwnCalls)
     Calls.m_Requests[hash64(Name)] = Own.m_Requests;
+  Calls.m_PendingPromptTokens = m_Routing.m_OwnPendingPromptTokens;
   return Calls;
 }
 
 void MembershipDirectory::setGateways(GatewayList Gateways) {
   const std::lock_guard Lock(m_Mutex);
+  m_Routing.m_GatewayPosition = positionOf(Gateways.m_Self, Gateways.m_All);
   m_Routing.m_Notices.m_Gateways = std::move(Gateways);
 }
 
@@ -197,6 +199,20 @@
   recordStreamEnd(m_Stalls, Target.m_Name);
 }
 
+void MembershipDirectory::answerBegan(const BackendTarget &Target,
+                                      const CallSize &Size) {
+  const std::lock_guard Lock(m_Mutex);
+  recordAnswerBegan(m_Routing, Target, Size);
+}
+
+std::uint64_t MembershipDirectory::ownPendingPromptTokens() const {
+  const std::lock_guard Lock(m_Mutex);
+  std::uint64_t Sum = 0;
+  for (const auto &[Server, Tokens] : m_Routing.m_OwnPendingPromptTokens)
+    Sum += Tokens;
+  return Sum;
+}
+
 void MembershipDirectory::callEnded(const BackendTarget &Target,
                                     const CallSize &Size,
                                     const CallReport &Report) {
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -86,6 +86,11 @@
   // callProgressed() records its further data.
   void streamBegan(const BackendTarget &Target);
   void streamEnded(const BackendTarget &Target);
+  // Records the first data of the answer to a call, of a stream or not; its
+  // prompt is no longer pending. CallReport::m_HasBegun must be set at its end.
+  void answerBegan(const BackendTarget &Target, const CallSize &Size);
+  // Sum of this entry's pending prompt tokens over all servers.
+  std::uint64_t ownPendingPromptTokens() const;
 
   // Records a first attempt in the retry budget of the service, and decides
   // whether to retry a failed one.
--- a/Source/Entry/RoutingState.cpp
+++ b/Source/Entry/RoutingState.cpp
@@ -4,6 +4,7 @@
 #include "Core/Hash.h"
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace mangocart {
 
@@ -40,6 +41,31 @@
   return Sum;
 }
 
+// Adds up the pending prompt tokens of this entry and of the others that have
+// reported recently. Each report holds only the few servers with any, so this
+// is cheaper than looking up each server in each report.
+std::unordered_map<std::uint64_t, std::uint64_t>
+allPendingPromptTokens(const RoutingState &State, TimePoint Now) {
+  std::unordered_map<std::uint64_t, std::uint64_t> Sums;
+  const auto Add = [&Sums](const PromptTokensByServer &Pending) {
+    for (const auto &[Server, Tokens] : Pending)
+      Sums[Server] += Tokens;
+  };
+  Add(State.m_OwnPendingPromptTokens);
+  for (const auto &[Entry, Calls] : State.m_OtherEntries)
+    if (Now - Calls.m_Heard <= OtherEntryTimeout)
+      Add(Calls.m_PendingPromptTokens);
+  return Sums;
+}
+
+void addPendingPromptTokens(std::vector<ReplicaCandidate> &Replicas,
+                            const RoutingState &State, TimePoint Now) {
+  const auto Sums = allPendingPromptTokens(State, Now);
+  for (ReplicaCandidate &Each : Replicas)
+    if (const auto Found = Sums.find(Each.m_BackendServer); Found != Sums.end())
+      Each.m_PendingPromptTokens = Found->second;
+}
+
 ReplicaCandidate toReplica(RoutingState &State, ServiceRouting &Routing,
                            const CandidateView &From,
                            const ChoiceRequest &Request, std::uint32_t Limit,
@@ -127,11 +153,16 @@
 std::optional<std::size_t>
 chooseCandidate(RoutingState &State, std::span<const CandidateView> Candidates,
                 const ChoiceRequest &Request, TimePoint Now) {
-  const std::vector<ReplicaCandidate> Replicas =
+  std::vector<ReplicaCandidate> Replicas =
       toReplicas(State, Candidates, Request, Now);
+  if (Request.m_PrefillTokensPerPass > 0)
+    addPendingPromptTokens(Replicas, State, Now);
   ReplicaChoiceOptions Options = ChoiceDefaults;
   Options.m_Policy =
       parseRoutingPolicy(Request.m_Policy).value_or(RoutingPolicy::Score);
+  Options.m_PrefillTokensPerPass = Request.m_PrefillTokensPerPass;
+  if (Request.m_PrefillTokensPerPass > 0)
+    Options.m_Gateway = State.m_GatewayPosition;
   return chooseReplica(Replicas, toRouted(State, Request), Options,
                        routingOf(State, Request.m_Service).m_Choice,
                        State.m_Random);
@@ -159,6 +190,8 @@
   OwnCalls &Own = State.m_OwnCalls[Target.m_Name];
   ++Own.m_Requests;
   Own.m_Tokens += Size.m_Tokens;
+  addPromptTokens(State.m_OwnPendingPromptTokens, hash64(Target.m_Name),
+                  Size.m_PromptTokens);
   recordSent(State.m_Notices, Target.m_Name, Now);
   ServiceRouting &Routing = routingOf(State, Target.m_Service);
   Routing.m_MeanTokens +=
@@ -168,6 +201,12 @@
     recordStart(Routing.m_OutlierDetector, hash64(Target.m_Name), Now);
 }
 
+void recordAnswerBegan(RoutingState &State, const BackendTarget &Target,
+                       const CallSize &Size) {
+  removePromptTokens(State.m_OwnPendingPromptTokens, hash64(Target.m_Name),
+                     Size.m_PromptTokens);
+}
+
 void recordCallProgress(RoutingState &State, const BackendTarget &Target,
                         TimePoint Now) {
   recordProgress(routingOf(State, Target.m_Service).m_OutlierDetector,
@@ -177,11 +216,16 @@
 void recordCallEnded(RoutingState &State, const BackendTarget &Target,
                      const CallSize &Size, const CallReport &Report,
                      TimePoint Now) {
+  if (!Report.m_HasBegun)
+    recordAnswerBegan(State, Target, Size);
   const auto Own = State.m_OwnCalls.find(Target.m_Name);
   if (Own != State.m_OwnCalls.end()) {
     Own->second.m_Tokens -= std::min(Own->second.m_Tokens, Size.m_Tokens);
-    if (--Own->second.m_Requests == 0)
+    if (--Own->second.m_Requests == 0) {
       State.m_OwnCalls.erase(Own);
+      // Counts that were capped would otherwise keep a rest.
+      State.m_OwnPendingPromptTokens.erase(hash64(Target.m_Name));
+    }
   }
   const std::uint64_t Server = hash64(Target.m_Name);
   const bool Answered = Report.m_Result == CallResult::Answered;
--- a/Source/Entry/RoutingState.h
+++ b/Source/Entry/RoutingState.h
@@ -11,6 +11,7 @@
 #include "Routing/CacheHints.h"
 #include "Routing/ConcurrencyLimit.h"
 #include "Routing/OutlierDetector.h"
+#include "Routing/PrefillSpread.h"
 #include "Routing/ReplicaChoice.h"
 #include "Routing/RetryBudget.h"
 #include "Routing/ServerNotices.h"
@@ -30,6 +31,7 @@
 // In-flight calls of another entry, by hash64() of the backend server's name.
 struct OutstandingCalls {
   std::map<std::uint64_t, std::uint32_t> m_Requests;
+  PromptTokensByServer m_PendingPromptTokens;
   TimePoint m_Heard;
 };
 
@@ -46,10 +48,14 @@
   std::string m_AvailabilityZone;
   std::uint32_t m_EntryCount = 1;
   std::map<std::string, OwnCalls, std::less<>> m_OwnCalls;
+  // Prompt tokens of these calls whose answers have not begun.
+  PromptTokensByServer m_OwnPendingPromptTokens;
   std::map<std::string, ServiceRouting, std::less<>> m_Services;
   // By the name of the entry; empty if entries do not exchange their loads.
   std::map<std::string, OutstandingCalls> m_OtherEntries;
   CacheHints m_Hints;
+  // For the spread of prompts; set together with the list of gateways.
+  GatewayPosition m_GatewayPosition;
   // Empty if backend servers say nothing of themselves in their answers.
   ServerNotices m_Notices;
   Random m_Random;
@@ -78,6 +84,9 @@
 
 void recordCallStarted(RoutingState &State, const BackendTarget &Target,
                        const CallSize &Size, TimePoint Now);
+// Records the first data of the answer to a call; to be called once per call.
+void recordAnswerBegan(RoutingState &State, const BackendTarget &Target,
+                       const CallSize &Size);
 void recordCallProgress(RoutingState &State, const BackendTarget &Target,
                         TimePoint Now);
 void recordCallEnded(RoutingState &State, const BackendTarget &Target,
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -130,6 +130,12 @@
               drainActions()),
       m_MaintenanceTimer(m_Workers.worker(0)),
       m_DispatchTimer(m_Workers.worker(0)) {
+  m_Registry.gaugeFrom(
+      "mangocart_gateway_pending_prompt_tokens",
+      "Prompt tokens of requests at backend servers without an answer yet.",
+      [this] {
+        return static_cast<double>(m_Directory.ownPendingPromptTokens());
+      });
   m_Events.limitRequestLines(m_Settings.log_lines_per_second());
   m_Directory.setLimits(
       announceLimits(milliseconds(m_Settings.announce_interval_ms())));
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -3,6 +3,14 @@
 
 namespace mangocart {
 
+std::size_t promptSizeClass(std::uint64_t Tokens) {
+  std::size_t Class = 0;
+  while (Class + 1 < PromptSizeClasses.size() &&
+         Tokens > PromptSizeClasses[Class].m_MaxTokens)
+    ++Class;
+  return Class;
+}
+
 GatewayMetrics::GatewayMetrics(MetricRegistry &Registry)
     : m_Requests(Registry.counter("mangocart_gateway_requests_total",
                                   "Callers' requests.")),
@@ -38,6 +46,12 @@
           "Time from a request's arrival to the first byte of its answer.")),
       m_TotalTime(
           Registry.histogram("mangocart_gateway_whole_seconds",
-                             "Time from a request's arrival to its end.")) {}
+                             "Time from a request's arrival to its end.")) {
+  for (std::size_t I = 0; I < PromptSizeClasses.size(); ++I)
+    m_FirstEvent[I] = &Registry.histogram(
+        "mangocart_gateway_first_event_seconds",
+        "Time from the arrival of a request for a stream to its first event.",
+        {{"prompt_tokens", PromptSizeClasses[I].m_Name}});
+}
 
 } // namespace mangocart
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -4,8 +4,23 @@
 
 #include "Metrics/MetricRegistry.h"
 
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
 namespace mangocart {
 
+// Classes of prompts by their number of tokens; the last one has no bound.
+struct PromptSizeClass {
+  std::uint64_t m_MaxTokens;
+  const char *m_Name;
+};
+constexpr std::array<PromptSizeClass, 3> PromptSizeClasses = {
+    {{512, "to_512"}, {2048, "to_2048"}, {0, "above_2048"}}};
+
+// Index of the class.
+std::size_t promptSizeClass(std::uint64_t Tokens);
+
 struct GatewayMetrics {
   explicit GatewayMetrics(MetricRegistry &Registry);
 
@@ -25,6 +40,9 @@
   // and to its end.
   Histogram &m_FirstByte;
   Histogram &m_TotalTime;
+  // Seconds from the arrival of a request for a stream to its first event, by
+  // the size class of its prompt.
+  std::array<Histogram *, PromptSizeClasses.size()> m_FirstEvent;
 };
 
 } // namespace mangocart
--- a/Source/Gateway/LoadExchange.cpp
+++ b/Source/Gateway/LoadExchange.cpp
@@ -76,9 +76,11 @@
 
 void LoadExchange::tick() {
   const TimePoint Now = RuntimeClock::now();
-  OutstandingCalls Own = m_Directory.ownCalls();
-  schema::LoadReport Changes =
-      makeReport(loadDelta(m_LastReported, Own.m_Requests), true);
+  OutstandingCalls Calls = m_Directory.ownCalls();
+  GatewayLoad Own{std::move(Calls.m_Requests),
+                  std::move(Calls.m_PendingPromptTokens)};
+  schema::LoadReport Changes = makeReport(true);
+  addLoadChanges(Changes, m_LastReported, Own);
   m_Guard.addNews(Changes);
   addLimits(Changes, m_Directory.takeLimitNews(), Now);
   if (Changes.servers_size() > 0 || Changes.crashes_size() > 0 ||
@@ -86,8 +88,8 @@
       Now - m_LastReportTime >= MaxReportInterval) {
     const std::string Delta = Changes.SerializeAsString();
     for (auto &[To, Peer] : m_Links)
-      sendReport(To, Peer, Own.m_Requests, Delta);
-    m_LastReported = std::move(Own.m_Requests);
+      sendReport(To, Peer, Own, Delta);
+    m_LastReported = std::move(Own);
     m_LastReportTime = Now;
   }
   m_Timer.expires_after(loadReportInterval(m_Links.size() + 1));
@@ -97,20 +99,15 @@
   });
 }
 
-schema::LoadReport LoadExchange::makeReport(const RequestsByServer &Load,
-                                            bool ChangesOnly) const {
+schema::LoadReport LoadExchange::makeReport(bool ChangesOnly) const {
   schema::LoadReport Report;
   Report.set_gateway(m_Name);
   Report.set_changes_only(ChangesOnly);
-  for (const auto &[Server, Requests] : Load) {
-    Report.add_servers(Server);
-    Report.add_requests(Requests);
-  }
   return Report;
 }
 
 void LoadExchange::sendReport(const PeerEndpoint &To, Link &Peer,
-                              const RequestsByServer &Load,
+                              const GatewayLoad &Load,
                               const std::string &Delta) {
   if (Peer.m_Stream && *Peer.m_Lost)
     Peer.m_Stream.reset();
@@ -136,7 +133,8 @@
   }
   if (!std::exchange(Peer.m_NeedsFullReport, false))
     return Peer.m_Stream->send(Delta);
-  schema::LoadReport Full = makeReport(Load, false);
+  schema::LoadReport Full = makeReport(false);
+  addLoad(Full, Load);
   m_Guard.addAll(Full);
   addLimits(Full, m_Directory.knownLimits(), Now);
   Peer.m_Stream->send(Full.SerializeAsString());
@@ -144,19 +142,15 @@
 
 void LoadExchange::onReport(std::string_view Bytes) {
   schema::LoadReport Report;
-  if (!Report.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())) ||
-      Report.servers_size() != Report.requests_size())
+  if (!Report.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    return;
+  GatewayLoad &Known = m_ReportedLoads[Report.gateway()];
+  if (!applyLoad(Known, Report))
     return;
-  RequestsByServer Received;
-  for (int I = 0; I < Report.servers_size(); ++I)
-    Received[Report.servers(I)] = Report.requests(I);
-  RequestsByServer &Known = m_ReportedLoads[Report.gateway()];
-  if (!Report.changes_only())
-    Known.clear();
-  applyLoadDelta(Known, Received);
   OutstandingCalls Load;
   Load.m_Heard = RuntimeClock::now();
-  Load.m_Requests = Known;
+  Load.m_Requests = Known.m_Requests;
+  Load.m_PendingPromptTokens = Known.m_PendingPromptTokens;
   m_Directory.setOtherEntryCalls(Report.gateway(), std::move(Load));
   m_Guard.merge(Report);
   for (const schema::ServerLimit &Each : Report.limits())
--- a/Source/Gateway/LoadExchange.h
+++ b/Source/Gateway/LoadExchange.h
@@ -1,12 +1,13 @@
-// Exchanges the numbers of outstanding requests per backend server with the
-// other gateways, so that each gateway knows the total load of each backend
-// server, and what each gateway knows of crashed backend servers.
+// Exchanges the numbers of outstanding requests and of pending prompt tokens
+// per backend server with the other gateways, so that each gateway knows the
+// total load of each backend server, and what each gateway knows of crashed
+// backend servers.
 #ifndef MANGOCART_GATEWAY_LOADEXCHANGE_H
 #define MANGOCART_GATEWAY_LOADEXCHANGE_H
 
 #include "Core/Timer.h"
 #include "Entry/RoutingState.h"
-#include "Gateway/LoadDelta.h"
+#include "Gateway/LoadMessages.h"
 #include "Net/PeerStream.h"
 
 #include <boost/asio/io_context.hpp>
@@ -51,10 +52,10 @@
   };
 
   void tick();
-  schema::LoadReport makeReport(const RequestsByServer &Load,
-                                bool ChangesOnly) const;
-  void sendReport(const PeerEndpoint &To, Link &Peer,
-                  const RequestsByServer &Load, const std::string &Delta);
+  // A report without content.
+  schema::LoadReport makeReport(bool ChangesOnly) const;
+  void sendReport(const PeerEndpoint &To, Link &Peer, const GatewayLoad &Load,
+                  const std::string &Delta);
   void onReport(std::string_view Bytes);
 
   PeerClient &m_Client;
@@ -66,10 +67,10 @@
   Timer m_Timer;
   std::map<PeerEndpoint, Link> m_Links;
   // Load that was reported last, and when.
-  RequestsByServer m_LastReported;
+  GatewayLoad m_LastReported;
   TimePoint m_LastReportTime;
   // Load of the other gateways, by gateway name.
-  std::map<std::string, RequestsByServer> m_ReportedLoads;
+  std::map<std::string, GatewayLoad> m_ReportedLoads;
 };
 
 } // namespace mangocart
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -145,6 +145,8 @@
       Service && Service->m_Engine && Service->m_Engine->m_Slots > 0
           ? Service->m_Engine->m_Slots
           : DefaultMaxOutstanding;
+  if (Service && Service->m_Engine)
+    Request.m_PrefillTokensPerPass = prefillTokensPerPass(*Service->m_Engine);
   Request.m_Tried = m_Tried;
   Request.m_FailedZone = m_FailedZone;
   WaitingCall &Times = Request.m_Times;
@@ -322,6 +324,7 @@
 void ProxiedRequest::onBody(std::string_view Chunk) {
   m_Context.m_AttemptMonitor.onDataReceived(*m_Target);
   m_Context.m_CrashGuard.dataReceived(m_GuardNumber);
+  recordAnswerBegan();
   if (m_ForwardingMode == ForwardingMode::Events) {
     std::string Events = m_Splitter.take(Chunk);
     if (!Events.empty())
@@ -364,8 +367,16 @@
   const TimePoint Now = RuntimeClock::now();
   m_FirstByte = Now - m_ArrivedAt;
   m_Context.m_Dispatcher.recordFirstByte(m_Request.m_Service, Now - m_SentAt);
-  m_Context.m_Metrics.m_FirstByte.observe(
-      std::chrono::duration<double>(*m_FirstByte).count());
+  const double Seconds = std::chrono::duration<double>(*m_FirstByte).count();
+  m_Context.m_Metrics.m_FirstByte.observe(Seconds);
+  if (m_ForwardingMode == ForwardingMode::Events)
+    m_Context.m_Metrics.m_FirstEvent[promptSizeClass(m_Size.m_PromptTokens)]
+        ->observe(Seconds);
+}
+
+void ProxiedRequest::recordAnswerBegan() {
+  if (!std::exchange(m_HasAnswerBegun, true))
+    m_Context.m_Directory.answerBegan(*m_Target, m_Size);
 }
 
 void ProxiedRequest::startResponse() {
@@ -488,7 +499,8 @@
   if (std::exchange(m_IsStreamCounted, false))
     m_Context.m_Directory.streamEnded(*m_Target);
   m_Context.m_Directory.callEnded(*m_Target, m_Size,
-                                  {Result, RuntimeClock::now() - m_SentAt});
+                                  {Result, RuntimeClock::now() - m_SentAt,
+                                   std::exchange(m_HasAnswerBegun, false)});
   m_Tried.push_back(m_Target->m_Name);
   m_FailedZone = m_Target->m_AvailabilityZone;
   m_Target.reset();
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -88,6 +88,8 @@
   void monitorAttempt();
 
   void forwardToCaller(std::string Bytes);
+  // Records the first data of the current attempt's answer.
+  void recordAnswerBegan();
   void recordFirstByte();
   void startResponse();
   void endAttempt(AttemptResult Result, std::string_view Detail);
@@ -139,6 +141,8 @@
   bool m_HeadReceived = false;
   // The current attempt has delivered data to the caller.
   bool m_DataForwarded = false;
+  // The directory knows that the answer of the current attempt has begun.
+  bool m_HasAnswerBegun = false;
   // The directory counts the stream of the current attempt.
   bool m_IsStreamCounted = false;
   std::string m_Body;
--- a/Source/Gateway/RoutingPlan.cpp
+++ b/Source/Gateway/RoutingPlan.cpp
@@ -1,6 +1,8 @@
 // Validation and lookups of a plan.
 #include "Gateway/RoutingPlan.h"
 
+#include "Routing/PrefillSpread.h"
+
 #include <fmt/format.h>
 
 #include <set>
@@ -36,6 +38,12 @@
 
 } // namespace
 
+std::uint64_t prefillTokensPerPass(const EngineConfig &Engine) {
+  return prefillTokensPerPass(
+      Engine.m_MaxPrefillTokensPerStep, Engine.m_StepsPerPass,
+      Engine.m_PrefillTokensPerSecond, Engine.m_DecodeStepMs);
+}
+
 std::uint64_t totalWeight(const RouteConfig &Route) {
   std::uint64_t Sum = 0;
   for (const WeightedService &Each : Route.m_Services)
--- a/Source/Gateway/RoutingPlan.h
+++ b/Source/Gateway/RoutingPlan.h
@@ -111,6 +111,10 @@
   bool operator==(const EngineConfig &) const = default;
 };
 
+// Prompt tokens that a replica prefills in a pass; 0 if the engine has no
+// prompts, or its passes are unknown.
+std::uint64_t prefillTokensPerPass(const EngineConfig &Engine);
+
 struct ServiceConfig {
   std::string m_Name;
   std::string m_HealthPath;
--- a/Source/Gateway/ServiceDispatcher.h
+++ b/Source/Gateway/ServiceDispatcher.h
@@ -26,6 +26,8 @@
   CallSize m_Size;
   // Limit of outstanding requests of one backend server, over all gateways.
   std::uint32_t m_MaxOutstanding = 0;
+  // As in ChoiceRequest.
+  std::uint64_t m_PrefillTokensPerPass = 0;
   // Backend servers already tried, and the zone of the last one.
   std::vector<std::string> m_Tried;
   std::string m_FailedZone;
--- a/Source/Routing/ReplicaChoice.cpp
+++ b/Source/Routing/ReplicaChoice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -102,6 +103,36 @@
   return *Best;
 }
 
+std::uint64_t knownRequests(const ReplicaCandidate &Candidate) {
+  const std::uint64_t Own = Candidate.m_OutstandingRequests;
+  if (Candidate.m_OtherEntriesRequests)
+    return Own + *Candidate.m_OtherEntriesRequests;
+  constexpr double Max = std::numeric_limits<std::uint32_t>::max();
+  return std::max(Own, static_cast<std::uint64_t>(std::min(
+                           std::max(0.0, Candidate.m_ReportedRequests), Max)));
+}
+
+// A server whose traffic ramps up after an ejection is considered for its share
+// of the requests only.
+std::size_t chooseBySpread(std::span<const ReplicaCandidate> Candidates,
+                           Indices Usable, const RoutedRequest &Request,
+                           const ReplicaChoiceOptions &Options,
+                           Random &Generator) {
+  keepPreferred(Usable, [&](std::size_t Index) {
+    const double Share = Candidates[Index].m_TrafficShare;
+    return Share >= 1.0 || uniformReal(Generator) < Share;
+  });
+  std::vector<PrefillRank> Ranks;
+  Ranks.reserve(Usable.size());
+  for (const std::size_t Index : Usable)
+    Ranks.push_back({Candidates[Index].m_PendingPromptTokens,
+                     knownRequests(Candidates[Index])});
+  const PrefillRequest Prompt{Request.m_PrefixTokens,
+                              Options.m_PrefillTokensPerPass,
+                              Options.m_Gateway};
+  return Usable[chooseRank(Ranks, Prompt, Generator)];
+}
+
 } // namespace
 
 std::optional<RoutingPolicy> parseRoutingPolicy(std::string_view Name) {
@@ -181,6 +212,8 @@
   const Indices Usable = usableCandidates(Candidates, Request);
   if (Usable.empty())
     return std::nullopt;
+  if (Options.m_PrefillTokensPerPass > 0)
+    return chooseBySpread(Candidates, Usable, Request, Options, Generator);
   switch (Options.m_Policy) {
   case RoutingPolicy::Score:
     return chooseByScore(Candidates, Usable, Request, Options, Generator);
--- a/Source/Routing/ReplicaChoice.h
+++ b/Source/Routing/ReplicaChoice.h
@@ -6,6 +6,7 @@
 
 #include "Core/Random.h"
 #include "Core/RuntimeClock.h"
+#include "Routing/PrefillSpread.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -36,6 +37,9 @@
   // Outstanding requests of the other entries as they announced them recently.
   // If set, the load report is ignored.
   std::optional<std::uint32_t> m_OtherEntriesRequests;
+  // Prompt tokens of requests of all entries at the server whose answers have
+  // not begun. Used by the spread of prompts only.
+  std::uint64_t m_PendingPromptTokens = 0;
   // Tokens of the request's prefix expected in the server's cache.
   std::uint64_t m_CachedTokens = 0;
   // Fraction of a healthy server's traffic that it should get, in (0, 1]; below
@@ -84,6 +88,10 @@
   // Work saved by a cached prompt token, as a fraction of the work of a
   // generated token.
   double m_CachedTokenWeight = 1.0;
+  // Prompt tokens that a server prefills in a pass; if set, prompts are spread
+  // by pending prompt tokens (PrefillSpread) instead of the policy.
+  std::uint64_t m_PrefillTokensPerPass = 0;
+  GatewayPosition m_Gateway;
 
   bool operator==(const ReplicaChoiceOptions &) const = default;
 };
--- a/Tests/Entry/testRoutingState.cpp
+++ b/Tests/Entry/testRoutingState.cpp
@@ -1,4 +1,8 @@
-// Tests the number of slots that an entry may use at the backend servers.
+// Tests the number of slots that an entry may use at the backend servers, and
+// the choice by pending prompt tokens: prompts must not queue at one server
+// while others have none, and nothing may change for services without an
+// engine.
+#include "Core/Hash.h"
 #include "Entry/RoutingState.h"
 
 #include <catch2/catch.hpp>
@@ -59,3 +63,133 @@
     CHECK(countSlots(State, Candidates, Request, Now) == Case.m_Slots);
   }
 }
+
+namespace {
+
+// Four idle servers "engine-0" to "engine-3".
+struct Fleet {
+  Fleet() {
+    for (int I = 0; I < 4; ++I) {
+      Member New;
+      New.m_BackendServer = "engine-" + std::to_string(I);
+      New.m_Service = "assistant";
+      m_Members.push_back(New);
+    }
+    for (const Member &Each : m_Members)
+      m_Candidates.push_back({&Each, false});
+    m_State.m_GatewayPosition = {0, 1};
+    m_State.m_Random.seed(1);
+  }
+
+  BackendTarget target(std::size_t Server) const {
+    BackendTarget Target;
+    Target.m_Name = m_Members[Server].m_BackendServer;
+    Target.m_Service = "assistant";
+    return Target;
+  }
+
+  std::optional<std::size_t> choose(std::uint64_t PrefillTokensPerPass) {
+    ChoiceRequest Request;
+    Request.m_Service = "assistant";
+    Request.m_Policy = "score";
+    Request.m_MaxOutstanding = 10;
+    Request.m_Size = {0, 500, 600, true};
+    Request.m_PrefillTokensPerPass = PrefillTokensPerPass;
+    return chooseCandidate(m_State, m_Candidates, Request, m_Now);
+  }
+
+  void start(std::size_t Server, std::uint64_t PromptTokens) {
+    recordCallStarted(m_State, target(Server),
+                      {0, PromptTokens, PromptTokens + 100, true}, m_Now);
+  }
+
+  void end(std::size_t Server, std::uint64_t PromptTokens, bool HasBegun) {
+    recordCallEnded(m_State, target(Server),
+                    {0, PromptTokens, PromptTokens + 100, true},
+                    {CallResult::Answered, 1s, HasBegun}, m_Now);
+  }
+
+  TimePoint m_Now{1h};
+  RoutingState m_State;
+  std::vector<Member> m_Members;
+  std::vector<CandidateView> m_Candidates;
+};
+
+} // namespace
+
+TEST_CASE("a prompt is pending from its start until its answer or its end") {
+  Fleet Servers;
+  const PromptTokensByServer &Pending =
+      Servers.m_State.m_OwnPendingPromptTokens;
+  const std::uint64_t Engine = hash64("engine-0");
+  Servers.start(0, 700);
+  Servers.start(0, 2000);
+  CHECK(Pending == PromptTokensByServer{{Engine, 2700}});
+  recordAnswerBegan(Servers.m_State, Servers.target(0), {0, 700, 800, true});
+  CHECK(Pending == PromptTokensByServer{{Engine, 2000}});
+  Servers.end(0, 700, true);
+  CHECK(Pending == PromptTokensByServer{{Engine, 2000}});
+  Servers.end(0, 2000, false);
+  CHECK(Pending.empty());
+}
+
+TEST_CASE("prompts go to servers without pending ones, of this gateway and of "
+          "others, while their reports are recent") {
+  Fleet Servers;
+  Servers.start(0, 2900);
+  OutstandingCalls Other;
+  Other.m_Heard = Servers.m_Now;
+  Other.m_Requests = {{hash64("engine-1"), 1}, {hash64("engine-3"), 1}};
+  Other.m_PendingPromptTokens = {{hash64("engine-1"), 2800}};
+  updateOtherEntry(Servers.m_State, "g2", Other);
+  for (int I = 0; I < 20; ++I)
+    CHECK(Servers.choose(3072) == 2);
+  // Fewest requests among those with a free pass.
+  Servers.start(2, 100);
+  Servers.start(2, 100);
+  for (int I = 0; I < 20; ++I)
+    CHECK(Servers.choose(3072) == 3);
+  // Nothing is known any more of a gateway that has been silent.
+  Servers.m_Now += 3s;
+  for (int I = 0; I < 20; ++I) {
+    const auto Chosen = Servers.choose(3072);
+    CHECK((Chosen == 1 || Chosen == 3));
+  }
+}
+
+TEST_CASE("a service without an engine is chosen as before") {
+  // Pending prompt tokens and the position change neither the choice nor the
+  // use of the random generator.
+  Fleet With;
+  Fleet Without;
+  Without.m_State.m_GatewayPosition = {};
+  for (int I = 0; I < 200; ++I) {
+    OutstandingCalls Other;
+    Other.m_Heard = With.m_Now;
+    Other.m_Requests = {{hash64("engine-1"), 1 + I % 3}};
+    updateOtherEntry(Without.m_State, "g2", Other);
+    Other.m_PendingPromptTokens = {{hash64("engine-1"), 100000}};
+    updateOtherEntry(With.m_State, "g2", Other);
+    const auto Chosen = With.choose(0);
+    REQUIRE(Chosen);
+    REQUIRE(Chosen == Without.choose(0));
+    With.start(*Chosen, 500);
+    Without.start(*Chosen, 500);
+    Without.m_State.m_OwnPendingPromptTokens.clear();
+    With.end(*Chosen, 500, false);
+    Without.end(*Chosen, 500, false);
+  }
+}
+
+TEST_CASE("full, avoided and failed servers are left out by the spread too") {
+  Fleet Servers;
+  for (int I = 0; I < 10; ++I)
+    Servers.start(0, 0);
+  Servers.m_Candidates[1].m_Avoided = true;
+  Servers.start(2, 2900);
+  Servers.start(3, 2900);
+  for (int I = 0; I < 20; ++I) {
+    const auto Chosen = Servers.choose(3072);
+    CHECK((Chosen == 2 || Chosen == 3));
+  }
+}
--- a/Tests/Gateway/testReportMessages.cpp
+++ b/Tests/Gateway/testReportMessages.cpp
@@ -1,8 +1,9 @@
-// Evidence about crashes and limits in load reports: what is sent arrives, and
-// values out of range do no harm.
+// Evidence about crashes, limits and counts in load reports: what is sent
+// arrives, and values out of range do no harm.
 #include "Gateway.pb.h"
 #include "Gateway/CrashMessages.h"
 #include "Gateway/LimitMessages.h"
+#include "Gateway/LoadMessages.h"
 
 #include <catch2/catch.hpp>
 
@@ -98,3 +99,30 @@
     CHECK_FALSE(limitFromSchema(Message, Now).m_RequestsPerSecond);
   }
 }
+
+TEST_CASE("a report of an earlier version has no pending prompt tokens") {
+  schema::LoadReport Report;
+  Report.add_servers(1);
+  Report.add_requests(2);
+  // What its sender reported before it was replaced by the earlier version.
+  GatewayLoad Known{{{7, 1}}, {{7, 500}}};
+  REQUIRE(applyLoad(Known, Report));
+  CHECK(Known == GatewayLoad{{{1, 2}}, {}});
+}
+
+TEST_CASE("a report whose lists don't match changes nothing") {
+  const GatewayLoad Before{{{7, 1}}, {{7, 500}}};
+  for (const auto &[Requests, Tokens] :
+       {std::pair(1, 0), std::pair(2, 1), std::pair(2, 3), std::pair(0, 0)}) {
+    schema::LoadReport Report;
+    Report.add_servers(1);
+    Report.add_servers(2);
+    for (int I = 0; I < Requests; ++I)
+      Report.add_requests(1);
+    for (int I = 0; I < Tokens; ++I)
+      Report.add_pending_prompt_tokens(1);
+    GatewayLoad Known = Before;
+    CHECK_FALSE(applyLoad(Known, Report));
+    CHECK(Known == Before);
+  }
+}
