--- a/Tests/Entry/testRoutingState.cpp
+++ b/Tests/Entry/testRoutingState.cpp
@@ -7,6 +7,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdio>
+
 using namespace mangocart;
 using namespace std::chrono_literals;
 
@@ -193,3 +195,40 @@
     CHECK((Chosen == 2 || Chosen == 3));
   }
 }
+
+// Prints the time of a choice for docs/design/LONG-PROMPTS.md.
+TEST_CASE("time of a choice among 72 servers with 30 gateways",
+          "[.choice-time]") {
+  constexpr int Servers = 72;
+  constexpr int Others = 29;
+  constexpr int Choices = 2000;
+  Fleet All;
+  All.m_Members.clear();
+  All.m_Candidates.clear();
+  for (int I = 0; I < Servers; ++I) {
+    Member New;
+    New.m_BackendServer = "engine-" + std::to_string(I);
+    New.m_Service = "assistant";
+    All.m_Members.push_back(New);
+  }
+  for (const Member &Each : All.m_Members)
+    All.m_Candidates.push_back({&Each, false});
+  for (int G = 0; G < Others; ++G) {
+    OutstandingCalls Other;
+    Other.m_Heard = All.m_Now;
+    for (int I = G % 6; I < Servers; I += 6)
+      Other.m_Requests[hash64("engine-" + std::to_string(I))] = 1;
+    for (int I = G; I < G + 4; ++I)
+      Other.m_PendingPromptTokens[hash64("engine-" + std::to_string(I))] = 800;
+    updateOtherEntry(All.m_State, "g" + std::to_string(G), Other);
+  }
+  for (const std::uint64_t PerPass : {0, 3072}) {
+    const auto Begin = std::chrono::steady_clock::now();
+    for (int I = 0; I < Choices; ++I)
+      CHECK(All.choose(PerPass));
+    const std::chrono::duration<double, std::micro> Time =
+        std::chrono::steady_clock::now() - Begin;
+    std::printf("%s: %.1f us a choice\n", PerPass == 0 ? "score" : "spread",
+                Time.count() / Choices);
+  }
+}
--- a/Tests/Routing/PrefillModel.cpp
+++ b/Tests/Routing/PrefillModel.cpp
@@ -110,10 +110,17 @@
     return Each.m_IsLong ? m_Result.m_Long : m_Result.m_Short;
   }
 
+  bool hasFailed(std::size_t Gateway) const {
+    Random ByGateway(Gateway);
+    return uniformReal(ByGateway) < m_Options.m_FailedFraction;
+  }
+
   void arrive(const PromptLoad &Load) {
     Request New;
     New.m_ArrivedMs = m_Now;
-    New.m_Gateway = uniform(m_Random, 0, m_Options.m_Gateways - 1);
+    do
+      New.m_Gateway = uniform(m_Random, 0, m_Options.m_Gateways - 1);
+    while (hasFailed(New.m_Gateway));
     New.m_IsLong = uniformReal(m_Random) < Load.m_LongFraction;
     New.m_PromptTokens =
         static_cast<std::uint32_t>(New.m_IsLong ? uniform(m_Random, 2400, 2880)
--- a/Tests/Routing/PrefillModel.h
+++ b/Tests/Routing/PrefillModel.h
@@ -39,6 +39,9 @@
   std::size_t m_Groups = 3;
   std::size_t m_RanksPerGroup = 24;
   double m_ReportDelayMs = 20.0;
+  // Fraction of the gateways that have failed, but are still in the others'
+  // lists; about as many as it says, always the same ones.
+  double m_FailedFraction = 0.0;
   // A long prompt isn't sent to a group with more pending prompt tokens, for at
   // most 150 ms after its arrival; 0 for no bound.
   std::uint64_t m_MaxGroupTokens = 0;
--- a/Tests/Routing/testPrefillSpread.cpp
+++ b/Tests/Routing/testPrefillSpread.cpp
@@ -183,7 +183,16 @@
 }
 
 // Prints the figures of docs/design/LONG-PROMPTS.md.
-TEST_CASE("figures of the spread of prompts", "[.prefill-figures]") {
+void printRow(const char *Load, const char *Choice,
+              const PrefillModelResult &Result) {
+  fmt::print("| {} | {} | {:.4f} | {:.0f} ms | {:.4f} | {:.0f} ms | {:.0f} ms "
+             "|\n",
+             Load, Choice, Result.m_Short.lateFraction(),
+             Result.m_Short.firstEventP99(), Result.m_Long.lateFraction(),
+             Result.m_Long.firstEventP99(), Result.m_MaxPassMs);
+}
+
+TEST_CASE("figures of the choices of ranks", "[.prefill-figures]") {
   struct Row {
     const char *m_Name;
     RankChoice m_Choice;
@@ -202,13 +211,34 @@
       {"wave 228/s", wave(228.0)},
       {"only long 273/s", onlyLongPrompts(273.0)}};
   for (const auto &[Name, Arrivals] : Loads)
-    for (const Row &Each : Rows) {
-      const PrefillModelResult Result =
-          runLoad(Arrivals, Each.m_Choice, Each.m_MaxGroupTokens);
-      fmt::print("| {} | {} | {:.4f} | {:.0f} ms | {:.4f} | {:.0f} ms | {:.0f} "
-                 "ms |\n",
-                 Name, Each.m_Name, Result.m_Short.lateFraction(),
-                 Result.m_Short.firstEventP99(), Result.m_Long.lateFraction(),
-                 Result.m_Long.firstEventP99(), Result.m_MaxPassMs);
+    for (const Row &Each : Rows)
+      printRow(Name, Each.m_Name,
+               runLoad(Arrivals, Each.m_Choice, Each.m_MaxGroupTokens));
+}
+
+TEST_CASE("figures of other fleets, and of failed gateways",
+          "[.prefill-figures]") {
+  PrefillModelOptions Large;
+  Large.m_Gateways = 16;
+  Large.m_Groups = 2;
+  Large.m_RanksPerGroup = 32;
+  PrefillModelOptions OneGroup;
+  OneGroup.m_Groups = 1;
+  PrefillModelOptions HalfFailed;
+  HalfFailed.m_FailedFraction = 0.5;
+  struct Fleet {
+    const char *m_Name;
+    PrefillModelOptions m_Options;
+    double m_Rate;
+  };
+  const Fleet Fleets[] = {{"16 gateways, 2 groups of 32", Large, 190.0},
+                          {"30 gateways, 1 group of 24", OneGroup, 73.0},
+                          {"half of 30 gateways failed", HalfFailed, 218.0}};
+  for (Fleet Each : Fleets)
+    for (const auto &[Name, Choice] : {std::pair("score", RankChoice::Score),
+                                       std::pair("parts", RankChoice::Parts)}) {
+      Each.m_Options.m_Choice = Choice;
+      Each.m_Options.m_Load = burstsOfLongPrompts(Each.m_Rate);
+      printRow(Each.m_Name, Name, runSeeds(Each.m_Options, Seeds));
     }
 }
