Tests: the dispatcher spreads prompts, and which engines have them spread

Cause: nothing tested that pending prompts reach the choice of the dispatcher.

Change: a case each in testServiceDispatcher and testRoutingPlan.

--- a/Tests/Gateway/testRoutingPlan.cpp
+++ b/Tests/Gateway/testRoutingPlan.cpp
@@ -109,3 +109,14 @@
     CHECK(findError(P).has_value() == Each.m_IsInvalid);
   }
 }
+
+TEST_CASE("prompts are spread only by engines with prompts and known passes") {
+  EngineConfig Engine;
+  Engine.m_PrefillTokensPerSecond = 61200.0;
+  Engine.m_MaxPrefillTokensPerStep = 512;
+  CHECK(prefillTokensPerPass(Engine) == 0);
+  Engine.m_StepsPerPass = 5;
+  CHECK(prefillTokensPerPass(Engine) == 2560);
+  Engine.m_PrefillTokensPerSecond = 0.0;
+  CHECK(prefillTokensPerPass(Engine) == 0);
+}
--- a/Tests/Gateway/testServiceDispatcher.cpp
+++ b/Tests/Gateway/testServiceDispatcher.cpp
@@ -1,6 +1,6 @@
-// Calls for servers that pause, before a directory of two servers. Guards
-// against calls that wait for servers that they can't be sent to, and against
-// others that wait behind them.
+// Calls before a directory of two servers. Guards against calls that wait for
+// paused servers that they can't be sent to, against others that wait behind
+// them, and against prompts that queue at one server while the other has none.
 #include "Gateway/ServiceDispatcher.h"
 
 #include "Entry/MembershipDirectory.h"
@@ -43,11 +43,14 @@
 
   // The result is set once the call is dispatched or rejected.
   void submit(std::optional<DispatchResult> &Result,
-              std::vector<std::string> Tried) {
+              std::vector<std::string> Tried,
+              std::uint64_t PrefillTokensPerPass = 0) {
     DispatchRequest Call;
     Call.m_Service = Service;
     Call.m_MaxOutstanding = 8;
     Call.m_Tried = std::move(Tried);
+    Call.m_Size = {0, 1000, 1100, true};
+    Call.m_PrefillTokensPerPass = PrefillTokensPerPass;
     const TimePoint Now = RuntimeClock::now();
     Call.m_Times.m_Arrived = Now;
     Call.m_Times.m_TargetTime = Now + 400ms;
@@ -100,3 +103,29 @@
   CHECK_FALSE(Result->m_Target);
   CHECK(Result->m_RetryAfter > 0s);
 }
+
+TEST_CASE("prompts are sent where none is pending, until answers begin") {
+  Fixture F;
+  F.m_Directory.setGateways({"g1", {"g1"}});
+  constexpr std::uint64_t PerPass = 1000;
+  std::vector<std::optional<DispatchResult>> Results(5);
+  const auto Send = [&](std::size_t Number) -> BackendTarget {
+    F.submit(Results[Number], {}, PerPass);
+    REQUIRE(Results[Number]);
+    REQUIRE(Results[Number]->m_Target);
+    return *Results[Number]->m_Target;
+  };
+  const CallSize Size{0, 1000, 1100, true};
+  const BackendTarget First = Send(0);
+  CHECK(F.m_Directory.ownPendingPromptTokens() == 1000);
+  const BackendTarget Second = Send(1);
+  CHECK(Second.m_Name != First.m_Name);
+  // The first server has more requests, but no pending prompt.
+  F.m_Directory.answerBegan(First, Size);
+  CHECK(Send(2).m_Name == First.m_Name);
+  F.m_Directory.answerBegan(First, Size);
+  CHECK(Send(3).m_Name == First.m_Name);
+  F.m_Directory.callEnded(Second, Size, {CallResult::Cancelled, 1s, false});
+  CHECK(Send(4).m_Name == Second.m_Name);
+  CHECK(F.m_Directory.ownCalls().m_PendingPromptTokens.size() == 2);
+}
--- a/Tests/Routing/testPrefillSpread.cpp
+++ b/Tests/Routing/testPrefillSpread.cpp
@@ -143,8 +143,10 @@
 }
 
 TEST_CASE("each gateway has a position of its own, in any order of the list") {
+  constexpr int Gateways = 30;
   std::vector<std::string> All;
-  for (int I = 0; I < 30; ++I)
+  All.reserve(Gateways);
+  for (int I = 0; I < Gateways; ++I)
     All.push_back(fmt::format("10.0.0.{}:7000", I));
   const std::vector<std::string> Reversed(All.rbegin(), All.rend());
   std::set<std::size_t> Positions;
