--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -135,6 +135,12 @@
               drainActions()),
       m_MaintenanceTimer(m_Workers.worker(0)),
       m_DispatchTimer(m_Workers.worker(0)) {
+  m_Registry.gaugeFrom(
+      "mangocart_gateway_pending_prompt_tokens",
+      "Prompt tokens of requests at backend servers without an answer yet.",
+      [this] {
+        return static_cast<double>(m_Directory.ownPendingPromptTokens());
+      });
   m_Events.limitRequestLines(m_Settings.log_lines_per_second());
   m_Directory.setColdBurst(m_Settings.cold_burst_factor(),
                            m_Settings.cold_burst_slack());
--- a/Source/Gateway/RoutingPlan.cpp
+++ b/Source/Gateway/RoutingPlan.cpp
@@ -2,6 +2,7 @@
 #include "Gateway/RoutingPlan.h"
 
 #include "Gateway/RequestPriority.h"
+#include "Routing/PrefillSpread.h"
 
 #include <fmt/format.h>
 
@@ -46,6 +47,12 @@
   return Rates;
 }
 
+std::uint64_t prefillTokensPerPass(const EngineConfig &Engine) {
+  return prefillTokensPerPass(
+      Engine.m_MaxPrefillTokensPerStep, Engine.m_StepsPerPass,
+      Engine.m_PrefillTokensPerSecond, Engine.m_DecodeStepMs);
+}
+
 std::uint64_t totalWeight(const RouteConfig &Route) {
   std::uint64_t Sum = 0;
   for (const WeightedService &Each : Route.m_Services)
--- a/Source/Gateway/ServiceDispatcher.cpp
+++ b/Source/Gateway/ServiceDispatcher.cpp
@@ -22,6 +22,7 @@
   Request.m_Size = Call.m_Size;
   Request.m_Tried = &Call.m_Tried;
   Request.m_FailedZone = Call.m_FailedZone;
+  Request.m_PrefillTokensPerPass = Call.m_PrefillTokensPerPass;
   return Request;
 }
 
