Voter, Gateway: zones are evacuated through the replicated log

Cause: operators must be able to keep all requests from the backend servers of an availability zone. Change: POST and DELETE /evacuations/ZONE at the voters' control endpoint; DocumentMachine keeps the evacuated zones and the number of their last change. EvacuationCall first reads that number through the log and then proposes the order on the condition that it is still current. WatchService sends the zones to gateways; MembershipDirectory leaves their servers out, and a service whose servers are all evacuated rejects at once.

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -123,12 +123,51 @@
   const TimePoint Now = RuntimeClock::now();
   std::vector<CandidateView> Views = eligibleViews(m_Table, Service, Now);
   std::erase_if(Views, [&](const CandidateView &Each) {
-    return !Each.m_Member->m_Group.empty() &&
-           isStalled(m_Stalls, Each.m_Member->m_Group, Now);
+    return isEvacuated(m_Evacuations, Each.m_Member->m_AvailabilityZone) ||
+           (!Each.m_Member->m_Group.empty() &&
+            isStalled(m_Stalls, Each.m_Member->m_Group, Now));
   });
   return Views;
 }
 
+bool MembershipDirectory::isServiceEvacuated(
+    std::string_view Service, const std::vector<std::string> &Tried) const {
+  if (m_Evacuations.m_Zones.empty())
+    return false;
+  const TimePoint Now = RuntimeClock::now();
+  bool HasEvacuated = false;
+  for (const auto &[Name, Entry] : m_Table.m_Entries) {
+    const Member &Record = Entry.m_Member;
+    if (Record.m_Service != Service ||
+        (Record.m_State != MemberState::Serving &&
+         Record.m_State != MemberState::Unavailable) ||
+        health(m_Table, Entry, Now) == MemberHealth::Lost)
+      continue;
+    if (isEvacuated(m_Evacuations, Record.m_AvailabilityZone))
+      HasEvacuated = true;
+    else if (std::find(Tried.begin(), Tried.end(), Name) == Tried.end())
+      return false;
+  }
+  return HasEvacuated;
+}
+
+bool MembershipDirectory::setEvacuations(const Evacuations &State) {
+  {
+    const std::lock_guard Lock(m_Mutex);
+    if (State.m_Change <= m_Evacuations.m_Change)
+      return false;
+    m_Evacuations = State;
+  }
+  m_Events.write(Event::EvacuationsInForce,
+                 {{"change", State.m_Change}, {"zones", zoneList(State)}});
+  return true;
+}
+
+Evacuations MembershipDirectory::evacuations() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Evacuations;
+}
+
 const std::string &
 MembershipDirectory::groupOf(const BackendTarget &Target) const {
   static const std::string None;
@@ -321,8 +360,10 @@
     else if (!FirstEnd || *Until < *FirstEnd)
       FirstEnd = Until;
   }
-  if (Found.m_Servers == 0)
+  if (Found.m_Servers == 0) {
     Found.m_ResumesAt = FirstEnd;
+    Found.m_IsEvacuated = !FirstEnd && isServiceEvacuated(Service, Tried);
+  }
   return Found;
 }
 
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -5,6 +5,7 @@
 
 #include "Entry/BackendDirectory.h"
 #include "Entry/RoutingState.h"
+#include "Membership/Evacuations.h"
 #include "Membership/MembershipTable.h"
 #include "Routing/GroupStall.h"
 
@@ -34,6 +35,9 @@
   // Set if there are none because all have asked for a pause: the end of the
   // first one.
   std::optional<TimePoint> m_ResumesAt;
+  // Set if there are none because the only ones that would accept requests are
+  // in evacuated zones, and none outside may soon do so.
+  bool m_IsEvacuated = false;
 
   bool operator==(const ServiceAvailability &) const = default;
 };
@@ -70,6 +74,11 @@
   // target.
   void markReplaced(const BackendTarget &Target);
 
+  // Servers in the zones get no requests until the zones are withdrawn. Ignores
+  // a state that isn't newer than the one in force; returns whether it is.
+  bool setEvacuations(const Evacuations &State);
+  Evacuations evacuations() const;
+
   std::optional<BackendTarget> choose(const ChoiceRequest &Request) override;
   // Whether an untried server is known to be alive, full or not.
   bool hasCandidates(const ChoiceRequest &Request) const;
@@ -124,8 +133,12 @@
   bool advanceState(const BackendTarget &Target, MemberState State);
   void mergeRecord(const Member &Record, Duration HeardAgo);
   std::vector<CandidateView> candidates(const ChoiceRequest &Request) const;
-  // Servers of the service that accept requests and whose rank group isn't
-  // stalled.
+  // Whether the service has servers in evacuated zones, but outside of them no
+  // untried one that is neither leaving nor lost.
+  bool isServiceEvacuated(std::string_view Service,
+                          const std::vector<std::string> &Tried) const;
+  // Servers of the service that accept requests, outside of evacuated zones and
+  // of stalled rank groups.
   std::vector<CandidateView> usableViews(std::string_view Service) const;
   // The rank group of a backend server; empty if it has none.
   const std::string &groupOf(const BackendTarget &Target) const;
@@ -139,6 +152,7 @@
   MembershipTable m_Table;
   RoutingState m_Routing;
   GroupStallDetector m_Stalls;
+  Evacuations m_Evacuations;
 };
 
 } // namespace mangocart
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -120,7 +120,11 @@
                     gatewayList(ownEndpoint(m_Settings), Gateways));
               },
               toString(ownEndpoint(m_Settings)),
-              {}},
+              {},
+              [this](const Evacuations &Evacuated) {
+                if (m_Directory.setEvacuations(Evacuated))
+                  m_Dispatcher.dispatchWaiting();
+              }},
           m_Settings.name())),
       m_SettingsWatch(
           m_Workers.worker(0), m_SettingsFile,
@@ -134,6 +138,7 @@
   m_Directory.setLimits(
       announceLimits(milliseconds(m_Settings.announce_interval_ms())));
   m_Directory.onMemberChange([this] { m_Dispatcher.dispatchWaiting(); });
+  addEvacuationMetrics(m_Registry, m_Directory);
   m_CrashGuard->onUpdate([this] { m_LoadExchange->reportNow(); });
   m_Plans.onChange([this](const RoutingPlan &Plan) { planChanged(Plan); });
 }
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -1,6 +1,8 @@
 // Metric names and help texts.
 #include "Gateway/GatewayMetrics.h"
 
+#include "Entry/MembershipDirectory.h"
+
 namespace mangocart {
 
 GatewayMetrics::GatewayMetrics(MetricRegistry &Registry)
@@ -40,4 +42,18 @@
           Registry.histogram("mangocart_gateway_whole_seconds",
                              "Time from a request's arrival to its end.")) {}
 
+void addEvacuationMetrics(MetricRegistry &Registry,
+                          const MembershipDirectory &Directory) {
+  Registry.gaugeFrom("mangocart_evacuated_zones",
+                     "Availability zones that are evacuated.", [&Directory] {
+                       return static_cast<double>(
+                           Directory.evacuations().m_Zones.size());
+                     });
+  Registry.gaugeFrom(
+      "mangocart_evacuations_change",
+      "Number of the last change of the evacuated zones.", [&Directory] {
+        return static_cast<double>(Directory.evacuations().m_Change);
+      });
+}
+
 } // namespace mangocart
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -6,6 +6,8 @@
 
 namespace mangocart {
 
+class MembershipDirectory;
+
 struct GatewayMetrics {
   explicit GatewayMetrics(MetricRegistry &Registry);
 
@@ -27,6 +29,10 @@
   Histogram &m_TotalTime;
 };
 
+// Both show what the directory has accepted from the voters.
+void addEvacuationMetrics(MetricRegistry &Registry,
+                          const MembershipDirectory &Directory);
+
 } // namespace mangocart
 
 #endif
--- a/Source/Gateway/ServiceDispatcher.cpp
+++ b/Source/Gateway/ServiceDispatcher.cpp
@@ -55,8 +55,9 @@
                                             ServiceQueue &Queue,
                                             TimePoint Now) const {
   const ServiceAvailability Found = m_Directory.availability(Service);
-  const ServiceState State =
-      Found.m_Servers > 0 ? ServiceState::Available : ServiceState::Unavailable;
+  const ServiceState State = Found.m_Servers > 0   ? ServiceState::Available
+                             : Found.m_IsEvacuated ? ServiceState::Evacuated
+                                                   : ServiceState::Unavailable;
   recordState(Queue, State, Now, Found.m_ResumesAt);
   return State;
 }
@@ -87,6 +88,8 @@
     return true;
   const ServiceAvailability Untried =
       m_Directory.availability(Call.m_Service, Call.m_Tried);
+  if (Untried.m_IsEvacuated)
+    return false;
   return Untried.m_Servers > 0 || !Untried.m_ResumesAt ||
          *Untried.m_ResumesAt < latestStart(Queue, Call.m_Times, Now);
 }
--- a/Source/Gateway/ServiceQueue.cpp
+++ b/Source/Gateway/ServiceQueue.cpp
@@ -48,6 +48,9 @@
   if (Queue.m_ResumesAt && !ResumesAt)
     Queue.m_UnavailableSince.reset();
   Queue.m_ResumesAt = ResumesAt;
+  // The duration of an evacuation says nothing about outages.
+  if (State == ServiceState::Evacuated)
+    return Queue.m_UnavailableSince.reset();
   if (State == ServiceState::Unavailable) {
     if (!Queue.m_UnavailableSince)
       Queue.m_UnavailableSince = Now;
@@ -82,6 +85,8 @@
 
 bool shouldEnqueue(const ServiceQueue &Queue, const WaitingCall &Call,
                    ServiceState State, TimePoint Now) {
+  if (State == ServiceState::Evacuated)
+    return false;
   const TimePoint LastStart = latestStart(Queue, Call, Now);
   if (State == ServiceState::Unavailable)
     return Now + expectedOutageLeft(Queue, Now) < LastStart;
@@ -133,8 +138,9 @@
                              ? Duration::zero()
                              : expectedFirstByte(Queue, Now);
   std::erase_if(Queue.m_Waiting, [&](const WaitingCall &Call) {
-    const bool IsExpired = Now + First + Queue.m_Options.m_RejectionMargin >=
-                           Call.m_CallerTimeoutAt;
+    const bool IsExpired = State == ServiceState::Evacuated ||
+                           Now + First + Queue.m_Options.m_RejectionMargin >=
+                               Call.m_CallerTimeoutAt;
     if (IsExpired)
       Expired.push_back(Call);
     return IsExpired;
@@ -156,6 +162,9 @@
       State == ServiceState::Available
           ? drainTime(Queue, callsAhead(Queue, false, Now) + 1)
           : expectedOutageLeft(Queue, Now);
+  // Nothing is known about the time of a withdrawal.
+  if (State == ServiceState::Evacuated)
+    return std::max(Longest, Duration::zero());
   const double Spread =
       1.0 + Queue.m_Options.m_RetrySpread * uniformReal(Generator);
   const auto Drawn = std::chrono::duration_cast<Duration>(Wait * Spread);
--- a/Source/Gateway/ServiceQueue.h
+++ b/Source/Gateway/ServiceQueue.h
@@ -77,8 +77,9 @@
 };
 
 // Unavailable: no backend server of the service accepts requests, so the
-// observed dispatch rate does not predict the wait.
-enum class ServiceState { Available, Unavailable };
+// observed dispatch rate does not predict the wait. Evacuated: the same,
+// because all are in evacuated zones; no call waits for the withdrawal.
+enum class ServiceState { Available, Unavailable, Evacuated };
 
 // Must be called before the functions below. ResumesAt: when an unavailable
 // service will accept requests again, if that is known.
--- a/Source/Gateway/VoterWatch.cpp
+++ b/Source/Gateway/VoterWatch.cpp
@@ -188,6 +188,8 @@
         {{"voter", toString(From)},
          {"configuration", Update.configuration_version()}});
   }
+  if (Update.has_evacuations())
+    m_Targets.m_OnEvacuations(evacuationsFromSchema(Update.evacuations()));
   for (const schema::MemberRecord &Record : Update.records())
     m_Targets.m_Directory.heard(Record);
   applyConfiguration(From, Update);
--- a/Source/Gateway/VoterWatch.h
+++ b/Source/Gateway/VoterWatch.h
@@ -1,10 +1,12 @@
 // Subscribes a process to the voters' update streams, which carry the
-// configuration, announcements of backend servers and the list of voters.
-// Voters are discovered through the seeds and the lists in received updates.
+// configuration, evacuated availability zones, announcements of backend servers
+// and the list of voters. Voters are discovered through the seeds and the lists
+// in received updates.
 #ifndef MANGOCART_GATEWAY_VOTERWATCH_H
 #define MANGOCART_GATEWAY_VOTERWATCH_H
 
 #include "Core/Timer.h"
+#include "Membership/Evacuations.h"
 #include "Net/PeerStream.h"
 
 #include <boost/asio/io_context.hpp>
@@ -46,6 +48,11 @@
   // If set, only one stream is opened, to a voter of this availability zone if
   // there is one. If empty, streams to all voters are opened.
   std::string m_PreferredZone;
+  // Called with the evacuations of every update that has them, before any
+  // configuration or announcement of that update is handed on. They may be
+  // older than those of an earlier update.
+  std::function<void(const Evacuations &)> m_OnEvacuations =
+      [](const Evacuations &) {};
 };
 
 // All functions except start() and setSeeds() must be called on the worker
--- a/Source/Voter/ControlFront.cpp
+++ b/Source/Voter/ControlFront.cpp
@@ -3,6 +3,7 @@
 
 #include "Events/EventLog.h"
 #include "Voter/DocumentMachine.h"
+#include "Voter/EvacuationCall.h"
 
 #include <boost/asio/dispatch.hpp>
 
@@ -13,6 +14,19 @@
 // Callers try another voter after a second without a response.
 constexpr Duration ProposeTimeout = std::chrono::milliseconds(900);
 
+Event refusalEvent(BadCall::From From) {
+  switch (From) {
+  case BadCall::From::Operator:
+    return Event::ConfigurationRefused;
+  case BadCall::From::Evacuation:
+    return Event::EvacuationRefused;
+  case BadCall::From::BackendServer:
+  case BadCall::From::Unknown:
+    break;
+  }
+  return Event::AnnouncementRefused;
+}
+
 } // namespace
 
 void ControlFront::handle(const Exchange &Exchange) {
@@ -93,6 +107,12 @@
       Reply ? "no configuration was accepted yet" : Reply.error().m_Detail));
 }
 
+void ControlFront::handleCall(const Exchange &Client, OrderEvacuation Call) {
+  std::make_shared<EvacuationCall>(m_Dependencies, Client, std::move(Call),
+                                   RuntimeClock::now() + ProposeTimeout)
+      ->start();
+}
+
 void ControlFront::handleCall(const Exchange &Client,
                               const AnnounceServer &Call) {
   m_Dependencies.m_Announce(Call.m_Record);
@@ -100,10 +120,7 @@
 }
 
 void ControlFront::handleCall(const Exchange &Client, const BadCall &Call) {
-  const Event What = Call.m_From == BadCall::From::Operator
-                         ? Event::ConfigurationRefused
-                         : Event::AnnouncementRefused;
-  m_Dependencies.m_Events.write(What,
+  m_Dependencies.m_Events.write(refusalEvent(Call.m_From),
                                 {{"status", Call.m_Answer.m_Head.m_Status},
                                  {"target", Client->request().m_Target},
                                  {"detail", Call.m_Detail}});
--- a/Source/Voter/ControlFront.h
+++ b/Source/Voter/ControlFront.h
@@ -20,6 +20,9 @@
   ReplicatedLog &m_Log;
   // Stores an announcement and has posted it to the gateways when it returns.
   std::function<void(const Member &)> m_Announce;
+  // Whether the settings name the availability zone or a backend server in it
+  // has announced itself.
+  std::function<bool(const std::string &)> m_IsKnownZone;
 };
 
 class ControlFront {
@@ -34,6 +37,7 @@
 
   void handleCall(const Exchange &Client, PutConfiguration Call);
   void handleCall(const Exchange &Client, const ReadConfiguration &Call);
+  void handleCall(const Exchange &Client, OrderEvacuation Call);
   void handleCall(const Exchange &Client, const AnnounceServer &Call);
   void handleCall(const Exchange &Client, const BadCall &Call);
   void respondToPut(const Exchange &Client, std::uint64_t Version,
--- a/Source/Voter/ControlProtocol.h
+++ b/Source/Voter/ControlProtocol.h
@@ -26,6 +26,14 @@
   bool operator==(const ReadConfiguration &) const = default;
 };
 
+// An operator evacuates an availability zone, or withdraws that.
+struct OrderEvacuation {
+  std::string m_Zone;
+  bool m_Withdraw = false;
+
+  bool operator==(const OrderEvacuation &) const = default;
+};
+
 // A backend server announces its state. If its state is Left and it has no
 // incarnation, the known incarnation is meant.
 struct AnnounceServer {
@@ -36,7 +44,8 @@
 
 // An invalid call, with the response to send.
 struct BadCall {
-  enum class From { Operator, BackendServer, Unknown };
+  // Evacuation: an operator who evacuates a zone or withdraws that.
+  enum class From { Operator, Evacuation, BackendServer, Unknown };
 
   From m_From = From::Unknown;
   HttpResponse m_Answer;
@@ -46,8 +55,8 @@
   bool operator==(const BadCall &) const = default;
 };
 
-using ControlCall =
-    std::variant<PutConfiguration, ReadConfiguration, AnnounceServer, BadCall>;
+using ControlCall = std::variant<PutConfiguration, ReadConfiguration,
+                                 OrderEvacuation, AnnounceServer, BadCall>;
 
 class ControlProtocol {
 public:
@@ -57,6 +66,8 @@
   virtual HttpResponse accepted() const = 0;
   virtual HttpResponse configuration(std::string Document) const = 0;
   virtual HttpResponse announced() const = 0;
+  // No availability zone of this name is known.
+  virtual HttpResponse unknownZone(std::string_view Detail) const = 0;
   // The caller should try another voter, or retry later.
   virtual HttpResponse unavailable(std::string_view Detail) const = 0;
 };
--- a/Source/Voter/DocumentMachine.cpp
+++ b/Source/Voter/DocumentMachine.cpp
@@ -1,15 +1,41 @@
-// Applies commands to the document, and takes and restores its snapshots.
+// Applies commands to the document and the evacuations, and takes and restores
+// snapshots of both.
 #include "Voter/DocumentMachine.h"
 
 #include "Log.pb.h"
 
 namespace mangocart {
 
+namespace {
+
+EvacuationChange fromSchema(const schema::ChangeEvacuation &Message) {
+  return {Message.availability_zone(), Message.withdraw(),
+          Message.expected_change()};
+}
+
+} // namespace
+
 DocumentPtr DocumentMachine::document() const {
   const std::lock_guard Lock(m_Mutex);
   return m_Document;
 }
 
+Evacuations DocumentMachine::evacuations() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Evacuations;
+}
+
+void DocumentMachine::setEvacuations(Evacuations State) {
+  {
+    const std::lock_guard Lock(m_Mutex);
+    if (State.m_Change <= m_Evacuations.m_Change)
+      return;
+    m_Evacuations = std::move(State);
+  }
+  if (m_OnChange)
+    m_OnChange();
+}
+
 void DocumentMachine::put(std::uint64_t Version, std::string Bytes) {
   {
     const std::lock_guard Lock(m_Mutex);
@@ -27,6 +53,12 @@
   schema::CommandReply Reply;
   if (!Parsed.ParseFromArray(Command.data(), static_cast<int>(Command.size())))
     return Reply.SerializeAsString();
+  if (Parsed.has_change_evacuation()) {
+    setEvacuations(
+        applyChange(evacuations(), fromSchema(Parsed.change_evacuation())));
+    evacuationsToSchema(evacuations(), *Reply.mutable_evacuations());
+    return Reply.SerializeAsString();
+  }
   if (Parsed.has_put_document())
     put(Parsed.put_document().version(),
         std::move(*Parsed.mutable_put_document()->mutable_document()));
@@ -42,6 +74,7 @@
   schema::DocumentSnapshot Snapshot;
   Snapshot.set_version(Kept->m_Version);
   Snapshot.set_document(Kept->m_Bytes);
+  evacuationsToSchema(evacuations(), *Snapshot.mutable_evacuations());
   return Snapshot.SerializeAsString();
 }
 
@@ -50,6 +83,9 @@
   if (!Parsed.ParseFromArray(Snapshot.data(),
                              static_cast<int>(Snapshot.size())))
     return;
+  // A snapshot of a program without evacuations has none. They are set before
+  // the document, so that no gateway gets the document without them.
+  setEvacuations(evacuationsFromSchema(Parsed.evacuations()));
   put(Parsed.version(), std::move(*Parsed.mutable_document()));
 }
 
--- a/Source/Voter/DocumentMachine.h
+++ b/Source/Voter/DocumentMachine.h
@@ -1,8 +1,10 @@
 // The state machine of the replicated log at voters: the configuration with the
-// highest version, in the format in which it was received.
+// highest version, in the format in which it was received, and the evacuated
+// availability zones.
 #ifndef MANGOCART_VOTER_DOCUMENTMACHINE_H
 #define MANGOCART_VOTER_DOCUMENTMACHINE_H
 
+#include "Membership/Evacuations.h"
 #include "Raft/StateMachine.h"
 
 #include <functional>
@@ -27,12 +29,14 @@
   DocumentMachine() : m_Document(std::make_shared<VersionedDocument>()) {}
 
   // Must be called before the log starts. The handler is called without the
-  // lock after a higher version has been applied.
+  // lock after a higher version or a change of the evacuations was applied.
   void onChange(std::function<void()> Handler) {
     m_OnChange = std::move(Handler);
   }
   // Called from any thread; never null. The version never decreases.
   DocumentPtr document() const;
+  // Called from any thread. The number of the last change never decreases.
+  Evacuations evacuations() const;
 
   std::string apply(std::uint64_t Index, std::string_view Command) override;
   std::string snapshot() const override;
@@ -42,11 +46,14 @@
 
 private:
   void put(std::uint64_t Version, std::string Bytes);
+  // Replaces the evacuations if the number of their last change is higher.
+  void setEvacuations(Evacuations State);
 
   std::function<void()> m_OnChange;
   mutable std::mutex m_Mutex;
   // Guarded by m_Mutex.
   DocumentPtr m_Document;
+  Evacuations m_Evacuations;
 };
 
 } // namespace mangocart
--- a/Source/Voter/VoterDaemon.cpp
+++ b/Source/Voter/VoterDaemon.cpp
@@ -51,10 +51,10 @@
       m_Peers(m_Workers), m_Server(m_Workers),
       m_WatchService(std::make_shared<WatchService>(
           m_Workers.worker(0),
-          WatchServiceDependencies{m_Events, m_Machine, m_LocalAnnouncements,
-                                   m_AllAnnouncements,
-                                   [this] { return memberNames(); },
-                                   m_Settings.availability_zone()})),
+          WatchServiceDependencies{
+              m_Events, m_Machine, m_LocalAnnouncements, m_AllAnnouncements,
+              [this] { return memberNames(); }, m_Settings.availability_zone(),
+              [this] { return m_CatchUp->isCaughtUp(); }})),
       m_OtherVoters(std::make_shared<VoterWatch>(
           m_Workers.worker(0), m_Peers,
           WatchTargets{WatcherKind::Voter,
@@ -66,8 +66,11 @@
                        {}},
           m_Settings.name())),
       m_Log(openLog()),
+      m_CatchUp(std::make_shared<CatchUpCheck>(
+          m_Machine, *m_Log, [this] { m_WatchService->sendChanges(); })),
       m_Front({Protocol, m_Events, m_Machine, *m_Log,
-               [this](const Member &Record) { announced(Record); }}),
+               [this](const Member &Record) { announced(Record); },
+               [this](const std::string &Zone) { return isKnownZone(Zone); }}),
       m_ControlServer(m_Workers, controlLimits(m_Settings),
                       [this](const std::shared_ptr<HttpExchange> &Exchange) {
                         m_Front.handle(Exchange);
@@ -141,6 +144,7 @@
       m_Workers.worker(0), [this] { m_Exit.open(ExitCode::Ok); },
       [this] { m_Exit.open(ExitCode::Failed); });
   m_SettingsWatch.start();
+  m_CatchUp->start();
   m_WatchService->start();
   m_OtherVoters->start(seeds(), ownEndpoint());
   runMaintenance();
@@ -178,6 +182,17 @@
   m_AllAnnouncements.announced(Record);
 }
 
+bool VoterDaemon::isKnownZone(const std::string &Zone) const {
+  const auto &Named = m_Settings.availability_zones();
+  if (std::find(Named.begin(), Named.end(), Zone) != Named.end())
+    return true;
+  const std::vector<MemberView> Members = m_AllAnnouncements.members();
+  return std::any_of(Members.begin(), Members.end(),
+                     [&](const MemberView &Each) {
+                       return Each.m_Member.m_AvailabilityZone == Zone;
+                     });
+}
+
 std::vector<std::string> VoterDaemon::memberNames() const {
   std::vector<std::string> Names;
   if (!m_Log)
@@ -192,6 +207,15 @@
       "mangocart_configuration_version",
       "Version of the configuration in force.",
       [this] { return static_cast<double>(m_Machine.document()->m_Version); });
+  m_Registry.gaugeFrom("mangocart_evacuated_zones",
+                       "Availability zones that are evacuated.", [this] {
+                         return static_cast<double>(
+                             m_Machine.evacuations().m_Zones.size());
+                       });
+  m_Registry.gaugeFrom(
+      "mangocart_evacuations_change",
+      "Number of the last change of the evacuated zones.",
+      [this] { return static_cast<double>(m_Machine.evacuations().m_Change); });
   m_Registry.gaugeFrom("mangocart_log_leads", "1 while this voter leads.",
                        [this] { return m_Log->isLeader() ? 1.0 : 0.0; });
   m_Registry.counterFrom("mangocart_log_syncs_total", "Syncs of the disk.",
--- a/Source/Voter/VoterDaemon.h
+++ b/Source/Voter/VoterDaemon.h
@@ -12,6 +12,7 @@
 #include "Metrics/MetricRegistry.h"
 #include "Raft/RaftRunner.h"
 #include "Settings.pb.h"
+#include "Voter/CatchUpCheck.h"
 #include "Voter/ControlFront.h"
 #include "Voter/DocumentMachine.h"
 #include "Voter/WatchService.h"
@@ -35,6 +36,7 @@
   bool listen();
   void runMaintenance();
   void announced(const Member &Record);
+  bool isKnownZone(const std::string &Zone) const;
   std::vector<std::string> memberNames() const;
   void addMetrics();
   PeerEndpoint ownEndpoint() const;
@@ -55,6 +57,7 @@
   std::shared_ptr<WatchService> m_WatchService;
   std::shared_ptr<VoterWatch> m_OtherVoters;
   std::unique_ptr<RaftRunner> m_Log;
+  std::shared_ptr<CatchUpCheck> m_CatchUp;
   ControlFront m_Front;
   HttpServer m_ControlServer;
   HttpServer m_MetricsServer;
--- a/Source/Voter/WatchService.cpp
+++ b/Source/Voter/WatchService.cpp
@@ -126,10 +126,9 @@
   return m_Compressed;
 }
 
-void WatchService::sendUpdate(Watcher &To) {
-  if (To.m_Stream->queuedBytes() > MaxQueuedBytes)
+void WatchService::addConfiguration(Watcher &To, schema::WatchUpdate &Update) {
+  if (To.m_Kind == WatcherKind::Gateway && !m_Dependencies.m_IsCaughtUp())
     return;
-  schema::WatchUpdate Update;
   const DocumentPtr Document = m_Dependencies.m_Machine.document();
   Update.set_configuration_version(Document->m_Version);
   if (Document->m_Version > To.m_SentVersion &&
@@ -140,6 +139,13 @@
       Update.set_configuration(Document->m_Bytes);
     To.m_SentVersion = Document->m_Version;
   }
+}
+
+void WatchService::sendUpdate(Watcher &To) {
+  if (To.m_Stream->queuedBytes() > MaxQueuedBytes)
+    return;
+  schema::WatchUpdate Update;
+  addConfiguration(To, Update);
   MembershipDirectory &Announcements =
       To.m_Kind == WatcherKind::Balancer ? m_Dependencies.m_AllAnnouncements
                                          : m_Dependencies.m_LocalAnnouncements;
@@ -151,6 +157,11 @@
   To.m_SentChange = Batch.m_Next;
   for (std::string &Member : m_Dependencies.m_Members())
     Update.add_members(std::move(Member));
+  // Read after the document, so that no document goes out with evacuations that
+  // are older than it.
+  const Evacuations Evacuated = m_Dependencies.m_Machine.evacuations();
+  if (To.m_Kind == WatcherKind::Gateway && Evacuated.m_Change > 0)
+    evacuationsToSchema(Evacuated, *Update.mutable_evacuations());
   if (To.m_Kind == WatcherKind::Gateway)
     for (const Watcher &Each : m_Watchers)
       if (Each.m_Kind == WatcherKind::Gateway)
--- a/Source/Voter/WatchService.h
+++ b/Source/Voter/WatchService.h
@@ -1,5 +1,6 @@
-// Sends updates to the processes that watch this voter: configuration, members
-// of the log, announcements of backend servers.
+// Sends updates to the processes that watch this voter: configuration,
+// evacuated availability zones, members of the log, announcements of backend
+// servers.
 #ifndef MANGOCART_VOTER_WATCHSERVICE_H
 #define MANGOCART_VOTER_WATCHSERVICE_H
 
@@ -17,6 +18,9 @@
 
 namespace mangocart {
 
+namespace schema {
+class WatchUpdate;
+} // namespace schema
 class DocumentMachine;
 struct VersionedDocument;
 class EventLog;
@@ -32,6 +36,9 @@
   std::function<std::vector<std::string>()> m_Members;
   // Availability zone of this voter.
   std::string m_AvailabilityZone;
+  // Whether this voter knows all evacuations; until then gateways get no
+  // configuration from it.
+  std::function<bool()> m_IsCaughtUp;
 };
 
 // All functions but news() run on the worker.
@@ -67,6 +74,7 @@
   void tick();
   void sendUpdateToAll();
   void sendUpdate(Watcher &To);
+  void addConfiguration(Watcher &To, schema::WatchUpdate &Update);
   // Compresses the document once for all watchers.
   const std::string &compressed(const VersionedDocument &Document);
 
--- a/Tests/Platform/testPlatformControlProtocol.cpp
+++ b/Tests/Platform/testPlatformControlProtocol.cpp
@@ -89,3 +89,19 @@
   CHECK(statusOf(read(call("DELETE", "/config"))) == 405);
   CHECK(statusOf(read(call("GET", "/elsewhere"))) == 404);
 }
+
+TEST_CASE("orders to evacuate a zone name it in the path and have no body") {
+  const ControlCall Post = read(call("POST", "/evacuations/z-1"));
+  REQUIRE(std::holds_alternative<OrderEvacuation>(Post));
+  CHECK(std::get<OrderEvacuation>(Post) == OrderEvacuation{"z-1", false});
+  const ControlCall Delete = read(call("DELETE", "/evacuations/z-1?x=1"));
+  REQUIRE(std::holds_alternative<OrderEvacuation>(Delete));
+  CHECK(std::get<OrderEvacuation>(Delete) == OrderEvacuation{"z-1", true});
+  for (const char *Method : {"POST", "DELETE"})
+    CHECK(statusOf(read(call(Method, "/evacuations/z-1", "{}"))) == 400);
+  for (const char *Method : {"GET", "PUT", "PATCH"})
+    CHECK(statusOf(read(call(Method, "/evacuations/z-1"))) == 405);
+  CHECK(statusOf(read(call("POST", "/evacuations/"))) == 404);
+  CHECK(statusOf(read(call("POST", "/evacuations"))) == 404);
+  CHECK(PlatformControlProtocol().unknownZone("none").m_Head.m_Status == 404);
+}
--- a/Tests/Voter/testControlFront.cpp
+++ b/Tests/Voter/testControlFront.cpp
@@ -10,6 +10,7 @@
 #include <trompeloeil.hpp>
 
 using namespace mangocart;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -28,6 +29,9 @@
     return {{200, {}}, std::move(Document)};
   }
   HttpResponse announced() const override { return {{200, {}}, "announced"}; }
+  HttpResponse unknownZone(std::string_view) const override {
+    return {{404, {}}, ""};
+  }
   HttpResponse unavailable(std::string_view) const override {
     return {{503, {}}, ""};
   }
@@ -53,18 +57,22 @@
   void abort() override {}
   std::size_t queuedBytes() const override { return 0; }
   void onDrained(std::function<void()>) override {}
-  void onClosed(std::function<void()>) override {}
+  void onClosed(std::function<void()> Handler) override {
+    m_OnClosed = std::move(Handler);
+  }
 
   boost::asio::io_context &m_Context;
   HttpRequest m_Request;
   std::optional<HttpResponse> m_Answer;
+  std::function<void()> m_OnClosed;
 };
 
 struct Fixture {
   Fixture()
       : m_Events({"voter", "v1", "a"}, "/dev/null"),
         m_Front({m_Protocol, m_Events, m_Machine, m_Log,
-                 [this](const Member &Record) { m_Announced = Record; }}),
+                 [this](const Member &Record) { m_Announced = Record; },
+                 [](const std::string &Zone) { return Zone != "unknown"; }}),
         m_Exchange(std::make_shared<AnsweredExchange>(m_Context)) {}
 
   HttpResponse handle(const ControlCall &Call) {
@@ -159,3 +167,188 @@
   CHECK(F.handle(BadCall{BadCall::From::Operator, {{400, {}}, "bad"}, "bad"})
             .m_Head.m_Status == 400);
 }
+
+namespace {
+
+constexpr auto Never = EvacuationChange::NeverExpected;
+using Zones = std::set<std::string, std::less<>>;
+
+// A log whose committed state is a state machine of its own; the state machine
+// of the voter stays empty, as that of a voter that was cut off.
+struct CommittedLog {
+  explicit CommittedLog(Fixture &F) : m_Fixture(F) { RuntimeClock::pause(); }
+  ~CommittedLog() { RuntimeClock::resume(); }
+
+  schema::CommandReply commit(const schema::Command &Command) {
+    schema::CommandReply Reply;
+    Reply.ParseFromString(m_Machine.apply(1, Command.SerializeAsString()));
+    return Reply;
+  }
+
+  void order(const std::string &Zone, bool Withdraw) {
+    schema::Command Command;
+    Command.mutable_change_evacuation()->set_availability_zone(Zone);
+    Command.mutable_change_evacuation()->set_withdraw(Withdraw);
+    Command.mutable_change_evacuation()->set_expected_change(
+        m_Machine.evacuations().m_Change);
+    commit(Command);
+  }
+
+  // Returns the status of the response.
+  unsigned handle(const OrderEvacuation &Order) {
+    ALLOW_CALL(m_Fixture.m_Log,
+               propose(trompeloeil::_, trompeloeil::_, trompeloeil::_))
+        .SIDE_EFFECT(propose(_1, _2, _3));
+    return m_Fixture.handle(Order).m_Head.m_Status;
+  }
+
+  void propose(const schema::Command &Command, Duration Timeout,
+               const ReplicatedLog::ProposeHandler &Done) {
+    m_Expected.push_back(Command.change_evacuation().expected_change());
+    m_Timeouts.push_back(Timeout);
+    REQUIRE(m_Expected.size() < 100);
+    if (const auto Error = m_Before(m_Expected.size() - 1))
+      return Done(*Error);
+    const schema::CommandReply Reply = commit(Command);
+    if (const auto Error = m_After(m_Expected.size() - 1))
+      return Done(*Error);
+    Done(Reply);
+  }
+
+  using Hook = std::function<std::optional<ProposeError>(std::size_t)>;
+
+  Fixture &m_Fixture;
+  DocumentMachine m_Machine;
+  // Called with the number of a proposal, from 0, before and after its commit;
+  // an error is the log's answer.
+  Hook m_Before = [](std::size_t) { return std::nullopt; };
+  Hook m_After = m_Before;
+  std::vector<std::uint64_t> m_Expected;
+  std::vector<Duration> m_Timeouts;
+};
+
+} // namespace
+
+TEST_CASE("an evacuation is acknowledged after it is committed") {
+  Fixture F;
+  CommittedLog Log(F);
+  Log.order("c", false);
+  CHECK(Log.handle({"a", false}) == 200);
+  CHECK(Log.m_Expected == std::vector<std::uint64_t>{Never, 1});
+  CHECK(Log.m_Timeouts.front() == 900ms);
+  CHECK(Log.m_Machine.evacuations() == Evacuations{2, {"a", "c"}});
+}
+
+TEST_CASE("an order that another one preceded is proposed again with the "
+          "number of the reply") {
+  Fixture F;
+  CommittedLog Log(F);
+  Log.m_Before = [&](std::size_t Number) -> std::optional<ProposeError> {
+    if (Number == 1)
+      Log.order("b", false);
+    return std::nullopt;
+  };
+  CHECK(Log.handle({"a", false}) == 200);
+  CHECK(Log.m_Expected == std::vector<std::uint64_t>{Never, 0, 1});
+  CHECK(Log.m_Machine.evacuations().m_Zones == Zones{"a", "b"});
+}
+
+// Guards against a call that is proposed after its caller has tried another
+// voter.
+TEST_CASE("an order is given up 900 ms after its arrival if others always come "
+          "first") {
+  Fixture F;
+  CommittedLog Log(F);
+  Log.m_Before = [&](std::size_t Number) -> std::optional<ProposeError> {
+    RuntimeClock::advance(100ms);
+    Log.order("b", Number % 2 != 0);
+    return std::nullopt;
+  };
+  CHECK(Log.handle({"a", false}) == 503);
+  CHECK(Log.m_Expected.size() == 9);
+  CHECK(Log.m_Timeouts.back() == 100ms);
+  CHECK_FALSE(isEvacuated(Log.m_Machine.evacuations(), "a"));
+}
+
+// Without a majority, or with a full disk.
+TEST_CASE("an order that isn't committed changes nothing and is not "
+          "acknowledged, whatever state this voter has applied") {
+  Fixture F;
+  CommittedLog Log(F);
+  F.m_Machine.restore([] {
+    DocumentMachine Old;
+    schema::Command Command;
+    Command.mutable_change_evacuation()->set_availability_zone("a");
+    Old.apply(1, Command.SerializeAsString());
+    return Old.snapshot();
+  }());
+  REQUIRE(isEvacuated(F.m_Machine.evacuations(), "a"));
+  Log.m_Before = [](std::size_t) {
+    return ProposeError{ProposeErrorCode::NoQuorum, "no leader"};
+  };
+  CHECK(Log.handle({"a", false}) == 503);
+  CHECK(Log.m_Machine.evacuations().m_Change == 0);
+}
+
+TEST_CASE("an order that is in effect is acknowledged and changes nothing") {
+  Fixture F;
+  CommittedLog Log(F);
+  Log.order("a", false);
+  CHECK(Log.handle({"a", false}) == 200);
+  CHECK(Log.m_Machine.evacuations().m_Change == 1);
+  Fixture Second;
+  CommittedLog Empty(Second);
+  CHECK(Empty.handle({"a", true}) == 200);
+  CHECK(Empty.m_Machine.evacuations().m_Change == 0);
+}
+
+// The leader was killed between the commit and its reply.
+TEST_CASE("an order whose reply was lost is proposed again with the same "
+          "condition") {
+  Fixture F;
+  CommittedLog Log(F);
+  Log.m_After = [](std::size_t Number) -> std::optional<ProposeError> {
+    if (Number == 1)
+      return ProposeError{ProposeErrorCode::InDoubt, "reply lost"};
+    return std::nullopt;
+  };
+  CHECK(Log.handle({"a", false}) == 200);
+  CHECK(Log.m_Expected == std::vector<std::uint64_t>{Never, 0, 0});
+  CHECK(Log.m_Machine.evacuations().m_Change == 1);
+}
+
+// A voter that was suspended finds the call after newer orders.
+TEST_CASE("an order whose caller has disconnected is not proposed") {
+  Fixture F;
+  CommittedLog Log(F);
+  Log.order("a", false);
+  Log.order("a", true);
+  Log.m_Before = [&](std::size_t) -> std::optional<ProposeError> {
+    F.m_Exchange->m_OnClosed();
+    return std::nullopt;
+  };
+  Log.handle({"a", false});
+  CHECK(Log.m_Expected == std::vector<std::uint64_t>{Never});
+  CHECK(Log.m_Machine.evacuations() == Evacuations{2, {}});
+}
+
+TEST_CASE(
+    "a zone is known by the settings, an announcement or its evacuation") {
+  Fixture F;
+  CommittedLog Log(F);
+  CHECK(Log.handle({"unknown", false}) == 404);
+  CHECK(Log.m_Machine.evacuations().m_Change == 0);
+  Fixture Second;
+  CommittedLog Evacuated(Second);
+  Evacuated.order("unknown", false);
+  CHECK(Evacuated.handle({"unknown", true}) == 200);
+  CHECK(Evacuated.m_Machine.evacuations() == Evacuations{2, {}});
+}
+
+TEST_CASE("the reply of a leader without evacuations is no acknowledgement") {
+  Fixture F;
+  REQUIRE_CALL(F.m_Log, propose(trompeloeil::_, trompeloeil::_, trompeloeil::_))
+      .SIDE_EFFECT(schema::CommandReply Reply;
+                   Reply.mutable_document()->set_version(7); _3(Reply));
+  CHECK(F.handle(OrderEvacuation{"a", true}).m_Head.m_Status == 503);
+}
