--- a/Source/Voter/EvacuationCall.cpp
+++ b/Source/Voter/EvacuationCall.cpp
@@ -14,13 +14,19 @@
       m_Client(std::move(Client)), m_Change{std::move(Order.m_Zone),
                                             Order.m_Withdraw,
                                             EvacuationChange::NeverExpected},
-      m_Deadline(Deadline) {}
+      m_Deadline(Deadline), m_Timer(m_Client->executor()) {}
 
 void EvacuationCall::start() {
   m_Client->onClosed([Weak = weak_from_this()] {
     if (const auto Self = Weak.lock())
       Self->m_IsAbandoned = true;
   });
+  m_Timer.expires_at(m_Deadline);
+  m_Timer.async_wait([Weak = weak_from_this()](boost::system::error_code E) {
+    const auto Self = Weak.lock();
+    if (Self && !E && !Self->m_HasEnded)
+      Self->endUndecided("no reply of the log in time");
+  });
   propose(EvacuationChange::NeverExpected);
 }
 
@@ -46,6 +52,8 @@
 }
 
 void EvacuationCall::onReply(const Reply &Outcome) {
+  if (m_HasEnded)
+    return;
   if (Outcome) {
     // A leader of a program without evacuations changes nothing.
     if (!Outcome.value().has_evacuations())
@@ -70,13 +78,19 @@
   propose(State.m_Change);
 }
 
+void EvacuationCall::end(HttpResponse Answer) {
+  m_HasEnded = true;
+  m_Timer.cancel();
+  m_Client->respond(std::move(Answer));
+}
+
 void EvacuationCall::endStored(const Evacuations &State) {
   m_Dependencies.m_Events.write(Event::EvacuationStored,
                                 {{"availability_zone", m_Change.m_Zone},
                                  {"withdraw", m_Change.m_Withdraw},
                                  {"change", State.m_Change},
                                  {"zones", zoneList(State)}});
-  m_Client->respond(m_Dependencies.m_Protocol.accepted());
+  end(m_Dependencies.m_Protocol.accepted());
 }
 
 void EvacuationCall::endUndecided(std::string_view Detail) {
@@ -84,7 +98,7 @@
                                 {{"availability_zone", m_Change.m_Zone},
                                  {"withdraw", m_Change.m_Withdraw},
                                  {"detail", Detail}});
-  m_Client->respond(m_Dependencies.m_Protocol.unavailable(Detail));
+  end(m_Dependencies.m_Protocol.unavailable(Detail));
 }
 
 void EvacuationCall::endUnknownZone() {
@@ -96,7 +110,7 @@
                                 {{"status", Answer.m_Head.m_Status},
                                  {"target", m_Client->request().m_Target},
                                  {"detail", Detail}});
-  m_Client->respond(std::move(Answer));
+  end(std::move(Answer));
 }
 
 } // namespace mangocart
--- a/Source/Voter/EvacuationCall.h
+++ b/Source/Voter/EvacuationCall.h
@@ -14,6 +14,7 @@
 #ifndef MANGOCART_VOTER_EVACUATIONCALL_H
 #define MANGOCART_VOTER_EVACUATIONCALL_H
 
+#include "Core/Timer.h"
 #include "Membership/Evacuations.h"
 #include "Voter/ControlFront.h"
 
@@ -39,6 +40,7 @@
   void propose(std::uint64_t Expected);
   void onReply(const Reply &Outcome);
   void onState(const Evacuations &State);
+  void end(HttpResponse Answer);
   void endStored(const Evacuations &State);
   void endUndecided(std::string_view Detail);
   void endUnknownZone();
@@ -48,6 +50,10 @@
   // m_Expected is the number in the last proposal.
   EvacuationChange m_Change;
   const TimePoint m_Deadline;
+  // Expires at the deadline: the log keeps a proposal for longer while a sync
+  // of its disk stalls or the disk is full.
+  Timer m_Timer;
+  bool m_HasEnded = false;
   // The caller has closed its connection.
   bool m_IsAbandoned = false;
 };
--- a/Tests/Voter/testControlFront.cpp
+++ b/Tests/Voter/testControlFront.cpp
@@ -302,6 +302,31 @@
   CHECK(Empty.m_Machine.evacuations().m_Change == 0);
 }
 
+// A sync of the log's disk stalls, or the disk is full.
+TEST_CASE("an order is answered after 900 ms if the log says nothing") {
+  Fixture F;
+  CommittedLog Log(F);
+  ReplicatedLog::ProposeHandler Pending;
+  ALLOW_CALL(F.m_Log, propose(trompeloeil::_, trompeloeil::_, trompeloeil::_))
+      .LR_SIDE_EFFECT(Pending = std::move(_3));
+  REQUIRE_CALL(F.m_Protocol, read(trompeloeil::_))
+      .RETURN(OrderEvacuation{"a", false});
+  F.m_Front.handle(F.m_Exchange);
+  RuntimeClock::advance(890ms);
+  F.m_Context.run_for(20ms);
+  CHECK_FALSE(F.m_Exchange->m_Answer);
+  RuntimeClock::advance(10ms);
+  F.m_Context.run();
+  REQUIRE(F.m_Exchange->m_Answer);
+  CHECK(F.m_Exchange->m_Answer->m_Head.m_Status == 503);
+  schema::CommandReply Late;
+  Late.mutable_evacuations();
+  std::exchange(Pending, nullptr)(Late);
+  F.m_Context.restart();
+  F.m_Context.run();
+  CHECK_FALSE(Pending);
+}
+
 // The leader was killed between the commit and its reply.
 TEST_CASE("an order whose reply was lost is proposed again with the same "
           "condition") {
