--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -71,4 +71,18 @@
       [&Directory] { return Directory.coldCounts().m_HeldByAllowance; });
 }
 
+void addEvacuationMetrics(MetricRegistry &Registry,
+                          const MembershipDirectory &Directory) {
+  Registry.gaugeFrom("mangocart_evacuated_zones",
+                     "Availability zones that are evacuated.", [&Directory] {
+                       return static_cast<double>(
+                           Directory.evacuations().m_Zones.size());
+                     });
+  Registry.gaugeFrom(
+      "mangocart_evacuations_change",
+      "Number of the last change of the evacuated zones.", [&Directory] {
+        return static_cast<double>(Directory.evacuations().m_Change);
+      });
+}
+
 } // namespace mangocart
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -52,6 +52,9 @@
 // Adds metrics of cold servers, which the directory counts.
 void addColdMetrics(MetricRegistry &Registry,
                     const MembershipDirectory &Directory);
+// Both show what the directory has accepted from the voters.
+void addEvacuationMetrics(MetricRegistry &Registry,
+                          const MembershipDirectory &Directory);
 
 } // namespace mangocart
 
--- a/Source/Gateway/ServiceQueue.cpp
+++ b/Source/Gateway/ServiceQueue.cpp
@@ -81,6 +81,9 @@
   if (Queue.m_ResumesAt && !ResumesAt)
     Queue.m_UnavailableSince.reset();
   Queue.m_ResumesAt = ResumesAt;
+  // The duration of an evacuation says nothing about outages.
+  if (State == ServiceState::Evacuated)
+    return Queue.m_UnavailableSince.reset();
   if (State == ServiceState::Unavailable) {
     if (!Queue.m_UnavailableSince)
       Queue.m_UnavailableSince = Now;
@@ -139,6 +142,8 @@
 
 bool shouldEnqueue(const ServiceQueue &Queue, const WaitingCall &Call,
                    ServiceState State, TimePoint Now) {
+  if (State == ServiceState::Evacuated)
+    return false;
   const TimePoint LastStart = latestStart(Queue, Call, Now);
   if (State == ServiceState::Unavailable)
     return Now + expectedOutageLeft(Queue, Now) < LastStart;
@@ -218,7 +223,8 @@
                                                ? std::set<std::uint64_t>()
                                                : hopelessCalls(Queue, Now);
   std::erase_if(Queue.m_Waiting, [&](const WaitingCall &Call) {
-    const bool IsExpired = Hopeless.contains(Call.m_Number) ||
+    const bool IsExpired = State == ServiceState::Evacuated ||
+                           Hopeless.contains(Call.m_Number) ||
                            Now + First + Queue.m_Options.m_RejectionMargin >=
                                Call.m_CallerTimeoutAt;
     if (IsExpired)
@@ -240,6 +246,9 @@
       std::max(std::chrono::duration_cast<Duration>(
                    (Call.m_Deadline - Now) * Queue.m_Options.m_RetryAfterShare),
                Duration::zero());
+  // Nothing is known about the time of a withdrawal.
+  if (State == ServiceState::Evacuated)
+    return Longest;
   const Duration Wait = State == ServiceState::Available
                             ? drainTime(Queue, callsAhead(Queue, Call, Now) + 1,
                                         Call.m_Priority, Now)
