Routing: rank groups are limited by the time of their passes

A pass longer than the gap target makes all streams of a group late at once, but capacity was counted in request slots. Outstanding requests of other gateways are summed when a report arrives instead of at each candidate.

Run: testRouting, testEntry, testGateway pass. The effect isn't measured yet.

--- a/Source/Entry/BackendDirectory.h
+++ b/Source/Entry/BackendDirectory.h
@@ -5,6 +5,7 @@
 
 #include "Core/RuntimeClock.h"
 #include "Net/PeerStream.h"
+#include "Routing/PassTime.h"
 
 #include <cstdint>
 #include <optional>
@@ -50,6 +51,8 @@
   const std::vector<std::string> *m_Tried = nullptr;
   // Availability zone of the last failed attempt; empty for none.
   std::string_view m_FailedZone;
+  // Rules for the passes of rank groups; null if only slots limit the requests.
+  const PassRules *m_PassRules = nullptr;
 };
 
 enum class CallResult {
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -1,6 +1,7 @@
 #include "Entry/MembershipDirectory.h"
 
 #include "Core/Hash.h"
+#include "Entry/GroupRouting.h"
 #include "Events/EventLog.h"
 #include "Peer.pb.h"
 
@@ -152,8 +153,12 @@
 MembershipDirectory::choose(const ChoiceRequest &Request) {
   const std::lock_guard Lock(m_Mutex);
   const std::vector<CandidateView> Candidates = candidates(Request);
+  const TimePoint Now = RuntimeClock::now();
+  std::vector<GroupLoad> Groups;
+  if (Request.m_PassRules)
+    Groups = groupLoads(m_Table, m_Routing, Request, Now);
   const auto Chosen =
-      chooseCandidate(m_Routing, Candidates, Request, RuntimeClock::now());
+      chooseCandidate(m_Routing, Candidates, Request, Now, Groups);
   if (!Chosen)
     return std::nullopt;
   return toTarget(*Candidates[*Chosen].m_Member);
@@ -176,7 +181,9 @@
 void MembershipDirectory::callStarted(const BackendTarget &Target,
                                       const CallSize &Size) {
   const std::lock_guard Lock(m_Mutex);
-  recordCallStarted(m_Routing, Target, Size, RuntimeClock::now());
+  const TimePoint Now = RuntimeClock::now();
+  recordCallStarted(m_Routing, Target, Size, Now);
+  recordGroupStart(m_Routing.m_GroupCapacity, groupOf(Target), Now);
 }
 
 void MembershipDirectory::callProgressed(const BackendTarget &Target) {
@@ -197,6 +204,16 @@
   recordStreamEnd(m_Stalls, Target.m_Name);
 }
 
+void MembershipDirectory::gapObserved(const BackendTarget &Target,
+                                      Duration Gap) {
+  const std::lock_guard Lock(m_Mutex);
+  const TimePoint Now = RuntimeClock::now();
+  const std::string &Group = groupOf(Target);
+  recordGap(
+      m_Routing.m_GroupCapacity, Group, Gap,
+      [&] { return groupRequests(m_Table, m_Routing, Group, Now); }, Now);
+}
+
 void MembershipDirectory::callEnded(const BackendTarget &Target,
                                     const CallSize &Size,
                                     const CallReport &Report) {
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -86,6 +86,8 @@
   // callProgressed() records its further data.
   void streamBegan(const BackendTarget &Target);
   void streamEnded(const BackendTarget &Target);
+  // Records the time between two events of a stream of the backend server.
+  void gapObserved(const BackendTarget &Target, Duration Gap);
 
   // Records a first attempt in the retry budget of the service, and decides
   // whether to retry a failed one.
--- a/Source/Entry/RoutingState.cpp
+++ b/Source/Entry/RoutingState.cpp
@@ -2,6 +2,7 @@
 #include "Entry/RoutingState.h"
 
 #include "Core/Hash.h"
+#include "Entry/GroupRouting.h"
 
 #include <algorithm>
 
@@ -24,20 +25,13 @@
 // calls with it.
 constexpr Duration OtherEntryTimeout = std::chrono::seconds(2);
 
-// Number of in-flight calls of other entries at the server; empty if no entry
-// has reported recently.
-std::optional<std::uint32_t> otherEntriesRequests(const RoutingState &State,
-                                                  std::uint64_t Server,
-                                                  TimePoint Now) {
-  std::optional<std::uint32_t> Sum;
-  for (const auto &[Entry, Calls] : State.m_OtherEntries) {
-    if (Now - Calls.m_Heard > OtherEntryTimeout)
-      continue;
-    const auto Found = Calls.m_Requests.find(Server);
-    Sum =
-        Sum.value_or(0) + (Found == Calls.m_Requests.end() ? 0 : Found->second);
+void subtractRequests(RoutingState &State, const OutstandingCalls &Calls) {
+  for (const auto &[Server, Requests] : Calls.m_Requests) {
+    const auto Found = State.m_OtherRequests.find(Server);
+    if (Found != State.m_OtherRequests.end() &&
+        (Found->second -= std::min(Found->second, Requests)) == 0)
+      State.m_OtherRequests.erase(Found);
   }
-  return Sum;
 }
 
 ReplicaCandidate toReplica(RoutingState &State, ServiceRouting &Routing,
@@ -57,7 +51,7 @@
       From.m_Member->m_ReportedLoad * Routing.m_MeanTokens;
   Replica.m_ReportAge = Now - From.m_Member->m_LoadMeasuredAt;
   Replica.m_OtherEntriesRequests =
-      otherEntriesRequests(State, Replica.m_BackendServer, Now);
+      otherEntriesRequests(State, Replica.m_BackendServer);
   if (Request.m_Size.m_PrefixHash != 0)
     Replica.m_CachedTokens = expectedCachedTokens(
         State.m_Hints, {Replica.m_BackendServer, Request.m_Size.m_PrefixHash},
@@ -85,6 +79,7 @@
            const ChoiceRequest &Request, TimePoint Now) {
   ServiceRouting &Routing = routingOf(State, Request.m_Service);
   const std::uint32_t Limit = limitFor(State, Request, Now);
+  removeSilentEntries(State, Now);
   std::vector<ReplicaCandidate> Replicas;
   Replicas.reserve(Candidates.size());
   for (const CandidateView &Each : Candidates)
@@ -121,14 +116,37 @@
 
 void updateOtherEntry(RoutingState &State, const std::string &Entry,
                       OutstandingCalls Calls) {
-  State.m_OtherEntries[Entry] = std::move(Calls);
+  OutstandingCalls &Known = State.m_OtherEntries[Entry];
+  subtractRequests(State, Known);
+  Known = std::move(Calls);
+  for (const auto &[Server, Requests] : Known.m_Requests)
+    State.m_OtherRequests[Server] += Requests;
+}
+
+void removeSilentEntries(RoutingState &State, TimePoint Now) {
+  std::erase_if(State.m_OtherEntries, [&](const auto &Each) {
+    const bool IsSilent = Now - Each.second.m_Heard > OtherEntryTimeout;
+    if (IsSilent)
+      subtractRequests(State, Each.second);
+    return IsSilent;
+  });
+}
+
+std::optional<std::uint32_t> otherEntriesRequests(const RoutingState &State,
+                                                  std::uint64_t Server) {
+  if (State.m_OtherEntries.empty())
+    return std::nullopt;
+  const auto Found = State.m_OtherRequests.find(Server);
+  return Found == State.m_OtherRequests.end() ? 0 : Found->second;
 }
 
 std::optional<std::size_t>
 chooseCandidate(RoutingState &State, std::span<const CandidateView> Candidates,
-                const ChoiceRequest &Request, TimePoint Now) {
-  const std::vector<ReplicaCandidate> Replicas =
+                const ChoiceRequest &Request, TimePoint Now,
+                std::span<const GroupLoad> Groups) {
+  std::vector<ReplicaCandidate> Replicas =
       toReplicas(State, Candidates, Request, Now);
+  keepPreferredGroups(State, Request, Groups, Candidates, Replicas, Now);
   ReplicaChoiceOptions Options = ChoiceDefaults;
   Options.m_Policy =
       parseRoutingPolicy(Request.m_Policy).value_or(RoutingPolicy::Score);
--- a/Source/Entry/RoutingState.h
+++ b/Source/Entry/RoutingState.h
@@ -10,6 +10,7 @@
 #include "Membership/MembershipTable.h"
 #include "Routing/CacheHints.h"
 #include "Routing/ConcurrencyLimit.h"
+#include "Routing/GroupCapacity.h"
 #include "Routing/OutlierDetector.h"
 #include "Routing/ReplicaChoice.h"
 #include "Routing/RetryBudget.h"
@@ -18,6 +19,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <unordered_map>
 
 namespace mangocart {
 
@@ -49,9 +51,13 @@
   std::map<std::string, ServiceRouting, std::less<>> m_Services;
   // By the name of the entry; empty if entries do not exchange their loads.
   std::map<std::string, OutstandingCalls> m_OtherEntries;
+  // Sum of the requests of m_OtherEntries by server. A choice needs it for each
+  // candidate, and there are dozens of entries.
+  std::unordered_map<std::uint64_t, std::uint32_t> m_OtherRequests;
   CacheHints m_Hints;
   // Empty if backend servers say nothing of themselves in their answers.
   ServerNotices m_Notices;
+  GroupCapacity m_GroupCapacity;
   Random m_Random;
 };
 
@@ -64,11 +70,20 @@
 // Replaces the in-flight calls known of another entry.
 void updateOtherEntry(RoutingState &State, const std::string &Entry,
                       OutstandingCalls Calls);
-
-// Returns the index of the selected candidate.
+// Removes entries that have been silent for so long that they are considered to
+// have failed, and their calls with them.
+void removeSilentEntries(RoutingState &State, TimePoint Now);
+// Number of in-flight calls of other entries at the server, by hash64() of its
+// name; empty if no entry has reported recently.
+std::optional<std::uint32_t> otherEntriesRequests(const RoutingState &State,
+                                                  std::uint64_t Server);
+
+// Returns the index of the selected candidate. Groups: see groupLoads(); only
+// used if the request has pass rules.
 std::optional<std::size_t>
 chooseCandidate(RoutingState &State, std::span<const CandidateView> Candidates,
-                const ChoiceRequest &Request, TimePoint Now);
+                const ChoiceRequest &Request, TimePoint Now,
+                std::span<const GroupLoad> Groups = {});
 
 // Maximum number of in-flight requests of this entry at the candidates: its
 // current calls, and the slots available to it according to the last reports.
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -7,6 +7,7 @@
 #include "Gateway/AttemptMonitor.h"
 #include "Gateway/CrashGuard.h"
 #include "Gateway/GatewayMetrics.h"
+#include "Gateway/PassRulesOf.h"
 #include "Gateway/RequestDigest.h"
 #include "Gateway/ResponseBuffering.h"
 #include "Http/HttpClients.h"
@@ -145,6 +146,8 @@
       Service && Service->m_Engine && Service->m_Engine->m_Slots > 0
           ? Service->m_Engine->m_Slots
           : DefaultMaxOutstanding;
+  Request.m_PassRules =
+      passRulesOf(m_Request.m_Plan->plan(), m_Request.m_Service);
   Request.m_Tried = m_Tried;
   Request.m_FailedZone = m_FailedZone;
   WaitingCall &Times = Request.m_Times;
@@ -254,6 +257,7 @@
   m_SentAt = RuntimeClock::now();
   m_HeadReceived = false;
   m_DataForwarded = false;
+  m_LastEvent.reset();
   m_Body.clear();
   m_Splitter.discardPending();
   const HttpTarget To{m_Target->m_Agent.m_Address, m_Target->m_Agent.m_Port};
@@ -324,8 +328,10 @@
   m_Context.m_CrashGuard.dataReceived(m_GuardNumber);
   if (m_ForwardingMode == ForwardingMode::Events) {
     std::string Events = m_Splitter.take(Chunk);
-    if (!Events.empty())
+    if (!Events.empty()) {
+      recordEventGap(Events);
       forwardToCaller(std::move(Events));
+    }
     if (m_Splitter.pendingBytes() > m_Context.m_Settings.max_buffered_bytes())
       abandonAttempt("an event of the stream is too large");
     return;
@@ -377,6 +383,17 @@
   m_Exchange->startStream(callerHead());
 }
 
+void ProxiedRequest::recordEventGap(std::string_view Events) {
+  const TimePoint Now = RuntimeClock::now();
+  const auto Last = std::exchange(m_LastEvent, Now);
+  // Several events that arrive together end more than one pass.
+  const std::size_t End = Events.find("\n\n");
+  const bool IsSingle =
+      End == std::string_view::npos || End + 2 == Events.size();
+  if (Last && IsSingle)
+    m_Context.m_Directory.gapObserved(*m_Target, Now - *Last);
+}
+
 void ProxiedRequest::forwardToCaller(std::string Bytes) {
   m_DataForwarded = true;
   startResponse();
@@ -389,6 +406,7 @@
   if (m_Exchange->queuedBytes() <= MaxQueuedBytes || !m_HttpCall)
     return;
   m_HttpCall->pauseReading();
+  m_LastEvent.reset();
   m_Exchange->onDrained([Weak = weak_from_this()] {
     const auto Self = Weak.lock();
     if (Self && Self->m_HttpCall)
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -87,6 +87,8 @@
   void abandonAttempt(std::string_view Detail);
   void monitorAttempt();
 
+  // Records the time since the last event of the stream.
+  void recordEventGap(std::string_view Events);
   void forwardToCaller(std::string Bytes);
   void recordFirstByte();
   void startResponse();
@@ -141,6 +143,9 @@
   bool m_DataForwarded = false;
   // The directory counts the stream of the current attempt.
   bool m_IsStreamCounted = false;
+  // When the last event of the current attempt was received; empty if the time
+  // to the next one isn't that of a pass.
+  std::optional<TimePoint> m_LastEvent;
   std::string m_Body;
   ForwardingMode m_ForwardingMode = ForwardingMode::Buffered;
   EventStreamSplitter m_Splitter;
--- a/Source/Gateway/ServiceDispatcher.cpp
+++ b/Source/Gateway/ServiceDispatcher.cpp
@@ -45,6 +45,7 @@
   Request.m_Size = Call.m_Size;
   Request.m_Tried = &Call.m_Tried;
   Request.m_FailedZone = Call.m_FailedZone;
+  Request.m_PassRules = Call.m_PassRules ? &*Call.m_PassRules : nullptr;
   std::optional<BackendTarget> Target = m_Directory.choose(Request);
   if (Target)
     m_Directory.callStarted(*Target, Call.m_Size);
--- a/Source/Gateway/ServiceDispatcher.h
+++ b/Source/Gateway/ServiceDispatcher.h
@@ -29,6 +29,8 @@
   // Backend servers already tried, and the zone of the last one.
   std::vector<std::string> m_Tried;
   std::string m_FailedZone;
+  // Empty if only the slots of the servers limit their requests.
+  std::optional<PassRules> m_PassRules;
 };
 
 enum class DispatchRejection {
