Routing: no rush of gateways into the same free capacity and the same pass

Gateways that saw the same free slots with counts of 200 ms ago all used them, and prompts of many requests in one pass lengthened it beyond the gap target. A gateway now takes its even part of the free capacity, replaces its own ended requests, and starts its part of the prompts that fit into a pass. A slow machine at low load no longer counts as time per request. Groups within 20 % of the best are equivalent, or all gateways would send to one of them.

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -220,6 +220,7 @@
   const TimePoint Now = RuntimeClock::now();
   const std::lock_guard Lock(m_Mutex);
   recordCallEnded(m_Routing, Target, Size, Report, Now);
+  recordGroupEnd(m_Routing.m_GroupCapacity, groupOf(Target), Now);
   if (Report.m_Result == CallResult::Broken)
     noteCallFailed(m_Table, Target.m_Name, Target.m_Incarnation, Now);
   else if (Report.m_Result == CallResult::Answered)
--- a/Source/Routing/GroupCapacity.cpp
+++ b/Source/Routing/GroupCapacity.cpp
@@ -48,12 +48,16 @@
       passMsPerGroupRequest(Passes.m_Rules.m_Figures, Passes.m_Ranks);
   if (!hasPasses(Options, Passes, Now))
     return Declared;
-  const double Excess = Passes.m_MeanMs - fixedPassMs(Passes.m_Rules.m_Figures);
-  const double MinRequests =
-      std::max(1.0, Options.m_MinLoadFraction * Passes.m_Slots);
-  const double Missing = std::max(0.0, MinRequests - Passes.m_MeanRequests);
-  return std::max(0.0, (Excess + Missing * Declared) /
-                           (Passes.m_MeanRequests + Missing));
+  // With few requests, the excess over the declared time says little about the
+  // time per request, because a slow machine lengthens each pass by a factor.
+  const double Fixed = fixedPassMs(Passes.m_Rules.m_Figures);
+  const double Load =
+      std::min(1.0, Passes.m_MeanRequests / std::max(1U, Passes.m_Slots));
+  const double Factor =
+      Passes.m_MeanMs / std::max(1.0, Fixed + Passes.m_MeanRequests * Declared);
+  const double Excess =
+      (Passes.m_MeanMs - Fixed) / std::max({1.0, Passes.m_MeanRequests});
+  return std::max(0.0, Load * Excess + (1.0 - Load) * Factor * Declared);
 }
 
 void recordPass(const GroupCapacityOptions &Options, GroupPasses &Passes,
@@ -101,29 +105,70 @@
   return Passes;
 }
 
-void removeOldStarts(const GroupCapacityOptions &Options, GroupPasses &Passes,
-                     TimePoint Now) {
-  while (!Passes.m_RecentStarts.empty() &&
-         Now - Passes.m_RecentStarts.front() > Options.m_CountAge)
-    Passes.m_RecentStarts.pop_front();
+void removeOldEnds(const GroupCapacityOptions &Options, GroupPasses &Passes,
+                   TimePoint Now) {
+  while (!Passes.m_RecentEnds.empty() &&
+         Now - Passes.m_RecentEnds.front() > Options.m_CountAge)
+    Passes.m_RecentEnds.pop_front();
+}
+
+// Prompts that fit into the next pass with the requests of the group.
+double promptsPerPass(const GroupCapacityOptions &Options,
+                      const GroupPasses &Passes, double Requests,
+                      TimePoint Now) {
+  const PassFigures &Figures = Passes.m_Rules.m_Figures;
+  const double Declared = passMsPerGroupRequest(Figures, Passes.m_Ranks);
+  const double Factor =
+      Declared > 0.0
+          ? std::max(1.0, msPerRequest(Options, Passes, Now) / Declared)
+          : 1.0;
+  const double PromptMs = Factor *
+                          prefillMs(Figures, Figures.m_MeanPromptTokens) /
+                          std::max(1U, Passes.m_Ranks);
+  if (PromptMs <= 0.0)
+    return Passes.m_Slots;
+  const double LeftMs = Passes.m_Rules.m_GapTargetMs -
+                        expectedPassMs(Options, Passes, Requests, Now);
+  return Requests / passesPerRequest(Figures) +
+         std::max(0.0, LeftMs) / PromptMs;
+}
+
+void refill(double &Allowance, double Part, double Fraction) {
+  // A part below one request is saved up.
+  Allowance = std::min(std::max(Part, 1.0), Allowance + Part * Fraction);
+}
+
+void refillAllowances(const GroupCapacityOptions &Options, GroupPasses &Passes,
+                      double Free, double Requests, std::uint32_t Gateways,
+                      TimePoint Now) {
+  const double ElapsedMs = toMs(Now - Passes.m_AllowanceAt);
+  Passes.m_AllowanceAt = Now;
+  refill(Passes.m_Allowance,
+         Options.m_FreePartFactor * std::max(Free, 0.0) / Gateways,
+         ElapsedMs / toMs(Options.m_CountAge));
+  refill(Passes.m_StartAllowance,
+         Options.m_StartFactor *
+             promptsPerPass(Options, Passes, Requests, Now) / Gateways,
+         ElapsedMs /
+             std::max(1.0, expectedPassMs(Options, Passes, Requests, Now)));
 }
 
 bool mayTake(const GroupCapacityOptions &Options, GroupPasses &Passes,
              const GroupLoad &Load, const GatewayCounts &Counts,
              TimePoint Now) {
-  if (Passes.m_Limit >= Load.m_Slots)
-    return true;
   const std::uint32_t Gateways = std::max<std::uint32_t>(Counts.m_Gateways, 1);
+  const double Free = static_cast<double>(Passes.m_Limit) -
+                      static_cast<double>(Load.m_Requests);
+  refillAllowances(Options, Passes, Free, Load.m_Requests, Gateways, Now);
+  removeOldEnds(Options, Passes, Now);
+  if (!Passes.m_OverTarget && Passes.m_StartAllowance < 1.0)
+    return false;
   if (Load.m_OwnRequests < (Passes.m_Limit + Gateways - 1) / Gateways)
     return true;
-  if (Load.m_Requests >= Passes.m_Limit ||
-      (Gateways > 1 && !Counts.m_OthersReported))
+  if (Free <= 0.0 || (Gateways > 1 && !Counts.m_OthersReported))
     return false;
-  removeOldStarts(Options, Passes, Now);
-  const double FreePart =
-      static_cast<double>(Passes.m_Limit - Load.m_Requests) / Gateways;
-  return static_cast<double>(Passes.m_RecentStarts.size()) <
-         std::ceil(Options.m_FreePartFactor * FreePart);
+  return Gateways == 1 || !Passes.m_RecentEnds.empty() ||
+         Passes.m_Allowance >= 1.0;
 }
 
 struct RankedGroup {
@@ -132,27 +177,31 @@
   double m_ExpectedMs = 0.0;
 };
 
-// Removes the groups equivalent to the first one and returns their indices,
-// those with ranks in the own zone first.
-void takeEquivalent(std::vector<RankedGroup> &Ranked,
-                    std::span<const GroupLoad> Groups, double Ratio,
-                    std::vector<std::vector<std::size_t>> &Order) {
+// Removes the groups to try next and returns their indices: those with ranks in
+// the own zone, if their passes are short enough, otherwise all equivalent
+// ones.
+std::vector<std::size_t> takePreferred(const GroupCapacityOptions &Options,
+                                       std::span<const GroupLoad> Groups,
+                                       std::vector<RankedGroup> &Ranked) {
   const RankedGroup First = Ranked.front();
-  const auto End =
-      std::find_if(Ranked.begin(), Ranked.end(), [&](const RankedGroup &Each) {
-        return Each.m_OverTarget != First.m_OverTarget ||
-               Each.m_ExpectedMs > Ratio * First.m_ExpectedMs;
-      });
-  std::vector<std::size_t> Own;
-  std::vector<std::size_t> Others;
-  std::for_each(Ranked.begin(), End, [&](const RankedGroup &Each) {
-    (Groups[Each.m_Index].m_HasRankInOwnZone ? Own : Others)
-        .push_back(Each.m_Index);
+  const auto IsWithin = [&](const RankedGroup &Each, double Ratio) {
+    return Each.m_OverTarget == First.m_OverTarget &&
+           Each.m_ExpectedMs <= Ratio * First.m_ExpectedMs;
+  };
+  const auto IsNear = [&](const RankedGroup &Each) {
+    return Groups[Each.m_Index].m_HasRankInOwnZone &&
+           IsWithin(Each, Options.m_OwnZoneRatio);
+  };
+  const bool HasNear = std::any_of(Ranked.begin(), Ranked.end(), IsNear);
+  std::vector<std::size_t> Taken;
+  std::erase_if(Ranked, [&](const RankedGroup &Each) {
+    const bool IsTaken =
+        HasNear ? IsNear(Each) : IsWithin(Each, Options.m_EquivalentRatio);
+    if (IsTaken)
+      Taken.push_back(Each.m_Index);
+    return IsTaken;
   });
-  Ranked.erase(Ranked.begin(), End);
-  for (auto *Each : {&Own, &Others})
-    if (!Each->empty())
-      Order.push_back(std::move(*Each));
+  return Taken;
 }
 
 } // namespace
@@ -189,8 +238,22 @@
   const auto Found = Capacity.m_Groups.find(Group);
   if (Found == Capacity.m_Groups.end())
     return;
-  removeOldStarts(Capacity.m_Options, Found->second, Now);
-  Found->second.m_RecentStarts.push_back(Now);
+  GroupPasses &Passes = Found->second;
+  removeOldEnds(Capacity.m_Options, Passes, Now);
+  if (!Passes.m_RecentEnds.empty())
+    Passes.m_RecentEnds.pop_front();
+  else
+    Passes.m_Allowance = std::max(0.0, Passes.m_Allowance - 1.0);
+  Passes.m_StartAllowance = std::max(0.0, Passes.m_StartAllowance - 1.0);
+}
+
+void recordGroupEnd(GroupCapacity &Capacity, std::string_view Group,
+                    TimePoint Now) {
+  const auto Found = Capacity.m_Groups.find(Group);
+  if (Found == Capacity.m_Groups.end())
+    return;
+  removeOldEnds(Capacity.m_Options, Found->second, Now);
+  Found->second.m_RecentEnds.push_back(Now);
 }
 
 double expectedPassMs(const GroupCapacityOptions &Options,
@@ -241,7 +304,7 @@
             });
   std::vector<std::vector<std::size_t>> Order;
   while (!Ranked.empty())
-    takeEquivalent(Ranked, Groups, Options.m_EquivalentRatio, Order);
+    Order.push_back(takePreferred(Options, Groups, Ranked));
   return Order;
 }
 
--- a/Source/Routing/GroupCapacity.h
+++ b/Source/Routing/GroupCapacity.h
@@ -39,10 +39,6 @@
   double m_MinStallPasses = 4.0;
   // An observation is used for this time after the last pass.
   Duration m_MaxAge = std::chrono::seconds(10);
-  // With fewer requests, relative to the slots, the excess over the fixed time
-  // says little about the time per request: a slow machine lengthens a pass
-  // without any.
-  double m_MinLoadFraction = 0.25;
   // If passes exceed the target even at this fraction of the slots, the group
   // isn't limited, as no limit can meet the target without leaving more
   // capacity idle than late streams cost.
@@ -50,12 +46,22 @@
   // A group whose passes exceeded the target at that fraction is limited again
   // below this fraction of the target.
   double m_LimitAgainFraction = 0.9;
-  // Groups within this ratio of the lowest expected pass time are equivalent.
-  double m_EquivalentRatio = 1.1;
-  // Counts of other gateways may be this old; meanwhile a gateway takes at most
-  // twice its even part of the free requests.
+  // Within this ratio of the lowest expected pass time, groups with ranks in
+  // the gateway's own zone are preferred.
+  double m_OwnZoneRatio = 1.1;
+  // Within this ratio, groups are equivalent otherwise. With a smaller one, all
+  // gateways would send to one group until its new requests are reported.
+  double m_EquivalentRatio = 1.2;
+  // Counts of other gateways are about this old. So that gateways which see
+  // the same free capacity don't all use it, each takes at most this multiple
+  // of its even part of it within that time, and replaces its own ended
+  // requests. Above 1.57 (half of pi) the number of requests would oscillate.
   Duration m_CountAge = std::chrono::milliseconds(200);
-  double m_FreePartFactor = 2.0;
+  double m_FreePartFactor = 1.5;
+  // Prompts of many requests that begin in the same pass lengthen it. In each
+  // pass, a gateway starts at most this multiple of its even part of the
+  // prompts that fit into a pass on target.
+  double m_StartFactor = 1.0;
   // A group is reported as no longer limited after this time without a limit.
   Duration m_UnlimitedAfter = std::chrono::seconds(5);
   // Groups that no choice has considered for this time are removed.
@@ -95,8 +101,13 @@
   double m_MeanRequests = 0.0;
   double m_MeanDeviationMs = 0.0;
   TimePoint m_LastPass;
-  // Own requests that began within m_CountAge.
-  std::deque<TimePoint> m_RecentStarts;
+  // Own requests that ended within m_CountAge and weren't replaced.
+  std::deque<TimePoint> m_RecentEnds;
+  // Requests that the gateway may add to the group, as of a time.
+  double m_Allowance = 0.0;
+  // Requests that it may start at all, replacements included.
+  double m_StartAllowance = 0.0;
+  TimePoint m_AllowanceAt;
   // The target can't be met at m_MinLimitFraction of the slots.
   bool m_OverTarget = false;
   // The last choice among groups with this one, and its figures for metrics.
@@ -133,9 +144,11 @@
 // pass.
 void recordGap(GroupCapacity &Capacity, std::string_view Group, Duration Gap,
                const std::function<std::uint32_t()> &Requests, TimePoint Now);
-// Records that a request was sent to a rank of the group.
+// Record that a request was sent to a rank of the group, and its end.
 void recordGroupStart(GroupCapacity &Capacity, std::string_view Group,
                       TimePoint Now);
+void recordGroupEnd(GroupCapacity &Capacity, std::string_view Group,
+                    TimePoint Now);
 
 // Expected duration of a pass with the requests, without deviations.
 double expectedPassMs(const GroupCapacityOptions &Options,
