--- a/Source/Entry/BackendDirectory.h
+++ b/Source/Entry/BackendDirectory.h
@@ -5,6 +5,7 @@
 
 #include "Core/RuntimeClock.h"
 #include "Net/PeerStream.h"
+#include "Routing/PassTime.h"
 
 #include <cstdint>
 #include <optional>
@@ -53,6 +54,8 @@
   // Prompt tokens that a server of the service prefills in a pass; 0 if the
   // service has no engine with prompts, or its passes are unknown.
   std::uint64_t m_PrefillTokensPerPass = 0;
+  // Rules for the passes of rank groups; null if only slots limit the requests.
+  const PassRules *m_PassRules = nullptr;
 };
 
 enum class CallResult {
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -1,6 +1,7 @@
 #include "Entry/MembershipDirectory.h"
 
 #include "Core/Hash.h"
+#include "Entry/GroupRouting.h"
 #include "Events/EventLog.h"
 #include "Peer.pb.h"
 
@@ -221,8 +222,12 @@
 MembershipDirectory::choose(const ChoiceRequest &Request) {
   const std::lock_guard Lock(m_Mutex);
   const std::vector<CandidateView> Candidates = candidates(Request);
+  const TimePoint Now = RuntimeClock::now();
+  std::vector<GroupLoad> Groups;
+  if (Request.m_PassRules)
+    Groups = groupLoads(m_Table, m_Routing, Request, Now);
   const auto Chosen =
-      chooseCandidate(m_Routing, Candidates, Request, RuntimeClock::now());
+      chooseCandidate(m_Routing, Candidates, Request, Now, Groups);
   if (!Chosen)
     return std::nullopt;
   return toTarget(*Candidates[*Chosen].m_Member);
@@ -251,7 +256,9 @@
 void MembershipDirectory::callStarted(const BackendTarget &Target,
                                       const CallSize &Size) {
   const std::lock_guard Lock(m_Mutex);
-  recordCallStarted(m_Routing, Target, Size, RuntimeClock::now());
+  const TimePoint Now = RuntimeClock::now();
+  recordCallStarted(m_Routing, Target, Size, Now);
+  recordGroupStart(m_Routing.m_GroupCapacity, groupOf(Target), Now);
 }
 
 void MembershipDirectory::callProgressed(const BackendTarget &Target) {
@@ -286,12 +293,23 @@
   return Sum;
 }
 
+void MembershipDirectory::gapObserved(const BackendTarget &Target,
+                                      Duration Gap) {
+  const std::lock_guard Lock(m_Mutex);
+  const TimePoint Now = RuntimeClock::now();
+  const std::string &Group = groupOf(Target);
+  recordGap(
+      m_Routing.m_GroupCapacity, Group, Gap,
+      [&] { return groupRequests(m_Table, m_Routing, Group, Now); }, Now);
+}
+
 void MembershipDirectory::callEnded(const BackendTarget &Target,
                                     const CallSize &Size,
                                     const CallReport &Report) {
   const TimePoint Now = RuntimeClock::now();
   const std::lock_guard Lock(m_Mutex);
   recordCallEnded(m_Routing, Target, Size, Report, Now);
+  recordGroupEnd(m_Routing.m_GroupCapacity, groupOf(Target), Now);
   if (Report.m_Result == CallResult::Broken)
     noteCallFailed(m_Table, Target.m_Name, Target.m_Incarnation, Now);
   else if (Report.m_Result == CallResult::Answered)
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -122,6 +122,8 @@
   void answerBegan(const BackendTarget &Target, const CallSize &Size);
   // Sum of this entry's pending prompt tokens over all servers.
   std::uint64_t ownPendingPromptTokens() const;
+  // Records the time between two events of a stream of the backend server.
+  void gapObserved(const BackendTarget &Target, Duration Gap);
 
   // Records a first attempt in the retry budget of the service, and decides
   // whether to retry a failed one.
--- a/Source/Entry/RoutingState.h
+++ b/Source/Entry/RoutingState.h
@@ -11,6 +11,7 @@
 #include "Routing/CacheHints.h"
 #include "Routing/ColdAllowance.h"
 #include "Routing/ConcurrencyLimit.h"
+#include "Routing/GroupCapacity.h"
 #include "Routing/OutlierDetector.h"
 #include "Routing/PrefillSpread.h"
 #include "Routing/ReplicaChoice.h"
@@ -20,6 +21,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <unordered_map>
 
 namespace mangocart {
 
@@ -54,6 +56,9 @@
   std::map<std::string, ServiceRouting, std::less<>> m_Services;
   // By the name of the entry; empty if entries do not exchange their loads.
   std::map<std::string, OutstandingCalls> m_OtherEntries;
+  // Sum of the requests of m_OtherEntries by server. A choice needs it for each
+  // candidate, and there are dozens of entries.
+  std::unordered_map<std::uint64_t, std::uint32_t> m_OtherRequests;
   CacheHints m_Hints;
   // For the spread of prompts; set together with the list of gateways.
   GatewayPosition m_GatewayPosition;
@@ -63,6 +68,7 @@
   ColdAllowance m_Cold;
   // Choices that found no server while an allowance excluded one.
   std::uint64_t m_HeldByAllowance = 0;
+  GroupCapacity m_GroupCapacity;
   Random m_Random;
 };
 
@@ -81,11 +87,20 @@
 // Replaces the in-flight calls known of another entry.
 void updateOtherEntry(RoutingState &State, const std::string &Entry,
                       OutstandingCalls Calls);
-
-// Returns the index of the selected candidate.
+// Removes entries that have been silent for so long that they are considered to
+// have failed, and their calls with them.
+void removeSilentEntries(RoutingState &State, TimePoint Now);
+// Number of in-flight calls of other entries at the server, by hash64() of its
+// name; empty if no entry has reported recently.
+std::optional<std::uint32_t> otherEntriesRequests(const RoutingState &State,
+                                                  std::uint64_t Server);
+
+// Returns the index of the selected candidate. Groups: see groupLoads(); only
+// used if the request has pass rules.
 std::optional<std::size_t>
 chooseCandidate(RoutingState &State, std::span<const CandidateView> Candidates,
-                const ChoiceRequest &Request, TimePoint Now);
+                const ChoiceRequest &Request, TimePoint Now,
+                std::span<const GroupLoad> Groups = {});
 
 // Maximum number of in-flight requests of this entry at the candidates: its
 // current calls, and the slots available to it according to the last reports.
--- a/Source/Gateway/ServiceDispatcher.cpp
+++ b/Source/Gateway/ServiceDispatcher.cpp
@@ -23,6 +23,7 @@
   Request.m_Tried = &Call.m_Tried;
   Request.m_FailedZone = Call.m_FailedZone;
   Request.m_PrefillTokensPerPass = Call.m_PrefillTokensPerPass;
+  Request.m_PassRules = Call.m_PassRules ? &*Call.m_PassRules : nullptr;
   return Request;
 }
 
