--- a/Tests/Gateway/testEvacuatedZones.cpp
+++ b/Tests/Gateway/testEvacuatedZones.cpp
@@ -20,7 +20,8 @@
 struct Fixture {
   Fixture()
       : m_Events({"gateway", "g", "a"}, "/dev/null"),
-        m_Directory(m_Events, "a", 1, 1), m_Dispatcher(m_Directory, 1) {
+        m_Directory(m_Events, "a", 1, 1),
+        m_Dispatcher(m_Directory, m_Events, 1) {
     RuntimeClock::pause();
   }
   ~Fixture() { RuntimeClock::resume(); }
