--- a/Source/Voter/VoterDaemon.cpp
+++ b/Source/Voter/VoterDaemon.cpp
@@ -90,6 +90,7 @@
   m_AllAnnouncements.setLimits(Limits);
   m_LocalAnnouncements.onMemberChange(
       [this] { m_WatchService->sendChanges(); });
+  setNamedZones(m_Settings);
   addMetrics();
 }
 
@@ -108,9 +109,16 @@
 // member yet keeps using the seeds of its start.
 void VoterDaemon::settingsChanged(const std::string &Text) {
   if (const auto Changed =
-          settingsAgain(parseVoterSettings, m_SettingsFile, Text, m_Events))
+          settingsAgain(parseVoterSettings, m_SettingsFile, Text, m_Events)) {
     m_OtherVoters->setSeeds(
         peerEndpointsFor(Changed->seeds(), Changed->peer_port()));
+    setNamedZones(*Changed);
+  }
+}
+
+void VoterDaemon::setNamedZones(const schema::VoterSettings &Settings) {
+  m_NamedZones = {Settings.availability_zones().begin(),
+                  Settings.availability_zones().end()};
 }
 
 std::unique_ptr<RaftRunner> VoterDaemon::openLog() {
@@ -183,8 +191,7 @@
 }
 
 bool VoterDaemon::isKnownZone(const std::string &Zone) const {
-  const auto &Named = m_Settings.availability_zones();
-  if (std::find(Named.begin(), Named.end(), Zone) != Named.end())
+  if (m_NamedZones.contains(Zone))
     return true;
   const std::vector<MemberView> Members = m_AllAnnouncements.members();
   return std::any_of(Members.begin(), Members.end(),
--- a/Source/Voter/VoterDaemon.h
+++ b/Source/Voter/VoterDaemon.h
@@ -18,6 +18,7 @@
 #include "Voter/WatchService.h"
 
 #include <memory>
+#include <set>
 
 namespace mangocart {
 
@@ -42,9 +43,12 @@
   PeerEndpoint ownEndpoint() const;
   std::vector<PeerEndpoint> seeds() const;
   void settingsChanged(const std::string &Text);
+  void setNamedZones(const schema::VoterSettings &Settings);
 
   const schema::VoterSettings m_Settings;
   const std::string m_SettingsFile;
+  // Availability zones named by the settings in force; used on the one worker.
+  std::set<std::string> m_NamedZones;
   WorkerPool m_Workers;
   EventLog m_Events;
   MetricRegistry m_Registry;
--- a/Tests/Gateways/GatewayDeployment.cpp
+++ b/Tests/Gateways/GatewayDeployment.cpp
@@ -143,7 +143,7 @@
   REQUIRE(waitFor([&] { return call(voter(), Put).m_Head.m_Status == 200; }));
 }
 
-void GatewayDeployment::start() {
+void GatewayDeployment::startVoter() {
   const std::string File = writeSettings(
       "voter", fmt::format("name = \"voter\"\navailability_zone = \"z0\"\n"
                            "control_endpoint = \"{0}:{1}\"\npeer_port = 7340\n"
@@ -157,16 +157,25 @@
       std::string(MANGOCART_PROGRAM_DIR) + "/mangocart-voter",
       std::vector<std::string>{"--settings", File},
       (m_Folder / "voter.log").string());
+}
+
+void GatewayDeployment::killVoter() { m_Voter.reset(); }
+
+void GatewayDeployment::waitUntilReady(unsigned Index) const {
+  const HttpTarget Health{gateway(Index).m_Address, HealthPort};
+  REQUIRE(waitFor([&] {
+    return call(Health, {"GET", "/ready", {{"Host", "g"}}, {}, {}})
+               .m_Head.m_Status == 200;
+  }));
+}
+
+void GatewayDeployment::start() {
+  startVoter();
   for (unsigned I = 0; I < gatewayCount(); ++I)
     startGateway(I);
   configure(1);
-  for (unsigned I = 0; I < gatewayCount(); ++I) {
-    const HttpTarget Health{gateway(I).m_Address, HealthPort};
-    REQUIRE(waitFor([&] {
-      return call(Health, {"GET", "/ready", {{"Host", "g"}}, {}, {}})
-                 .m_Head.m_Status == 200;
-    }));
-  }
+  for (unsigned I = 0; I < gatewayCount(); ++I)
+    waitUntilReady(I);
 }
 
 std::string GatewayDeployment::log(unsigned Index) const {
--- a/Tests/Gateways/GatewayDeployment.h
+++ b/Tests/Gateways/GatewayDeployment.h
@@ -28,7 +28,11 @@
   // Sends the configuration to the voter under the version, with the same
   // content.
   void configure(unsigned Version);
+  // Starts the voter, also again after killVoter().
+  void startVoter();
+  void killVoter();
   void startGateway(unsigned Index);
+  void waitUntilReady(unsigned Index) const;
   void signalGateway(unsigned Index, int SignalNumber);
 
   HttpTarget voter() const;
