--- a/Source/Entry/GroupRouting.cpp
+++ b/Source/Entry/GroupRouting.cpp
@@ -50,6 +50,10 @@
                             Rank.m_AvailabilityZone == State.m_AvailabilityZone;
 }
 
+GatewayCounts gatewayCounts(const RoutingState &State) {
+  return {State.m_EntryCount, !State.m_OtherEntries.empty()};
+}
+
 // How well a candidate suits the request; the first that any candidate of a
 // preferred group meets is applied before the groups of lower preference.
 bool suits(int Strictness, const ReplicaCandidate &Replica,
@@ -104,7 +108,7 @@
     if (Entry.m_Member.m_Group == Group &&
         Entry.m_Member.m_State != MemberState::Left)
       addRank(State, Load, Entry.m_Member, 0);
-  return Load.m_Requests;
+  return estimatedRequests(Load, gatewayCounts(State));
 }
 
 void keepPreferredGroups(RoutingState &State, const ChoiceRequest &Request,
@@ -115,7 +119,7 @@
     return;
   const auto Order =
       preferredGroups(State.m_GroupCapacity, *Request.m_PassRules, Groups,
-                      {State.m_EntryCount, !State.m_OtherEntries.empty()}, Now);
+                      gatewayCounts(State), Now);
   std::vector<std::optional<std::size_t>> GroupOf(Candidates.size());
   for (std::size_t I = 0; I < Candidates.size(); ++I)
     for (std::size_t Group = 0; Group < Groups.size(); ++Group)
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -6,6 +6,7 @@
 #include "Peer.pb.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace mangocart {
@@ -292,12 +293,22 @@
 void MembershipDirectory::sweepMembers() {
   std::vector<HealthChange> Changes;
   std::vector<ServiceEjectionChange> Ejections;
+  std::vector<GroupLimitChange> Limits;
   {
     const std::lock_guard Lock(m_Mutex);
     Changes = sweep(m_Table, RuntimeClock::now());
     removeExpired(m_Routing.m_Notices, RuntimeClock::now());
     Ejections = updateAllEjections(m_Routing, RuntimeClock::now());
+    Limits = updateGroupLimits(m_Routing.m_GroupCapacity, RuntimeClock::now());
   }
+  for (const GroupLimitChange &Each : Limits)
+    m_Events.write(Each.m_IsLimited ? Event::GroupLimited
+                                    : Event::GroupUnlimited,
+                   {{"group", Each.m_Group},
+                    {"limit", Each.m_Limit},
+                    {"slots", Each.m_Slots},
+                    {"expected_ms", std::lround(Each.m_ExpectedMs)},
+                    {"target_ms", std::lround(Each.m_TargetMs)}});
   for (const ServiceEjectionChange &Report : Ejections)
     m_Events.write(Event::BackendServerEjected,
                    {{"service", Report.m_Service},
@@ -310,6 +321,12 @@
                     {"to", toString(Change.m_To)}});
 }
 
+std::map<std::string, GroupPasses, std::less<>>
+MembershipDirectory::groupPasses() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Routing.m_GroupCapacity.m_Groups;
+}
+
 std::vector<MemberView> MembershipDirectory::members() const {
   const TimePoint Now = RuntimeClock::now();
   const std::lock_guard Lock(m_Mutex);
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -108,6 +108,8 @@
   // ejected or reinstated.
   void sweepMembers();
   std::vector<MemberView> members() const;
+  // Observed passes and limits of the rank groups, by name.
+  std::map<std::string, GroupPasses, std::less<>> groupPasses() const;
   // Tried: servers that don't count.
   ServiceAvailability
   availability(std::string_view Service,
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -5,6 +5,7 @@
 #include "Daemon/StopSignals.h"
 #include "Gateway/BackendClientOptions.h"
 #include "Gateway/GatewayDrain.h"
+#include "Gateway/GroupMetrics.h"
 #include "Membership/AnnounceLimits.h"
 #include "Raft/RaftPeers.h"
 #include "Settings/SettingsReader.h"
@@ -192,6 +193,7 @@
 
 void GatewayDaemon::runMaintenance() {
   m_Directory.sweepMembers();
+  updateGroupMetrics(m_Registry, m_Directory.groupPasses());
   const bool Ready = isReady();
   if (Ready != m_WasReady)
     m_Events.write(Event::ReadinessChanged,
--- a/Source/Routing/GroupCapacity.cpp
+++ b/Source/Routing/GroupCapacity.cpp
@@ -100,7 +100,6 @@
   Passes.m_Rules = Rules;
   Passes.m_Ranks = Load.m_Ranks;
   Passes.m_Slots = Load.m_Slots;
-  Passes.m_Requests = Load.m_Requests;
   Passes.m_LastChoice = Now;
   return Passes;
 }
@@ -158,14 +157,17 @@
              TimePoint Now) {
   const std::uint32_t Gateways = std::max<std::uint32_t>(Counts.m_Gateways, 1);
   const double Free = static_cast<double>(Passes.m_Limit) -
-                      static_cast<double>(Load.m_Requests);
-  refillAllowances(Options, Passes, Free, Load.m_Requests, Gateways, Now);
+                      static_cast<double>(Passes.m_Requests);
+  refillAllowances(Options, Passes, Free, Passes.m_Requests, Gateways, Now);
   removeOldEnds(Options, Passes, Now);
   if (!Passes.m_OverTarget && Passes.m_StartAllowance < 1.0)
     return false;
   if (Load.m_OwnRequests < (Passes.m_Limit + Gateways - 1) / Gateways)
     return true;
-  if (Free <= 0.0 || (Gateways > 1 && !Counts.m_OthersReported))
+  // Without reports, the slots of each server are divided among the gateways.
+  if (Gateways > 1 && !Counts.m_OthersReported)
+    return Passes.m_Limit >= Load.m_Slots;
+  if (Free <= 0.0)
     return false;
   return Gateways == 1 || !Passes.m_RecentEnds.empty() ||
          Passes.m_Allowance >= 1.0;
@@ -206,6 +208,13 @@
 
 } // namespace
 
+std::uint32_t estimatedRequests(const GroupLoad &Load,
+                                const GatewayCounts &Counts) {
+  return Counts.m_OthersReported
+             ? Load.m_Requests
+             : Load.m_OwnRequests * std::max(1U, Counts.m_Gateways);
+}
+
 void recordGap(GroupCapacity &Capacity, std::string_view Group, Duration Gap,
                const std::function<std::uint32_t()> &Requests, TimePoint Now) {
   const auto Found = Capacity.m_Groups.find(Group);
@@ -288,10 +297,11 @@
   for (std::size_t Index = 0; Index < Groups.size(); ++Index) {
     const GroupLoad &Load = Groups[Index];
     GroupPasses &Passes = passesOf(Capacity, Rules, Load, Now);
+    Passes.m_Requests = estimatedRequests(Load, Counts);
     updateOverTarget(Options, Passes, Now);
     Passes.m_Limit = requestLimit(Options, Passes, Now);
     Passes.m_ExpectedMs =
-        expectedPassMs(Options, Passes, Load.m_Requests + 1.0, Now);
+        expectedPassMs(Options, Passes, Passes.m_Requests + 1.0, Now);
     if (Passes.m_Limit < Passes.m_Slots)
       Passes.m_LastLimited = Now;
     if (mayTake(Options, Passes, Load, Counts, Now))
@@ -321,7 +331,7 @@
         Now - Passes.m_LastLimited < Options.m_UnlimitedAfter;
     if (IsLimited != std::exchange(Passes.m_ReportedLimited, IsLimited))
       Changes.push_back({Group, IsLimited, Passes.m_Limit, Passes.m_Slots,
-                         Passes.m_ExpectedMs});
+                         Passes.m_ExpectedMs, Passes.m_Rules.m_GapTargetMs});
   }
   return Changes;
 }
--- a/Source/Routing/GroupCapacity.h
+++ b/Source/Routing/GroupCapacity.h
@@ -139,9 +139,13 @@
   bool operator==(const GatewayCounts &) const = default;
 };
 
+// Requests in the group. While other gateways report none, each is assumed to
+// have as many as this one.
+std::uint32_t estimatedRequests(const GroupLoad &Load,
+                                const GatewayCounts &Counts);
+
 // Records the time between two events of an own stream of the group. Requests
-// returns the number of requests in the group; it is called at most once a
-// pass.
+// returns estimatedRequests(); it is called at most once a pass.
 void recordGap(GroupCapacity &Capacity, std::string_view Group, Duration Gap,
                const std::function<std::uint32_t()> &Requests, TimePoint Now);
 // Record that a request was sent to a rank of the group, and its end.
@@ -172,6 +176,7 @@
   std::uint32_t m_Limit = 0;
   std::uint32_t m_Slots = 0;
   double m_ExpectedMs = 0.0;
+  double m_TargetMs = 0.0;
 
   bool operator==(const GroupLimitChange &) const = default;
 };
