Routing: without reports of other gateways, only their slots divide the load

The number of requests in a group was an estimate that changed by 30 with one own request, so the choice among groups and the part of a pass followed noise. Now the mean pass time counts for the choice, and starts aren't spaced.

--- a/Source/Routing/GroupCapacity.cpp
+++ b/Source/Routing/GroupCapacity.cpp
@@ -152,6 +152,10 @@
              std::max(1.0, expectedPassMs(Options, Passes, Requests, Now)));
 }
 
+bool areCountsKnown(const GatewayCounts &Counts) {
+  return Counts.m_Gateways <= 1 || Counts.m_OthersReported;
+}
+
 bool mayTake(const GroupCapacityOptions &Options, GroupPasses &Passes,
              const GroupLoad &Load, const GatewayCounts &Counts,
              TimePoint Now) {
@@ -160,13 +164,16 @@
                       static_cast<double>(Passes.m_Requests);
   refillAllowances(Options, Passes, Free, Passes.m_Requests, Gateways, Now);
   removeOldEnds(Options, Passes, Now);
+  const bool HasShare =
+      Load.m_OwnRequests < (Passes.m_Limit + Gateways - 1) / Gateways;
+  // Without reports, the slots of each server are divided among the gateways,
+  // and the number of requests isn't known well enough for a part of the pass.
+  if (!areCountsKnown(Counts))
+    return HasShare || Passes.m_Limit >= Load.m_Slots;
   if (!Passes.m_OverTarget && Passes.m_StartAllowance < 1.0)
     return false;
-  if (Load.m_OwnRequests < (Passes.m_Limit + Gateways - 1) / Gateways)
+  if (HasShare)
     return true;
-  // Without reports, the slots of each server are divided among the gateways.
-  if (Gateways > 1 && !Counts.m_OthersReported)
-    return Passes.m_Limit >= Load.m_Slots;
   if (Free <= 0.0)
     return false;
   return Gateways == 1 || !Passes.m_RecentEnds.empty() ||
@@ -210,9 +217,8 @@
 
 std::uint32_t estimatedRequests(const GroupLoad &Load,
                                 const GatewayCounts &Counts) {
-  return Counts.m_OthersReported
-             ? Load.m_Requests
-             : Load.m_OwnRequests * std::max(1U, Counts.m_Gateways);
+  return areCountsKnown(Counts) ? Load.m_Requests
+                                : Load.m_OwnRequests * Counts.m_Gateways;
 }
 
 void recordGap(GroupCapacity &Capacity, std::string_view Group, Duration Gap,
@@ -300,8 +306,11 @@
     Passes.m_Requests = estimatedRequests(Load, Counts);
     updateOverTarget(Options, Passes, Now);
     Passes.m_Limit = requestLimit(Options, Passes, Now);
-    Passes.m_ExpectedMs =
-        expectedPassMs(Options, Passes, Passes.m_Requests + 1.0, Now);
+    // An estimate that changes with a single own request would move all further
+    // ones to another group; the mean pass time doesn't.
+    const double Requests = areCountsKnown(Counts) ? Passes.m_Requests + 1.0
+                                                   : Passes.m_MeanRequests;
+    Passes.m_ExpectedMs = expectedPassMs(Options, Passes, Requests, Now);
     if (Passes.m_Limit < Passes.m_Slots)
       Passes.m_LastLimited = Now;
     if (mayTake(Options, Passes, Load, Counts, Now))
