--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -6,6 +6,7 @@
 #include "Peer.pb.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace mangocart {
@@ -382,6 +383,7 @@
   std::vector<HealthChange> Changes;
   std::vector<ServiceEjectionChange> Ejections;
   std::vector<ColdChange> Cold;
+  std::vector<GroupLimitChange> Limits;
   {
     const std::lock_guard Lock(m_Mutex);
     removeExpired(m_Routing.m_Cold, RuntimeClock::now());
@@ -390,6 +392,7 @@
     Changes = sweep(m_Table, RuntimeClock::now());
     removeExpired(m_Routing.m_Notices, RuntimeClock::now());
     Ejections = updateAllEjections(m_Routing, RuntimeClock::now());
+    Limits = updateGroupLimits(m_Routing.m_GroupCapacity, RuntimeClock::now());
   }
   for (const ColdChange &Change : Cold)
     m_Events.write(Change.m_IsCold ? Event::BackendServerCold
@@ -397,6 +400,14 @@
                    {{"backend_server", Change.m_BackendServer},
                     {"own_permits", Change.m_OwnPermits},
                     {"all_permits", Change.m_AllPermits}});
+  for (const GroupLimitChange &Each : Limits)
+    m_Events.write(Each.m_IsLimited ? Event::GroupLimited
+                                    : Event::GroupUnlimited,
+                   {{"group", Each.m_Group},
+                    {"limit", Each.m_Limit},
+                    {"slots", Each.m_Slots},
+                    {"expected_ms", std::lround(Each.m_ExpectedMs)},
+                    {"target_ms", std::lround(Each.m_TargetMs)}});
   for (const ServiceEjectionChange &Report : Ejections)
     m_Events.write(Event::BackendServerEjected,
                    {{"service", Report.m_Service},
@@ -409,6 +420,12 @@
                     {"to", toString(Change.m_To)}});
 }
 
+std::map<std::string, GroupPasses, std::less<>>
+MembershipDirectory::groupPasses() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Routing.m_GroupCapacity.m_Groups;
+}
+
 std::vector<MemberView> MembershipDirectory::members() const {
   const TimePoint Now = RuntimeClock::now();
   const std::lock_guard Lock(m_Mutex);
--- a/Source/Routing/GroupCapacity.cpp
+++ b/Source/Routing/GroupCapacity.cpp
@@ -100,7 +100,6 @@
   Passes.m_Rules = Rules;
   Passes.m_Ranks = Load.m_Ranks;
   Passes.m_Slots = Load.m_Slots;
-  Passes.m_Requests = Load.m_Requests;
   Passes.m_LastChoice = Now;
   return Passes;
 }
@@ -153,19 +152,29 @@
              std::max(1.0, expectedPassMs(Options, Passes, Requests, Now)));
 }
 
+bool areCountsKnown(const GatewayCounts &Counts) {
+  return Counts.m_Gateways <= 1 || Counts.m_OthersReported;
+}
+
 bool mayTake(const GroupCapacityOptions &Options, GroupPasses &Passes,
              const GroupLoad &Load, const GatewayCounts &Counts,
              TimePoint Now) {
   const std::uint32_t Gateways = std::max<std::uint32_t>(Counts.m_Gateways, 1);
   const double Free = static_cast<double>(Passes.m_Limit) -
-                      static_cast<double>(Load.m_Requests);
-  refillAllowances(Options, Passes, Free, Load.m_Requests, Gateways, Now);
+                      static_cast<double>(Passes.m_Requests);
+  refillAllowances(Options, Passes, Free, Passes.m_Requests, Gateways, Now);
   removeOldEnds(Options, Passes, Now);
+  const bool HasShare =
+      Load.m_OwnRequests < (Passes.m_Limit + Gateways - 1) / Gateways;
+  // Without reports, the slots of each server are divided among the gateways,
+  // and the number of requests isn't known well enough for a part of the pass.
+  if (!areCountsKnown(Counts))
+    return HasShare || Passes.m_Limit >= Load.m_Slots;
   if (!Passes.m_OverTarget && Passes.m_StartAllowance < 1.0)
     return false;
-  if (Load.m_OwnRequests < (Passes.m_Limit + Gateways - 1) / Gateways)
+  if (HasShare)
     return true;
-  if (Free <= 0.0 || (Gateways > 1 && !Counts.m_OthersReported))
+  if (Free <= 0.0)
     return false;
   return Gateways == 1 || !Passes.m_RecentEnds.empty() ||
          Passes.m_Allowance >= 1.0;
@@ -206,6 +215,12 @@
 
 } // namespace
 
+std::uint32_t estimatedRequests(const GroupLoad &Load,
+                                const GatewayCounts &Counts) {
+  return areCountsKnown(Counts) ? Load.m_Requests
+                                : Load.m_OwnRequests * Counts.m_Gateways;
+}
+
 void recordGap(GroupCapacity &Capacity, std::string_view Group, Duration Gap,
                const std::function<std::uint32_t()> &Requests, TimePoint Now) {
   const auto Found = Capacity.m_Groups.find(Group);
@@ -288,10 +303,14 @@
   for (std::size_t Index = 0; Index < Groups.size(); ++Index) {
     const GroupLoad &Load = Groups[Index];
     GroupPasses &Passes = passesOf(Capacity, Rules, Load, Now);
+    Passes.m_Requests = estimatedRequests(Load, Counts);
     updateOverTarget(Options, Passes, Now);
     Passes.m_Limit = requestLimit(Options, Passes, Now);
-    Passes.m_ExpectedMs =
-        expectedPassMs(Options, Passes, Load.m_Requests + 1.0, Now);
+    // An estimate that changes with a single own request would move all further
+    // ones to another group; the mean pass time doesn't.
+    const double Requests = areCountsKnown(Counts) ? Passes.m_Requests + 1.0
+                                                   : Passes.m_MeanRequests;
+    Passes.m_ExpectedMs = expectedPassMs(Options, Passes, Requests, Now);
     if (Passes.m_Limit < Passes.m_Slots)
       Passes.m_LastLimited = Now;
     if (mayTake(Options, Passes, Load, Counts, Now))
@@ -321,7 +340,7 @@
         Now - Passes.m_LastLimited < Options.m_UnlimitedAfter;
     if (IsLimited != std::exchange(Passes.m_ReportedLimited, IsLimited))
       Changes.push_back({Group, IsLimited, Passes.m_Limit, Passes.m_Slots,
-                         Passes.m_ExpectedMs});
+                         Passes.m_ExpectedMs, Passes.m_Rules.m_GapTargetMs});
   }
   return Changes;
 }
