--- a/Tests/Entry/testRoutingState.cpp
+++ b/Tests/Entry/testRoutingState.cpp
@@ -1,6 +1,10 @@
-// Tests the number of slots that an entry may use at the backend servers.
+// Tests the number of slots that an entry may use at the backend servers, and
+// the free capacity of all entries. Guards against a reserve for urgent
+// requests from a wrong count.
 #include "Entry/RoutingState.h"
 
+#include "Core/Hash.h"
+
 #include <catch2/catch.hpp>
 
 using namespace mangocart;
@@ -59,3 +63,29 @@
     CHECK(countSlots(State, Candidates, Request, Now) == Case.m_Slots);
   }
 }
+
+TEST_CASE("the free capacity of a service counts the calls of all entries that "
+          "report, and otherwise the entry's own part") {
+  const TimePoint Now(1h);
+  RoutingState State;
+  State.m_EntryCount = 4;
+  std::vector<Member> Members(3);
+  std::vector<CandidateView> Candidates;
+  for (std::size_t I = 0; I < Members.size(); ++I) {
+    Members[I].m_BackendServer = "engine-" + std::to_string(I);
+    Members[I].m_LoadMeasuredAt = Now;
+    Candidates.push_back({&Members[I], false});
+  }
+  State.m_OwnCalls["engine-0"].m_Requests = 2;
+  ChoiceRequest Request;
+  Request.m_Service = "assistant";
+  Request.m_MaxOutstanding = 12;
+  CHECK(freeCapacity(State, Candidates, Request, Now) ==
+        FreeCapacity{1 + 3 + 3, 4});
+  updateOtherEntry(State, "b",
+                   {{{hash64("engine-0"), 5}, {hash64("engine-1"), 12}}, Now});
+  CHECK(freeCapacity(State, Candidates, Request, Now) ==
+        FreeCapacity{5 + 0 + 12, 4});
+  Candidates.back().m_Avoided = true;
+  CHECK(freeCapacity(State, Candidates, Request, Now) == FreeCapacity{5, 4});
+}
