--- a/Tests/Entry/testRoutingState.cpp
+++ b/Tests/Entry/testRoutingState.cpp
@@ -1,10 +1,12 @@
 // Tests the number of slots that an entry may use at the backend servers, and
-// the choice by pending prompt tokens: prompts must not queue at one server
-// while others have none, and nothing may change for services without an
-// engine.
-#include "Core/Hash.h"
+// the choice by pending prompt tokens, and the free capacity of all entries.
+// Prompts must not queue at one server while others have none, nothing may
+// change for services without an engine, and a wrong count must not mislead the
+// reserve for urgent requests.
 #include "Entry/RoutingState.h"
 
+#include "Core/Hash.h"
+
 #include <catch2/catch.hpp>
 
 #include <cstdio>
@@ -289,3 +291,29 @@
                 Time.count() / Choices);
   }
 }
+
+TEST_CASE("the free capacity of a service counts the calls of all entries that "
+          "report, and otherwise the entry's own part") {
+  const TimePoint Now(1h);
+  RoutingState State;
+  State.m_EntryCount = 4;
+  std::vector<Member> Members(3);
+  std::vector<CandidateView> Candidates;
+  for (std::size_t I = 0; I < Members.size(); ++I) {
+    Members[I].m_BackendServer = "engine-" + std::to_string(I);
+    Members[I].m_LoadMeasuredAt = Now;
+    Candidates.push_back({&Members[I], false});
+  }
+  State.m_OwnCalls["engine-0"].m_Requests = 2;
+  ChoiceRequest Request;
+  Request.m_Service = "assistant";
+  Request.m_MaxOutstanding = 12;
+  CHECK(freeCapacity(State, Candidates, Request, Now) ==
+        FreeCapacity{1 + 3 + 3, 4});
+  updateOtherEntry(State, "b",
+                   {{{hash64("engine-0"), 5}, {hash64("engine-1"), 12}}, Now});
+  CHECK(freeCapacity(State, Candidates, Request, Now) ==
+        FreeCapacity{5 + 0 + 12, 4});
+  Candidates.back().m_Avoided = true;
+  CHECK(freeCapacity(State, Candidates, Request, Now) == FreeCapacity{5, 4});
+}
--- a/Tests/Gateway/testPriorityOverload.cpp
+++ b/Tests/Gateway/testPriorityOverload.cpp
@@ -102,6 +102,10 @@
   checkLoad({{5s, {20, 25, 20}}, {2s, {120, 150, 120}}, {12s, {20, 25, 20}}});
 }
 
+TEST_CASE("urgent calls alone exceed the capacity for 30 s") {
+  checkLoad({{30s, {150, 20, 20}}});
+}
+
 TEST_CASE("calls of one priority and one customer are dispatched in the former "
           "order") {
   const TimePoint Start{1000s};
