Entry: free capacity counts what rank groups still take

Cause: the reserve for urgent requests counted free slots, also where a group takes fewer requests because of its passes. Change: free capacity is bounded by the limits of groups.

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -250,8 +250,12 @@
 
 FreeCapacity MembershipDirectory::freeCapacity(const ChoiceRequest &Request) {
   const std::lock_guard Lock(m_Mutex);
-  return mangocart::freeCapacity(m_Routing, candidates(Request), Request,
-                                 RuntimeClock::now());
+  const TimePoint Now = RuntimeClock::now();
+  std::vector<GroupLoad> Groups;
+  if (Request.m_PassRules)
+    Groups = groupLoads(m_Table, m_Routing, Request, Now);
+  return mangocart::freeCapacity(m_Routing, candidates(Request), Request, Now,
+                                 Groups);
 }
 
 void MembershipDirectory::callStarted(const BackendTarget &Target,
--- a/Source/Entry/RoutingState.cpp
+++ b/Source/Entry/RoutingState.cpp
@@ -240,11 +240,14 @@
 
 FreeCapacity freeCapacity(RoutingState &State,
                           std::span<const CandidateView> Candidates,
-                          const ChoiceRequest &Request, TimePoint Now) {
+                          const ChoiceRequest &Request, TimePoint Now,
+                          std::span<const GroupLoad> Groups) {
   const std::uint32_t Limit = limitFor(State, Request, Now);
-  FreeCapacity Free{0, State.m_EntryCount};
-  for (const ReplicaCandidate &Each :
-       toReplicas(State, Candidates, Request, Now)) {
+  std::map<std::string_view, std::size_t> FreeByGroup;
+  const std::vector<ReplicaCandidate> Replicas =
+      toReplicas(State, Candidates, Request, Now);
+  for (std::size_t I = 0; I < Replicas.size(); ++I) {
+    const ReplicaCandidate &Each = Replicas[I];
     if (Each.m_Full || Each.m_Ejected || Each.m_Suspect)
       continue;
     // Without recent reports of the other entries, the entry's own part counts.
@@ -253,8 +256,17 @@
         Each.m_OtherEntriesRequests
             ? Limit - std::min(Limit, *Each.m_OtherEntriesRequests)
             : (Limit + State.m_EntryCount - 1) / State.m_EntryCount;
-    Free.m_Requests += Bound > Own ? Bound - Own : 1;
+    FreeByGroup[Candidates[I].m_Member->m_Group] +=
+        Bound > Own ? Bound - Own : 1;
   }
+  for (const GroupLoad &Each : Groups)
+    if (const auto Found = FreeByGroup.find(Each.m_Group);
+        Found != FreeByGroup.end())
+      Found->second =
+          std::min(Found->second, freeRequests(State.m_GroupCapacity, Each));
+  FreeCapacity Free{0, State.m_EntryCount};
+  for (const auto &[Group, Requests] : FreeByGroup)
+    Free.m_Requests += Requests;
   return Free;
 }
 
--- a/Source/Entry/RoutingState.h
+++ b/Source/Entry/RoutingState.h
@@ -120,7 +120,8 @@
 
 FreeCapacity freeCapacity(RoutingState &State,
                           std::span<const CandidateView> Candidates,
-                          const ChoiceRequest &Request, TimePoint Now);
+                          const ChoiceRequest &Request, TimePoint Now,
+                          std::span<const GroupLoad> Groups = {});
 
 void recordCallStarted(RoutingState &State, const BackendTarget &Target,
                        const CallSize &Size, TimePoint Now);
--- a/Source/Routing/GroupCapacity.cpp
+++ b/Source/Routing/GroupCapacity.cpp
@@ -327,6 +327,13 @@
   return Order;
 }
 
+std::size_t freeRequests(const GroupCapacity &Capacity, const GroupLoad &Load) {
+  const auto Found = Capacity.m_Groups.find(Load.m_Group);
+  const std::uint32_t Limit =
+      Found != Capacity.m_Groups.end() ? Found->second.m_Limit : Load.m_Slots;
+  return Limit - std::min(Limit, Load.m_Requests);
+}
+
 std::vector<GroupLimitChange> updateGroupLimits(GroupCapacity &Capacity,
                                                 TimePoint Now) {
   const GroupCapacityOptions &Options = Capacity.m_Options;
--- a/Source/Routing/GroupCapacity.h
+++ b/Source/Routing/GroupCapacity.h
@@ -170,6 +170,10 @@
                 std::span<const GroupLoad> Groups, const GatewayCounts &Counts,
                 TimePoint Now);
 
+// Further requests that the group takes below the limit of the last choice; its
+// free slots if there was none.
+std::size_t freeRequests(const GroupCapacity &Capacity, const GroupLoad &Load);
+
 struct GroupLimitChange {
   std::string m_Group;
   bool m_IsLimited = false;
--- a/Tests/Entry/testRoutingState.cpp
+++ b/Tests/Entry/testRoutingState.cpp
@@ -310,8 +310,10 @@
   Request.m_MaxOutstanding = 12;
   CHECK(freeCapacity(State, Candidates, Request, Now) ==
         FreeCapacity{1 + 3 + 3, 4});
-  updateOtherEntry(State, "b",
-                   {{{hash64("engine-0"), 5}, {hash64("engine-1"), 12}}, Now});
+  OutstandingCalls Other;
+  Other.m_Heard = Now;
+  Other.m_Requests = {{hash64("engine-0"), 5}, {hash64("engine-1"), 12}};
+  updateOtherEntry(State, "b", Other);
   CHECK(freeCapacity(State, Candidates, Request, Now) ==
         FreeCapacity{5 + 0 + 12, 4});
   Candidates.back().m_Avoided = true;
