--- a/Tests/Routing/testColdAllowance.cpp
+++ b/Tests/Routing/testColdAllowance.cpp
@@ -18,9 +18,9 @@
 constexpr std::size_t MaxInSecond = 26;
 constexpr std::size_t Sizes[] = {4, 16, 59};
 constexpr std::uint64_t Seeds = 6;
-// Each permit is used every 1.01 s. In a short span that isn't a multiple of it
-// the count depends on its ends (9 or 10 times in 10 s).
-constexpr Duration MeasuredTime = 40s;
+// Ten windows. In a span that isn't a multiple of a window the count depends on
+// its ends (9 or 10 uses of a permit in 10 s).
+constexpr Duration MeasuredTime = 10100ms;
 
 ColdFleetOptions options(std::size_t Gateways, std::uint64_t Seed) {
   ColdFleetOptions Options;
