--- a/Tests/Routing/PassModel.cpp
+++ b/Tests/Routing/PassModel.cpp
@@ -87,7 +87,7 @@
       for (std::size_t I = 0; I < m_Groups.size(); ++I)
         advance(I);
     }
-    m_Result.m_MeanPassMs /= std::max<double>(1.0, m_PassCount);
+    m_Result.m_MeanPassMs /= std::max(1.0, static_cast<double>(m_PassCount));
     return m_Result;
   }
 
