Voter: configurations wait for a leader only where evacuations are stored

Cause: after a start, every voter held back the configuration from gateways until a majority had replied, also in deployments that never evacuate a zone; there, gateways have a configuration before the first leader is elected. Result: testVoter and testRaft pass.

--- a/Source/Raft/RaftControl.cpp
+++ b/Source/Raft/RaftControl.cpp
@@ -128,6 +128,9 @@
     m_Machine.restore(Recovered.m_Snapshot->m_Data);
     m_Applied = m_SnapshotIndex = Recovered.m_Snapshot->m_LastIndex;
   }
+  for (const EntryPtr &Each : Recovered.m_Entries)
+    if (Each->m_Kind == EntryKind::Command)
+      m_Machine.noteStored(Each->m_Payload);
   m_State = makeRaftState(std::move(Config), Recovered, RuntimeClock::now(),
                           m_Generator);
   publish();
--- a/Source/Raft/StateMachine.h
+++ b/Source/Raft/StateMachine.h
@@ -22,6 +22,10 @@
   // gaps where the log contains entries of its own.
   virtual std::string apply(std::uint64_t Index, std::string_view Command) = 0;
 
+  // Called at the start, after restore(), for each stored command after the
+  // snapshot, whether it was committed or not.
+  virtual void noteStored(std::string_view /*Command*/) {}
+
   // The whole state, in the format accepted by restore().
   virtual std::string snapshot() const = 0;
 
--- a/Source/Voter/CatchUpCheck.cpp
+++ b/Source/Voter/CatchUpCheck.cpp
@@ -14,7 +14,12 @@
 
 void CatchUpCheck::start() {
   m_Deadline = RuntimeClock::now() + MaxWait;
-  propose();
+  // Without evacuations, gateways get the configuration before a leader is
+  // elected.
+  if (m_Machine.mayHaveEvacuations())
+    propose();
+  else
+    m_Required = 0;
 }
 
 bool CatchUpCheck::isCaughtUp() const {
--- a/Source/Voter/CatchUpCheck.h
+++ b/Source/Voter/CatchUpCheck.h
@@ -26,7 +26,8 @@
                std::function<void()> OnProgress)
       : m_Machine(Machine), m_Log(Log), m_OnProgress(std::move(OnProgress)) {}
 
-  // Called once, when the log runs.
+  // Called once, when the log runs. A voter whose stored state has no
+  // evacuations is caught up at once.
   void start();
   // Stays true. Is true without a majority as well after some seconds, since
   // gateways without a configuration could serve nobody.
--- a/Source/Voter/DocumentMachine.cpp
+++ b/Source/Voter/DocumentMachine.cpp
@@ -69,6 +69,22 @@
   return Reply.SerializeAsString();
 }
 
+bool DocumentMachine::mayHaveEvacuations() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_HasStoredChange || m_Evacuations.m_Change > 0;
+}
+
+void DocumentMachine::noteStored(std::string_view Command) {
+  schema::Command Parsed;
+  if (!Parsed.ParseFromArray(Command.data(),
+                             static_cast<int>(Command.size())) ||
+      !Parsed.has_change_evacuation() ||
+      Parsed.change_evacuation().availability_zone().empty())
+    return;
+  const std::lock_guard Lock(m_Mutex);
+  m_HasStoredChange = true;
+}
+
 std::string DocumentMachine::snapshot() const {
   const DocumentPtr Kept = document();
   schema::DocumentSnapshot Snapshot;
--- a/Source/Voter/DocumentMachine.h
+++ b/Source/Voter/DocumentMachine.h
@@ -37,8 +37,12 @@
   DocumentPtr document() const;
   // Called from any thread. The number of the last change never decreases.
   Evacuations evacuations() const;
+  // Whether the state or a stored command changes evacuations; called from any
+  // thread.
+  bool mayHaveEvacuations() const;
 
   std::string apply(std::uint64_t Index, std::string_view Command) override;
+  void noteStored(std::string_view Command) override;
   std::string snapshot() const override;
   void restore(std::string_view Snapshot) override;
   // The state is small, so snapshots are taken on the control thread.
@@ -54,6 +58,8 @@
   // Guarded by m_Mutex.
   DocumentPtr m_Document;
   Evacuations m_Evacuations;
+  // A change of the evacuations was stored but may not be applied yet.
+  bool m_HasStoredChange = false;
 };
 
 } // namespace mangocart
--- a/Tests/Voter/testCatchUpCheck.cpp
+++ b/Tests/Voter/testCatchUpCheck.cpp
@@ -31,9 +31,16 @@
   ProposeHandler m_Pending;
 };
 
+std::string evacuationOf(const std::string &Zone) {
+  schema::Command Command;
+  Command.mutable_change_evacuation()->set_availability_zone(Zone);
+  return Command.SerializeAsString();
+}
+
 struct Fixture {
-  Fixture() {
+  explicit Fixture(const std::string &Stored = evacuationOf("a")) {
     RuntimeClock::pause();
+    m_Machine.noteStored(Stored);
     m_Check->start();
   }
   ~Fixture() { RuntimeClock::resume(); }
@@ -55,9 +62,7 @@
   CHECK_FALSE(F.m_Check->isCaughtUp());
   F.m_Log.reply(1);
   CHECK_FALSE(F.m_Check->isCaughtUp());
-  schema::Command Command;
-  Command.mutable_change_evacuation()->set_availability_zone("a");
-  F.m_Machine.apply(1, Command.SerializeAsString());
+  F.m_Machine.apply(1, evacuationOf("a"));
   CHECK(F.m_Check->isCaughtUp());
   CHECK(F.m_Progress == 1);
 }
@@ -72,3 +77,14 @@
   F.m_Log.fail();
   CHECK_FALSE(F.m_Log.m_Pending);
 }
+
+TEST_CASE("a voter without stored evacuations waits for no leader") {
+  schema::Command Document;
+  Document.mutable_put_document()->set_version(7);
+  for (const std::string &Stored :
+       {Document.SerializeAsString(), evacuationOf(""), std::string("torn")}) {
+    Fixture F(Stored);
+    CHECK(F.m_Check->isCaughtUp());
+    CHECK_FALSE(F.m_Log.m_Pending);
+  }
+}
