--- a/Source/Routing/GroupCapacity.h
+++ b/Source/Routing/GroupCapacity.h
@@ -50,9 +50,9 @@
   // the gateway's own zone are preferred; 0: never. Each zone has its peak at
   // another time, so a preference makes the passes of its group longer then.
   double m_OwnZoneRatio = 0.0;
-  // Within this ratio, groups are equivalent otherwise. With a smaller one, all
-  // gateways would send to one group until its new requests are reported.
-  double m_EquivalentRatio = 1.5;
+  // Within this ratio, groups are equivalent otherwise. With a ratio near 1,
+  // all gateways would send to one group until its new requests are reported.
+  double m_EquivalentRatio = 100.0;
   // Counts of other gateways are about this old. Each gateway takes at most
   // this multiple of its even part of the free capacity within that time, and
   // replaces its own ended requests. The default is no bound in effect: a
