--- a/Tests/Entry/testGroupRouting.cpp
+++ b/Tests/Entry/testGroupRouting.cpp
@@ -98,7 +98,8 @@
   CHECK(F.m_Directory.groupPasses().empty());
 }
 
-TEST_CASE("a group of another zone is used when its passes are shorter") {
+TEST_CASE("a group of another zone is used when its passes are shorter",
+          "[own-zone-preference]") {
   Fixture F;
   F.report("far", 0);
   const auto Equal = F.send(2, &F.m_Rules);
