Gateway: pass rules are computed once per configuration

Cause: each attempt searched all routes, of which there may be thousands, for the smallest gap target of its service, on VMs with a fraction of a core. Behaviour is unchanged.

--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -7,7 +7,6 @@
 #include "Gateway/AttemptMonitor.h"
 #include "Gateway/CrashGuard.h"
 #include "Gateway/GatewayMetrics.h"
-#include "Gateway/PassRulesOf.h"
 #include "Gateway/RequestDigest.h"
 #include "Gateway/RequestPriority.h"
 #include "Gateway/ResponseBuffering.h"
@@ -169,8 +168,7 @@
           : DefaultMaxOutstanding;
   if (Service && Service->m_Engine)
     Request.m_PrefillTokensPerPass = prefillTokensPerPass(*Service->m_Engine);
-  Request.m_PassRules =
-      passRulesOf(m_Request.m_Plan->plan(), m_Request.m_Service);
+  Request.m_PassRules = m_Request.m_Plan->passRules(m_Request.m_Service);
   Request.m_Tried = m_Tried;
   Request.m_FailedZone = m_FailedZone;
   WaitingCall &Times = Request.m_Times;
--- a/Source/Gateway/RoutingPlan.cpp
+++ b/Source/Gateway/RoutingPlan.cpp
@@ -1,6 +1,7 @@
 // Validation and lookups of a plan.
 #include "Gateway/RoutingPlan.h"
 
+#include "Gateway/PassRulesOf.h"
 #include "Gateway/RequestPriority.h"
 #include "Routing/PrefillSpread.h"
 
@@ -95,6 +96,9 @@
       m_Customers.emplace(Key, &Customer);
   for (const ServiceConfig &Service : m_Plan.m_Services)
     m_Services.emplace(Service.m_Name, &Service);
+  for (const ServiceConfig &Service : m_Plan.m_Services)
+    if (const auto Rules = passRulesOf(m_Plan, Service.m_Name))
+      m_PassRules.emplace(Service.m_Name, *Rules);
   m_WithPriorities = servicesWithPriorities(m_Plan);
 }
 
@@ -126,6 +130,14 @@
   return Found == m_Services.end() ? nullptr : Found->second;
 }
 
+std::optional<PassRules>
+RoutingPlanIndex::passRules(std::string_view Service) const {
+  const auto Found = m_PassRules.find(Service);
+  if (Found == m_PassRules.end())
+    return std::nullopt;
+  return Found->second;
+}
+
 bool RoutingPlanIndex::hasPriorities(std::string_view Service) const {
   return m_WithPriorities.contains(Service);
 }
--- a/Source/Gateway/RoutingPlan.h
+++ b/Source/Gateway/RoutingPlan.h
@@ -4,6 +4,7 @@
 #define MANGOCART_GATEWAY_ROUTINGPLAN_H
 
 #include "Core/RuntimeClock.h"
+#include "Routing/PassTime.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -181,6 +182,8 @@
   const ServiceConfig *findService(std::string_view Name) const;
   // Whether the service gets requests of more than one priority.
   bool hasPriorities(std::string_view Service) const;
+  // Rules for the passes of the service's rank groups; empty if there are none.
+  std::optional<PassRules> passRules(std::string_view Service) const;
 
 private:
   RoutingPlan m_Plan;
@@ -191,6 +194,8 @@
   std::map<std::string, const CustomerConfig *, std::less<>> m_Customers;
   std::map<std::string, const ServiceConfig *, std::less<>> m_Services;
   std::set<std::string, std::less<>> m_WithPriorities;
+  // Computed once, because there may be thousands of routes. By service.
+  std::map<std::string, PassRules, std::less<>> m_PassRules;
 };
 
 using RoutingPlanPtr = std::shared_ptr<const RoutingPlanIndex>;
