--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" || exit 2
+exec ../build/case-5 ../../target/bin ../build "$PWD/record.txt"
