Gateway: decisions on retries are written to the log

Change: RetryDecided has the counts and limits of the decision and the number of gateways, RetrySent the time since. Both are lines about requests, whose number per second is bounded.

--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -35,7 +35,8 @@
 
   void setGateways(std::uint32_t Count) { m_Gateways = Count; }
   void recordRequest(const std::string &Service);
-  bool takeRetry(const std::string &Service);
+  RetryShareDecision takeRetry(const std::string &Service);
+  std::uint32_t gateways() const { return m_Gateways; }
 
 private:
   const RetryShareOptions m_Options;
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -281,6 +281,7 @@
     m_Context.m_Metrics.m_Resumed.add();
   ++m_State.m_AttemptCount;
   m_SentAt = RuntimeClock::now();
+  logRetrySent();
   m_HeadReceived = false;
   m_DataForwarded = false;
   m_LastEvent.reset();
@@ -296,6 +297,18 @@
   monitorAttempt();
 }
 
+void ProxiedRequest::logRetrySent() {
+  const auto TakenAt = std::exchange(m_RetryTakenAt, std::nullopt);
+  if (TakenAt)
+    m_Context.m_Events.write(
+        Event::RetrySent,
+        {{"request", m_Request.m_Caller.m_RequestId},
+         {"service", m_Request.m_Service},
+         {"backend_server", m_Target->m_Name},
+         {"sent", m_State.m_AttemptCount},
+         {"waited_ms", wholeMilliseconds(m_SentAt - *TakenAt)}});
+}
+
 void ProxiedRequest::monitorAttempt() {
   const ServiceConfig *Service =
       m_Request.m_Plan->findService(m_Request.m_Service);
@@ -567,6 +580,22 @@
        {"parts", joinParts(m_Request.m_Caller.m_SharedParts)}});
 }
 
+bool ProxiedRequest::takeRetry() {
+  const RetryShareDecision Decision =
+      m_Context.m_RetryBudgets.takeRetry(m_Request.m_Service);
+  m_Context.m_Events.write(Event::RetryDecided,
+                           {{"request", m_Request.m_Caller.m_RequestId},
+                            {"service", m_Request.m_Service},
+                            {"allowed", Decision.m_IsAllowed},
+                            {"requests", Decision.m_Requests},
+                            {"retries", Decision.m_Retries},
+                            {"max_retries", Decision.m_MaxRetries},
+                            {"gateways", m_Context.m_RetryBudgets.gateways()}});
+  if (Decision.m_IsAllowed)
+    m_RetryTakenAt = RuntimeClock::now();
+  return Decision.m_IsAllowed;
+}
+
 void ProxiedRequest::endAttempt(AttemptResult Result, std::string_view Detail) {
   m_State.m_MayHaveRun = m_State.m_MayHaveRun || mayHaveRun(Result);
   logAttemptEnd(Result, Detail);
@@ -577,8 +606,7 @@
   else
     reportResult(CallResult::Broken);
   const bool IsRetry = m_State.m_AttemptCount > 0;
-  if (mayRetry(m_State) &&
-      (!IsRetry || m_Context.m_RetryBudgets.takeRetry(m_Request.m_Service)))
+  if (mayRetry(m_State) && (!IsRetry || takeRetry()))
     return startAttempt();
   if (Result == AttemptResult::FailureResponse && !m_ResponseStarted) {
     m_Exchange->respond({callerHead(), std::move(m_Body)});
@@ -637,8 +665,7 @@
     return;
   RequestState After = m_State;
   After.m_MayHaveRun = true;
-  if (!mayRetry(After) ||
-      !m_Context.m_RetryBudgets.takeRetry(m_Request.m_Service))
+  if (!mayRetry(After) || !takeRetry())
     return;
   dropAttempt(Detail, CallResult::Broken);
   startAttempt();
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -57,6 +57,7 @@
   void startAttempt();
   void onDispatched(DispatchResult Result);
   void send();
+  void logRetrySent();
   DispatchRequest makeDispatchRequest() const;
   HttpCallHandlers makeHandlers();
 
@@ -95,6 +96,9 @@
   void recordFirstByte();
   void startResponse();
   void endAttempt(AttemptResult Result, std::string_view Detail);
+  // Takes another attempt from the retry budget of the service, and logs the
+  // decision.
+  bool takeRetry();
   void logAttemptEnd(AttemptResult Result, std::string_view Detail) const;
   // Reports the end of the attempt to the directory.
   void reportResult(CallResult Result);
@@ -132,6 +136,9 @@
   std::shared_ptr<HttpCall> m_HttpCall;
   std::optional<BackendTarget> m_Target;
   TimePoint m_SentAt;
+  // When the retry budget allowed the next attempt; empty if the next attempt
+  // isn't a retry.
+  std::optional<TimePoint> m_RetryTakenAt;
   // Number of the request at the crash guard; 0 before it is watched.
   std::uint64_t m_GuardNumber = 0;
   // The suspect because of which the request was rejected.
--- a/Source/Gateway/RetryBudgetShare.cpp
+++ b/Source/Gateway/RetryBudgetShare.cpp
@@ -31,28 +31,29 @@
   ++bucketOf(Share, bucketNumber(Options, Now)).m_Requests;
 }
 
-bool takeRetry(RetryBudgetShare &Share, const RetryShareOptions &Options,
-               std::uint32_t Gateways, TimePoint Now) {
+RetryShareDecision takeRetry(RetryBudgetShare &Share,
+                             const RetryShareOptions &Options,
+                             std::uint32_t Gateways, TimePoint Now) {
   const std::int64_t Number = bucketNumber(Options, Now);
   const std::int64_t Oldest =
       Number - static_cast<std::int64_t>(RetryBudgetShare::BucketsPerWindow);
-  std::uint32_t Requests = 0;
-  std::uint32_t Retries = 0;
+  RetryShareDecision Decision;
   for (const RetryBudgetShare::Bucket &Bucket : Share.m_Buckets) {
     if (Bucket.m_Number < Oldest || Bucket.m_Number > Number)
       continue;
-    Retries += Bucket.m_Retries;
+    Decision.m_Retries += Bucket.m_Retries;
     // The oldest bucket is only partly within the window. To stay below the
     // limit in any case, its retries are counted and its requests are not.
     if (Bucket.m_Number > Oldest)
-      Requests += Bucket.m_Requests;
+      Decision.m_Requests += Bucket.m_Requests;
   }
   const double Slack = Options.m_Slack * Options.m_SlackShare /
                        std::max<std::uint32_t>(Gateways, 1);
-  if (Retries + 1 > Options.m_Ratio * Requests + Slack)
-    return false;
-  ++bucketOf(Share, Number).m_Retries;
-  return true;
+  Decision.m_MaxRetries = Options.m_Ratio * Decision.m_Requests + Slack;
+  Decision.m_IsAllowed = Decision.m_Retries + 1 <= Decision.m_MaxRetries;
+  if (Decision.m_IsAllowed)
+    ++bucketOf(Share, Number).m_Retries;
+  return Decision;
 }
 
 } // namespace mangocart
--- a/Source/Gateway/RetryBudgetShare.h
+++ b/Source/Gateway/RetryBudgetShare.h
@@ -43,13 +43,25 @@
   bool operator==(const RetryBudgetShare &) const = default;
 };
 
+// Whether a retry is allowed, and what this was decided on.
+struct RetryShareDecision {
+  bool m_IsAllowed = false;
+  // Requests and earlier retries of this gateway within the window.
+  std::uint32_t m_Requests = 0;
+  std::uint32_t m_Retries = 0;
+  double m_MaxRetries = 0.0;
+
+  bool operator==(const RetryShareDecision &) const = default;
+};
+
 // Counts a request of the service that this gateway received.
 void recordRequest(RetryBudgetShare &Share, const RetryShareOptions &Options,
                    TimePoint Now);
 
-// Counts one more retry and returns true if the budget allows it.
-bool takeRetry(RetryBudgetShare &Share, const RetryShareOptions &Options,
-               std::uint32_t Gateways, TimePoint Now);
+// Counts one more retry if the budget allows it.
+RetryShareDecision takeRetry(RetryBudgetShare &Share,
+                             const RetryShareOptions &Options,
+                             std::uint32_t Gateways, TimePoint Now);
 
 } // namespace mangocart
 
--- a/Source/Gateway/RetryBudgets.cpp
+++ b/Source/Gateway/RetryBudgets.cpp
@@ -8,7 +8,7 @@
   mangocart::recordRequest(m_Shares[Service], m_Options, RuntimeClock::now());
 }
 
-bool RetryBudgets::takeRetry(const std::string &Service) {
+RetryShareDecision RetryBudgets::takeRetry(const std::string &Service) {
   const std::lock_guard Lock(m_Mutex);
   return mangocart::takeRetry(m_Shares[Service], m_Options, m_Gateways,
                               RuntimeClock::now());
--- a/Tests/Gateway/testRetryBudgetShare.cpp
+++ b/Tests/Gateway/testRetryBudgetShare.cpp
@@ -25,18 +25,18 @@
   for (int I = 0; I < 100; ++I)
     recordRequest(S, Options, Now);
   int Retries = 0;
-  while (takeRetry(S, Options, 4, Now))
+  while (takeRetry(S, Options, 4, Now).m_IsAllowed)
     ++Retries;
   // 20 earned, and a fourth of the used share of the slack.
   CHECK(Retries == 31);
-  CHECK_FALSE(takeRetry(S, Options, 4, Now + 5s));
-  CHECK(takeRetry(S, Options, 4, Now + 12s));
+  CHECK_FALSE(takeRetry(S, Options, 4, Now + 5s).m_IsAllowed);
+  CHECK(takeRetry(S, Options, 4, Now + 12s).m_IsAllowed);
 }
 
 TEST_CASE("without requests only the slack is available") {
   RetryBudgetShare S;
   int Retries = 0;
-  while (takeRetry(S, Options, 1, TimePoint(1000s)))
+  while (takeRetry(S, Options, 1, TimePoint(1000s)).m_IsAllowed)
     ++Retries;
   CHECK(Retries == 44);
 }
@@ -60,7 +60,8 @@
       RetryBudgetShare &At = Gateways[uniform(Generator, 0, 3)];
       recordRequest(At, Options, Now);
       Events.push_back({Now, false});
-      while (uniform(Generator, 0, 9) > 0 && takeRetry(At, Options, 4, Now))
+      while (uniform(Generator, 0, 9) > 0 &&
+             takeRetry(At, Options, 4, Now).m_IsAllowed)
         Events.push_back({Now, true});
     }
     std::size_t Begin = 0;
