Gateway: the retry slack is divided by all gateways while processes restart

Cause: each gateway takes its part of the slack by the number of gateways that voters list. That is 1 in a gateway that has just started, and a few in all gateways while voters that have restarted hear from them one after the other. Each gateway then takes up to half of the whole slack. The class: a share of a common limit by a momentary view of who else there is.

Change: the largest number of the last minute counts (GatewayCount), and without a number there is no slack. Too large a number only leaves a part of the budget unused.

--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -3,6 +3,7 @@
 #define MANGOCART_GATEWAY_GATEWAYCONTEXT_H
 
 #include "Core/Random.h"
+#include "Gateway/GatewayCount.h"
 #include "Gateway/RetryBudgetShare.h"
 
 #include <atomic>
@@ -33,16 +34,16 @@
   explicit RetryBudgets(const RetryShareOptions &Options)
       : m_Options(Options) {}
 
-  void setGateways(std::uint32_t Count) { m_Gateways = Count; }
+  // Count is the number of gateways that the voters list.
+  void setGateways(std::uint32_t Count);
   void recordRequest(const std::string &Service);
   RetryShareDecision takeRetry(const std::string &Service);
-  std::uint32_t gateways() const { return m_Gateways; }
 
 private:
   const RetryShareOptions m_Options;
-  std::atomic<std::uint32_t> m_Gateways{1};
   std::mutex m_Mutex;
-  // Guarded by m_Mutex.
+  // The members below are guarded by m_Mutex.
+  GatewayCount m_Gateways;
   std::map<std::string, RetryBudgetShare> m_Shares;
 };
 
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -590,7 +590,7 @@
                             {"requests", Decision.m_Requests},
                             {"retries", Decision.m_Retries},
                             {"max_retries", Decision.m_MaxRetries},
-                            {"gateways", m_Context.m_RetryBudgets.gateways()}});
+                            {"gateways", Decision.m_Gateways}});
   if (Decision.m_IsAllowed)
     m_RetryTakenAt = RuntimeClock::now();
   return Decision.m_IsAllowed;
--- a/Source/Gateway/RetryBudgetShare.cpp
+++ b/Source/Gateway/RetryBudgetShare.cpp
@@ -47,8 +47,9 @@
     if (Bucket.m_Number > Oldest)
       Decision.m_Requests += Bucket.m_Requests;
   }
-  const double Slack = Options.m_Slack * Options.m_SlackShare /
-                       std::max<std::uint32_t>(Gateways, 1);
+  const double Slack =
+      Gateways > 0 ? Options.m_Slack * Options.m_SlackShare / Gateways : 0.0;
+  Decision.m_Gateways = Gateways;
   Decision.m_MaxRetries = Options.m_Ratio * Decision.m_Requests + Slack;
   Decision.m_IsAllowed = Decision.m_Retries + 1 <= Decision.m_MaxRetries;
   if (Decision.m_IsAllowed)
--- a/Source/Gateway/RetryBudgetShare.h
+++ b/Source/Gateway/RetryBudgetShare.h
@@ -50,6 +50,8 @@
   std::uint32_t m_Requests = 0;
   std::uint32_t m_Retries = 0;
   double m_MaxRetries = 0.0;
+  // Gateways that the slack was divided by; 0: not known.
+  std::uint32_t m_Gateways = 0;
 
   bool operator==(const RetryShareDecision &) const = default;
 };
@@ -58,7 +60,8 @@
 void recordRequest(RetryBudgetShare &Share, const RetryShareOptions &Options,
                    TimePoint Now);
 
-// Counts one more retry if the budget allows it.
+// Counts one more retry if the budget allows it. Without a number of gateways
+// (0) there is no slack.
 RetryShareDecision takeRetry(RetryBudgetShare &Share,
                              const RetryShareOptions &Options,
                              std::uint32_t Gateways, TimePoint Now);
--- a/Tests/Gateway/testRetryBudgets.cpp
+++ b/Tests/Gateway/testRetryBudgets.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::uint32_t GatewayCount = 16;
+constexpr std::uint32_t FleetSize = 16;
 constexpr double RequestsPerSecond = 228.0;
 constexpr RetryShareOptions Options{0.2, 220.0, 10s};
 const std::string Service = "fare-assistant";
@@ -26,10 +26,14 @@
 public:
   explicit Fleet(std::uint64_t Seed) : m_Random(Seed) {
     RuntimeClock::pause();
-    m_Gateways.resize(GatewayCount);
-    for (std::uint32_t I = 0; I < GatewayCount; ++I) {
+    // Windows begin alike in all runs.
+    RuntimeClock::advance(Options.m_Window -
+                          RuntimeClock::now().time_since_epoch() %
+                              Options.m_Window);
+    m_Gateways.resize(FleetSize);
+    for (std::uint32_t I = 0; I < FleetSize; ++I) {
       restart(I);
-      know(I, GatewayCount);
+      know(I, FleetSize);
     }
   }
   ~Fleet() { RuntimeClock::resume(); }
@@ -49,7 +53,7 @@
     while (RuntimeClock::now() < Until) {
       RuntimeClock::advance(std::chrono::duration_cast<Duration>(
           std::chrono::duration<double>(1.0 / RequestsPerSecond)));
-      RetryBudgets &At = *m_Gateways[uniform(m_Random, 0, GatewayCount - 1)];
+      RetryBudgets &At = *m_Gateways[uniform(m_Random, 0, FleetSize - 1)];
       At.recordRequest(Service);
       m_Requests.push_back(RuntimeClock::now());
       if (Failing && At.takeRetry(Service).m_IsAllowed)
@@ -102,11 +106,11 @@
     INFO("seed " << Seed);
     Fleet Gateways(Seed);
     Gateways.run(20s);
-    for (std::uint32_t I = 0; I < GatewayCount; ++I)
+    for (std::uint32_t I = 0; I < FleetSize; ++I)
       Gateways.restart(I);
     Gateways.run(4s);
-    for (std::uint32_t I = 0; I < GatewayCount; ++I)
-      Gateways.know(I, GatewayCount);
+    for (std::uint32_t I = 0; I < FleetSize; ++I)
+      Gateways.know(I, FleetSize);
     Gateways.run(20s);
     CHECK(Gateways.maxExcess() == 0);
   }
@@ -120,8 +124,8 @@
     INFO("seed " << Seed);
     Fleet Gateways(Seed);
     Gateways.run(20s);
-    for (std::uint32_t Known = 1; Known <= GatewayCount; ++Known) {
-      for (std::uint32_t I = 0; I < GatewayCount; ++I)
+    for (std::uint32_t Known = 1; Known <= FleetSize; ++Known) {
+      for (std::uint32_t I = 0; I < FleetSize; ++I)
         Gateways.know(I, Known);
       Gateways.run(300ms);
     }
@@ -139,9 +143,9 @@
     Gateways.run(20s, false);
     Gateways.run(3s);
     for (int Restart = 0; Restart < 3; ++Restart) {
-      for (std::uint32_t I = 0; I < GatewayCount; ++I) {
+      for (std::uint32_t I = 0; I < FleetSize; ++I) {
         Gateways.restart(I);
-        Gateways.know(I, GatewayCount);
+        Gateways.know(I, FleetSize);
       }
       Gateways.run(3s);
     }
