Gateway: a restarted gateway doesn't use its retry budget twice

Cause: a gateway forgets its counts when it restarts, and then has its whole share again, of the slack and, after a burst, of what requests had earned. The class: the memory of a limit ends with the process, while the window of the limit doesn't.

Change: in the first window after the start the budget counts as used by the process that ran before: requests earn nothing, and the slack grows from zero. The sum over any number of restarts in a window stays below twice a share of the slack, of which half is given.

--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -32,7 +32,7 @@
 class RetryBudgets {
 public:
   explicit RetryBudgets(const RetryShareOptions &Options)
-      : m_Options(Options) {}
+      : m_Options(Options), m_StartedAt(RuntimeClock::now()) {}
 
   // Count is the number of gateways that the voters list.
   void setGateways(std::uint32_t Count);
@@ -40,7 +40,10 @@
   RetryShareDecision takeRetry(const std::string &Service);
 
 private:
+  RetryBudgetShare &shareOf(const std::string &Service);
+
   const RetryShareOptions m_Options;
+  const TimePoint m_StartedAt;
   std::mutex m_Mutex;
   // The members below are guarded by m_Mutex.
   GatewayCount m_Gateways;
--- a/Source/Gateway/RetryBudgetShare.cpp
+++ b/Source/Gateway/RetryBudgetShare.cpp
@@ -24,6 +24,16 @@
   return Bucket;
 }
 
+// The part of the window in which this process counted, in [0, 1].
+double knownPart(const RetryBudgetShare &Share,
+                 const RetryShareOptions &Options, TimePoint Now) {
+  const Duration Uptime = Now - Share.m_StartedAt;
+  if (Uptime >= Options.m_Window)
+    return 1.0;
+  return std::chrono::duration<double>(Uptime) /
+         std::chrono::duration<double>(Options.m_Window);
+}
+
 } // namespace
 
 void recordRequest(RetryBudgetShare &Share, const RetryShareOptions &Options,
@@ -49,8 +59,11 @@
   }
   const double Slack =
       Gateways > 0 ? Options.m_Slack * Options.m_SlackShare / Gateways : 0.0;
+  const double Known = knownPart(Share, Options, Now);
+  const double Earned =
+      Known < 1.0 ? 0.0 : Options.m_Ratio * Decision.m_Requests;
   Decision.m_Gateways = Gateways;
-  Decision.m_MaxRetries = Options.m_Ratio * Decision.m_Requests + Slack;
+  Decision.m_MaxRetries = Earned + Slack * Known;
   Decision.m_IsAllowed = Decision.m_Retries + 1 <= Decision.m_MaxRetries;
   if (Decision.m_IsAllowed)
     ++bucketOf(Share, Number).m_Retries;
--- a/Source/Gateway/RetryBudgetShare.h
+++ b/Source/Gateway/RetryBudgetShare.h
@@ -39,6 +39,9 @@
   // Ring buffer, indexed by bucket number. One bucket more than a window, as
   // the window covers the oldest one only partly.
   std::array<Bucket, BucketsPerWindow + 1> m_Buckets{};
+  // Start of the process. The budget of a window that begins before it may have
+  // been used by the process that ran before.
+  TimePoint m_StartedAt;
 
   bool operator==(const RetryBudgetShare &) const = default;
 };
@@ -61,7 +64,8 @@
                    TimePoint Now);
 
 // Counts one more retry if the budget allows it. Without a number of gateways
-// (0) there is no slack.
+// (0) there is no slack. In the first window after the start requests earn
+// nothing and the slack grows from zero.
 RetryShareDecision takeRetry(RetryBudgetShare &Share,
                              const RetryShareOptions &Options,
                              std::uint32_t Gateways, TimePoint Now);
--- a/Source/Gateway/RetryBudgets.cpp
+++ b/Source/Gateway/RetryBudgets.cpp
@@ -8,14 +8,21 @@
   recordListed(m_Gateways, Count, RuntimeClock::now());
 }
 
+RetryBudgetShare &RetryBudgets::shareOf(const std::string &Service) {
+  const auto [At, Inserted] = m_Shares.try_emplace(Service);
+  if (Inserted)
+    At->second.m_StartedAt = m_StartedAt;
+  return At->second;
+}
+
 void RetryBudgets::recordRequest(const std::string &Service) {
   const std::lock_guard Lock(m_Mutex);
-  mangocart::recordRequest(m_Shares[Service], m_Options, RuntimeClock::now());
+  mangocart::recordRequest(shareOf(Service), m_Options, RuntimeClock::now());
 }
 
 RetryShareDecision RetryBudgets::takeRetry(const std::string &Service) {
   const std::lock_guard Lock(m_Mutex);
-  return mangocart::takeRetry(m_Shares[Service], m_Options, m_Gateways.m_Number,
+  return mangocart::takeRetry(shareOf(Service), m_Options, m_Gateways.m_Number,
                               RuntimeClock::now());
 }
 
--- a/Tests/Gateway/testRetryBudgets.cpp
+++ b/Tests/Gateway/testRetryBudgets.cpp
@@ -24,6 +24,7 @@
 // All gateways of a service, with the budgets as the processes have them.
 class Fleet {
 public:
+  // Of gateways that have run for a window.
   explicit Fleet(std::uint64_t Seed) : m_Random(Seed) {
     RuntimeClock::pause();
     // Windows begin alike in all runs.
@@ -35,6 +36,7 @@
       restart(I);
       know(I, FleetSize);
     }
+    run(Options.m_Window, false);
   }
   ~Fleet() { RuntimeClock::resume(); }
   Fleet(const Fleet &) = delete;
