Gateway: retries that wait for a server count when they are sent

Cause: a retry was counted when the budget allowed it, and then waited up to the caller's deadline for a server. Those of two windows could be sent in one, for instance when a rank group opens again. Retries that were never sent used up the budget as well.

Change: the budget reserves a retry, which counts as long as it waits and in the window in which it is sent; one that is not sent is given back.

--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -37,7 +37,10 @@
   // Count is the number of gateways that the voters list.
   void setGateways(std::uint32_t Count);
   void recordRequest(const std::string &Service);
+  // As for RetryBudgetShare.
   RetryShareDecision takeRetry(const std::string &Service);
+  void recordRetrySent(const std::string &Service);
+  void dropRetry(const std::string &Service);
 
 private:
   RetryBudgetShare &shareOf(const std::string &Service);
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -281,7 +281,7 @@
     m_Context.m_Metrics.m_Resumed.add();
   ++m_State.m_AttemptCount;
   m_SentAt = RuntimeClock::now();
-  logRetrySent();
+  recordRetrySent();
   m_HeadReceived = false;
   m_DataForwarded = false;
   m_LastEvent.reset();
@@ -297,16 +297,18 @@
   monitorAttempt();
 }
 
-void ProxiedRequest::logRetrySent() {
+void ProxiedRequest::recordRetrySent() {
   const auto TakenAt = std::exchange(m_RetryTakenAt, std::nullopt);
-  if (TakenAt)
-    m_Context.m_Events.write(
-        Event::RetrySent,
-        {{"request", m_Request.m_Caller.m_RequestId},
-         {"service", m_Request.m_Service},
-         {"backend_server", m_Target->m_Name},
-         {"sent", m_State.m_AttemptCount},
-         {"waited_ms", wholeMilliseconds(m_SentAt - *TakenAt)}});
+  if (!TakenAt)
+    return;
+  m_Context.m_RetryBudgets.recordRetrySent(m_Request.m_Service);
+  m_Context.m_Events.write(
+      Event::RetrySent,
+      {{"request", m_Request.m_Caller.m_RequestId},
+       {"service", m_Request.m_Service},
+       {"backend_server", m_Target->m_Name},
+       {"sent", m_State.m_AttemptCount},
+       {"waited_ms", wholeMilliseconds(m_SentAt - *TakenAt)}});
 }
 
 void ProxiedRequest::monitorAttempt() {
@@ -703,6 +705,8 @@
     return;
   m_Finished = true;
   m_Context.m_CrashGuard.end(m_GuardNumber);
+  if (std::exchange(m_RetryTakenAt, std::nullopt))
+    m_Context.m_RetryBudgets.dropRetry(m_Request.m_Service);
   m_Timer.cancel();
   m_AttemptTimer.cancel();
   if (m_DispatchId)
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -57,7 +57,8 @@
   void startAttempt();
   void onDispatched(DispatchResult Result);
   void send();
-  void logRetrySent();
+  // Counts the attempt in the retry budget if it is a retry.
+  void recordRetrySent();
   DispatchRequest makeDispatchRequest() const;
   HttpCallHandlers makeHandlers();
 
@@ -136,8 +137,8 @@
   std::shared_ptr<HttpCall> m_HttpCall;
   std::optional<BackendTarget> m_Target;
   TimePoint m_SentAt;
-  // When the retry budget allowed the next attempt; empty if the next attempt
-  // isn't a retry.
+  // When the retry budget allowed the next attempt, until it is sent; empty if
+  // the next attempt isn't a retry.
   std::optional<TimePoint> m_RetryTakenAt;
   // Number of the request at the crash guard; 0 before it is watched.
   std::uint64_t m_GuardNumber = 0;
--- a/Source/Gateway/RetryBudgetShare.cpp
+++ b/Source/Gateway/RetryBudgetShare.cpp
@@ -2,6 +2,7 @@
 #include "Gateway/RetryBudgetShare.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace mangocart {
 
@@ -48,6 +49,7 @@
   const std::int64_t Oldest =
       Number - static_cast<std::int64_t>(RetryBudgetShare::BucketsPerWindow);
   RetryShareDecision Decision;
+  Decision.m_Retries = Share.m_Waiting;
   for (const RetryBudgetShare::Bucket &Bucket : Share.m_Buckets) {
     if (Bucket.m_Number < Oldest || Bucket.m_Number > Number)
       continue;
@@ -66,8 +68,19 @@
   Decision.m_MaxRetries = Earned + Slack * Known;
   Decision.m_IsAllowed = Decision.m_Retries + 1 <= Decision.m_MaxRetries;
   if (Decision.m_IsAllowed)
-    ++bucketOf(Share, Number).m_Retries;
+    ++Share.m_Waiting;
   return Decision;
 }
 
+void recordRetrySent(RetryBudgetShare &Share, const RetryShareOptions &Options,
+                     TimePoint Now) {
+  dropRetry(Share);
+  ++bucketOf(Share, bucketNumber(Options, Now)).m_Retries;
+}
+
+void dropRetry(RetryBudgetShare &Share) {
+  assert(Share.m_Waiting > 0);
+  --Share.m_Waiting;
+}
+
 } // namespace mangocart
--- a/Source/Gateway/RetryBudgetShare.h
+++ b/Source/Gateway/RetryBudgetShare.h
@@ -39,6 +39,8 @@
   // Ring buffer, indexed by bucket number. One bucket more than a window, as
   // the window covers the oldest one only partly.
   std::array<Bucket, BucketsPerWindow + 1> m_Buckets{};
+  // Retries that are allowed and not sent yet.
+  std::uint32_t m_Waiting = 0;
   // Start of the process. The budget of a window that begins before it may have
   // been used by the process that ran before.
   TimePoint m_StartedAt;
@@ -49,7 +51,8 @@
 // Whether a retry is allowed, and what this was decided on.
 struct RetryShareDecision {
   bool m_IsAllowed = false;
-  // Requests and earlier retries of this gateway within the window.
+  // Requests and earlier retries of this gateway within the window, and those
+  // retries that wait to be sent.
   std::uint32_t m_Requests = 0;
   std::uint32_t m_Retries = 0;
   double m_MaxRetries = 0.0;
@@ -63,13 +66,22 @@
 void recordRequest(RetryBudgetShare &Share, const RetryShareOptions &Options,
                    TimePoint Now);
 
-// Counts one more retry if the budget allows it. Without a number of gateways
+// Reserves one more retry if the budget allows it. Without a number of gateways
 // (0) there is no slack. In the first window after the start requests earn
-// nothing and the slack grows from zero.
+// nothing and the slack grows from zero. A retry may wait for a backend server
+// and counts from when it is sent: recordRetrySent() or dropRetry() must
+// follow.
 RetryShareDecision takeRetry(RetryBudgetShare &Share,
                              const RetryShareOptions &Options,
                              std::uint32_t Gateways, TimePoint Now);
 
+// A reserved retry was sent.
+void recordRetrySent(RetryBudgetShare &Share, const RetryShareOptions &Options,
+                     TimePoint Now);
+
+// A reserved retry won't be sent.
+void dropRetry(RetryBudgetShare &Share);
+
 } // namespace mangocart
 
 #endif
--- a/Source/Gateway/RetryBudgets.cpp
+++ b/Source/Gateway/RetryBudgets.cpp
@@ -26,4 +26,14 @@
                               RuntimeClock::now());
 }
 
+void RetryBudgets::recordRetrySent(const std::string &Service) {
+  const std::lock_guard Lock(m_Mutex);
+  mangocart::recordRetrySent(shareOf(Service), m_Options, RuntimeClock::now());
+}
+
+void RetryBudgets::dropRetry(const std::string &Service) {
+  const std::lock_guard Lock(m_Mutex);
+  mangocart::dropRetry(shareOf(Service));
+}
+
 } // namespace mangocart
--- a/Tests/Gateway/testRetryBudgets.cpp
+++ b/Tests/Gateway/testRetryBudgets.cpp
@@ -58,11 +58,21 @@
       RetryBudgets &At = *m_Gateways[uniform(m_Random, 0, FleetSize - 1)];
       At.recordRequest(Service);
       m_Requests.push_back(RuntimeClock::now());
-      if (Failing && At.takeRetry(Service).m_IsAllowed)
-        m_Retries.push_back(RuntimeClock::now());
+      if (!Failing || !At.takeRetry(Service).m_IsAllowed)
+        continue;
+      m_Waiting.push_back(&At);
+      if (!m_IsDown)
+        sendWaiting();
     }
   }
 
+  // No server takes a retry until then.
+  void setDown(bool IsDown) {
+    m_IsDown = IsDown;
+    if (!IsDown)
+      sendWaiting();
+  }
+
   std::size_t retries() const { return m_Retries.size(); }
 
   // The retries of any window beyond the allowed ones. The requests are those
@@ -91,7 +101,17 @@
     return static_cast<std::size_t>(End - Begin);
   }
 
+  void sendWaiting() {
+    for (RetryBudgets *At : std::exchange(m_Waiting, {})) {
+      At->recordRetrySent(Service);
+      m_Retries.push_back(RuntimeClock::now());
+    }
+  }
+
   Random m_Random;
+  bool m_IsDown = false;
+  // Where a retry waits for a server.
+  std::vector<RetryBudgets *> m_Waiting;
   std::vector<std::unique_ptr<RetryBudgets>> m_Gateways;
   // In order of time.
   std::vector<TimePoint> m_Requests;
@@ -156,6 +176,21 @@
   }
 }
 
+// Guards against retries that are allowed in several windows, wait for a server
+// and are sent in one.
+TEST_CASE("retries that wait for a server keep the common retry budget",
+          "[retry-budgets]") {
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    INFO("seed " << Seed);
+    Fleet Gateways(Seed);
+    Gateways.setDown(true);
+    Gateways.run(8s);
+    Gateways.setDown(false);
+    Gateways.run(20s);
+    CHECK(Gateways.maxExcess() == 0);
+  }
+}
+
 // The bounds above would hold without any retry.
 TEST_CASE("gateways use most of the common retry budget", "[retry-budgets]") {
   Fleet Gateways(1);
