Http: an answer belongs to a call only if it says so, or nothing else was asked

Cause: probes without a request ID used the connections of requests, and an answer without an ID counted as the answer to whatever was asked last. A second copy of an answer without an ID, such as a refusal of a probe, was then taken for the answer to the next request. The class: an answer is attributed by its place on a connection. An earlier refusal that names its request was read past before; no second attempt of a request goes to the server that it has tried, so that two attempts never share a connection.

Change: HttpClient decides it in one place. An answer is the call's, another call's, or of an unknown owner, which is accepted only on a connection that has carried nothing else; otherwise the call fails as one that may have run and the connection is closed. Calls whose answers name no call never share a connection with others, and gateways don't keep theirs.

Balancers still keep connections for reports and orders, whose answers name no call: open.

--- a/Source/Gateway/BackendClientOptions.cpp
+++ b/Source/Gateway/BackendClientOptions.cpp
@@ -25,6 +25,7 @@
   Options.m_ConnectTimeout = ConnectTimeout;
   Options.m_MaxIdle = MaxIdle;
   Options.m_TakesEndByClosing = true;
+  Options.m_KeepsUnnamed = false;
   return Options;
 }
 
--- a/Source/Gateway/CallerProtocol.h
+++ b/Source/Gateway/CallerProtocol.h
@@ -6,7 +6,7 @@
 
 #include "Core/Result.h"
 #include "Gateway/RoutingPlan.h"
-#include "Http/HttpMessage.h"
+#include "Http/HttpClient.h"
 #include "Routing/ServerNotices.h"
 
 #include <optional>
@@ -85,7 +85,7 @@
   // Returns a request that an engine answers immediately, even under load.
   virtual HttpRequest livenessProbe() const = 0;
   // Whether the response belongs to the request with this ID.
-  virtual bool matchesRequest(const HttpHead &Response,
+  virtual AnswerOwner ownerOf(const HttpHead &Response,
                               std::string_view RequestId) const = 0;
   // From is the address of the responding server, "IP:PORT".
   virtual ResponseKind classify(const HttpHead &Response,
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -339,10 +339,12 @@
 HttpCallHandlers ProxiedRequest::makeHandlers() {
   HttpCallHandlers Handlers;
   const auto Self = shared_from_this();
-  Handlers.m_Belongs = [Self](const HttpHead &Head) {
-    return Self->m_Context.m_Protocol.matchesRequest(
-        Head, Self->m_Request.m_Caller.m_RequestId);
-  };
+  // Answers to requests without an ID can't be told apart.
+  if (!m_Request.m_Caller.m_RequestId.empty())
+    Handlers.m_OwnerOf = [Self](const HttpHead &Head) {
+      return Self->m_Context.m_Protocol.ownerOf(
+          Head, Self->m_Request.m_Caller.m_RequestId);
+    };
   Handlers.m_OnHead = [Self](HttpHead Head) { Self->onHead(std::move(Head)); };
   Handlers.m_OnBody = [Self](std::string_view Chunk) { Self->onBody(Chunk); };
   Handlers.m_OnEnd = [Self] { Self->onEnd(); };
--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -25,20 +25,21 @@
 
   boost::asio::io_context &m_Worker;
   const HttpClientOptions m_Options;
-  // The connection used last comes first, so that a pool shrinks when it can.
-  std::map<HttpTarget, std::vector<std::shared_ptr<HttpClientConnection>>>
-      m_Kept;
+  // By target and by whether answers on it name their calls. The connection
+  // used last comes first, so that a pool shrinks when it can.
+  using PoolKey = std::pair<HttpTarget, bool>;
+  std::map<PoolKey, std::vector<std::shared_ptr<HttpClientConnection>>> m_Kept;
 };
 
 void HttpClient::State::keep(std::shared_ptr<HttpClientConnection> Connection) {
-  auto &Kept = m_Kept[Connection->target()];
+  auto &Kept = m_Kept[{Connection->target(), Connection->isNamed()}];
   if (Kept.size() >= MaxKeptPerTarget)
     return Connection->close();
   Kept.push_back(std::move(Connection));
 }
 
 void HttpClient::State::forget(HttpClientConnection &Connection) {
-  const auto Found = m_Kept.find(Connection.target());
+  const auto Found = m_Kept.find({Connection.target(), Connection.isNamed()});
   if (Found == m_Kept.end())
     return;
   std::erase_if(Found->second,
@@ -50,7 +51,7 @@
 void HttpClient::State::start(const HttpTarget &Target,
                               const std::shared_ptr<HttpClientCall> &Call) {
   const TimePoint Now = RuntimeClock::now();
-  const auto Found = m_Kept.find(Target);
+  const auto Found = m_Kept.find({Target, Call->isNamed()});
   while (Found != m_Kept.end() && !Found->second.empty()) {
     const auto Connection = std::move(Found->second.back());
     Found->second.pop_back();
@@ -59,7 +60,7 @@
     Connection->close();
   }
   std::make_shared<HttpClientConnection>(m_Worker, Target, m_Options,
-                                         weak_from_this())
+                                         weak_from_this(), Call->isNamed())
       ->connectFor(Call);
 }
 
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -31,20 +31,35 @@
   // connection ends, is whole when the server closes in good order. Refused
   // otherwise, as a server that dies may leave the same behind.
   bool m_TakesEndByClosing = false;
+  // Whether a connection is kept after a call whose answer names no call
+  // (HttpCallHandlers::m_OwnerOf is absent). A server that writes an answer
+  // twice then answers the next such call wrongly. Calls whose answers name
+  // their call never use these connections.
+  bool m_KeepsUnnamed = true;
 
   bool operator==(const HttpClientOptions &) const = default;
 };
 
+// Which call an answer belongs to.
+enum class AnswerOwner {
+  ThisCall,
+  OtherCall,
+  // The answer doesn't tell.
+  Unknown
+};
+
 // Handlers run on the call's worker. After m_OnEnd or m_OnError none is called.
 struct HttpCallHandlers {
   std::function<void(HttpHead)> m_OnHead;
   std::function<void(std::string_view)> m_OnBody;
   std::function<void()> m_OnEnd;
   std::function<void(HttpError)> m_OnError;
-  // Whether the answer is one to this call. Another one is read to its end and
-  // dropped, the next one is awaited, and the connection is not kept. Absent:
-  // every answer is.
-  std::function<bool(const HttpHead &)> m_Belongs;
+  // Tells the owner of an answer. One to another call is read to its end and
+  // dropped, the next one is awaited, and the connection is not kept. One of an
+  // unknown owner is taken on a connection that has carried no other call;
+  // otherwise the call fails and the connection is closed. Absent: answers name
+  // no call.
+  std::function<AnswerOwner(const HttpHead &)> m_OwnerOf;
 };
 
 class HttpCall {
--- a/Source/Http/HttpClientCall.cpp
+++ b/Source/Http/HttpClientCall.cpp
@@ -62,8 +62,14 @@
     m_Connection->resumeReading();
 }
 
-bool HttpClientCall::belongs(const HttpHead &Head) const {
-  return !m_Handlers.m_Belongs || m_Handlers.m_Belongs(Head);
+AnswerOwner HttpClientCall::ownerOf(const HttpHead &Head) const {
+  if (!m_Handlers.m_OwnerOf)
+    return AnswerOwner::ThisCall;
+  const AnswerOwner Owner = m_Handlers.m_OwnerOf(Head);
+  if (Owner == AnswerOwner::Unknown && m_Connection &&
+      !m_Connection->isReused())
+    return AnswerOwner::ThisCall;
+  return Owner;
 }
 
 bool HttpClientCall::takeHead(HttpHead Head) {
--- a/Source/Http/HttpClientConnection.cpp
+++ b/Source/Http/HttpClientConnection.cpp
@@ -28,9 +28,9 @@
 HttpClientConnection::HttpClientConnection(
     asio::io_context &Worker, HttpTarget Target,
     const HttpClientOptions &Options,
-    std::weak_ptr<HttpConnectionKeeper> Keeper)
+    std::weak_ptr<HttpConnectionKeeper> Keeper, bool Named)
     : m_Socket(Worker), m_Target(std::move(Target)), m_Options(Options),
-      m_Keeper(std::move(Keeper)), m_Timer(Worker) {}
+      m_Keeper(std::move(Keeper)), m_Named(Named), m_Timer(Worker) {}
 
 void HttpClientConnection::connectFor(std::shared_ptr<HttpClientCall> Call) {
   m_Call = std::move(Call);
@@ -104,6 +104,7 @@
     return FirstWrite::NothingTaken;
   if (m_Written > 0)
     m_Call->markSent();
+  ++m_Calls;
   m_Parser.emplace(*m_Call, m_Call->isHead(), m_Options.m_TakesEndByClosing);
   m_Paused = false;
   m_HeldBytes = 0;
@@ -239,7 +240,8 @@
   const auto Keeper = m_Keeper.lock();
   m_Paused = false;
   m_KeptFor = keepTime();
-  if (Keep && RequestWhole && Keeper && m_KeptFor > Duration::zero()) {
+  if (Keep && (m_Named || m_Options.m_KeepsUnnamed) && RequestWhole && Keeper &&
+      m_KeptFor > Duration::zero()) {
     read();
     m_KeptSince = RuntimeClock::now();
     m_Timer.expires_after(m_KeptFor);
--- a/Source/Http/HttpClientConnection.h
+++ b/Source/Http/HttpClientConnection.h
@@ -31,9 +31,13 @@
 public:
   HttpClientConnection(boost::asio::io_context &Worker, HttpTarget Target,
                        const HttpClientOptions &Options,
-                       std::weak_ptr<HttpConnectionKeeper> Keeper);
+                       std::weak_ptr<HttpConnectionKeeper> Keeper, bool Named);
 
   const HttpTarget &target() const { return m_Target; }
+  // Whether it carries calls whose answers name them.
+  bool isNamed() const { return m_Named; }
+  // Whether it has carried a call before the current one.
+  bool isReused() const { return m_Calls > 1; }
 
   // Connects, then writes the call's request.
   void connectFor(std::shared_ptr<HttpClientCall> Call);
@@ -69,6 +73,9 @@
   HttpTarget m_Target;
   const HttpClientOptions m_Options;
   std::weak_ptr<HttpConnectionKeeper> m_Keeper;
+  const bool m_Named;
+  // Calls that were written.
+  std::uint64_t m_Calls = 0;
   // Runs while a connection is made and while it is kept.
   Timer m_Timer;
   TimePoint m_KeptSince;
@@ -108,7 +115,7 @@
   void pauseReading() override;
   void resumeReading() override;
 
-  bool belongs(const HttpHead &Head) const override;
+  AnswerOwner ownerOf(const HttpHead &Head) const override;
   bool takeHead(HttpHead Head) override;
   bool takeBody(std::string_view Piece) override;
   void end();
@@ -116,6 +123,7 @@
 
   bool finished() const { return m_Finished; }
   bool isHead() const { return m_IsHead; }
+  bool isNamed() const { return m_Handlers.m_OwnerOf != nullptr; }
   const std::string &headText() const { return m_HeadText; }
   const std::string &body() const { return m_Body; }
   // Set once any byte of the request has been handed to the system.
--- a/Source/Http/HttpResponseParser.cpp
+++ b/Source/Http/HttpResponseParser.cpp
@@ -101,7 +101,14 @@
   }
   if (const auto KeepAlive = findHeader(m_Head.m_Headers, "Keep-Alive"))
     m_KeepSeconds = timeoutOf(*KeepAlive);
-  m_Foreign = !m_Sink.belongs(m_Head);
+  const AnswerOwner Owner = m_Sink.ownerOf(m_Head);
+  if (Owner == AnswerOwner::Unknown) {
+    m_Detail = "the answer names no request, and may be one to another request "
+               "on the connection";
+    Error = http::error::bad_value;
+    return;
+  }
+  m_Foreign = Owner == AnswerOwner::OtherCall;
   if (m_Foreign)
     return;
   m_Stopped = !m_Sink.takeHead(std::move(m_Head));
--- a/Source/Http/HttpResponseParser.h
+++ b/Source/Http/HttpResponseParser.h
@@ -3,7 +3,7 @@
 #ifndef MANGOCART_HTTP_HTTPRESPONSEPARSER_H
 #define MANGOCART_HTTP_HTTPRESPONSEPARSER_H
 
-#include "Http/HttpMessage.h"
+#include "Http/HttpClient.h"
 
 #include <boost/beast/http/basic_parser.hpp>
 
@@ -14,8 +14,8 @@
 class HttpResponseSink {
 public:
   virtual ~HttpResponseSink() = default;
-  // False: the answer isn't the one awaited, its pieces aren't handed over.
-  virtual bool belongs(const HttpHead &Head) const = 0;
+  // The pieces of an answer are handed over if it is one to this call.
+  virtual AnswerOwner ownerOf(const HttpHead &Head) const = 0;
   virtual bool takeHead(HttpHead Head) = 0;
   virtual bool takeBody(std::string_view Piece) = 0;
 };
--- a/Tests/Gateway/testBackendClientOptions.cpp
+++ b/Tests/Gateway/testBackendClientOptions.cpp
@@ -64,6 +64,7 @@
   postTask(Workers.worker(0).get_executor(), [&] {
     HttpCallHandlers Handlers;
     Handlers.m_OnHead = [](const HttpHead &) {};
+    Handlers.m_OwnerOf = [](const HttpHead &) { return AnswerOwner::ThisCall; };
     Handlers.m_OnBody = [](std::string_view) {};
     Handlers.m_OnEnd = [&] { Done.set_value(std::nullopt); };
     Handlers.m_OnError = [&](HttpError Error) {
--- a/Tests/Gateway/testCrashGuard.cpp
+++ b/Tests/Gateway/testCrashGuard.cpp
@@ -37,7 +37,7 @@
                    HttpRequest(const HttpRequest &, const ForwardedMetadata &),
                    override);
   MAKE_CONST_MOCK0(livenessProbe, HttpRequest(), override);
-  MAKE_CONST_MOCK2(matchesRequest, bool(const HttpHead &, std::string_view),
+  MAKE_CONST_MOCK2(ownerOf, AnswerOwner(const HttpHead &, std::string_view),
                    override);
   MAKE_CONST_MOCK2(classify, ResponseKind(const HttpHead &, std::string_view),
                    override);
--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -35,8 +35,9 @@
   ClientFixture(const ClientFixture &) = delete;
   ClientFixture &operator=(const ClientFixture &) = delete;
 
-  Outcome call(std::uint16_t Port, HttpRequest Request, Duration Deadline = 20s,
-               const std::function<bool(const HttpHead &)> &Belongs = {}) {
+  Outcome
+  call(std::uint16_t Port, HttpRequest Request, Duration Deadline = 20s,
+       const std::function<AnswerOwner(const HttpHead &)> &OwnerOf = {}) {
     std::promise<void> Done;
     Outcome Result;
     boost::asio::post(m_Workers.worker(0), [&] {
@@ -52,7 +53,7 @@
              Result.m_Error = std::move(Error);
              Done.set_value();
            },
-           Belongs});
+           OwnerOf});
     });
     Done.get_future().wait();
     return Result;
@@ -100,6 +101,63 @@
   std::thread m_Thread;
 };
 
+// Answers the requests of each connection with the texts given for it, one by
+// one, and closes it then. Connections are served at the same time.
+class ConversationServer {
+public:
+  explicit ConversationServer(std::vector<std::vector<std::string>> Answers)
+      : m_Acceptor(m_Context, {boost::asio::ip::make_address(TestAddress), 0}),
+        m_Port(m_Acceptor.local_endpoint().port()),
+        m_Thread([this, Texts = std::move(Answers)] {
+          std::vector<std::jthread> Conversations;
+          for (const std::vector<std::string> &Each : Texts)
+            Conversations.emplace_back(
+                [Socket = m_Acceptor.accept(), Each]() mutable {
+                  converse(Socket, Each);
+                });
+        }) {}
+  ~ConversationServer() { m_Thread.join(); }
+  ConversationServer(const ConversationServer &) = delete;
+  ConversationServer &operator=(const ConversationServer &) = delete;
+
+  std::uint16_t port() const { return m_Port; }
+
+private:
+  static void converse(boost::asio::ip::tcp::socket &Socket,
+                       const std::vector<std::string> &Answers) {
+    boost::system::error_code Ignored;
+    std::string Received;
+    for (const std::string &Answer : Answers) {
+      const std::size_t Head = boost::asio::read_until(
+          Socket, boost::asio::dynamic_buffer(Received), "\r\n\r\n", Ignored);
+      Received.erase(0, Head);
+      boost::asio::write(Socket, boost::asio::buffer(Answer), Ignored);
+    }
+  }
+
+  boost::asio::io_context m_Context;
+  boost::asio::ip::tcp::acceptor m_Acceptor;
+  std::uint16_t m_Port;
+  std::thread m_Thread;
+};
+
+// The owner by the header Id, which an answer may lack.
+std::function<AnswerOwner(const HttpHead &)> ownerById(std::string Id) {
+  return [Id = std::move(Id)](const HttpHead &Head) {
+    const auto Named = findHeader(Head.m_Headers, "Id");
+    if (!Named)
+      return AnswerOwner::Unknown;
+    return *Named == Id ? AnswerOwner::ThisCall : AnswerOwner::OtherCall;
+  };
+}
+
+std::string answerText(unsigned Status, const std::string &Id,
+                       const std::string &Body) {
+  return "HTTP/1.1 " + std::to_string(Status) + " X\r\n" +
+         (Id.empty() ? "" : "Id: " + Id + "\r\n") +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
 } // namespace
 
 TEST_CASE("a call gets its whole answer, again and again") {
@@ -305,9 +363,7 @@
   ScriptedServer Server({Foreign + Own});
   ClientFixture Client;
   const Outcome Result =
-      Client.call(Server.port(), {"GET", "/"}, 20s, [](const HttpHead &Head) {
-        return findHeader(Head.m_Headers, "Id") == "2";
-      });
+      Client.call(Server.port(), {"GET", "/"}, 20s, ownerById("2"));
   CHECK(Result.m_Ended);
   CHECK(Result.m_Body == "own");
 }
@@ -317,15 +373,69 @@
       {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nother"});
   ClientFixture Client;
   const Outcome Result =
-      Client.call(Server.port(), {"GET", "/"}, 20s, [](const HttpHead &Head) {
-        return findHeader(Head.m_Headers, "Id") == "2";
-      });
+      Client.call(Server.port(), {"GET", "/"}, 20s, ownerById("2"));
   CHECK_FALSE(Result.m_Ended);
   REQUIRE(Result.m_Error);
   CHECK(Result.m_Error->m_Code == HttpErrorCode::ConnectionLost);
   CHECK(Result.m_Body.empty());
 }
 
+// Guards against a refusal that a server writes once more, without the ID of a
+// request, and that is taken for the answer to the next request.
+TEST_CASE("an answer that names no request isn't one on a reused connection") {
+  ConversationServer Server(
+      {{answerText(200, "1", "one"),
+        answerText(503, "", "not run") + answerText(200, "2", "two")}});
+  ClientFixture Client;
+  const Outcome First =
+      Client.call(Server.port(), {"GET", "/"}, 20s, ownerById("1"));
+  REQUIRE(First.m_Body == "one");
+  const Outcome Second =
+      Client.call(Server.port(), {"GET", "/"}, 20s, ownerById("2"));
+  CHECK_FALSE(Second.m_Ended);
+  CHECK(Second.m_Body.empty());
+  REQUIRE(Second.m_Error);
+  CHECK(Second.m_Error->m_Code == HttpErrorCode::Malformed);
+  CHECK_FALSE(Second.m_Error->m_NothingSent);
+}
+
+TEST_CASE("an answer that names no request is taken on a new connection") {
+  ConversationServer Server({{answerText(503, "", "full")}});
+  ClientFixture Client;
+  const Outcome Result =
+      Client.call(Server.port(), {"GET", "/"}, 20s, ownerById("1"));
+  CHECK(Result.m_Ended);
+  CHECK(Result.m_Head.m_Status == 503);
+}
+
+// Guards against the second copy of the answer to a probe, which names no
+// request, on a connection that a request uses next.
+TEST_CASE("calls whose answers name them share no connection with others") {
+  ConversationServer Server(
+      {{answerText(200, "", "probe"), answerText(400, "", "probe")},
+       {answerText(200, "1", "one")}});
+  ClientFixture Client;
+  CHECK(Client.call(Server.port(), {"GET", "/"}).m_Body == "probe");
+  CHECK(Client.call(Server.port(), {"GET", "/"}, 20s, ownerById("1")).m_Body ==
+        "one");
+  CHECK(Client.call(Server.port(), {"GET", "/"}).m_Head.m_Status == 400);
+}
+
+TEST_CASE("a connection without named answers is kept only if asked for") {
+  for (const bool Keeps : {false, true}) {
+    INFO("keeps " << Keeps);
+    const std::string Answer = answerText(200, "", "x");
+    ConversationServer Server(
+        Keeps ? std::vector<std::vector<std::string>>{{Answer, Answer}}
+              : std::vector<std::vector<std::string>>{{Answer}, {Answer}});
+    HttpClientOptions Options;
+    Options.m_KeepsUnnamed = Keeps;
+    ClientFixture Client(Options);
+    CHECK(Client.call(Server.port(), {"GET", "/"}).m_Ended);
+    CHECK(Client.call(Server.port(), {"GET", "/"}).m_Ended);
+  }
+}
+
 // A server in trouble may send bytes without end that are no answer. Each text
 // stands for the beginning of such a stream; the call must end although its
 // deadline is far away and no byte is malformed by itself.
@@ -359,9 +469,7 @@
     ScriptedServer Server({Text});
     ClientFixture Client;
     const Outcome Result =
-        Client.call(Server.port(), {"GET", "/"}, 60s, [](const HttpHead &Head) {
-          return findHeader(Head.m_Headers, "Id") != "1";
-        });
+        Client.call(Server.port(), {"GET", "/"}, 60s, ownerById("2"));
     INFO(Text.substr(0, 60));
     CHECK_FALSE(Result.m_Ended);
     REQUIRE(Result.m_Error);
--- a/Tests/Platform/testPlatformCallerProtocol.cpp
+++ b/Tests/Platform/testPlatformCallerProtocol.cpp
@@ -213,10 +213,11 @@
 
 TEST_CASE("a response belongs to the request whose ID it contains") {
   const PlatformCallerProtocol P;
-  CHECK(P.matchesRequest({200, {{"X-Mangocart-Request-Id", "9c41"}}}, "9c41"));
-  CHECK_FALSE(
-      P.matchesRequest({200, {{"X-Mangocart-Request-Id", "77"}}}, "9c41"));
-  CHECK(P.matchesRequest({503, {}}, "9c41"));
+  CHECK(P.ownerOf({200, {{"X-Mangocart-Request-Id", "9c41"}}}, "9c41") ==
+        AnswerOwner::ThisCall);
+  CHECK(P.ownerOf({200, {{"X-Mangocart-Request-Id", "77"}}}, "9c41") ==
+        AnswerOwner::OtherCall);
+  CHECK(P.ownerOf({503, {}}, "9c41") == AnswerOwner::Unknown);
 }
 
 TEST_CASE("hop-by-hop headers are removed from a response") {
