platform: announcements with odd names or numbers are rejected

Cause: the name of a backend server comes from the path of a call, unchecked. One with a byte that isn't UTF-8 goes into the updates of voters, which protobuf then can't parse as a whole: each gateway closes the stream and opens it again, again and again. The class: a text from outside is checked neither where it enters nor where it is passed on. IDs of prompt parts, which gateways send each other in reports, have the same fault.

Change: names are up to 256 visible ASCII characters, IDs of parts up to 64; services, zones and groups have the same length limit, and slots above 32 bits are rejected instead of being cut off. Deep nesting, numbers that are too large and ports out of range were rejected before; tests show it now.

--- a/Tests/Platform/testPlatformCallerProtocol.cpp
+++ b/Tests/Platform/testPlatformCallerProtocol.cpp
@@ -71,7 +71,8 @@
 
 TEST_CASE("long lists and IDs of parts are bounded") {
   HttpRequest Request = request();
-  std::string Parts = std::string(65, 'a') + ":1,";
+  // Reports of crashes are parsed only if their texts are UTF-8.
+  std::string Parts = std::string(65, 'a') + ":1,\xff:1,";
   for (int I = 0; I < 100; ++I)
     Parts += std::to_string(I) + ":1,";
   Request.m_Headers = {{"X-Mangocart-Prompt-Prefix", Parts}};
--- a/Tests/Platform/testPlatformControlProtocol.cpp
+++ b/Tests/Platform/testPlatformControlProtocol.cpp
@@ -47,7 +47,26 @@
 }
 
 TEST_CASE("invalid announcements are rejected") {
-  const char *Bodies[] = {
+  const std::string Deep(100'000, '[');
+  const std::string Long(257, 'a');
+  const auto WithSlots = [](const std::string &Slots) {
+    return R"({"service":"llm","address":"10.1.0.9:8080","zone":"a","slots":)" +
+           Slots + R"(,"state":"ready","sequence":4})";
+  };
+  const auto WithAddress = [](const std::string &Address) {
+    return R"({"service":"llm","address":")" + Address +
+           R"(","zone":"a","slots":1,"state":"ready","sequence":4})";
+  };
+  const std::string Bodies[] = {
+      WithSlots("1,\"more\":" + Deep),
+      WithSlots("1e999"),
+      WithSlots("36893488147419103232"),
+      WithSlots("4294967296"),
+      WithAddress("10.1.0.9:65536"),
+      WithAddress("10.1.0.9:0"),
+      WithAddress("10.1.0.9:-1"),
+      R"({"service":")" + Long + R"(","address":"10.1.0.9:8080","zone":"a",)" +
+          R"("slots":1,"state":"ready","sequence":4})",
       "",
       "[]",
       "{\"service\":",
@@ -60,7 +79,7 @@
       R"({"service":"llm","address":"10.1.0.9:8080","zone":"a","slots":1,"state":"ready","sequence":4,"born":1.5})",
       R"({"service":7,"address":"10.1.0.9:8080","zone":"a","slots":1,"state":"ready","sequence":4})",
   };
-  for (const char *Body : Bodies) {
+  for (const std::string &Body : Bodies) {
     INFO(Body);
     CHECK(statusOf(read(call("PUT", "/instances/i-7", Body))) == 400);
   }
@@ -132,3 +151,17 @@
   CHECK(statusOf(read(call("POST", "/evacuations"))) == 404);
   CHECK(PlatformControlProtocol().unknownZone("none").m_Head.m_Status == 404);
 }
+
+// Guards against names that gateways can't parse in an update.
+TEST_CASE("names of backend servers are bounded and visible ASCII") {
+  const std::string Body =
+      R"({"service":"llm","address":"10.1.0.9:8080","zone":"a","slots":1,)"
+      R"("state":"ready","sequence":4})";
+  for (const std::string &Name :
+       {std::string("i-\xff"), std::string("i-\xc3\xa9"),
+        std::string(257, 'a')})
+    for (const char *Method : {"PUT", "DELETE"}) {
+      INFO(Method << " " << Name);
+      CHECK(statusOf(read(call(Method, "/instances/" + Name, Body))) == 400);
+    }
+}
