Gateway: a begun stream isn't completed by an answer without events

Cause: when a stream had broken off, any success of the next engine was taken for its continuation. One without content (204) ended the stream in good order. The text of a failure never reached a stream: failures are buffered, and end the attempt.

Change: a stream is continued only by a 200 whose content type, if there is one, is that of events; anything else ends the attempt like a failure.

--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -363,8 +363,8 @@
       *m_Target, m_Context.m_Protocol.readNotice(m_Head),
       Kind == ResponseKind::WrongServer ? std::optional<TimePoint>()
                                         : m_SentAt);
-  const bool Ran = Kind == ResponseKind::Ran;
-  m_ForwardingMode = responseIsStream() && Ran && isSuccess(m_Head.m_Status)
+  m_ForwardingMode = responseIsStream() && Kind == ResponseKind::Ran &&
+                             hasEvents(m_Head, m_ResponseStarted)
                          ? ForwardingMode::Events
                          : ForwardingMode::Buffered;
 }
--- a/Source/Gateway/ResponseBuffering.cpp
+++ b/Source/Gateway/ResponseBuffering.cpp
@@ -1,6 +1,8 @@
 // Limits by kind of response.
 #include "Gateway/ResponseBuffering.h"
 
+#include <boost/algorithm/string/predicate.hpp>
+
 namespace mangocart {
 
 bool endsWithConnection(const HttpHead &Head) {
@@ -12,6 +14,15 @@
          !findHeader(Head.m_Headers, "Transfer-Encoding");
 }
 
+bool hasEvents(const HttpHead &Head, bool IsStarted) {
+  constexpr unsigned StatusOk = 200;
+  if (Head.m_Status != StatusOk)
+    return false;
+  const auto Type = findHeader(Head.m_Headers, "Content-Type");
+  return !IsStarted || !Type ||
+         boost::algorithm::istarts_with(*Type, "text/event-stream");
+}
+
 BufferAction bufferAction(const BufferedResponse &Response,
                           std::size_t MaxBytes) {
   if (Response.m_IsSuccess && !Response.m_IsStarted)
--- a/Source/Gateway/ResponseBuffering.h
+++ b/Source/Gateway/ResponseBuffering.h
@@ -1,5 +1,5 @@
-// Decides how long a gateway buffers the body of a response. A server in
-// trouble may send bytes without end.
+// Decides how a gateway forwards the body of a response, and how long it
+// buffers it. A server in trouble may send bytes without end.
 #ifndef MANGOCART_GATEWAY_RESPONSEBUFFERING_H
 #define MANGOCART_GATEWAY_RESPONSEBUFFERING_H
 
@@ -33,6 +33,11 @@
 // its connection ends it.
 bool endsWithConnection(const HttpHead &Head);
 
+// Whether the body of a response on a route for streams consists of events. A
+// stream that an earlier attempt has begun is continued by nothing else:
+// IsStarted is as in BufferedResponse.
+bool hasEvents(const HttpHead &Head, bool IsStarted);
+
 BufferAction bufferAction(const BufferedResponse &Response,
                           std::size_t MaxBytes);
 
--- a/Tests/Gateway/testResponseBuffering.cpp
+++ b/Tests/Gateway/testResponseBuffering.cpp
@@ -23,6 +23,20 @@
 
 } // namespace
 
+// Guards against an answer without events that ends a stream as complete.
+TEST_CASE("a begun stream is continued by events only") {
+  const HttpHead Events{200, {{"Content-Type", "Text/Event-Stream; x=1"}}};
+  const HttpHead Page{200, {{"Content-Type", "text/html"}}};
+  for (const bool IsStarted : {false, true}) {
+    CHECK(hasEvents(Events, IsStarted));
+    CHECK(hasEvents({200, {}}, IsStarted));
+    CHECK_FALSE(hasEvents({204, {}}, IsStarted));
+    CHECK_FALSE(hasEvents({500, Events.m_Headers}, IsStarted));
+  }
+  CHECK(hasEvents(Page, false));
+  CHECK_FALSE(hasEvents(Page, true));
+}
+
 TEST_CASE("response buffering: a failure without end is abandoned") {
   CHECK(bufferAction({MaxBytes, false, false}, MaxBytes) ==
         BufferAction::Continue);
--- a/Tests/Gateways/EngineFleet.cpp
+++ b/Tests/Gateways/EngineFleet.cpp
@@ -26,6 +26,8 @@
 constexpr std::uint16_t EnginePort = 9000;
 constexpr milliseconds AnnounceInterval{1000};
 constexpr const char *RequestIdHeader = "X-Mangocart-Request-Id";
+// With the end of an event, as if it could be one.
+constexpr const char *FailureText = "the engine failed\n\n";
 constexpr const char *PartsHeader = "X-Mangocart-Prompt-Prefix";
 constexpr const char *ExpectedHeader = "X-Mangocart-Expect-Instance";
 
@@ -56,6 +58,8 @@
   Clock::time_point m_ColdUntil;
   unsigned m_Rank = 0;
   bool m_Rejects = false;
+  // Status of all answers; 0 while it works.
+  unsigned m_FailureStatus = 0;
   bool m_Frozen = false;
   bool m_Up = false;
   tcp::acceptor m_Acceptor;
@@ -138,6 +142,8 @@
     m_Fleet.recordArrival(m_Engine, m_Parts, m_Request.body());
     if (m_Engine.m_Rejects)
       return respond(503, "X-Mangocart-Not-Run: 1\r\n", "");
+    if (m_Engine.m_FailureStatus != 0)
+      return respond(m_Engine.m_FailureStatus, "", FailureText);
     m_State = State::Waiting;
     after(m_Fleet.m_Options.m_FirstToken, [this] { begin(); });
   }
@@ -458,6 +464,12 @@
   });
 }
 
+void EngineFleet::setFailing(unsigned Index, unsigned Status) {
+  asio::post(m_Context, [this, Index, Status] {
+    m_Engines[Index]->m_FailureStatus = Status;
+  });
+}
+
 void EngineFleet::setRejecting(unsigned Index, bool Rejects) {
   asio::post(m_Context,
              [this, Index, Rejects] { m_Engines[Index]->m_Rejects = Rejects; });
--- a/Tests/Gateways/EngineFleet.h
+++ b/Tests/Gateways/EngineFleet.h
@@ -85,6 +85,8 @@
   void setCold(unsigned Index, std::chrono::milliseconds For);
   // The engine rejects all requests as not run from now on, or stops doing so.
   void setRejecting(unsigned Index, bool Rejects);
+  // The engine answers all requests with this status and a text from now on.
+  void setFailing(unsigned Index, unsigned Status);
   // The engine's machine stands still: nothing is answered or announced, begun
   // answers stop. They go on when it wakes.
   void setFrozen(unsigned Index, bool Frozen);
--- /dev/null
+++ b/Tests/Gateways/testBrokenStreams.cpp
@@ -0,0 +1,53 @@
+// Streams that break off and go on at an engine that fails. Guards against the
+// text of a failure in the middle of a stream, and against streams that end as
+// complete after a part of their events.
+#include "Gateways/CallerLoad.h"
+#include "Gateways/EngineFleet.h"
+#include "Gateways/GatewayDeployment.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace mangocart;
+using namespace mangocart::test;
+using namespace std::chrono_literals;
+
+TEST_CASE("a stream that goes on at a failing engine ends as broken") {
+  const unsigned Status = GENERATE(204U, 404U, 500U, 503U);
+  INFO("status " << Status);
+  GatewayDeployment D(74, 1);
+  D.start();
+  FleetOptions Options;
+  Options.m_Network = D.engineNetwork();
+  Options.m_Voter = D.voter();
+  Options.m_Engines = 3;
+  EngineFleet Fleet(Options);
+  Fleet.start();
+  std::this_thread::sleep_for(1s);
+  CallerLoad Load({D.gateway(0)}, {{40.0, true, {}}}, 11);
+  Load.start();
+  std::this_thread::sleep_for(1s);
+  // From here on, streams at the first engine break and find no other one.
+  Fleet.setFailing(1, Status);
+  Fleet.setFailing(2, Status);
+  for (int Break = 0; Break < 2; ++Break) {
+    std::this_thread::sleep_for(200ms);
+    Fleet.endEngine(0);
+    std::this_thread::sleep_for(2s);
+  }
+  const auto &Records = Load.finish();
+  const auto Whole = std::find_if(Records.begin(), Records.end(), isWhole);
+  REQUIRE(Whole != Records.end());
+  std::size_t Broken = 0;
+  for (const CallRecord &Each : Records) {
+    if (Each.m_Status != 200)
+      continue;
+    CHECK(Whole->m_Body.starts_with(Each.m_Body));
+    if (!isWhole(Each)) {
+      CHECK_FALSE(Each.m_Ended);
+      ++Broken;
+    }
+  }
+  CHECK(Broken > 0);
+}
