Http, Daemon: a stopped process waits for requests that are still arriving

Cause: a drain ended when no request was in progress, which counted only requests that had been read whole, while connections with a request under way were kept open. It also ended while a slow caller was still taking an answer that was queued. The class: drained was decided on another state than the one that keeps connections open.

Change: HttpServer::pendingCount() has everything that a client may still send or wait for, and once zero stays zero: an open listener and idle connections count until both are closed. Gateways and entries drain by it; the bounds of a drain stay.

--- a/Source/Daemon/DrainController.h
+++ b/Source/Daemon/DrainController.h
@@ -13,6 +13,8 @@
 namespace mangocart {
 
 struct DrainActions {
+  // Work that has begun or that may still arrive. Must not be 0 before
+  // m_CloseListener has taken effect, and must stay 0 after that.
   std::function<std::size_t()> m_Outstanding;
   std::function<void()> m_AnnounceLeaving;
   std::function<void()> m_CloseListener;
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -223,7 +223,7 @@
 
 DrainActions EntryDaemon::drainActions() {
   DrainActions Actions;
-  Actions.m_Outstanding = [this] { return m_CallerServer.exchangeCount(); };
+  Actions.m_Outstanding = [this] { return m_CallerServer.pendingCount(); };
   Actions.m_AnnounceLeaving = [this] {
     m_Events.write(Event::ProcessStopping,
                    {{"outstanding", m_CallerServer.exchangeCount()}});
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -253,7 +253,7 @@
 
 DrainActions GatewayDaemon::drainActions() {
   DrainActions Actions;
-  Actions.m_Outstanding = [this] { return m_CallerServer.exchangeCount(); };
+  Actions.m_Outstanding = [this] { return m_CallerServer.pendingCount(); };
   Actions.m_AnnounceLeaving = [this] {
     m_Events.write(Event::ProcessStopping,
                    {{"outstanding", m_CallerServer.exchangeCount()}});
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -40,8 +40,11 @@
       m_Shared(std::move(Shared)), m_Worker(Worker), m_Timer(Context) {}
 
 HttpConnection::~HttpConnection() {
-  if (!m_Closed)
-    --m_Shared->m_ConnectionCount;
+  if (m_Closed)
+    return;
+  if (m_Lingering)
+    --m_Shared->m_LingeringCount;
+  --m_Shared->m_ConnectionCount;
 }
 
 void HttpConnection::start() {
@@ -337,6 +340,7 @@
   if (Error)
     return close();
   m_Lingering = true;
+  ++m_Shared->m_LingeringCount;
   m_Pending.clear();
   setReadDeadline(LingerTimeout);
   read();
@@ -348,6 +352,8 @@
   const auto Self = shared_from_this();
   m_Closed = true;
   m_Shared->m_Open[m_Worker].erase(this);
+  if (m_Lingering)
+    --m_Shared->m_LingeringCount;
   --m_Shared->m_ConnectionCount;
   error_code Ignored;
   m_Socket.close(Ignored);
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -29,6 +29,11 @@
   HttpServer::Handler m_OnRequest;
   std::atomic<std::size_t> m_ConnectionCount{0};
   std::atomic<std::size_t> m_ExchangeCount{0};
+  // Connections whose last answer is sent and that read no more.
+  std::atomic<std::size_t> m_LingeringCount{0};
+  // The acceptor and the workers that may still take a new connection or keep
+  // an idle one open.
+  std::atomic<std::size_t> m_OpenParts{0};
   std::atomic<bool> m_Closing{false};
   // By worker.
   std::vector<std::unordered_set<HttpConnection *>> m_Open;
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <mutex>
 
 namespace mangocart {
@@ -69,6 +70,7 @@
   if (Error)
     return Fail("");
   m_Port = m_Acceptor.local_endpoint(Error).port();
+  m_Shared->m_OpenParts = 1 + m_Workers.size();
   return success();
 }
 
@@ -147,12 +149,16 @@
     error_code Ignored;
     Kept->m_Acceptor.close(Ignored);
     Kept->m_RetryTimer.cancel();
+    // A connection that was accepted before is counted by then.
+    asio::post(Kept->m_Workers.worker(0),
+               [Kept] { --Kept->m_Shared->m_OpenParts; });
   });
   for (std::size_t I = 0; I < m_State->m_Workers.size(); ++I)
     asio::post(m_State->m_Workers.worker(I), [Shared = m_State->m_Shared, I] {
       const auto Open = Shared->m_Open[I];
       for (HttpConnection *Connection : Open)
         Connection->closeWhenIdle();
+      --Shared->m_OpenParts;
     });
 }
 
@@ -166,4 +172,13 @@
   return m_State->m_Shared->m_ExchangeCount;
 }
 
+std::size_t HttpServer::pendingCount() const {
+  const HttpServerShared &Shared = *m_State->m_Shared;
+  // In this order: a part that has closed has counted its connections before.
+  const std::size_t OpenParts = Shared.m_OpenParts;
+  const std::size_t Lingering = Shared.m_LingeringCount;
+  const std::size_t Connections = Shared.m_ConnectionCount;
+  return OpenParts + Connections - std::min(Connections, Lingering);
+}
+
 } // namespace mangocart
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -108,6 +108,11 @@
   std::size_t connectionCount() const;
   // Requests that were handed to the handler and aren't answered yet.
   std::size_t exchangeCount() const;
+  // What a client may still send or wait for: connections on which a request is
+  // arriving or in progress, or an answer isn't sent whole. Until
+  // closeListener() has taken effect, all connections and the listener count.
+  // Once it is zero after that, it stays zero.
+  std::size_t pendingCount() const;
 
 private:
   struct State;
--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -416,6 +416,33 @@
   CHECK_THROWS(RawSocket(Server.port()));
 }
 
+// Guards against a process that ends while a request is still arriving, or
+// while a slow client takes an answer.
+TEST_CASE("a server is pending until nothing arrives or waits to be sent") {
+  constexpr std::size_t AnswerBytes = 32UL * 1024 * 1024;
+  ServerFixture Server([](const std::shared_ptr<HttpExchange> &Exchange) {
+    Exchange->respond({{200, {}}, std::string(AnswerBytes, 'x')});
+  });
+  HttpServer &Pending = Server.server();
+  CHECK(Pending.pendingCount() > 0);
+  RawSocket Idle(Server.port());
+  RawSocket Arriving(Server.port());
+  const std::string_view Whole = GetRequest;
+  const std::size_t Half = Whole.size() / 2;
+  Arriving.write(Whole.substr(0, Half));
+  REQUIRE(waitUntil([&] { return Pending.connectionCount() == 2; }));
+  Pending.closeListener();
+  CHECK(Idle.readToEnd().empty());
+  REQUIRE(waitUntil([&] { return Pending.pendingCount() == 1; }));
+  Arriving.write(Whole.substr(Half));
+  // Most of the answer waits for the client.
+  REQUIRE(waitUntil([&] { return Pending.exchangeCount() == 0; }));
+  std::this_thread::sleep_for(100ms);
+  CHECK(Pending.pendingCount() == 1);
+  CHECK(Arriving.readToEnd().size() > AnswerBytes);
+  CHECK(waitUntil([&] { return Pending.pendingCount() == 0; }));
+}
+
 TEST_CASE("an answer on its way when the listener closes arrives whole") {
   constexpr std::size_t AnswerBytes = 32UL * 1024 * 1024;
   HeldExchanges Held;
