--- a/Tests/Platform/testPlatformConfiguration.cpp
+++ b/Tests/Platform/testPlatformConfiguration.cpp
@@ -129,6 +129,19 @@
   }
 }
 
+// Guards against routes that no request is matched to: hosts of requests are
+// compared in lower case.
+TEST_CASE("hosts of routes compare without regard to case") {
+  const std::string Host = R"("host":"farm.example","path_prefix":"/rows/")";
+  const std::string Mixed = R"("host":"Farm.EXAMPLE","path_prefix":"/rows/")";
+  const auto Read = readConfiguration(with(Host, Mixed));
+  REQUIRE(Read);
+  CHECK(Read.value().m_Routes[0].m_Host == "farm.example");
+  // The second route gets the same prefix.
+  const std::string Twice = R"("host":"Farm.EXAMPLE","path_prefix":"/book/")";
+  CHECK_FALSE(readConfiguration(with(Host, Twice)));
+}
+
 TEST_CASE("an unknown kind is treated as non-idempotent") {
   const auto Read = readConfiguration(with("\"stream\"", "\"something_new\""));
   CHECK(Read.value().m_Routes[0].m_Kind == RouteKind::NonIdempotent);
