--- a/Tests/Platform/testPlatformCallerProtocol.cpp
+++ b/Tests/Platform/testPlatformCallerProtocol.cpp
@@ -92,6 +92,18 @@
   CHECK(Read.m_MaxOutputTokens == 0);
 }
 
+// Guards against a time that overflows the clock.
+TEST_CASE("the time that a caller waits is bounded") {
+  HttpRequest Request = request();
+  const auto TimeLeft = [&](const char *Ms) {
+    Request.m_Headers = {{"X-Mangocart-Deadline-Ms", Ms}};
+    return PlatformCallerProtocol().read(Request).m_TimeLeft;
+  };
+  CHECK(TimeLeft("8001") == 8001ms);
+  CHECK(TimeLeft("9223372036854775808") == 24h);
+  CHECK(TimeLeft("18446744073709551615") == 24h);
+}
+
 TEST_CASE("a request is forwarded unchanged except for the gateway's headers") {
   ForwardedMetadata Metadata;
   Metadata.m_BackendServer = "i-7";
