--- a/Source/Gateway/CallerProtocol.h
+++ b/Source/Gateway/CallerProtocol.h
@@ -6,7 +6,7 @@
 
 #include "Core/Result.h"
 #include "Gateway/RoutingPlan.h"
-#include "Http/HttpClient.h"
+#include "Http/HttpMessage.h"
 #include "Routing/ServerNotices.h"
 
 #include <optional>
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -40,14 +40,6 @@
   bool operator==(const HttpClientOptions &) const = default;
 };
 
-// Which call an answer belongs to.
-enum class AnswerOwner {
-  ThisCall,
-  OtherCall,
-  // The answer doesn't tell.
-  Unknown
-};
-
 // Handlers run on the call's worker. After m_OnEnd or m_OnError none is called.
 struct HttpCallHandlers {
   std::function<void(HttpHead)> m_OnHead;
--- a/Source/Http/HttpMessage.h
+++ b/Source/Http/HttpMessage.h
@@ -46,6 +46,14 @@
   bool operator==(const HttpResponse &) const = default;
 };
 
+// Which call an answer belongs to.
+enum class AnswerOwner {
+  ThisCall,
+  OtherCall,
+  // The answer doesn't tell.
+  Unknown
+};
+
 } // namespace mangocart
 
 #endif
--- a/Source/Http/HttpResponseParser.h
+++ b/Source/Http/HttpResponseParser.h
@@ -3,7 +3,7 @@
 #ifndef MANGOCART_HTTP_HTTPRESPONSEPARSER_H
 #define MANGOCART_HTTP_HTTPRESPONSEPARSER_H
 
-#include "Http/HttpClient.h"
+#include "Http/HttpMessage.h"
 
 #include <boost/beast/http/basic_parser.hpp>
 
