Http: a request that arrives as the listener closes is answered

Callers saw their connection closed although the process had read the first bytes of their request.

Cause: a connection counted as idle while the handler of bytes that had been read waited to run: nothing was left to read on the socket and nothing parsed yet. A connection that was accepted as the listener closed, and started after that, stayed open until its read timeout.

Change: whether a connection is idle is looked at after the handlers that are queued; one that starts after the listener has closed looks as well.

--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -57,6 +57,8 @@
   m_Parser.emplace(m_Shared->m_Limits[m_Worker]);
   setReadDeadline(m_Shared->m_Limits[m_Worker].m_ReadTimeout);
   read();
+  if (m_Shared->m_Closing)
+    closeWhenIdle();
 }
 
 void HttpConnection::startRefused(const HttpRefusal &Refusal) {
@@ -69,6 +71,10 @@
 }
 
 void HttpConnection::closeWhenIdle() {
+  asio::post(m_Context, [Self = shared_from_this()] { Self->closeIfIdle(); });
+}
+
+void HttpConnection::closeIfIdle() {
   if (m_InExchange || m_Closed || m_CloseAfterWrite)
     return;
   if (queuedBytes() > 0) {
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -52,7 +52,8 @@
   void start();
   // Answers with an error before any request has been read, then closes.
   void startRefused(const HttpRefusal &Refusal);
-  // Closes now if no request is in progress, else after its answer.
+  // Closes once bytes that were read before are handled if no request is in
+  // progress or arriving then, else after its answer.
   void closeWhenIdle();
 
   boost::asio::io_context &context() { return m_Context; }
@@ -72,6 +73,7 @@
 private:
   static constexpr std::size_t ReadAreaBytes = std::size_t{8} * 1024;
 
+  void closeIfIdle();
   void read();
   void onRead(std::size_t Bytes);
   void onPeerGone();
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -154,12 +154,14 @@
                [Kept] { --Kept->m_Shared->m_OpenParts; });
   });
   for (std::size_t I = 0; I < m_State->m_Workers.size(); ++I)
-    asio::post(m_State->m_Workers.worker(I), [Shared = m_State->m_Shared, I] {
-      const auto Open = Shared->m_Open[I];
-      for (HttpConnection *Connection : Open)
-        Connection->closeWhenIdle();
-      --Shared->m_OpenParts;
-    });
+    asio::post(m_State->m_Workers.worker(I),
+               [Shared = m_State->m_Shared, I,
+                &Context = m_State->m_Workers.worker(I)] {
+                 const auto Open = Shared->m_Open[I];
+                 for (HttpConnection *Connection : Open)
+                   Connection->closeWhenIdle();
+                 asio::post(Context, [Shared] { --Shared->m_OpenParts; });
+               });
 }
 
 std::uint16_t HttpServer::port() const { return m_State->m_Port; }
--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -443,6 +443,24 @@
   CHECK(waitUntil([&] { return Pending.pendingCount() == 0; }));
 }
 
+// Guards against a connection that is closed although the first bytes of its
+// request were read, as their handler had not run.
+TEST_CASE("a request that arrives as the listener closes is answered") {
+  const std::string_view Whole = GetRequest;
+  const std::size_t Half = Whole.size() / 2;
+  for (int Run = 0; Run < 200; ++Run) {
+    INFO("run " << Run);
+    ServerFixture Server(echo);
+    RawSocket Arriving(Server.port());
+    Arriving.write(Whole.substr(0, Half));
+    REQUIRE(waitUntil([&] { return Server.server().connectionCount() == 1; }));
+    Server.server().closeListener();
+    std::this_thread::sleep_for(1ms);
+    Arriving.write(Whole.substr(Half));
+    CHECK_THAT(Arriving.readToEnd(), Catch::StartsWith("HTTP/1.1 200"));
+  }
+}
+
 TEST_CASE("an answer on its way when the listener closes arrives whole") {
   constexpr std::size_t AnswerBytes = 32UL * 1024 * 1024;
   HeldExchanges Held;
