--- a/Source/Gateway/CallerProtocol.h
+++ b/Source/Gateway/CallerProtocol.h
@@ -84,7 +84,7 @@
                               const ForwardedMetadata &Metadata) const = 0;
   // Returns a request that an engine answers immediately, even under load.
   virtual HttpRequest livenessProbe() const = 0;
-  // Whether the response belongs to the request with this ID.
+  // Whether the response is one to the request with this ID.
   virtual AnswerOwner ownerOf(const HttpHead &Response,
                               std::string_view RequestId) const = 0;
   // From is the address of the responding server, "IP:PORT".
