--- a/Tests/Gateways/testOddAnnouncements.cpp
+++ b/Tests/Gateways/testInvalidAnnouncements.cpp
@@ -25,12 +25,12 @@
                      Address, Zone, Slots, More);
 }
 
-struct OddAnnouncement {
+struct InvalidAnnouncement {
   std::string m_Name;
   std::string m_Body;
 };
 
-std::vector<OddAnnouncement> oddAnnouncements() {
+std::vector<InvalidAnnouncement> invalidAnnouncements() {
   const std::string At = "10.1.0.9:8080";
   const std::string Deep(100'000, '[');
   const std::string Closed = Deep + std::string(100'000, ']');
@@ -59,7 +59,7 @@
   EngineFleet Fleet(Options);
   Fleet.start();
   std::this_thread::sleep_for(1s);
-  for (const OddAnnouncement &Each : oddAnnouncements()) {
+  for (const InvalidAnnouncement &Each : invalidAnnouncements()) {
     INFO(Each.m_Name.substr(0, 20));
     CHECK(call(D.voter(), {"PUT",
                            "/instances/" + Each.m_Name,
