Tests: one function for the options of a deployment's engines

Cause: tests of gateways repeated how engines find the deployment's voter and network, three of them new (read-through of the change).

Change: fleetOptionsFor() in place of seven copies; two tests that start from options of their own keep theirs.

--- a/Tests/Gateways/EngineFleet.cpp
+++ b/Tests/Gateways/EngineFleet.cpp
@@ -1,6 +1,8 @@
 // Sessions, announcements, crashes and the rank group of the engines.
 #include "Gateways/EngineFleet.h"
 
+#include "Gateways/GatewayDeployment.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -278,6 +280,13 @@
   bool m_Closed = false;
 };
 
+FleetOptions fleetOptionsFor(const GatewayDeployment &Deployment) {
+  FleetOptions Options;
+  Options.m_Network = Deployment.engineNetwork();
+  Options.m_Voter = Deployment.voter();
+  return Options;
+}
+
 EngineFleet::EngineFleet(FleetOptions Options)
     : m_Options(std::move(Options)), m_Client(m_Context),
       m_AnnounceTimer(m_Context) {
--- a/Tests/Gateways/EngineFleet.h
+++ b/Tests/Gateways/EngineFleet.h
@@ -23,6 +23,8 @@
 
 namespace mangocart::test {
 
+class GatewayDeployment;
+
 using Clock = std::chrono::steady_clock;
 
 struct FleetOptions {
@@ -47,6 +49,9 @@
   std::chrono::milliseconds m_Form{200};
 };
 
+// Options of engines that announce themselves to the deployment's voter.
+FleetOptions fleetOptionsFor(const GatewayDeployment &Deployment);
+
 // A request that an engine has received.
 struct Arrival {
   Clock::time_point m_At;
--- a/Tests/Gateways/testBrokenStreams.cpp
+++ b/Tests/Gateways/testBrokenStreams.cpp
@@ -18,9 +18,7 @@
   INFO("status " << Status);
   GatewayDeployment D(74, 1);
   D.start();
-  FleetOptions Options;
-  Options.m_Network = D.engineNetwork();
-  Options.m_Voter = D.voter();
+  FleetOptions Options = fleetOptionsFor(D);
   Options.m_Engines = 3;
   EngineFleet Fleet(Options);
   Fleet.start();
--- a/Tests/Gateways/testColdServers.cpp
+++ b/Tests/Gateways/testColdServers.cpp
@@ -46,9 +46,7 @@
   explicit ColdPlay(int Octet) : m_Gateways(Octet, 4) {
     m_Gateways.setColdRate(Rate);
     m_Gateways.start();
-    FleetOptions Options;
-    Options.m_Network = m_Gateways.engineNetwork();
-    Options.m_Voter = m_Gateways.voter();
+    FleetOptions Options = fleetOptionsFor(m_Gateways);
     Options.m_Engines = Engines;
     Options.m_Events = 5;
     m_Fleet = std::make_unique<EngineFleet>(Options);
--- a/Tests/Gateways/testEvacuation.cpp
+++ b/Tests/Gateways/testEvacuation.cpp
@@ -46,9 +46,7 @@
           "process is restarted") {
   GatewayDeployment D(73, 1);
   D.start();
-  FleetOptions Options;
-  Options.m_Network = D.engineNetwork();
-  Options.m_Voter = D.voter();
+  FleetOptions Options = fleetOptionsFor(D);
   EngineFleet Fleet(Options);
   Fleet.start();
   for (unsigned Version = 2; Version <= VersionsPerSnapshot; ++Version)
--- a/Tests/Gateways/testGatewayStop.cpp
+++ b/Tests/Gateways/testGatewayStop.cpp
@@ -59,9 +59,7 @@
 TEST_CASE("a stopped gateway answers requests that are still arriving") {
   GatewayDeployment D(75, 1);
   D.start();
-  FleetOptions Options;
-  Options.m_Network = D.engineNetwork();
-  Options.m_Voter = D.voter();
+  FleetOptions Options = fleetOptionsFor(D);
   EngineFleet Fleet(Options);
   Fleet.start();
   std::this_thread::sleep_for(1s);
--- a/Tests/Gateways/testInvalidAnnouncements.cpp
+++ b/Tests/Gateways/testInvalidAnnouncements.cpp
@@ -53,9 +53,7 @@
 TEST_CASE("gateways follow the voters although another program announces") {
   GatewayDeployment D(99, 1);
   D.start();
-  FleetOptions Options;
-  Options.m_Network = D.engineNetwork();
-  Options.m_Voter = D.voter();
+  FleetOptions Options = fleetOptionsFor(D);
   EngineFleet Fleet(Options);
   Fleet.start();
   std::this_thread::sleep_for(1s);
--- a/Tests/Gateways/testServerLimits.cpp
+++ b/Tests/Gateways/testServerLimits.cpp
@@ -66,9 +66,7 @@
   constexpr unsigned Limited = 4;
   GatewayDeployment Gateways(Octet, Played.m_Gateways);
   Gateways.start();
-  FleetOptions Options;
-  Options.m_Network = Gateways.engineNetwork();
-  Options.m_Voter = Gateways.voter();
+  FleetOptions Options = fleetOptionsFor(Gateways);
   EngineFleet Fleet(Options);
   Fleet.start();
   std::this_thread::sleep_for(1s);
--- a/Tests/Gateways/testServerNotices.cpp
+++ b/Tests/Gateways/testServerNotices.cpp
@@ -39,9 +39,7 @@
   explicit Played(int Octet, std::vector<CallerKind> Callers = callers())
       : m_Gateways(Octet, 1) {
     m_Gateways.start();
-    FleetOptions Options;
-    Options.m_Network = m_Gateways.engineNetwork();
-    Options.m_Voter = m_Gateways.voter();
+    FleetOptions Options = fleetOptionsFor(m_Gateways);
     m_Fleet = std::make_unique<EngineFleet>(Options);
     m_Fleet->start();
     std::this_thread::sleep_for(1s);
