Gateway: a stopped gateway cuts no request that it accepted late

Cause: a request that is still arriving when the listener closes is accepted whatever is left of the drain, and at the end of the drain the process ends with its exchanges open, though each request knows what became of it.

At the end of the drain HttpServer::endExchanges() lets every request in progress give its answer: 503 if it wasn't sent, 502 if it may have run; only a begun stream is cut off.

--- a/Source/Daemon/DrainController.cpp
+++ b/Source/Daemon/DrainController.cpp
@@ -64,6 +64,8 @@
 
 void DrainController::carryOut(const AbortOutstanding &Effect) {
   m_CutOff = Effect.m_Outstanding;
+  if (m_Actions.m_EndOutstanding)
+    m_Actions.m_EndOutstanding();
 }
 
 void DrainController::carryOut(const AnnounceLeft &) {
--- a/Source/Daemon/DrainController.h
+++ b/Source/Daemon/DrainController.h
@@ -18,6 +18,9 @@
   std::function<std::size_t()> m_Outstanding;
   std::function<void()> m_AnnounceLeaving;
   std::function<void()> m_CloseListener;
+  // Completes the work that is still in flight at the end of the drain. Without
+  // a function it is cut off by the exit.
+  std::function<void()> m_EndOutstanding;
   std::function<void()> m_AnnounceLeft;
   // The argument is the number of requests that were cut off.
   std::function<void(std::size_t)> m_Exit;
--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -67,6 +67,9 @@
   GatewayMetrics &m_Metrics;
   // Set while draining: callers are asked to close their connections.
   std::atomic<bool> &m_Draining;
+  // When requests that aren't answered by then are ended; the latest time while
+  // not draining.
+  std::atomic<TimePoint> &m_DrainEnd;
 };
 
 } // namespace mangocart
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -85,9 +85,12 @@
       m_CrashGuard(std::make_shared<CrashGuard>(
           m_Workers.worker(0), m_Clients, Protocol, m_Directory, m_Events,
           m_Metrics, m_Settings.name(), ownEndpoint(m_Settings))),
+      m_DrainLimits(
+          gatewayDrainLimits(milliseconds(m_Settings.drain_max_ms()))),
       m_Context{m_Settings,        m_Events,      Protocol,     m_Plans,
                 m_Directory,       m_Clients,     m_Dispatcher, m_RetryBudgets,
-                *m_AttemptMonitor, *m_CrashGuard, m_Metrics,    m_Draining},
+                *m_AttemptMonitor, *m_CrashGuard, m_Metrics,    m_Draining,
+                m_DrainEnd},
       m_Router(m_Context, RuntimeClock::wallMilliseconds()),
       m_CallerServer(m_Workers, callerLimits(m_Settings, {}),
                      [this](const std::shared_ptr<HttpExchange> &Exchange) {
@@ -135,9 +138,7 @@
       m_SettingsWatch(
           m_Workers.worker(0), m_SettingsFile,
           [this](const std::string &Text) { settingsChanged(Text); }),
-      m_Drain(m_Workers.worker(0),
-              gatewayDrainLimits(milliseconds(m_Settings.drain_max_ms())),
-              drainActions()),
+      m_Drain(m_Workers.worker(0), m_DrainLimits, drainActions()),
       m_MaintenanceTimer(m_Workers.worker(0)),
       m_DispatchTimer(m_Workers.worker(0)) {
   m_Registry.gaugeFrom(
@@ -257,9 +258,11 @@
   Actions.m_AnnounceLeaving = [this] {
     m_Events.write(Event::ProcessStopping,
                    {{"outstanding", m_CallerServer.exchangeCount()}});
+    m_DrainEnd = RuntimeClock::now() + m_DrainLimits.m_MaxDuration;
     m_Draining = true;
   };
   Actions.m_CloseListener = [this] { m_CallerServer.closeListener(); };
+  Actions.m_EndOutstanding = [this] { m_CallerServer.endExchanges(); };
   Actions.m_AnnounceLeft = [] {};
   Actions.m_Exit = [this](std::size_t CutOff) {
     m_Exit.open(CutOff == 0 ? ExitCode::Ok : ExitCode::Failed);
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -113,6 +113,10 @@
 void ProxiedRequest::begin() {
   m_Exchange->onClosed(
       [Self = shared_from_this()] { Self->onCallerDisconnected(); });
+  m_Exchange->onStopping([Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->onStopping();
+  });
   m_Timer.expires_at(m_Deadline);
   m_Timer.async_wait([Weak = weak_from_this()](boost::system::error_code E) {
     const auto Self = Weak.lock();
@@ -507,7 +511,7 @@
     if (m_Splitter.pendingBytes() > 0)
       return onConnectionLost("the stream ended in the middle of an event");
     m_Context.m_CrashGuard.answered(m_GuardNumber);
-    reportResult(CallResult::Answered);
+    reportAnswered();
     startResponse();
     m_Exchange->finishStream();
     return finish("answered", m_Head.m_Status);
@@ -517,7 +521,7 @@
                       "the backend server responded with a failure status");
   if (isSuccess(m_Head.m_Status))
     m_Context.m_CrashGuard.answered(m_GuardNumber);
-  reportResult(CallResult::Answered);
+  reportAnswered();
   recordFirstByte();
   m_Exchange->respond({callerHead(), std::move(m_Body)});
   finish("answered", m_Head.m_Status);
@@ -569,6 +573,12 @@
   m_Context.m_Dispatcher.dispatchWaiting(m_Request.m_Service);
 }
 
+void ProxiedRequest::reportAnswered() {
+  m_Context.m_Dispatcher.recordAnswered(m_Request.m_Service,
+                                        RuntimeClock::now() - m_ArrivedAt);
+  reportResult(CallResult::Answered);
+}
+
 void ProxiedRequest::logAttemptEnd(AttemptResult Result,
                                    std::string_view Detail) const {
   m_Context.m_Events.write(
@@ -702,6 +712,20 @@
   finish("caller-gone", 0);
 }
 
+void ProxiedRequest::onStopping() {
+  if (m_Finished)
+    return;
+  if (m_Target) {
+    m_State.m_MayHaveRun = true;
+    logAttemptEnd(lostResult(), "the gateway stops");
+  }
+  if (m_HttpCall)
+    m_HttpCall->cancel();
+  m_HttpCall.reset();
+  reportResult(CallResult::Cancelled);
+  fail("stopping", Duration::zero());
+}
+
 void ProxiedRequest::finish(std::string_view Outcome, unsigned Status) {
   if (m_Finished)
     return;
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -80,6 +80,8 @@
   AttemptResult lostResult() const;
   void onDeadline();
   void onCallerDisconnected();
+  // The drain of the gateway has ended: answers with what is known.
+  void onStopping();
   // Cancels the attempt and tries another backend server if the request may be
   // retried; otherwise keeps waiting for the response.
   void failOver(std::string_view Detail);
@@ -103,6 +105,8 @@
   void logAttemptEnd(AttemptResult Result, std::string_view Detail) const;
   // Reports the end of the attempt to the directory.
   void reportResult(CallResult Result);
+  // The same for an attempt whose answer was received whole.
+  void reportAnswered();
   void finish(std::string_view Outcome, unsigned Status);
   void fail(std::string_view Reason,
             std::optional<Duration> RetryAfter = std::nullopt);
--- a/Source/Gateway/RequestRouter.cpp
+++ b/Source/Gateway/RequestRouter.cpp
@@ -6,6 +6,8 @@
 #include "Gateway/PlanHolder.h"
 #include "Gateway/ProxiedRequest.h"
 
+#include <algorithm>
+
 namespace mangocart {
 
 namespace {
@@ -15,6 +17,8 @@
 constexpr unsigned StatusUnavailable = 503;
 // The first configuration is received as soon as a voter is connected.
 constexpr Duration RetryAfterNoPlan = std::chrono::milliseconds(500);
+// Other gateways accept the request at once.
+constexpr Duration RetryAfterStopping = Duration::zero();
 
 } // namespace
 
@@ -31,6 +35,17 @@
   return Route.m_Services.back().m_Service;
 }
 
+bool RequestRouter::isAnsweredBeforeDrainEnd(
+    const std::string &Service, const RouteConfig &Route,
+    const CallerRequest &Caller) const {
+  if (!m_Context.m_Draining)
+    return true;
+  return isAnsweredBefore(
+      m_Context.m_DrainEnd, RuntimeClock::now(),
+      std::min(Caller.m_TimeLeft.value_or(Route.m_Timeout), Route.m_Timeout),
+      m_Context.m_Dispatcher.longestAnswer(Service));
+}
+
 void RequestRouter::reject(HttpExchange &Exchange, const CallerRequest &Caller,
                            unsigned Status, std::string_view Reason,
                            std::optional<Duration> RetryAfter,
@@ -43,8 +58,11 @@
                             {"host", Caller.m_Host},
                             {"path", Caller.m_Path},
                             {"configuration", PlanVersion}});
-  Exchange.respond(m_Context.m_Protocol.makeResponse(
-      Status, Reason, Caller.m_RequestId, RetryAfter));
+  HttpResponse Response = m_Context.m_Protocol.makeResponse(
+      Status, Reason, Caller.m_RequestId, RetryAfter);
+  if (m_Context.m_Draining)
+    Response.m_Head.m_Headers.push_back({"Connection", "close"});
+  Exchange.respond(std::move(Response));
 }
 
 void RequestRouter::handle(const std::shared_ptr<HttpExchange> &Exchange) {
@@ -66,11 +84,15 @@
   if (NeedsKey && !Customer)
     return reject(*Exchange, Caller, StatusUnauthorized, "unknown-key",
                   std::nullopt, Version);
+  const std::string Service = chooseService(*Route);
+  if (!isAnsweredBeforeDrainEnd(Service, *Route, Caller))
+    return reject(*Exchange, Caller, StatusUnavailable, "stopping",
+                  RetryAfterStopping, Version);
   ResolvedRequest Call;
   Call.m_Plan = Plan;
   Call.m_Route = Route;
   Call.m_Customer = NeedsKey ? Customer : nullptr;
-  Call.m_Service = chooseService(*Route);
+  Call.m_Service = Service;
   Call.m_Caller = std::move(Caller);
   ProxiedRequest::start(m_Context, Exchange, std::move(Call));
 }
--- a/Source/Gateway/RequestRouter.h
+++ b/Source/Gateway/RequestRouter.h
@@ -10,6 +10,8 @@
 
 namespace mangocart {
 
+struct RouteConfig;
+
 // A single instance serves all worker threads.
 class RequestRouter {
 public:
@@ -20,6 +22,10 @@
 
 private:
   std::string chooseService(const RouteConfig &Route);
+  // False if the gateway stops before the request is expected to be answered.
+  bool isAnsweredBeforeDrainEnd(const std::string &Service,
+                                const RouteConfig &Route,
+                                const CallerRequest &Caller) const;
   void reject(HttpExchange &Exchange, const CallerRequest &Caller,
               unsigned Status, std::string_view Reason,
               std::optional<Duration> RetryAfter, std::uint64_t PlanVersion);
--- a/Source/Gateway/ServiceDispatcher.cpp
+++ b/Source/Gateway/ServiceDispatcher.cpp
@@ -186,6 +186,20 @@
   return mangocart::expectedFirstByte(entryOf(Service, Now).m_Queue, Now);
 }
 
+void ServiceDispatcher::recordAnswered(const std::string &Service,
+                                       Duration Observed) {
+  const TimePoint Now = RuntimeClock::now();
+  const std::lock_guard Lock(m_Mutex);
+  recordAnswerTime(entryOf(Service, Now).m_AnswerTimes, Observed, Now);
+}
+
+std::optional<Duration>
+ServiceDispatcher::longestAnswer(const std::string &Service) {
+  const TimePoint Now = RuntimeClock::now();
+  const std::lock_guard Lock(m_Mutex);
+  return longestAnswerTime(entryOf(Service, Now).m_AnswerTimes, Now);
+}
+
 void ServiceDispatcher::dispatchWaiting() {
   const TimePoint Now = RuntimeClock::now();
   const std::lock_guard Lock(m_Mutex);
--- a/Source/Gateway/ServiceDispatcher.h
+++ b/Source/Gateway/ServiceDispatcher.h
@@ -4,6 +4,7 @@
 #define MANGOCART_GATEWAY_SERVICEDISPATCHER_H
 
 #include "Entry/BackendDirectory.h"
+#include "Gateway/GatewayDrain.h"
 #include "Gateway/ServiceQueue.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -76,6 +77,10 @@
   void recordFirstByte(const std::string &Service, Duration Observed);
   // Mean time from sending a call to the first byte of its response.
   Duration expectedFirstByte(const std::string &Service);
+  // Records the time from the arrival of a request to the end of its answer.
+  void recordAnswered(const std::string &Service, Duration Observed);
+  // The longest of these times lately; nothing without recent requests.
+  std::optional<Duration> longestAnswer(const std::string &Service);
   // Dispatches waiting calls and rejects expired ones; to be called when
   // capacity may have become free or time has passed.
   void dispatchWaiting();
@@ -89,6 +94,7 @@
   };
   struct ServiceEntry {
     ServiceQueue m_Queue;
+    AnswerTimes m_AnswerTimes;
     std::map<std::uint64_t, PendingCall> m_Pending;
     // As last written to the event log.
     bool m_IsShort = false;
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -88,6 +88,11 @@
     close();
 }
 
+void HttpConnection::endExchange() {
+  if (const auto Exchange = m_Exchange.lock())
+    Exchange->stopping();
+}
+
 // --- Reading
 
 void HttpConnection::read() {
@@ -189,7 +194,7 @@
                      Response.m_Body.size(), m_KeepAlive);
   if (HasBody && !m_HeadOnly)
     m_Queued.append(Response.m_Body);
-  endExchange(Exchange);
+  onExchangeEnded(Exchange);
 }
 
 void HttpConnection::startStream(const HttpHead &Head) {
@@ -217,7 +222,7 @@
 void HttpConnection::finishStream(HttpServerExchange &Exchange) {
   if (!m_HeadOnly && m_Framing == HttpFraming::Chunked)
     appendFinalChunk(m_Queued);
-  endExchange(Exchange);
+  onExchangeEnded(Exchange);
 }
 
 void HttpConnection::abort(HttpServerExchange &Exchange) {
@@ -242,7 +247,7 @@
   flush();
 }
 
-void HttpConnection::endExchange(HttpServerExchange &Exchange) {
+void HttpConnection::onExchangeEnded(HttpServerExchange &Exchange) {
   const auto Self = shared_from_this();
   Exchange.complete();
   m_Exchange.reset();
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -55,6 +55,8 @@
   // Closes once bytes that were read before are handled if no request is in
   // progress or arriving then, else after its answer.
   void closeWhenIdle();
+  // Asks the handler to complete the exchange in progress.
+  void endExchange();
 
   boost::asio::io_context &context() { return m_Context; }
 
@@ -81,7 +83,7 @@
   void takeBytes(std::string_view Bytes);
   void startExchange();
   // The answer has been queued whole: goes on with the next request or closes.
-  void endExchange(HttpServerExchange &Exchange);
+  void onExchangeEnded(HttpServerExchange &Exchange);
   void refuse(const HttpRefusal &Refusal);
   void scheduleFlush();
   void flush();
@@ -157,9 +159,11 @@
   std::size_t queuedBytes() const override;
   void onDrained(std::function<void()> Handler) override;
   void onClosed(std::function<void()> Handler) override;
+  void onStopping(std::function<void()> Handler) override;
 
   // Called by the connection.
   void drained();
+  void stopping();
   void closed();
   // No function has an effect any more.
   void complete();
@@ -173,6 +177,7 @@
   Phase m_Phase = Phase::Waiting;
   std::function<void()> m_OnDrained;
   std::function<void()> m_OnClosed;
+  std::function<void()> m_OnStopping;
 };
 
 } // namespace mangocart
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -164,6 +164,17 @@
                });
 }
 
+void HttpServer::endExchanges() {
+  for (std::size_t I = 0; I < m_State->m_Workers.size(); ++I)
+    asio::post(m_State->m_Workers.worker(I), [Shared = m_State->m_Shared, I] {
+      // A copy, since a connection may close meanwhile.
+      const auto Open = Shared->m_Open[I];
+      for (HttpConnection *Connection : Open)
+        if (Shared->m_Open[I].contains(Connection))
+          Connection->endExchange();
+    });
+}
+
 std::uint16_t HttpServer::port() const { return m_State->m_Port; }
 
 std::size_t HttpServer::connectionCount() const {
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -62,6 +62,10 @@
   virtual void onDrained(std::function<void()> Handler) = 0;
   // Called once when the client goes away before the answer is complete.
   virtual void onClosed(std::function<void()> Handler) = 0;
+  // Called once when the server is told to end its exchanges. The handler
+  // completes the exchange; without a handler its connection is closed when the
+  // process ends.
+  virtual void onStopping(std::function<void()> Handler) = 0;
 };
 
 enum class HttpErrorCode {
@@ -104,6 +108,9 @@
   void setLimits(const HttpLimits &Limits);
   // Takes no new connection; open ones finish their request, then close.
   void closeListener();
+  // Calls the onStopping() handlers of all exchanges in progress, each on its
+  // worker.
+  void endExchanges();
 
   std::size_t connectionCount() const;
   // Requests that were handed to the handler and aren't answered yet.
--- a/Source/Http/HttpServerExchange.cpp
+++ b/Source/Http/HttpServerExchange.cpp
@@ -69,6 +69,11 @@
     m_OnClosed = std::move(Handler);
 }
 
+void HttpServerExchange::onStopping(std::function<void()> Handler) {
+  if (m_Phase != Phase::Complete)
+    m_OnStopping = std::move(Handler);
+}
+
 void HttpServerExchange::drained() {
   // A copy, since the handler may set another one or complete the exchange.
   const auto Handler = m_OnDrained;
@@ -76,6 +81,12 @@
     Handler();
 }
 
+void HttpServerExchange::stopping() {
+  const auto Handler = std::exchange(m_OnStopping, nullptr);
+  if (Handler)
+    Handler();
+}
+
 void HttpServerExchange::closed() {
   const auto Handler = std::move(m_OnClosed);
   complete();
@@ -91,6 +102,7 @@
   // The handlers often hold the exchange itself.
   m_OnDrained = nullptr;
   m_OnClosed = nullptr;
+  m_OnStopping = nullptr;
 }
 
 } // namespace mangocart
--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <future>
 #include <mutex>
 
@@ -443,6 +444,33 @@
   CHECK(waitUntil([&] { return Pending.pendingCount() == 0; }));
 }
 
+// Guards against a process that ends with requests unanswered though their
+// handlers know what became of them.
+TEST_CASE("exchanges in progress are completed when the server ends them") {
+  std::shared_ptr<HttpExchange> Waiting;
+  std::atomic<bool> IsWaiting = false;
+  ServerFixture Server([&](const std::shared_ptr<HttpExchange> &Exchange) {
+    if (Exchange->request().m_Method == "GET")
+      return echo(Exchange);
+    Exchange->onStopping([Weak = std::weak_ptr(Exchange)] {
+      if (const auto Self = Weak.lock())
+        Self->respond({{503, {}}, "stopping"});
+    });
+    Waiting = Exchange;
+    IsWaiting = true;
+  });
+  RawSocket Answered(Server.port());
+  RawSocket Unanswered(Server.port());
+  Answered.write(GetRequest);
+  Unanswered.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(waitUntil([&] { return IsWaiting.load(); }));
+  Server.server().closeListener();
+  Server.server().endExchanges();
+  CHECK(Unanswered.readToEnd().ends_with("stopping"));
+  CHECK(Answered.readToEnd().ends_with("GET:"));
+  CHECK(waitUntil([&] { return Server.server().exchangeCount() == 0; }));
+}
+
 // Guards against a connection that is closed although the first bytes of its
 // request were read, as their handler had not run.
 TEST_CASE("a request that arrives as the listener closes is answered") {
--- a/Tests/Voter/testControlFront.cpp
+++ b/Tests/Voter/testControlFront.cpp
@@ -60,6 +60,7 @@
   void onClosed(std::function<void()> Handler) override {
     m_OnClosed = std::move(Handler);
   }
+  void onStopping(std::function<void()>) override {}
 
   boost::asio::io_context &m_Context;
   HttpRequest m_Request;
