Raft: a member whose disk was full refuses no command as it goes on

Cause: a full disk pauses the control thread. When it goes on, the last contact with a leader lies as far back as the pause was long, so that commands were refused as without a leader before the waiting messages were read. The same after any pause of the process.

Ruled out: a log that takes no more commands.

Change: times for which the control thread was paused don't count as times without a leader. RaftRunnerOptions::m_MakeFileSystem lets tests fill a disk.

--- a/Source/Raft/RaftControl.cpp
+++ b/Source/Raft/RaftControl.cpp
@@ -111,7 +111,7 @@
 Result<void, StorageError> RaftControl::openStorage() {
   if (m_Options.m_DataFolder.empty())
     return success();
-  m_Files = makePosixFileSystem([this] { return waitForDiskSpace(); });
+  m_Files = m_Options.m_MakeFileSystem([this] { return waitForDiskSpace(); });
   BOOST_OUTCOME_TRY(
       m_Storage,
       RaftStorage::open(*m_Files, m_Options.m_DataFolder, m_Generator));
@@ -151,8 +151,12 @@
 
 void RaftControl::run() {
   m_LastLeaderContact = RuntimeClock::now();
+  TimePoint LastStart = m_LastLeaderContact;
   while (wait()) {
     const TimePoint Start = RuntimeClock::now();
+    // A time in which nothing was received says nothing about the leader.
+    m_LastLeaderContact += std::max(Start - LastStart - MaxWait, Duration(0));
+    LastStart = Start;
     runIteration();
     m_LongestIteration =
         std::max(m_LongestIteration.load(), RuntimeClock::now() - Start);
@@ -386,8 +390,9 @@
                                        std::numeric_limits<std::size_t>::max()),
                   std::move(Metadata)};
   // A FileSystem object must not be shared by two threads.
-  const auto Write = [Folder = m_Options.m_DataFolder](const RaftSnapshot &S) {
-    return RaftStorage::prepareSnapshot(*makePosixFileSystem(), Folder, S);
+  const auto Write = [MakeFiles = m_Options.m_MakeFileSystem,
+                      Folder = m_Options.m_DataFolder](const RaftSnapshot &S) {
+    return RaftStorage::prepareSnapshot(*MakeFiles({}), Folder, S);
   };
   m_SnapshotTaker.start(std::move(Job), std::move(Empty), Write,
                         [this] { m_Inbox.wake(); });
--- a/Source/Raft/RaftControl.h
+++ b/Source/Raft/RaftControl.h
@@ -85,6 +85,8 @@
   SnapshotTaker m_SnapshotTaker;
   // Set by saveTakenSnapshot() while the effects of SnapshotTaken are executed.
   const TakenSnapshot *m_PreparedSnapshot = nullptr;
+  // Moved on by the times for which the thread was paused, by a full disk for
+  // example.
   TimePoint m_LastLeaderContact;
   bool m_Failed = false;
 
--- a/Source/Raft/RaftRunner.h
+++ b/Source/Raft/RaftRunner.h
@@ -5,6 +5,7 @@
 #ifndef MANGOCART_RAFT_RAFTRUNNER_H
 #define MANGOCART_RAFT_RAFTRUNNER_H
 
+#include "Raft/FileSystem.h"
 #include "Raft/RaftPeers.h"
 #include "Raft/RaftStorage.h"
 #include "Raft/RaftTypes.h"
@@ -25,6 +26,9 @@
   std::string m_Name;
   // Empty if this process is not a member of the log.
   std::string m_DataFolder;
+  // Creates the access to the data folder, once for each thread that uses it.
+  std::function<std::unique_ptr<FileSystem>(DiskFullHandler)> m_MakeFileSystem =
+      makePosixFileSystem;
   // All entry VMs, including this one. The voter with the lowest name creates
   // the log once the data folders of all voters are known to be empty.
   std::vector<RaftPeer> m_Peers;
--- a/Tests/Raft/testRaftRunner.cpp
+++ b/Tests/Raft/testRaftRunner.cpp
@@ -108,3 +108,39 @@
   REQUIRE(Taken.has_value());
   CHECK(sameState(C, "accepted;"));
 }
+
+namespace {
+
+// Fills the disk of each member in turn while commands are proposed, enough of
+// them for several snapshots.
+void fillDisksInTurn(RunnerCluster &C) {
+  constexpr int Rounds = 2;
+  for (int Round = 0; Round < Rounds; ++Round)
+    for (std::size_t Full = 0; Full < RunnerCluster::VoterCount; ++Full) {
+      INFO("round " << Round << ", disk " << Full);
+      C.setDiskFull(Full, true);
+      // With the leader's disk full another member has to be elected.
+      std::size_t Committed = 0;
+      const TimePoint End = RuntimeClock::now() + 3s;
+      for (std::size_t I = 0; RuntimeClock::now() < End; ++I)
+        Committed += C.propose(otherThan(Full + I % 2), "c", 900ms) ? 1 : 0;
+      CHECK(Committed > 0);
+      C.setDiskFull(Full, false);
+      CHECK(C.propose(Full, "d", 4s).has_value());
+    }
+}
+
+} // namespace
+
+// Guards against commands that are refused, or left without an answer, after
+// the disks of the members were full for some time each, never two at once.
+TEST_CASE("disks that were full one after another stop no command") {
+  RunnerCluster C(7326, 20);
+  REQUIRE(C.allVote());
+  fillDisksInTurn(C);
+  for (std::size_t I = 0; I < RunnerCluster::ProcessCount; ++I) {
+    CHECK_FALSE(C.at(I).m_HasFailed);
+    CHECK(C.propose(I, "e", 4s).has_value());
+  }
+  CHECK(sameState(C, C.at(0).m_Machine.state()));
+}
