--- a/Source/Raft/RaftControl.cpp
+++ b/Source/Raft/RaftControl.cpp
@@ -17,8 +17,7 @@
 // Commands are refused without waiting when no leader was known for longer.
 constexpr Duration NoLeaderTimeout = std::chrono::milliseconds(2600);
 constexpr Duration MaxWait = std::chrono::seconds(1);
-constexpr Duration DiskFullRetryInterval = std::chrono::milliseconds(50);
-constexpr Duration DiskFullReportInterval = std::chrono::seconds(5);
+constexpr std::chrono::milliseconds DiskFullRetryInterval{50};
 
 Random makeSeededGenerator() {
   std::random_device Device;
@@ -140,13 +139,8 @@
 // Handled like a disk that stalls: nothing that depends on the write is sent,
 // so other voters take over.
 bool RaftControl::waitForDiskSpace() {
-  const TimePoint Now = RuntimeClock::now();
-  if (!m_LastDiskFullReport ||
-      Now - *m_LastDiskFullReport >= DiskFullReportInterval) {
-    m_LastDiskFullReport = Now;
-    reportDiskFull(m_Events, m_Options.m_DataFolder);
-  }
-  return m_Inbox.waitUnlessClosed(Now + DiskFullRetryInterval);
+  m_DiskFull.report(m_Events, m_Options.m_DataFolder);
+  return m_Inbox.waitUnlessClosed(RuntimeClock::now() + DiskFullRetryInterval);
 }
 
 void RaftControl::run() {
@@ -390,9 +384,12 @@
                                        std::numeric_limits<std::size_t>::max()),
                   std::move(Metadata)};
   // A FileSystem object must not be shared by two threads.
-  const auto Write = [MakeFiles = m_Options.m_MakeFileSystem,
-                      Folder = m_Options.m_DataFolder](const RaftSnapshot &S) {
-    return RaftStorage::prepareSnapshot(*MakeFiles({}), Folder, S);
+  const auto Write = [this](const RaftSnapshot &S) {
+    const auto Files = m_Options.m_MakeFileSystem([this] {
+      m_SnapshotDiskFull.report(m_Events, m_Options.m_DataFolder);
+      return m_SnapshotTaker.waitUnlessStopped(DiskFullRetryInterval);
+    });
+    return RaftStorage::prepareSnapshot(*Files, m_Options.m_DataFolder, S);
   };
   m_SnapshotTaker.start(std::move(Job), std::move(Empty), Write,
                         [this] { m_Inbox.wake(); });
--- a/Source/Raft/RaftControl.h
+++ b/Source/Raft/RaftControl.h
@@ -4,6 +4,7 @@
 #define MANGOCART_RAFT_RAFTCONTROL_H
 
 #include "Raft/ProposalForwarder.h"
+#include "Raft/RaftEvents.h"
 #include "Raft/RaftInbox.h"
 #include "Raft/RaftNode.h"
 #include "Raft/RaftRunner.h"
@@ -91,7 +92,9 @@
   bool m_Failed = false;
 
   RaftInbox m_Inbox;
-  std::optional<TimePoint> m_LastDiskFullReport;
+  DiskFullReporter m_DiskFull;
+  // Used on the thread that takes snapshots.
+  DiskFullReporter m_SnapshotDiskFull;
 
   // No other lock is taken while this one is held.
   mutable std::mutex m_StatusMutex;
--- a/Source/Raft/RaftEvents.cpp
+++ b/Source/Raft/RaftEvents.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr Duration DiskFullReportInterval = std::chrono::seconds(5);
+
 std::string_view nameOf(RaftRole Role) {
   switch (Role) {
   case RaftRole::Follower:
@@ -45,7 +47,11 @@
     Events->write(Event::RaftMembersChanged, {{"members", toText(Members)}});
 }
 
-void reportDiskFull(EventLog *Events, const std::string &DataFolder) {
+void DiskFullReporter::report(EventLog *Events, const std::string &DataFolder) {
+  const TimePoint Now = RuntimeClock::now();
+  if (m_LastReport && Now - *m_LastReport < DiskFullReportInterval)
+    return;
+  m_LastReport = Now;
   if (Events)
     Events->write(Event::DiskFull, {{"folder", DataFolder}});
 }
--- a/Source/Raft/RaftEvents.h
+++ b/Source/Raft/RaftEvents.h
@@ -5,6 +5,9 @@
 
 #include "Raft/RaftTypes.h"
 
+#include <optional>
+#include <string>
+
 namespace mangocart {
 
 class EventLog;
@@ -12,7 +15,15 @@
 
 void reportRole(EventLog *Events, const RoleChanged &Change);
 void reportMembers(EventLog *Events, const RaftMembers &Members);
-void reportDiskFull(EventLog *Events, const std::string &DataFolder);
+// Reports a full disk repeatedly, but not at each retry of a write.
+class DiskFullReporter {
+public:
+  void report(EventLog *Events, const std::string &DataFolder);
+
+private:
+  std::optional<TimePoint> m_LastReport;
+};
+
 void reportFailure(EventLog *Events, const StorageError &Error);
 
 } // namespace mangocart
--- a/Source/Raft/SnapshotTaker.cpp
+++ b/Source/Raft/SnapshotTaker.cpp
@@ -66,8 +66,18 @@
   return Taken;
 }
 
+bool SnapshotTaker::waitUnlessStopped(std::chrono::milliseconds Interval) {
+  std::unique_lock Lock(m_Mutex);
+  m_OnStop.wait_for(Lock, Interval, [this] { return m_Stopping.load(); });
+  return !m_Stopping;
+}
+
 void SnapshotTaker::stop() {
-  m_Stopping = true;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    m_Stopping = true;
+  }
+  m_OnStop.notify_all();
   if (m_Thread.joinable())
     m_Thread.join();
 }
--- a/Source/Raft/SnapshotTaker.h
+++ b/Source/Raft/SnapshotTaker.h
@@ -9,6 +9,8 @@
 #include "Raft/RaftTypes.h"
 
 #include <atomic>
+#include <chrono>
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -59,6 +61,9 @@
   std::optional<TakenSnapshot> take();
   // Waits for the thread; an unfinished snapshot is discarded.
   void stop();
+  // Called on the background thread: waits for the interval, or until stop().
+  // Returns false once it is stopped.
+  bool waitUnlessStopped(std::chrono::milliseconds Interval);
 
 private:
   std::optional<TakenSnapshot> run(SnapshotJob Job,
@@ -68,6 +73,7 @@
   std::thread m_Thread;
   std::atomic<bool> m_Stopping{false};
   std::mutex m_Mutex;
+  std::condition_variable m_OnStop;
   // Guarded by m_Mutex.
   std::optional<TakenSnapshot> m_Ready;
 };
--- a/Tests/Raft/RunnerCluster.h
+++ b/Tests/Raft/RunnerCluster.h
@@ -64,6 +64,8 @@
 // A disk that can be full; shared by all threads that use it.
 struct SimulatedDisk {
   std::atomic<bool> m_Full{false};
+  // It becomes full when a snapshot is written beside the control thread.
+  std::atomic<bool> m_IsFilledBySnapshot{false};
 };
 
 // The real file system behind a disk that can be full. Like the real one, it
@@ -90,6 +92,9 @@
   }
   Result<void, FileError> append(const std::string &Path,
                                  std::string_view Bytes) override {
+    if (Path.ends_with("snapshot-prepared.tmp") &&
+        m_Disk->m_IsFilledBySnapshot.exchange(false))
+      m_Disk->m_Full = true;
     BOOST_OUTCOME_TRYV(waitForSpace("append", Path));
     return m_Files->append(Path, Bytes);
   }
@@ -211,6 +216,7 @@
   }
   void stop(std::size_t I) { m_Processes[I].reset(); }
   ClusterProcess &at(std::size_t I) { return *m_Processes[I]; }
+  SimulatedDisk &disk(std::size_t I) { return *m_Disks[I]; }
   void setDiskFull(std::size_t I, bool Full) { m_Disks[I]->m_Full = Full; }
   bool isRunning(std::size_t I) const { return m_Processes[I] != nullptr; }
 
--- a/Tests/Raft/testRaftRunner.cpp
+++ b/Tests/Raft/testRaftRunner.cpp
@@ -72,7 +72,7 @@
   C.start(Lost);
   const MemberId New = C.at(Lost).m_Runner->status().m_Self;
   CHECK(New.m_StorageId != Old.m_StorageId);
-  CHECK(RunnerCluster::eventually([&] {
+  REQUIRE(RunnerCluster::eventually([&] {
     const RaftMembers Members = C.at(Lost).m_Runner->status().m_Members;
     return std::find(Members.begin(), Members.end(), RaftMember{New, true}) !=
            Members.end();
@@ -144,3 +144,34 @@
   }
   CHECK(sameState(C, C.at(0).m_Machine.state()));
 }
+
+// Guards against a member that ends because its disk is full as a snapshot is
+// written beside the control thread.
+TEST_CASE("a disk that is full during a snapshot ends no member") {
+  RunnerCluster C(7327, 20, true);
+  REQUIRE(C.allVote());
+  C.disk(0).m_IsFilledBySnapshot = true;
+  for (int I = 0; I < 200 && !C.disk(0).m_Full; ++I)
+    (void)C.propose(1, "c", 900ms);
+  REQUIRE(C.disk(0).m_Full);
+  const LogIndex Before = C.at(0).m_Runner->status().m_SnapshotIndex;
+  for (int I = 0; I < 20; ++I)
+    CHECK(C.propose(1, "d", 4s).has_value());
+  // A member that has failed answers nothing.
+  REQUIRE_FALSE(C.at(0).m_HasFailed);
+  C.setDiskFull(0, false);
+  REQUIRE(RunnerCluster::eventually(
+      [&] { return C.at(0).m_Runner->status().m_SnapshotIndex > Before; }));
+  CHECK(C.propose(0, "e", 4s).has_value());
+}
+
+TEST_CASE("a member stops while its snapshot waits for disk space") {
+  RunnerCluster C(7328, 20, true);
+  REQUIRE(C.allVote());
+  C.disk(0).m_IsFilledBySnapshot = true;
+  for (int I = 0; I < 200 && !C.disk(0).m_Full; ++I)
+    (void)C.propose(1, "c", 900ms);
+  REQUIRE(C.disk(0).m_Full);
+  C.stop(0);
+  CHECK(C.propose(1, "d", 4s).has_value());
+}
