Entry: a stopped entry answers requests that outlast its drain

Cause: the entry ends with its exchanges open.

Change: the entry completes them with what it knows: 503 not run while the request waits for admission or a server, 502 if an idempotent request may have run, and 504 in doubt for a claimed one, which another entry settles. Begun streams are cut off. An admission at the same moment doesn't forward a request that was rejected.

Result: testProcesses 'a stopped entry answers requests that outlast its drain' failed for both kinds of route (connection closed) and passes.

--- a/Source/Entry/CallerFrontend.cpp
+++ b/Source/Entry/CallerFrontend.cpp
@@ -48,6 +48,12 @@
           std::nullopt};
 }
 
+LocalReply stoppingReply() {
+  return {StatusUnavailable, "stopping",
+          "the entry stops before the request is admitted; ask another entry",
+          schema::NOT_RUN, Duration::zero()};
+}
+
 LocalReply rejectedByAdmission(const AdmissionDecision &Decision) {
   return {Decision.m_Status, std::string(toString(Decision.m_Reason)),
           "the request can't be served in time; come back after Retry-After",
@@ -109,15 +115,26 @@
   Submission.m_Deadline =
       RuntimeClock::now() +
       std::chrono::milliseconds(Match.m_Route->deadline_ms());
+  // Used on the exchange's worker. A request that was rejected as not run must
+  // not be forwarded if it is admitted at the same time.
+  const auto Stopped = std::make_shared<bool>(false);
+  Exchange->onStopping(
+      [this, Weak = std::weak_ptr(Exchange), RequestId, Stopped] {
+        *Stopped = true;
+        if (const auto Alive = Weak.lock())
+          refuse(*Alive, stoppingReply(), RequestId);
+      });
   const std::uint64_t Waiting = m_Context.m_Admission.submit(
       Submission,
       [this, Exchange, Match = std::move(Match),
-       RequestId = std::move(RequestId)](AdmissionPermit Permit,
-                                         const AdmissionDecision &Decision) {
+       RequestId = std::move(RequestId),
+       Stopped](AdmissionPermit Permit, const AdmissionDecision &Decision) {
         boost::asio::dispatch(Exchange->executor(), [this, Exchange, Match,
-                                                     RequestId,
+                                                     RequestId, Stopped,
                                                      Permit = std::move(Permit),
                                                      Decision]() mutable {
+          if (*Stopped)
+            return;
           if (Decision.m_Reason == AdmissionReason::Admitted)
             return forward(Exchange, std::move(Match), std::move(RequestId),
                            std::move(Permit));
--- a/Source/Entry/ClaimedRequest.cpp
+++ b/Source/Entry/ClaimedRequest.cpp
@@ -128,6 +128,15 @@
                             RuntimeClock::now() - Arrived);
         Exchange->respond(toResponse(Answer, RequestId, Key));
       });
+  // Another entry settles the claim.
+  Exchange->onStopping([Weak = std::weak_ptr(Exchange), RequestId,
+                        Key = Settled.m_IdempotencyKey] {
+    AnswerCaller InDoubt;
+    InDoubt.m_Reason = AnswerReason::InDoubt;
+    InDoubt.m_Outcome = schema::UNKNOWN;
+    if (const auto Alive = Weak.lock())
+      Alive->respond(toResponse(InDoubt, RequestId, Key));
+  });
   Exchange->onClosed([Weak = std::weak_ptr<SettlementDriver>(Driver)] {
     if (const auto Alive = Weak.lock())
       Alive->callerDisconnected();
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -231,6 +231,7 @@
     m_Callers.startLeaving();
   };
   Actions.m_CloseListener = [this] { m_CallerServer.closeListener(); };
+  Actions.m_EndOutstanding = [this] { m_CallerServer.endExchanges(); };
   Actions.m_AnnounceLeft = [] {};
   Actions.m_Exit = [this](std::size_t CutOff) {
     m_Exit.open(CutOff == 0 ? ExitCode::Ok : ExitCode::Failed);
--- a/Source/Entry/ForwardedRequest.cpp
+++ b/Source/Entry/ForwardedRequest.cpp
@@ -72,6 +72,17 @@
     ++Self->m_Context.m_Counters.m_HungUp;
     Self->abortStream();
   });
+  m_Exchange->onStopping([Weak] {
+    const auto Self = Weak.lock();
+    if (!Self)
+      return;
+    const bool NotRun = Self->m_History.m_Tried.empty();
+    Self->fail({NotRun ? StatusUnavailable : StatusBadGateway, "stopping",
+                "the entry stops before the answer is complete; ask another "
+                "entry",
+                NotRun ? schema::NOT_RUN : schema::UNKNOWN, Duration::zero()},
+               "stopping");
+  });
   m_Exchange->onDrained([Weak] {
     const auto Self = Weak.lock();
     if (Self && Self->m_Call)
--- a/Tests/Processes/Deployment.cpp
+++ b/Tests/Processes/Deployment.cpp
@@ -148,8 +148,10 @@
 
 void Deployment::startEntry(const std::string &Name) {
   const auto Source = m_Folder / "init" / "entries" / (Name + ".toml");
-  const auto File =
-      writeFile("settings/" + Name + ".toml", withLocalPaths(Source.string()));
+  std::string Text = withLocalPaths(Source.string());
+  if (m_EntryDrain)
+    Text = fmt::format("drain_max_ms = {}\n", m_EntryDrain->count()) + Text;
+  const auto File = writeFile("settings/" + Name + ".toml", Text);
   launch(Name, "mangocart-entry", {"--settings", File});
 }
 
--- a/Tests/Processes/Deployment.h
+++ b/Tests/Processes/Deployment.h
@@ -7,10 +7,12 @@
 
 #include <boost/json.hpp>
 
+#include <chrono>
 #include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +44,8 @@
   // process has applied it.
   void start();
 
+  // Longest drain of entries that are started from now on.
+  void setEntryDrain(std::chrono::milliseconds Max) { m_EntryDrain = Max; }
   void startEntry(const std::string &Name);
   void startAgent(const std::string &Name);
   void startStandin(const std::string &Name, unsigned Slots = 64);
@@ -108,6 +112,7 @@
   std::string adminAddress(const std::string &Entry) const;
 
   const int m_Octet;
+  std::optional<std::chrono::milliseconds> m_EntryDrain;
   std::filesystem::path m_Folder;
   std::map<std::string, std::string> m_Addresses;
   std::map<std::string, std::unique_ptr<ChildProcess>> m_Processes;
