Tests: an answer whose head breaks off is no answer

Ruled out here: HttpClient hands an answer over only after the empty line, and the end of the connection before it is a lost connection. Both kinds of routes, of framing and of earlier bytes are tested.

Result: testHttpClient breaks six heads off at each byte, also after an interim answer and after an answer to another request; testGateways has an engine that closes within its heads, for streams, plain and unsafe requests.

--- a/Tests/Gateways/EngineFleet.cpp
+++ b/Tests/Gateways/EngineFleet.cpp
@@ -62,6 +62,8 @@
   bool m_Rejects = false;
   // Status of all answers; 0 while it works.
   unsigned m_FailureStatus = 0;
+  // Bytes of each head after which it closes the connection.
+  std::optional<std::size_t> m_HeadBytes;
   bool m_Frozen = false;
   bool m_Up = false;
   tcp::acceptor m_Acceptor;
@@ -166,6 +168,8 @@
     const std::optional<std::string> Cause = causeOfCrash();
     const bool IsStream = m_Request.target().starts_with("/stream/");
     const std::string Head = makeHead(IsStream);
+    if (m_Engine.m_HeadBytes && *m_Engine.m_HeadBytes < Head.size())
+      return write(Head.substr(0, *m_Engine.m_HeadBytes), [this] { end(); });
     if (Cause) {
       // Without a length, a whole event or half of a body looks like an end.
       const std::string Begun = m_Fleet.m_Options.m_Unframed
@@ -479,6 +483,11 @@
   });
 }
 
+void EngineFleet::setHeadBytes(unsigned Index, std::size_t Bytes) {
+  asio::post(m_Context,
+             [this, Index, Bytes] { m_Engines[Index]->m_HeadBytes = Bytes; });
+}
+
 void EngineFleet::setRejecting(unsigned Index, bool Rejects) {
   asio::post(m_Context,
              [this, Index, Rejects] { m_Engines[Index]->m_Rejects = Rejects; });
--- a/Tests/Gateways/EngineFleet.h
+++ b/Tests/Gateways/EngineFleet.h
@@ -92,6 +92,9 @@
   void setRejecting(unsigned Index, bool Rejects);
   // The engine answers all requests with this status and a text from now on.
   void setFailing(unsigned Index, unsigned Status);
+  // The engine closes the connection after so many bytes of each head from now
+  // on.
+  void setHeadBytes(unsigned Index, std::size_t Bytes);
   // The engine's machine stands still: nothing is answered or announced, begun
   // answers stop. They go on when it wakes.
   void setFrozen(unsigned Index, bool Frozen);
--- a/Tests/Gateways/testBrokenStreams.cpp
+++ b/Tests/Gateways/testBrokenStreams.cpp
@@ -1,6 +1,7 @@
-// Streams that break off and go on at an engine that fails. Guards against the
-// text of a failure in the middle of a stream, and against streams that end as
-// complete after a part of their events.
+// Answers that break off: streams that go on at an engine that fails, and heads
+// that end in the middle. Guards against the text of a failure in the middle of
+// a stream, and against answers that end as complete after a part of their
+// events or of their body.
 #include "Gateways/CallerLoad.h"
 #include "Gateways/EngineFleet.h"
 #include "Gateways/GatewayDeployment.h"
@@ -49,3 +50,39 @@
   }
   CHECK(Broken > 0);
 }
+
+// Guards against a success that is made up from the beginning of a head.
+TEST_CASE("an engine that closes in the middle of its heads gives no success") {
+  const bool Unframed = GENERATE(false, true);
+  CAPTURE(Unframed);
+  GatewayDeployment D(78, 1);
+  D.start();
+  FleetOptions Options = fleetOptionsFor(D);
+  Options.m_Engines = 2;
+  Options.m_Unframed = Unframed;
+  EngineFleet Fleet(Options);
+  Fleet.start();
+  std::this_thread::sleep_for(1s);
+  CallerKind Unsafe;
+  Unsafe.m_PerSecond = 20.0;
+  Unsafe.m_IsUnsafe = true;
+  CallerLoad Load({D.gateway(0)}, {{20.0, true, {}}, {20.0, false, {}}, Unsafe},
+                  12);
+  Load.start();
+  // The other engine stays sound, so that retries find one. The last headers
+  // tell how the body is framed.
+  for (std::size_t Bytes = 1; Bytes < 140; Bytes += 4) {
+    Fleet.setHeadBytes(0, Bytes);
+    std::this_thread::sleep_for(100ms);
+  }
+  std::size_t Whole = 0;
+  std::size_t Failed = 0;
+  for (const CallRecord &Each : Load.finish()) {
+    CAPTURE(Each.m_Kind, Each.m_Status, Each.m_Body);
+    if (isAnswered(Each))
+      CHECK(isWhole(Each));
+    (isWhole(Each) ? Whole : Failed) += 1;
+  }
+  CHECK(Whole > 0);
+  CHECK(Failed > 0);
+}
--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -355,6 +355,42 @@
   }
 }
 
+// Guards against a success with an empty or short body: a server that stops in
+// the middle of a head leaves a status line, and perhaps headers, behind.
+TEST_CASE("an answer whose head breaks off is no answer") {
+  HttpClientOptions Options;
+  Options.m_TakesEndByClosing = true;
+  const std::string Heads[] = {
+      "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 12\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: 2\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\nId: 2\r\n\r\n",
+      "HTTP/1.0 200 OK\r\nId: 2\r\n\r\n",
+      "HTTP/1.1 204 No Content\r\nId: 2\r\n\r\n"};
+  // What the server sends before, as the beginning of the same read.
+  const std::string Before[] = {
+      "", "HTTP/1.1 100 Continue\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nother"};
+  for (const std::string &First : Before)
+    for (const std::string &Head : Heads) {
+      std::vector<std::string> Texts;
+      for (std::size_t Length = 0; Length < Head.size(); ++Length)
+        Texts.push_back(First + Head.substr(0, Length));
+      ScriptedServer Server(Texts);
+      ClientFixture Client(Options);
+      for (const std::string &Text : Texts) {
+        const Outcome Result =
+            Client.call(Server.port(), {"GET", "/"}, 20s, ownerById("2"));
+        CAPTURE(Text);
+        CHECK_FALSE(Result.m_Ended);
+        CHECK(Result.m_Body.empty());
+        REQUIRE(Result.m_Error);
+        CHECK(Result.m_Error->m_Code == HttpErrorCode::ConnectionLost);
+        CHECK_FALSE(Result.m_Error->m_NothingSent);
+      }
+    }
+}
+
 TEST_CASE("an answer to an earlier request is read past") {
   const std::string Foreign =
       "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nother";
