--- a/Tests/Experts/testGroupSwitch.cpp
+++ b/Tests/Experts/testGroupSwitch.cpp
@@ -148,7 +148,10 @@
 // Simulates random events, determined by one seed.
 class SwitchSimulation {
 public:
-  explicit SwitchSimulation(std::uint64_t Seed) : m_Random(Seed) {}
+  // RepeatPercent: how often a rank's report is the one that the coordinator
+  // has read before, as after a second copy of an answer.
+  explicit SwitchSimulation(std::uint64_t Seed, unsigned RepeatPercent = 0)
+      : m_Random(Seed), m_RepeatPercent(RepeatPercent) {}
 
   // Returns a description of the failure, or an empty string.
   std::string run(int Steps) {
@@ -197,6 +200,16 @@
           static_cast<std::uint32_t>(uniform(m_Random, 0, Ranks - 1));
   }
 
+  std::vector<RankReport> readReports(std::uint32_t Which) {
+    std::vector<RankReport> Reports = m_Group.reports();
+    std::vector<RankReport> &Before = m_LastRead[Which];
+    if (m_RepeatPercent > 0)
+      for (std::size_t I = 0; I < Before.size(); ++I)
+        if (chance(m_RepeatPercent))
+          Reports[I] = Before[I];
+    return Before = Reports;
+  }
+
   void round(std::uint32_t Which) {
     Coordinator &C = m_Coordinators[Which];
     // Waits for the answers of the previous round.
@@ -208,7 +221,7 @@
           C.m_Switch, reportsExcept(m_Group, *m_PausedRank), C.m_LastNotice,
           {nextVersion(), m_Map}, m_Now);
     } else {
-      const std::vector<RankReport> Reports = m_Group.reports();
+      const std::vector<RankReport> Reports = readReports(Which);
       if (C.m_Switch.m_Phase == SwitchPhase::Idle && isSettled(Reports) &&
           chance(60))
         beginSwitch(C.m_Switch, nextVersion(), m_Map, Reports, m_Now);
@@ -293,6 +306,9 @@
   }
 
   Random m_Random;
+  const unsigned m_RepeatPercent;
+  // By coordinator and rank.
+  std::vector<RankReport> m_LastRead[2];
   TimePoint m_Now{1000s};
   Group m_Group;
   Coordinator m_Coordinators[2] = {Coordinator(0), Coordinator(1)};
@@ -329,6 +345,21 @@
     CHECK(Switches >= SeedCount);
 }
 
+// Guards against a rank whose report is taken for a later one: a replica may
+// send an answer twice, and its reports name no call.
+TEST_CASE("no pass begins with two maps when reports are repeated") {
+  const SeedRange Seeds = seedsToRun(FirstSeed, SeedCount);
+  for (std::uint64_t Seed = Seeds.m_First; Seed <= Seeds.m_Last; ++Seed) {
+    INFO("replay: MANGOCART_SEED="
+         << Seed
+         << " build/dev/Tests/testExperts \"no pass begins with two maps when "
+            "reports are repeated\"");
+    const std::string Failure = SwitchSimulation(Seed, 10).run(StepsPerSeed);
+    INFO(Failure);
+    REQUIRE(Failure.empty());
+  }
+}
+
 namespace {
 
 // Explores all orders of events up to a depth: rounds of both coordinators,
