Tests: a pausing taker is resumed only once it has paused

Cause: the test resumed reading as soon as the server had queued its answer. Under load the client had not received the head by then; it paused after the resume, for good, until its deadline of 60 s.

Change: the test waits for the pause as well; its checks are the same.

--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -308,16 +308,21 @@
   HttpClient Client(Workers.worker(0));
   std::shared_ptr<HttpCall> Call;
   std::atomic<std::size_t> Taken{0};
+  std::atomic<bool> IsPaused{false};
   std::promise<bool> Ended;
   boost::asio::post(Workers.worker(0), [&] {
     Call = Client.send({TestAddress, Server.port()}, {"GET", "/"}, 60s,
-                       {[&](const HttpHead &) { Call->pauseReading(); },
+                       {[&](const HttpHead &) {
+                          Call->pauseReading();
+                          IsPaused = true;
+                        },
                         [&](std::string_view Piece) { Taken += Piece.size(); },
                         [&] { Ended.set_value(true); },
                         [&](const HttpError &) { Ended.set_value(false); }});
   });
   Workers.start();
-  REQUIRE(waitUntil([&] { return Queued > 0; }));
+  // The server may have queued the answer before the head is received.
+  REQUIRE(waitUntil([&] { return Queued > 0 && IsPaused; }));
   CHECK(Taken < AnswerBytes - Queued);
   boost::asio::post(Workers.worker(0), [&] { Call->resumeReading(); });
   CHECK(Ended.get_future().get());
