Http: a connection isn't kept after an answer that names no call

Callers saw: nothing yet. A server that echoes no request ID had its first answer accepted and its connection kept; every later call on a kept connection then failed as one that may have run, because its answer could have been one to another call.

Cause: a connection was kept if its calls can be named, not if its answer was.

Change: after an answer that names no call the connection is closed.

--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -48,9 +48,9 @@
   std::function<void(HttpError)> m_OnError;
   // Tells the owner of an answer. One to another call is read to its end and
   // dropped, the next one is awaited, and the connection is not kept. One of an
-  // unknown owner is taken on a connection that has carried no other call;
-  // otherwise the call fails and the connection is closed. Absent: answers name
-  // no call.
+  // unknown owner is taken on a connection that has carried no other call,
+  // which is not kept; otherwise the call fails and the connection is closed.
+  // Absent: answers name no call.
   std::function<AnswerOwner(const HttpHead &)> m_OwnerOf;
 };
 
--- a/Source/Http/HttpClientCall.cpp
+++ b/Source/Http/HttpClientCall.cpp
@@ -66,6 +66,7 @@
   if (!m_Handlers.m_OwnerOf)
     return AnswerOwner::ThisCall;
   const AnswerOwner Owner = m_Handlers.m_OwnerOf(Head);
+  m_IsAnswerNamed = Owner == AnswerOwner::ThisCall;
   if (Owner == AnswerOwner::Unknown && m_Connection &&
       !m_Connection->isReused())
     return AnswerOwner::ThisCall;
--- a/Source/Http/HttpClientConnection.cpp
+++ b/Source/Http/HttpClientConnection.cpp
@@ -240,7 +240,9 @@
   const auto Keeper = m_Keeper.lock();
   m_Paused = false;
   m_KeptFor = keepTime();
-  if (Keep && (m_Named || m_Options.m_KeepsUnnamed) && RequestWhole && Keeper &&
+  const bool IsReusable =
+      m_Named ? Call->isAnswerNamed() : m_Options.m_KeepsUnnamed;
+  if (Keep && IsReusable && RequestWhole && Keeper &&
       m_KeptFor > Duration::zero()) {
     read();
     m_KeptSince = RuntimeClock::now();
--- a/Source/Http/HttpClientConnection.h
+++ b/Source/Http/HttpClientConnection.h
@@ -124,6 +124,8 @@
   bool finished() const { return m_Finished; }
   bool isHead() const { return m_IsHead; }
   bool isNamed() const { return m_Handlers.m_OwnerOf != nullptr; }
+  // Whether its answer named it.
+  bool isAnswerNamed() const { return m_IsAnswerNamed; }
   const std::string &headText() const { return m_HeadText; }
   const std::string &body() const { return m_Body; }
   // Set once any byte of the request has been handed to the system.
@@ -139,6 +141,8 @@
   Timer m_Deadline;
   std::shared_ptr<HttpClientConnection> m_Connection;
   bool m_IsHead;
+  // Set when the owner of an answer is looked up.
+  mutable bool m_IsAnswerNamed = false;
   bool m_AnySent = false;
   bool m_Finished = false;
 };
--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -449,6 +449,18 @@
   CHECK(Result.m_Head.m_Status == 503);
 }
 
+// Guards against a server that echoes no ID: each call after the first would
+// fail on the kept connection.
+TEST_CASE("a connection is not kept after an answer that names no request") {
+  ConversationServer Server(
+      {{answerText(200, "", "one")}, {answerText(200, "", "two")}});
+  ClientFixture Client;
+  CHECK(Client.call(Server.port(), {"GET", "/"}, 20s, ownerById("1")).m_Body ==
+        "one");
+  CHECK(Client.call(Server.port(), {"GET", "/"}, 20s, ownerById("2")).m_Body ==
+        "two");
+}
+
 // Guards against the second copy of the answer to a probe, which names no
 // request, on a connection that a request uses next.
 TEST_CASE("calls whose answers name them share no connection with others") {
