--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -453,7 +453,8 @@
 // fail on the kept connection.
 TEST_CASE("a connection is not kept after an answer that names no request") {
   ConversationServer Server(
-      {{answerText(200, "", "one")}, {answerText(200, "", "two")}});
+      {{answerText(200, "", "one"), answerText(200, "", "other")},
+       {answerText(200, "", "two")}});
   ClientFixture Client;
   CHECK(Client.call(Server.port(), {"GET", "/"}, 20s, ownerById("1")).m_Body ==
         "one");
