Agent: an answer is attributed by the ID of its request

Cause: agents kept connections to their server for calls whose answers named nothing, so that an answer was attributed by its place on the connection. Probes and orders used the same connections.

Change: an answer that repeats the header Mangocart-Request belongs to the request that it names. A connection is kept only after such an answer; a server that repeats no ID gets a connection for each call, on its own machine. The stand-in repeats the ID, and entries don't pass the server's copy on.

--- a/Source/Agent/AgentContext.h
+++ b/Source/Agent/AgentContext.h
@@ -12,6 +12,14 @@
 class EventLog;
 class WorkerPool;
 
+// Connections are kept only after answers that name their request: a server
+// that writes an answer twice would otherwise answer the next request wrongly.
+inline HttpClientOptions agentClientOptions() {
+  HttpClientOptions Options;
+  Options.m_KeepsUnnamed = false;
+  return Options;
+}
+
 struct AgentContext {
   const schema::AgentSettings &m_Settings;
   WorkerPool &m_Workers;
--- a/Source/Entry/CallRequests.cpp
+++ b/Source/Entry/CallRequests.cpp
@@ -69,7 +69,8 @@
   HttpHead Result;
   Result.m_Status = Head.status();
   for (const schema::Header &Header : Head.headers())
-    if (!isHopByHop(Header.name()))
+    if (!isHopByHop(Header.name()) &&
+        !boost::beast::iequals(Header.name(), RequestHeader))
       Result.m_Headers.push_back({Header.name(), Header.value()});
   Result.m_Headers.push_back(
       {std::string(RequestHeader), std::string(RequestId)});
--- a/Source/Standin/BookingHandler.cpp
+++ b/Source/Standin/BookingHandler.cpp
@@ -36,12 +36,16 @@
   ++context().m_Counters.m_Completed;
   if (faults().m_DropAnswer) {
     exchange().abort();
-  } else if (faults().m_CutAfterBytes) {
-    exchange().startStream({200, {{"Content-Type", "application/json"}}});
-    if (sendChunk(responseBody(Record)))
+    return finish();
+  }
+  HttpResponse Response = jsonResponse(200, responseBody(Record));
+  echoRequestId(Response.m_Head, exchange().request());
+  if (faults().m_CutAfterBytes) {
+    exchange().startStream(std::move(Response.m_Head));
+    if (sendChunk(std::move(Response.m_Body)))
       exchange().finishStream();
   } else {
-    exchange().respond(jsonResponse(200, responseBody(Record)));
+    exchange().respond(std::move(Response));
   }
   finish();
 }
--- a/Source/Standin/DraftHandler.cpp
+++ b/Source/Standin/DraftHandler.cpp
@@ -81,9 +81,11 @@
     finish();
     return exchange().abort();
   }
-  exchange().startStream(
-      {200,
-       {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}}});
+  HttpHead Head{
+      200,
+      {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}}};
+  echoRequestId(Head, exchange().request());
+  exchange().startStream(std::move(Head));
   if (m_Request.m_ResumeFrom == 0 && !sendChunk(openingEvent()))
     return;
   sendTokens();
--- a/Source/Standin/StandinContext.cpp
+++ b/Source/Standin/StandinContext.cpp
@@ -44,6 +44,12 @@
   return Priority;
 }
 
+void echoRequestId(HttpHead &Head, const HttpRequest &Request) {
+  constexpr std::string_view Name("Mangocart-Request");
+  if (const auto Id = findHeader(Request.m_Headers, Name))
+    Head.m_Headers.push_back({std::string(Name), std::string(*Id)});
+}
+
 std::string headerOrEmpty(const HttpRequest &Request, std::string_view Name) {
   return std::string(findHeader(Request.m_Headers, Name).value_or(""));
 }
--- a/Source/Standin/StandinContext.h
+++ b/Source/Standin/StandinContext.h
@@ -60,6 +60,8 @@
 
 // Returns the priority from the request header, or 0 without one.
 std::int64_t requestPriority(const HttpRequest &Request);
+// Names the request in its answer.
+void echoRequestId(HttpHead &Head, const HttpRequest &Request);
 std::string headerOrEmpty(const HttpRequest &Request, std::string_view Name);
 
 } // namespace mangocart
