--- a/Tests/Platform/testPlatformConfiguration.cpp
+++ b/Tests/Platform/testPlatformConfiguration.cpp
@@ -1,5 +1,7 @@
 // Parsing of the platform's configuration document into a routing plan.
+#include "PlatformCallerProtocol.h"
 #include "PlatformConfiguration.h"
+#include "PlatformHost.h"
 
 #include <catch2/catch.hpp>
 
@@ -142,6 +144,28 @@
   CHECK_FALSE(readConfiguration(with(Host, Twice)));
 }
 
+// Guards against an acknowledged route whose requests get 404 because its host
+// is written with a port or a final dot.
+TEST_CASE("hosts of routes and of requests have one form") {
+  const PlatformCallerProtocol Protocol;
+  for (const char *Written :
+       {"farm.example", "Farm.Example", "farm.example:8227", "farm.example.",
+        "FARM.example.:8227"}) {
+    CAPTURE(Written);
+    const std::string Host = R"("host":"farm.example","path_prefix":"/rows/")";
+    const auto Read =
+        readConfiguration(with(Host, R"("host":")" + std::string(Written) +
+                                         R"(","path_prefix":"/rows/")"));
+    REQUIRE(Read);
+    CHECK(Read.value().m_Routes[0].m_Host == "farm.example");
+    const HttpRequest Request{"GET", "/rows/1", {{"Host", Written}}, {}, {}};
+    CHECK(Protocol.read(Request).m_Host == "farm.example");
+  }
+  CHECK(normalizeHost("[::1]:80") == "[::1]");
+  CHECK(normalizeHost("[::1]") == "[::1]");
+  CHECK(normalizeHost("").empty());
+}
+
 TEST_CASE("an unknown kind is treated as non-idempotent") {
   const auto Read = readConfiguration(with("\"stream\"", "\"something_new\""));
   CHECK(Read.value().m_Routes[0].m_Kind == RouteKind::NonIdempotent);
