Http: the owner of an answer by a header is decided by one function

Cause: the agent's attribution of answers repeated the rule of the platform's protocol, and a test had it a third time; a const function that looks the owner up changed its call.

Change: ownerByHeader() serves all three; the function isn't const any more. Nothing else changes.

Result: testHttp, testAgent and testPlatform pass with their assertions as they were.

--- a/Source/Agent/CallForwarder.cpp
+++ b/Source/Agent/CallForwarder.cpp
@@ -19,13 +19,6 @@
 constexpr const char *RequestHeader = "Mangocart-Request";
 constexpr const char *IdempotencyKeyHeader = "Idempotency-Key";
 
-AnswerOwner ownerOf(const HttpHead &Head, const std::string &RequestId) {
-  const auto Named = findHeader(Head.m_Headers, RequestHeader);
-  if (!Named)
-    return AnswerOwner::Unknown;
-  return *Named == RequestId ? AnswerOwner::ThisCall : AnswerOwner::OtherCall;
-}
-
 schema::CallRefusal makeRefusal(schema::CallRefusal::Reason Reason,
                                 schema::Outcome Outcome) {
   schema::CallRefusal Refusal;
@@ -95,7 +88,7 @@
   HttpCallHandlers Handlers;
   const auto Self = shared_from_this();
   Handlers.m_OwnerOf = [Self](const HttpHead &Head) {
-    return ownerOf(Head, Self->m_Request.request_id());
+    return ownerByHeader(Head, RequestHeader, Self->m_Request.request_id());
   };
   Handlers.m_OnHead = [Self](const HttpHead &Head) {
     Self->handleResponseHead(Head);
--- a/Source/Http/HttpClientCall.cpp
+++ b/Source/Http/HttpClientCall.cpp
@@ -62,7 +62,7 @@
     m_Connection->resumeReading();
 }
 
-AnswerOwner HttpClientCall::ownerOf(const HttpHead &Head) const {
+AnswerOwner HttpClientCall::ownerOf(const HttpHead &Head) {
   if (!m_Handlers.m_OwnerOf)
     return AnswerOwner::ThisCall;
   const AnswerOwner Owner = m_Handlers.m_OwnerOf(Head);
--- a/Source/Http/HttpClientConnection.h
+++ b/Source/Http/HttpClientConnection.h
@@ -115,7 +115,7 @@
   void pauseReading() override;
   void resumeReading() override;
 
-  AnswerOwner ownerOf(const HttpHead &Head) const override;
+  AnswerOwner ownerOf(const HttpHead &Head) override;
   bool takeHead(HttpHead Head) override;
   bool takeBody(std::string_view Piece) override;
   void end();
@@ -142,7 +142,7 @@
   std::shared_ptr<HttpClientConnection> m_Connection;
   bool m_IsHead;
   // Set when the owner of an answer is looked up.
-  mutable bool m_IsAnswerNamed = false;
+  bool m_IsAnswerNamed = false;
   bool m_AnySent = false;
   bool m_Finished = false;
 };
--- a/Source/Http/HttpMessage.cpp
+++ b/Source/Http/HttpMessage.cpp
@@ -18,4 +18,12 @@
   return std::string_view(Found->m_Value);
 }
 
+AnswerOwner ownerByHeader(const HttpHead &Answer, std::string_view Name,
+                          std::string_view CallId) {
+  const auto Repeated = findHeader(Answer.m_Headers, Name);
+  if (!Repeated)
+    return AnswerOwner::Unknown;
+  return *Repeated == CallId ? AnswerOwner::ThisCall : AnswerOwner::OtherCall;
+}
+
 } // namespace mangocart
--- a/Source/Http/HttpMessage.h
+++ b/Source/Http/HttpMessage.h
@@ -54,6 +54,10 @@
   Unknown
 };
 
+// The owner of an answer that repeats the ID of its call in the named header.
+AnswerOwner ownerByHeader(const HttpHead &Answer, std::string_view Name,
+                          std::string_view CallId);
+
 } // namespace mangocart
 
 #endif
--- a/Source/Http/HttpResponseParser.h
+++ b/Source/Http/HttpResponseParser.h
@@ -15,7 +15,7 @@
 public:
   virtual ~HttpResponseSink() = default;
   // The pieces of an answer are handed over if it is one to this call.
-  virtual AnswerOwner ownerOf(const HttpHead &Head) const = 0;
+  virtual AnswerOwner ownerOf(const HttpHead &Head) = 0;
   virtual bool takeHead(HttpHead Head) = 0;
   virtual bool takeBody(std::string_view Piece) = 0;
 };
--- a/Tests/Http/testHttpClient.cpp
+++ b/Tests/Http/testHttpClient.cpp
@@ -144,10 +144,7 @@
 // The owner by the header Id, which an answer may lack.
 std::function<AnswerOwner(const HttpHead &)> ownerById(std::string Id) {
   return [Id = std::move(Id)](const HttpHead &Head) {
-    const auto Named = findHeader(Head.m_Headers, "Id");
-    if (!Named)
-      return AnswerOwner::Unknown;
-    return *Named == Id ? AnswerOwner::ThisCall : AnswerOwner::OtherCall;
+    return ownerByHeader(Head, "Id", Id);
   };
 }
 
