Gateway: draining is derived from the end of the drain

Cause: a flag stood beside the end of the drain and said the same; the call of an attempt was cancelled and let go in five places with the same lines.

Change: GatewayContext::isDraining() compares the end of the drain; cancelCall() ends a call. The name of the service is moved, not copied. Behaviour is the same.

--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -65,11 +65,12 @@
   AttemptMonitor &m_AttemptMonitor;
   CrashGuard &m_CrashGuard;
   GatewayMetrics &m_Metrics;
-  // Set while draining: callers are asked to close their connections.
-  std::atomic<bool> &m_Draining;
   // When requests that aren't answered by then are ended; the latest time while
   // not draining.
   std::atomic<TimePoint> &m_DrainEnd;
+
+  // While draining, callers are asked to close their connections.
+  bool isDraining() const { return m_DrainEnd.load() != TimePoint::max(); }
 };
 
 } // namespace mangocart
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -89,8 +89,7 @@
           gatewayDrainLimits(milliseconds(m_Settings.drain_max_ms()))),
       m_Context{m_Settings,        m_Events,      Protocol,     m_Plans,
                 m_Directory,       m_Clients,     m_Dispatcher, m_RetryBudgets,
-                *m_AttemptMonitor, *m_CrashGuard, m_Metrics,    m_Draining,
-                m_DrainEnd},
+                *m_AttemptMonitor, *m_CrashGuard, m_Metrics,    m_DrainEnd},
       m_Router(m_Context, RuntimeClock::wallMilliseconds()),
       m_CallerServer(m_Workers, callerLimits(m_Settings, {}),
                      [this](const std::shared_ptr<HttpExchange> &Exchange) {
@@ -213,7 +212,9 @@
 
 // Backend servers need no check: their announcements arrive on the same
 // streams, after the first plan.
-bool GatewayDaemon::isReady() const { return m_Plans.current() && !m_Draining; }
+bool GatewayDaemon::isReady() const {
+  return m_Plans.current() && !m_Context.isDraining();
+}
 
 void GatewayDaemon::runMaintenance() {
   m_Directory.sweepMembers();
@@ -224,7 +225,7 @@
                    {{"ready", Ready},
                     {"configuration", m_Plans.version()},
                     {"voters", m_VoterWatch->connected()},
-                    {"leaving", m_Draining.load()}});
+                    {"leaving", m_Context.isDraining()}});
   m_WasReady = Ready;
   m_MaintenanceTimer.expires_after(MaintenanceInterval);
   m_MaintenanceTimer.async_wait([this](boost::system::error_code Error) {
@@ -259,7 +260,6 @@
     m_Events.write(Event::ProcessStopping,
                    {{"outstanding", m_CallerServer.exchangeCount()}});
     m_DrainEnd = RuntimeClock::now() + m_DrainLimits.m_MaxDuration;
-    m_Draining = true;
   };
   Actions.m_CloseListener = [this] { m_CallerServer.closeListener(); };
   Actions.m_EndOutstanding = [this] { m_CallerServer.endExchanges(); };
--- a/Source/Gateway/GatewayDaemon.h
+++ b/Source/Gateway/GatewayDaemon.h
@@ -60,7 +60,6 @@
   const std::shared_ptr<AttemptMonitor> m_AttemptMonitor;
   const std::shared_ptr<CrashGuard> m_CrashGuard;
   const DrainLimits m_DrainLimits;
-  std::atomic<bool> m_Draining{false};
   std::atomic<TimePoint> m_DrainEnd{TimePoint::max()};
   GatewayContext m_Context;
   RequestRouter m_Router;
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -412,7 +412,7 @@
 
 HttpHead ProxiedRequest::callerHead() const {
   HttpHead Head = m_Context.m_Protocol.toCallerHead(m_Head);
-  if (m_Context.m_Draining)
+  if (m_Context.isDraining())
     Head.m_Headers.push_back({"Connection", "close"});
   return Head;
 }
@@ -667,9 +667,7 @@
   m_State.m_DeadlinePassed = true;
   if (m_Target)
     m_State.m_MayHaveRun = true;
-  if (m_HttpCall)
-    m_HttpCall->cancel();
-  m_HttpCall.reset();
+  cancelCall();
   reportResult(m_HeadReceived ? CallResult::Cancelled : CallResult::Broken);
   fail("time-over");
 }
@@ -686,8 +684,7 @@
 }
 
 void ProxiedRequest::dropAttempt(std::string_view Detail, CallResult Result) {
-  m_HttpCall->cancel();
-  m_HttpCall.reset();
+  cancelCall();
   m_State.m_MayHaveRun = true;
   logAttemptEnd(lostResult(), Detail);
   reportResult(Result);
@@ -696,8 +693,7 @@
 void ProxiedRequest::abandonAttempt(std::string_view Detail) {
   if (!m_HttpCall)
     return;
-  m_HttpCall->cancel();
-  m_HttpCall.reset();
+  cancelCall();
   endAttempt(lostResult(), Detail);
 }
 
@@ -705,11 +701,15 @@
   if (m_Finished)
     return;
   m_Context.m_Metrics.m_CallerDisconnects.add();
+  cancelCall();
+  reportResult(CallResult::Cancelled);
+  finish("caller-gone", 0);
+}
+
+void ProxiedRequest::cancelCall() {
   if (m_HttpCall)
     m_HttpCall->cancel();
   m_HttpCall.reset();
-  reportResult(CallResult::Cancelled);
-  finish("caller-gone", 0);
 }
 
 void ProxiedRequest::onStopping() {
@@ -719,9 +719,7 @@
     m_State.m_MayHaveRun = true;
     logAttemptEnd(lostResult(), "the gateway stops");
   }
-  if (m_HttpCall)
-    m_HttpCall->cancel();
-  m_HttpCall.reset();
+  cancelCall();
   reportResult(CallResult::Cancelled);
   fail("stopping", Duration::zero());
 }
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -89,6 +89,8 @@
   void dropAttempt(std::string_view Detail, CallResult Result);
   // Cancels the attempt, whose response isn't usable.
   void abandonAttempt(std::string_view Detail);
+  // Ends the call of the attempt, if there is one, without a result.
+  void cancelCall();
   void monitorAttempt();
 
   // Records the time since the last event of the stream.
--- a/Source/Gateway/RequestRouter.cpp
+++ b/Source/Gateway/RequestRouter.cpp
@@ -38,7 +38,7 @@
 bool RequestRouter::isAnsweredBeforeDrainEnd(
     const std::string &Service, const RouteConfig &Route,
     const CallerRequest &Caller) const {
-  if (!m_Context.m_Draining)
+  if (!m_Context.isDraining())
     return true;
   return isAnsweredBefore(
       m_Context.m_DrainEnd, RuntimeClock::now(),
@@ -60,7 +60,7 @@
                             {"configuration", PlanVersion}});
   HttpResponse Response = m_Context.m_Protocol.makeResponse(
       Status, Reason, Caller.m_RequestId, RetryAfter);
-  if (m_Context.m_Draining)
+  if (m_Context.isDraining())
     Response.m_Head.m_Headers.push_back({"Connection", "close"});
   Exchange.respond(std::move(Response));
 }
@@ -84,7 +84,7 @@
   if (NeedsKey && !Customer)
     return reject(*Exchange, Caller, StatusUnauthorized, "unknown-key",
                   std::nullopt, Version);
-  const std::string Service = chooseService(*Route);
+  std::string Service = chooseService(*Route);
   if (!isAnsweredBeforeDrainEnd(Service, *Route, Caller))
     return reject(*Exchange, Caller, StatusUnavailable, "stopping",
                   RetryAfterStopping, Version);
@@ -92,7 +92,7 @@
   Call.m_Plan = Plan;
   Call.m_Route = Route;
   Call.m_Customer = NeedsKey ? Customer : nullptr;
-  Call.m_Service = Service;
+  Call.m_Service = std::move(Service);
   Call.m_Caller = std::move(Caller);
   ProxiedRequest::start(m_Context, Exchange, std::move(Call));
 }
