--- a/Tests/Raft/RunnerCluster.h
+++ b/Tests/Raft/RunnerCluster.h
@@ -217,7 +217,6 @@
   void stop(std::size_t I) { m_Processes[I].reset(); }
   ClusterProcess &at(std::size_t I) { return *m_Processes[I]; }
   SimulatedDisk &disk(std::size_t I) { return *m_Disks[I]; }
-  void setDiskFull(std::size_t I, bool Full) { m_Disks[I]->m_Full = Full; }
   bool isRunning(std::size_t I) const { return m_Processes[I] != nullptr; }
 
   Result<schema::CommandReply, ProposeError>
--- a/Tests/Raft/testRaftRunner.cpp
+++ b/Tests/Raft/testRaftRunner.cpp
@@ -118,18 +118,26 @@
   for (int Round = 0; Round < Rounds; ++Round)
     for (std::size_t Full = 0; Full < RunnerCluster::VoterCount; ++Full) {
       INFO("round " << Round << ", disk " << Full);
-      C.setDiskFull(Full, true);
+      C.disk(Full).m_Full = true;
       // With the leader's disk full another member has to be elected.
       std::size_t Committed = 0;
       const TimePoint End = RuntimeClock::now() + 3s;
       for (std::size_t I = 0; RuntimeClock::now() < End; ++I)
         Committed += C.propose(otherThan(Full + I % 2), "c", 900ms) ? 1 : 0;
       CHECK(Committed > 0);
-      C.setDiskFull(Full, false);
+      C.disk(Full).m_Full = false;
       CHECK(C.propose(Full, "d", 4s).has_value());
     }
 }
 
+// Proposes commands until the member's disk is full because of a snapshot.
+void fillDiskBySnapshot(RunnerCluster &C, std::size_t Member) {
+  C.disk(Member).m_IsFilledBySnapshot = true;
+  for (int I = 0; I < 200 && !C.disk(Member).m_Full; ++I)
+    (void)C.propose(otherThan(Member), "c", 900ms);
+  REQUIRE(C.disk(Member).m_Full);
+}
+
 } // namespace
 
 // Guards against commands that are refused, or left without an answer, after
@@ -148,30 +156,33 @@
 // Guards against a member that ends because its disk is full as a snapshot is
 // written beside the control thread.
 TEST_CASE("a disk that is full during a snapshot ends no member") {
+  const bool IsLeader = GENERATE(false, true);
+  CAPTURE(IsLeader);
   RunnerCluster C(7327, 20, true);
   REQUIRE(C.allVote());
-  C.disk(0).m_IsFilledBySnapshot = true;
-  for (int I = 0; I < 200 && !C.disk(0).m_Full; ++I)
-    (void)C.propose(1, "c", 900ms);
-  REQUIRE(C.disk(0).m_Full);
-  const LogIndex Before = C.at(0).m_Runner->status().m_SnapshotIndex;
+  const std::size_t Leader = C.agreedLeader();
+  const std::size_t Full = IsLeader ? Leader : otherThan(Leader);
+  fillDiskBySnapshot(C, Full);
+  const LogIndex Before = C.at(Full).m_Runner->status().m_SnapshotIndex;
+  // A command that was sent to the leader as its disk filled may be appended.
+  const auto First = C.propose(otherThan(Full), "d", 4s);
+  CHECK((First.has_value() ||
+         (IsLeader && First.error().m_Code == ProposeErrorCode::InDoubt)));
   for (int I = 0; I < 20; ++I)
-    CHECK(C.propose(1, "d", 4s).has_value());
+    CHECK(C.propose(otherThan(Full), "d", 4s).has_value());
   // A member that has failed answers nothing.
-  REQUIRE_FALSE(C.at(0).m_HasFailed);
-  C.setDiskFull(0, false);
+  REQUIRE_FALSE(C.at(Full).m_HasFailed);
+  C.disk(Full).m_Full = false;
   REQUIRE(RunnerCluster::eventually(
-      [&] { return C.at(0).m_Runner->status().m_SnapshotIndex > Before; }));
-  CHECK(C.propose(0, "e", 4s).has_value());
+      [&] { return C.at(Full).m_Runner->status().m_SnapshotIndex > Before; }));
+  CHECK(C.propose(Full, "e", 4s).has_value());
 }
 
 TEST_CASE("a member stops while its snapshot waits for disk space") {
   RunnerCluster C(7328, 20, true);
   REQUIRE(C.allVote());
-  C.disk(0).m_IsFilledBySnapshot = true;
-  for (int I = 0; I < 200 && !C.disk(0).m_Full; ++I)
-    (void)C.propose(1, "c", 900ms);
-  REQUIRE(C.disk(0).m_Full);
-  C.stop(0);
-  CHECK(C.propose(1, "d", 4s).has_value());
+  const std::size_t Full = otherThan(C.agreedLeader());
+  fillDiskBySnapshot(C, Full);
+  C.stop(Full);
+  CHECK(C.propose(otherThan(Full), "d", 4s).has_value());
 }
