Review: a gateway that starts after a replica has left sends to it

Cause: the voter that gets the DELETE stores it without the incarnation that other voters have heard; a gateway that starts takes their older announcement for a newer incarnation.

--- /dev/null
+++ b/review/kit-2/LeftBeforeRestart.cpp
@@ -0,0 +1,262 @@
+// A replica leaves by DELETE, and some gateways start again right after that.
+// They must not send to the replica later than drain_ms after the
+// acknowledgement.
+#include "Kit.h"
+
+#include <csignal>
+#include <iostream>
+
+using namespace review;
+
+namespace {
+
+constexpr unsigned Gateways = 4;
+// Half of the gateways are killed at once.
+constexpr unsigned KilledGateways = 2;
+constexpr unsigned Replicas = 3;
+constexpr unsigned Leaver = 2;
+// Numbers of voters.
+constexpr unsigned HeardBeats = 2;
+constexpr unsigned HeardLeaving = 0;
+constexpr Milliseconds BeatInterval(1200);
+constexpr Milliseconds DrainTime(2000);
+constexpr Milliseconds StableWindow(3000);
+// A replica serves this much longer than drain_ms.
+constexpr Milliseconds Linger(6000);
+constexpr Milliseconds WorkTime(20);
+constexpr Milliseconds RequestGap(15);
+constexpr Milliseconds LeadTime(10000);
+
+// A replica of the service "desk" that heartbeats to one voter.
+class Replica {
+public:
+  Replica(unsigned Number, std::uint16_t Port, const Deployment &System,
+          Record &Log)
+      : m_Number(Number), m_At{"127.62.2." + std::to_string(Number + 1), Port},
+        m_System(System), m_Log(Log),
+        m_Born(std::chrono::duration_cast<Milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+                   .count()),
+        m_Server(m_At, [this](const HttpRequest &Request) {
+          return answer(Request);
+        }) {}
+
+  std::string id() const { return "i-desk-" + std::to_string(m_Number); }
+
+  bool beat() {
+    const std::string Body =
+        R"({"service":"desk","address":")" + m_At.m_Address + ":" +
+        std::to_string(m_At.m_Port) + R"(","zone":")" +
+        m_System.zone(m_Number) +
+        R"(","version":"v1","slots":6,"state":"ready","cold_remaining_ms":0,)"
+        R"("born":)" +
+        std::to_string(m_Born) + R"(,"sequence":)" +
+        std::to_string(++m_Sequence) + "}";
+    return call(m_System.control(HeardBeats),
+                {"PUT",
+                 "/instances/" + id(),
+                 {{"content-type", "application/json"}},
+                 Body},
+                std::chrono::seconds(1))
+               .m_Status == 200;
+  }
+
+  bool leave() {
+    return call(m_System.control(HeardLeaving),
+                {"DELETE", "/instances/" + id(), {}, {}},
+                std::chrono::seconds(1))
+               .m_Status == 200;
+  }
+
+  // Arrivals by time of the record, with the request's id.
+  std::vector<std::pair<std::int64_t, std::string>> arrivals() {
+    const std::lock_guard Lock(m_Mutex);
+    return m_Arrivals;
+  }
+
+private:
+  HttpAnswer answer(const HttpRequest &Request) {
+    const auto Header = [&](const char *Name) {
+      const auto Found = Request.m_Headers.find(Name);
+      return Found == Request.m_Headers.end() ? std::string() : Found->second;
+    };
+    if (Request.m_Target == "/health")
+      return {200, {{"x-mangocart-instance-id", id()}}, ""};
+    const std::string RequestId = Header("x-mangocart-request-id");
+    if (RequestId.empty())
+      return {400, {{"x-mangocart-not-run", "1"}}, ""};
+    const std::string Expected = Header("x-mangocart-expect-instance");
+    if (!Expected.empty() && Expected != id())
+      return {
+          421,
+          {{"x-mangocart-not-run", "1"}, {"x-mangocart-request-id", RequestId}},
+          ""};
+    {
+      const std::lock_guard Lock(m_Mutex);
+      m_Arrivals.emplace_back(Record::now(), RequestId);
+    }
+    if (m_Number == Leaver)
+      m_Log.write("request " + RequestId + " reaches " + id());
+    std::this_thread::sleep_for(WorkTime);
+    return {200,
+            {{"x-mangocart-request-id", RequestId},
+             {"x-mangocart-server-stamp", id() + "." + RequestId}},
+            "done"};
+  }
+
+  const unsigned m_Number;
+  const Endpoint m_At;
+  const Deployment &m_System;
+  Record &m_Log;
+  const std::int64_t m_Born;
+  std::uint64_t m_Sequence = 0;
+  std::mutex m_Mutex;
+  std::vector<std::pair<std::int64_t, std::string>> m_Arrivals;
+  HttpServer m_Server;
+};
+
+class Case {
+public:
+  explicit Case(Record &Log) : m_Log(Log), m_System(62, Gateways, Log) {}
+
+  Verdict run() {
+    std::vector<std::string> Addresses;
+    for (unsigned I = 0; I < Replicas; ++I)
+      Addresses.push_back("127.62.2." + std::to_string(I + 1));
+    const std::uint16_t Port = findFreePort(Addresses);
+    for (unsigned Voter = 0; Voter < 3; ++Voter)
+      m_System.startVoter(Voter, true);
+    for (unsigned I = 0; I < Gateways; ++I)
+      m_System.startGateway(I);
+    if (!m_System.putConfiguration(makeConfiguration(1, {"desk"}),
+                                   std::chrono::seconds(15)))
+      return notRun("the configuration was not acknowledged");
+    for (unsigned I = 0; I < Replicas; ++I)
+      m_Replicas.push_back(std::make_unique<Replica>(I, Port, m_System, m_Log));
+    std::thread Beats([this] { sendBeats(); });
+    std::this_thread::sleep_for(LeadTime);
+    const bool IsReady = areAllReady();
+    std::thread Requests([this] { sendRequests(); });
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    const Verdict Result = IsReady ? leaveAndRestart() : notRun("not ready");
+    m_IsStopping = true;
+    Requests.join();
+    Beats.join();
+    return Result;
+  }
+
+private:
+  Verdict notRun(const std::string &Reason) {
+    m_Log.write("not run: " + Reason);
+    return Verdict::NotRun;
+  }
+
+  bool areAllReady() const {
+    for (unsigned I = 0; I < Gateways; ++I)
+      if (!m_System.isReady(I))
+        return false;
+    return true;
+  }
+
+  void sendBeats() {
+    while (!m_IsStopping) {
+      {
+        const std::lock_guard Lock(m_BeatMutex);
+        for (unsigned I = 0; I < Replicas; ++I)
+          if (I != Leaver || !m_HasLeft)
+            m_Replicas[I]->beat();
+      }
+      std::this_thread::sleep_for(BeatInterval);
+    }
+  }
+
+  void sendRequests() {
+    std::vector<std::thread> Calls;
+    for (unsigned I = 0; !m_IsStopping; ++I) {
+      const std::string Id = "q" + std::to_string(I);
+      {
+        const std::lock_guard Lock(m_SentMutex);
+        m_Sent[Id] = Record::now();
+      }
+      Calls.emplace_back([this, Id, Gateway = I % Gateways] {
+        const HttpAnswer Answer = call(m_System.caller(Gateway),
+                                       {"POST",
+                                        "/desk/safe/x",
+                                        {{"host", "test.example"},
+                                         {"x-mangocart-request-id", Id},
+                                         {"x-mangocart-deadline-ms", "1500"}},
+                                        "body"},
+                                       Milliseconds(1500));
+        if (Answer.m_Status != 200)
+          m_Log.write("request " + Id + " answered " +
+                      std::to_string(Answer.m_Status));
+      });
+      std::this_thread::sleep_for(RequestGap);
+    }
+    for (std::thread &Each : Calls)
+      Each.join();
+  }
+
+  Verdict leaveAndRestart() {
+    Replica &Leaving = *m_Replicas[Leaver];
+    for (unsigned I = 0; hasTrouble() && I < KilledGateways; ++I) {
+      m_System.gateway(I).signal(SIGKILL);
+      m_System.gateway(I).waitForEnd(std::chrono::seconds(5));
+      m_Log.write("kill gateway-" + std::to_string(I));
+    }
+    {
+      const std::lock_guard Lock(m_BeatMutex);
+      m_HasLeft = true;
+    }
+    if (!Leaving.leave())
+      return notRun("DELETE was not acknowledged");
+    const std::int64_t AcknowledgedAt = Record::now();
+    m_Log.write("DELETE of " + Leaving.id() + " acknowledged");
+    std::this_thread::sleep_for(Milliseconds(300));
+    std::int64_t StartedAt = 0;
+    if (hasTrouble()) {
+      for (unsigned I = 0; I < KilledGateways; ++I)
+        m_System.startGateway(I);
+      StartedAt = Record::now();
+      if (!waitFor(std::chrono::seconds(3), [&] { return areAllReady(); }))
+        return notRun("the gateways did not become ready");
+      m_Log.write("the gateways are ready");
+    }
+    std::this_thread::sleep_for(Milliseconds(
+        AcknowledgedAt + (DrainTime + Linger).count() - Record::now()));
+    return judge(AcknowledgedAt, StartedAt);
+  }
+
+  Verdict judge(std::int64_t AcknowledgedAt, std::int64_t StartedAt) {
+    const std::lock_guard Lock(m_SentMutex);
+    std::size_t Late = 0;
+    for (const auto &[Time, Id] : m_Replicas[Leaver]->arrivals())
+      if (Time > AcknowledgedAt + DrainTime.count() &&
+          m_Sent[Id] > StartedAt + StableWindow.count())
+        ++Late;
+    m_Log.write("requests that reached the replica later than 2 s after the "
+                "acknowledgement, from a gateway in touch: " +
+                std::to_string(Late));
+    return Late > 0 ? Verdict::Broken : Verdict::Held;
+  }
+
+  Record &m_Log;
+  Deployment m_System;
+  std::vector<std::unique_ptr<Replica>> m_Replicas;
+  std::atomic<bool> m_IsStopping{false};
+  std::atomic<bool> m_HasLeft{false};
+  std::mutex m_BeatMutex;
+  std::mutex m_SentMutex;
+  std::map<std::string, std::int64_t> m_Sent;
+};
+
+} // namespace
+
+int main(int, char **Argv) {
+  Record Log(std::string(Argv[1]) + "/record.txt");
+  const Verdict Result = Case(Log).run();
+  Log.write(Result == Verdict::Held     ? "the rule held"
+            : Result == Verdict::Broken ? "the rule was broken"
+                                        : "the case could not run");
+  return static_cast<int>(Result);
+}
