Review: an acknowledged leave is lost with the voter that took it

Cause: a voter acknowledges DELETE before any gateway or other voter has the record, and stores it nowhere. Change: case 8; cases 7 and 8 share a program.

--- a/review/kit-2/LeftBeforeRestart.cpp
+++ b/review/kit-2/LeavingReplica.cpp
@@ -1,6 +1,7 @@
-// A replica leaves by DELETE, and some gateways start again right after that.
-// They must not send to the replica later than drain_ms after the
-// acknowledgement.
+// A replica leaves by DELETE, and processes are killed about then: gateways
+// that start again right after that ("gateways"), or the voter that has just
+// acknowledged it ("voter"). No gateway may send to the replica later than
+// drain_ms after the acknowledgement.
 #include "Kit.h"
 
 #include <csignal>
@@ -30,10 +31,8 @@
 // A replica of the service "desk" that heartbeats to one voter.
 class Replica {
 public:
-  Replica(unsigned Number, std::uint16_t Port, const Deployment &System,
-          Record &Log)
-      : m_Number(Number), m_At{"127.62.2." + std::to_string(Number + 1), Port},
-        m_System(System), m_Log(Log),
+  Replica(unsigned Number, Endpoint At, const Deployment &System, Record &Log)
+      : m_Number(Number), m_At(std::move(At)), m_System(System), m_Log(Log),
         m_Born(std::chrono::duration_cast<Milliseconds>(
                    std::chrono::system_clock::now().time_since_epoch())
                    .count()),
@@ -117,12 +116,16 @@
 
 class Case {
 public:
-  explicit Case(Record &Log) : m_Log(Log), m_System(62, Gateways, Log) {}
+  Case(Record &Log, bool KillsVoter)
+      : m_Log(Log), m_Octet(KillsVoter ? 63 : 62),
+        m_KillsVoter(KillsVoter && hasTrouble()),
+        m_KillsGateways(!KillsVoter && hasTrouble()),
+        m_System(m_Octet, Gateways, Log) {}
 
   Verdict run() {
     std::vector<std::string> Addresses;
     for (unsigned I = 0; I < Replicas; ++I)
-      Addresses.push_back("127.62.2." + std::to_string(I + 1));
+      Addresses.push_back(replicaAddress(I));
     const std::uint16_t Port = findFreePort(Addresses);
     for (unsigned Voter = 0; Voter < 3; ++Voter)
       m_System.startVoter(Voter, true);
@@ -132,7 +135,8 @@
                                    std::chrono::seconds(15)))
       return notRun("the configuration was not acknowledged");
     for (unsigned I = 0; I < Replicas; ++I)
-      m_Replicas.push_back(std::make_unique<Replica>(I, Port, m_System, m_Log));
+      m_Replicas.push_back(std::make_unique<Replica>(
+          I, Endpoint{replicaAddress(I), Port}, m_System, m_Log));
     std::thread Beats([this] { sendBeats(); });
     std::this_thread::sleep_for(LeadTime);
     const bool IsReady = areAllReady();
@@ -151,6 +155,11 @@
     return Verdict::NotRun;
   }
 
+  std::string replicaAddress(unsigned Number) const {
+    return "127." + std::to_string(m_Octet) + ".2." +
+           std::to_string(Number + 1);
+  }
+
   bool areAllReady() const {
     for (unsigned I = 0; I < Gateways; ++I)
       if (!m_System.isReady(I))
@@ -199,7 +208,7 @@
 
   Verdict leaveAndRestart() {
     Replica &Leaving = *m_Replicas[Leaver];
-    for (unsigned I = 0; hasTrouble() && I < KilledGateways; ++I) {
+    for (unsigned I = 0; m_KillsGateways && I < KilledGateways; ++I) {
       m_System.gateway(I).signal(SIGKILL);
       m_System.gateway(I).waitForEnd(std::chrono::seconds(5));
       m_Log.write("kill gateway-" + std::to_string(I));
@@ -210,11 +219,19 @@
     }
     if (!Leaving.leave())
       return notRun("DELETE was not acknowledged");
+    if (m_KillsVoter)
+      m_System.voter(HeardLeaving).signal(SIGKILL);
     const std::int64_t AcknowledgedAt = Record::now();
     m_Log.write("DELETE of " + Leaving.id() + " acknowledged");
     std::this_thread::sleep_for(Milliseconds(300));
     std::int64_t StartedAt = 0;
-    if (hasTrouble()) {
+    if (m_KillsVoter) {
+      m_System.voter(HeardLeaving).waitForEnd(std::chrono::seconds(5));
+      m_Log.write("voter-0 was killed right after the acknowledgement");
+      m_System.startVoter(HeardLeaving, false);
+      StartedAt = Record::now();
+    }
+    if (m_KillsGateways) {
       for (unsigned I = 0; I < KilledGateways; ++I)
         m_System.startGateway(I);
       StartedAt = Record::now();
@@ -241,6 +258,9 @@
   }
 
   Record &m_Log;
+  const int m_Octet;
+  const bool m_KillsVoter;
+  const bool m_KillsGateways;
   Deployment m_System;
   std::vector<std::unique_ptr<Replica>> m_Replicas;
   std::atomic<bool> m_IsStopping{false};
@@ -253,8 +273,9 @@
 } // namespace
 
 int main(int, char **Argv) {
+  const bool KillsVoter = std::string_view(Argv[2]) == "voter";
   Record Log(std::string(Argv[1]) + "/record.txt");
-  const Verdict Result = Case(Log).run();
+  const Verdict Result = Case(Log, KillsVoter).run();
   Log.write(Result == Verdict::Held     ? "the rule held"
             : Result == Verdict::Broken ? "the rule was broken"
                                         : "the case could not run");
