--- a/review/kit-2/LeavingReplica.cpp
+++ b/review/kit-2/LeavingReplica.cpp
@@ -24,8 +24,10 @@
 constexpr Milliseconds StableWindow(3000);
 // A replica serves this much longer than drain_ms.
 constexpr Milliseconds Linger(6000);
-constexpr Milliseconds WorkTime(20);
-constexpr Milliseconds RequestGap(15);
+constexpr Milliseconds WorkTime(60);
+// Each client waits so long between an answer and its next request.
+constexpr Milliseconds RequestGap(40);
+constexpr unsigned Clients = 24;
 constexpr Milliseconds LeadTime(10000);
 
 // A replica of the service "desk" that heartbeats to one voter.
@@ -36,9 +38,9 @@
         m_Born(std::chrono::duration_cast<Milliseconds>(
                    std::chrono::system_clock::now().time_since_epoch())
                    .count()),
-        m_Server(m_At, [this](const HttpRequest &Request) {
-          return answer(Request);
-        }) {}
+        m_Server(std::make_unique<HttpServer>(
+            m_At,
+            [this](const HttpRequest &Request) { return answer(Request); })) {}
 
   std::string id() const { return "i-desk-" + std::to_string(m_Number); }
 
@@ -67,6 +69,12 @@
                .m_Status == 200;
   }
 
+  // Ends like a process: its connections close, and what runs gets no answer.
+  void end() {
+    m_HasEnded = true;
+    m_Server.reset();
+  }
+
   // Arrivals by time of the record, with the request's id.
   std::vector<std::pair<std::int64_t, std::string>> arrivals() {
     const std::lock_guard Lock(m_Mutex);
@@ -97,6 +105,8 @@
     if (m_Number == Leaver)
       m_Log.write("request " + RequestId + " reaches " + id());
     std::this_thread::sleep_for(WorkTime);
+    if (m_HasEnded)
+      return {};
     return {200,
             {{"x-mangocart-request-id", RequestId},
              {"x-mangocart-server-stamp", id() + "." + RequestId}},
@@ -111,7 +121,8 @@
   std::uint64_t m_Sequence = 0;
   std::mutex m_Mutex;
   std::vector<std::pair<std::int64_t, std::string>> m_Arrivals;
-  HttpServer m_Server;
+  std::atomic<bool> m_HasEnded{false};
+  std::unique_ptr<HttpServer> m_Server;
 };
 
 class Case {
@@ -140,11 +151,14 @@
     std::thread Beats([this] { sendBeats(); });
     std::this_thread::sleep_for(LeadTime);
     const bool IsReady = areAllReady();
-    std::thread Requests([this] { sendRequests(); });
+    std::vector<std::thread> Requests;
+    for (unsigned Client = 0; Client < Clients; ++Client)
+      Requests.emplace_back([this, Client] { sendRequests(Client); });
     std::this_thread::sleep_for(std::chrono::seconds(2));
     const Verdict Result = IsReady ? leaveAndRestart() : notRun("not ready");
     m_IsStopping = true;
-    Requests.join();
+    for (std::thread &Each : Requests)
+      Each.join();
     Beats.join();
     return Result;
   }
@@ -179,31 +193,31 @@
     }
   }
 
-  void sendRequests() {
-    std::vector<std::thread> Calls;
+  void sendRequests(unsigned Client) {
     for (unsigned I = 0; !m_IsStopping; ++I) {
-      const std::string Id = "q" + std::to_string(I);
+      const std::string Id =
+          "q" + std::to_string(Client) + "-" + std::to_string(I);
       {
         const std::lock_guard Lock(m_SentMutex);
         m_Sent[Id] = Record::now();
       }
-      Calls.emplace_back([this, Id, Gateway = I % Gateways] {
-        const HttpAnswer Answer = call(m_System.caller(Gateway),
-                                       {"POST",
-                                        "/desk/safe/x",
-                                        {{"host", "test.example"},
-                                         {"x-mangocart-request-id", Id},
-                                         {"x-mangocart-deadline-ms", "1500"}},
-                                        "body"},
-                                       Milliseconds(1500));
-        if (Answer.m_Status != 200)
-          m_Log.write("request " + Id + " answered " +
-                      std::to_string(Answer.m_Status));
-      });
+      const HttpAnswer Answer = call(m_System.caller(Client % Gateways),
+                                     {"POST",
+                                      "/desk/unsafe/x",
+                                      {{"host", "test.example"},
+                                       {"x-mangocart-request-id", Id},
+                                       {"x-mangocart-deadline-ms", "1500"}},
+                                      "body"},
+                                     Milliseconds(1500));
+      if (Answer.m_Status != 200)
+        m_Log.write("request " + Id + " answered " +
+                    std::to_string(Answer.m_Status));
+      {
+        const std::lock_guard Lock(m_SentMutex);
+        m_Answered[Id] = Answer.m_Status;
+      }
       std::this_thread::sleep_for(RequestGap);
     }
-    for (std::thread &Each : Calls)
-      Each.join();
   }
 
   Verdict leaveAndRestart() {
@@ -241,19 +255,30 @@
     }
     std::this_thread::sleep_for(Milliseconds(
         AcknowledgedAt + (DrainTime + Linger).count() - Record::now()));
+    Leaving.end();
+    m_Log.write(Leaving.id() + " has ended");
+    // By then all requests that it had begun have their answers.
+    std::this_thread::sleep_for(std::chrono::seconds(2));
     return judge(AcknowledgedAt, StartedAt);
   }
 
   Verdict judge(std::int64_t AcknowledgedAt, std::int64_t StartedAt) {
     const std::lock_guard Lock(m_SentMutex);
     std::size_t Late = 0;
-    for (const auto &[Time, Id] : m_Replicas[Leaver]->arrivals())
-      if (Time > AcknowledgedAt + DrainTime.count() &&
-          m_Sent[Id] > StartedAt + StableWindow.count())
-        ++Late;
+    std::size_t Lost = 0;
+    for (const auto &[Time, Id] : m_Replicas[Leaver]->arrivals()) {
+      if (Time <= AcknowledgedAt + DrainTime.count() ||
+          m_Sent[Id] <= StartedAt + StableWindow.count())
+        continue;
+      ++Late;
+      if (m_Answered[Id] != 200)
+        ++Lost;
+    }
     m_Log.write("requests that reached the replica later than 2 s after the "
                 "acknowledgement, from a gateway in touch: " +
-                std::to_string(Late));
+                std::to_string(Late) +
+                "; of these, begun and lost as the replica ended: " +
+                std::to_string(Lost));
     return Late > 0 ? Verdict::Broken : Verdict::Held;
   }
 
@@ -267,7 +292,9 @@
   std::atomic<bool> m_HasLeft{false};
   std::mutex m_BeatMutex;
   std::mutex m_SentMutex;
+  // By request, the time at which it was sent and the status of its answer.
   std::map<std::string, std::int64_t> m_Sent;
+  std::map<std::string, int> m_Answered;
 };
 
 } // namespace
