--- a/Source/Raft/RaftStorage.cpp
+++ b/Source/Raft/RaftStorage.cpp
@@ -241,8 +241,9 @@
   if (m_BaseIndex > SnapshotIndex)
     return corruptionError(path(std::string(SnapshotName)), 0,
                            "the snapshot that precedes the log is missing");
-  dropStaleEntries();
   m_Recovered.m_HardState = m_HardState;
+  if (m_BaseIndex < SnapshotIndex)
+    return replaceStaleLog();
   return success();
 }
 
@@ -268,25 +269,25 @@
   return success();
 }
 
-// If the process was killed between writing the two files of saveSnapshot(),
-// the log is older than the snapshot. Entries after the snapshot are kept only
-// if they continue from it.
-void RaftStorage::dropStaleEntries() {
-  if (!m_Recovered.m_Snapshot)
-    return;
+// Completes a saveSnapshot() that was interrupted between its two files. The
+// old log begins before the snapshot, and may end before it or hold entries of
+// another leader: appended to it, the entries that follow the snapshot could
+// not be read again. Entries after the snapshot are kept only if they continue
+// from it.
+Result<void, StorageError> RaftStorage::replaceStaleLog() {
   EntryList &Entries = m_Recovered.m_Entries;
-  const LogIndex Last = m_Recovered.m_Snapshot->m_LastIndex;
-  if (m_BaseIndex == Last)
-    return;
-  const std::size_t Covered = Last - m_BaseIndex;
-  const bool Continues =
-      Covered <= Entries.size() &&
-      Entries[Covered - 1]->m_Term == m_Recovered.m_Snapshot->m_LastTerm;
+  const RaftSnapshot &Snapshot = *m_Recovered.m_Snapshot;
+  const std::size_t Covered = Snapshot.m_LastIndex - m_BaseIndex;
+  const bool Continues = Covered <= Entries.size() &&
+                         Entries[Covered - 1]->m_Term == Snapshot.m_LastTerm;
   if (Continues)
     Entries.erase(Entries.begin(),
                   Entries.begin() + static_cast<std::ptrdiff_t>(Covered));
   else
     Entries.clear();
+  m_BaseIndex = Snapshot.m_LastIndex;
+  m_BaseTerm = Snapshot.m_LastTerm;
+  return startLog(Entries);
 }
 
 // ---- Writing.
--- a/Source/Raft/RaftStorage.h
+++ b/Source/Raft/RaftStorage.h
@@ -87,7 +87,7 @@
   Result<void, StorageError> loadSnapshot();
   Result<void, StorageError> loadLog();
   Result<void, StorageError> replayBatch(const schema::LogBatch &Batch);
-  void dropStaleEntries();
+  Result<void, StorageError> replaceStaleLog();
   Result<void, StorageError>
   writeAtomically(const std::string &Name,
                   const std::vector<std::string_view> &Parts);
@@ -105,7 +105,8 @@
   std::string m_StorageId;
   RecoveredState m_Recovered;
   RaftHardState m_HardState;
-  // Base index and term of the open log file.
+  // Base index and term of the open log file: those of the snapshot, once the
+  // folder is loaded.
   LogIndex m_BaseIndex = 0;
   Term m_BaseTerm = 0;
   // Each new log file gets the next number; only the highest one is valid.
--- a/Tests/Raft/MemoryFileSystem.h
+++ b/Tests/Raft/MemoryFileSystem.h
@@ -26,7 +26,14 @@
   int m_Operations = 0;
   Names m_Names;
 
-  // Discards unsynced data, except for a random part of the last writes.
+  // The process is killed: the files remain as they were written.
+  void kill() {
+    m_FailAt = 0;
+    m_Operations = 0;
+  }
+
+  // Power is lost: discards unsynced data, except for a random part of the last
+  // writes.
   void crash(Random &Generator) {
     m_Names = m_SyncedNames;
     for (auto &[Name, Content] : m_Names) {
@@ -37,8 +44,7 @@
             0, uniform(Generator, Content->m_Synced.size(), Written.size()));
       Content->m_Synced = Content->m_Bytes;
     }
-    m_FailAt = 0;
-    m_Operations = 0;
+    kill();
   }
 
   Result<void, FileError> makeFolder(const std::string &) override {
@@ -68,8 +74,10 @@
   }
   Result<void, FileError> truncate(const std::string &Path,
                                    std::uint64_t Size) override {
-    m_Names.at(Path)->m_Bytes.resize(Size);
-    return success();
+    auto Done = outcomeOf("truncate", Path);
+    if (Done)
+      m_Names.at(Path)->m_Bytes.resize(Size);
+    return Done;
   }
   Result<void, FileError> rename(const std::string &From,
                                  const std::string &To) override {
--- a/Tests/Raft/testRaftStorage.cpp
+++ b/Tests/Raft/testRaftStorage.cpp
@@ -161,6 +161,149 @@
   }
 }
 
+namespace {
+
+// What becomes of the files when the process ends in an operation.
+enum class Interruption {
+  // The process is killed; what it has written remains.
+  Kill,
+  // Unsynced data is lost, except for a random part of the last writes.
+  PowerLoss
+};
+
+void interrupt(MemoryFileSystem &Files, Interruption Kind, Random &Generator) {
+  if (Kind == Interruption::Kill)
+    Files.kill();
+  else
+    Files.crash(Generator);
+}
+
+// Where the log ends that a snapshot replaces.
+enum class OldLog {
+  BeforeSnapshot,
+  // At the snapshot's last index, with an entry of another leader.
+  AtSnapshot,
+  // Behind the snapshot, with entries of another leader.
+  BehindSnapshot,
+  // Behind the snapshot, with the entries that follow it.
+  ContinuesSnapshot
+};
+
+// A change of a folder of any content. Content is that of the folder; the
+// change is made to both.
+using Change =
+    std::function<Result<void, StorageError>(RaftStorage &, RecoveredState &)>;
+
+LogIndex lastIndex(const RecoveredState &S) {
+  if (!S.m_Entries.empty())
+    return S.m_Entries.back()->m_Index;
+  return S.m_Snapshot ? S.m_Snapshot->m_LastIndex : 0;
+}
+
+Change appendEntries(std::size_t Count) {
+  return [=](RaftStorage &Storage, RecoveredState &Content) {
+    ++Content.m_HardState.m_Term;
+    PersistLog Records;
+    Records.m_HardState = Content.m_HardState;
+    for (std::size_t I = 0; I < Count; ++I) {
+      Records.m_Entries.push_back(
+          entry(lastIndex(Content) + 1, Content.m_HardState.m_Term));
+      Content.m_Entries.push_back(Records.m_Entries.back());
+    }
+    return write(Storage, Records);
+  };
+}
+
+// Two entries must follow the snapshot.
+Change saveSnapshot(OldLog Log) {
+  return [=](RaftStorage &Storage, RecoveredState &Content) {
+    const LogIndex Last = lastIndex(Content);
+    const Term OtherTerm = Content.m_HardState.m_Term + 1;
+    SaveSnapshot Save;
+    if (Log == OldLog::BeforeSnapshot)
+      Save.m_Snapshot = snapshotAt(Last + 3, OtherTerm);
+    else if (Log == OldLog::AtSnapshot)
+      Save.m_Snapshot = snapshotAt(Last, OtherTerm);
+    else if (Log == OldLog::BehindSnapshot)
+      Save.m_Snapshot = snapshotAt(Last - 1, OtherTerm);
+    else
+      Save = {snapshotAt(Last - 1, Content.m_Entries.rbegin()[1]->m_Term),
+              {Content.m_Entries.back()}};
+    Content.m_Snapshot = Save.m_Snapshot;
+    Content.m_Entries = Save.m_Entries;
+    return Storage.saveSnapshot(Save);
+  };
+}
+
+// Makes the changes until one fails; returns the contents of the folder that
+// are allowed then.
+std::set<std::string> makeChanges(const std::vector<Change> &Changes,
+                                  RaftStorage &Storage,
+                                  RecoveredState Content) {
+  std::string Before = describe(Content);
+  for (const Change &Each : Changes) {
+    const auto Done = Each(Storage, Content);
+    if (!Done)
+      return {Before, describe(Content)};
+    Before = describe(Content);
+  }
+  return {Before};
+}
+
+// A start of a process that must find one of the allowed contents and makes the
+// changes. Returns the allowed contents at its end; the same as before if the
+// start was interrupted.
+std::set<std::string> startAndChange(MemoryFileSystem &Files, Random &Generator,
+                                     const std::set<std::string> &Allowed,
+                                     const std::vector<Change> &Changes) {
+  auto Opened = RaftStorage::open(Files, Folder, Generator);
+  if (!Opened) {
+    INFO(Opened.error().m_Message);
+    CHECK(Opened.error().m_Code != StorageErrorCode::Corrupt);
+    return Allowed;
+  }
+  const RecoveredState Content = Opened.value()->recovered();
+  INFO("found " << describe(Content));
+  CHECK(Allowed.contains(describe(Content)));
+  return makeChanges(Changes, *Opened.value(), Content);
+}
+
+} // namespace
+
+// Guards against a log that is older than its snapshot and is written on: the
+// start after the next one found a gap, or dropped the new entries.
+TEST_CASE("a folder is written on after each of two interruptions") {
+  const Interruption Kind =
+      GENERATE(Interruption::Kill, Interruption::PowerLoss);
+  const OldLog Log =
+      GENERATE(OldLog::BeforeSnapshot, OldLog::AtSnapshot,
+               OldLog::BehindSnapshot, OldLog::ContinuesSnapshot);
+  const std::vector<Change> Changes = {appendEntries(3), saveSnapshot(Log),
+                                       appendEntries(2)};
+  const auto Seed = GENERATE(range<std::uint64_t>(1, 4));
+  bool IsFirstInterrupted = true;
+  for (int First = 1; IsFirstInterrupted; ++First) {
+    bool IsSecondInterrupted = true;
+    for (int Second = 1; IsSecondInterrupted; ++Second) {
+      INFO("seed " << Seed << ", operations " << First << " and " << Second);
+      Random Generator(Seed);
+      MemoryFileSystem Files;
+      Files.m_FailAt = First;
+      std::set<std::string> Allowed =
+          startAndChange(Files, Generator, {"0/"}, Changes);
+      IsFirstInterrupted = Files.m_Operations >= First;
+      interrupt(Files, Kind, Generator);
+      Files.m_FailAt = Second;
+      Allowed = startAndChange(Files, Generator, Allowed, Changes);
+      IsSecondInterrupted = Files.m_Operations >= Second;
+      interrupt(Files, Kind, Generator);
+      // Two more whole starts.
+      Allowed = startAndChange(Files, Generator, Allowed, Changes);
+      startAndChange(Files, Generator, Allowed, {});
+    }
+  }
+}
+
 TEST_CASE("corruption fails the start with file, offset and remedy") {
   using Damage = std::function<void(MemoryFileSystem &)>;
   const auto FlipBit = [](const std::string &Name, std::size_t Offset) {
