Voter: departures are acknowledged once other voters and the gateways know them

All gateways went on sending to the replica, and the bookings that it had begun when it ended were answered with 502.

Cause: the voter answered as soon as the record was in its memory; the updates to gateways and other voters left after the answer. And had another voter got the record, it would not have sent it on: voters sent gateways only what they had heard themselves.

Change: a departure (draining, or DELETE) is acknowledged when all connected voters and gateways have confirmed it; after 200 ms, when as many other voters have as may be lost at once. It is refused with 503 at once if too few are connected, and after 900 ms. All voters send departures to gateways.

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -350,6 +350,25 @@
       HeardAgo);
 }
 
+std::optional<MemberDelta>
+MembershipDirectory::departure(std::string_view BackendServer) const {
+  const std::lock_guard Lock(m_Mutex);
+  const TableEntry *Known = find(m_Table, BackendServer);
+  if (!Known || !hasDeparted(Known->m_Member.m_State))
+    return std::nullopt;
+  return MemberDelta{
+      Known->m_Member,
+      std::max(Duration::zero(),
+               Duration(RuntimeClock::now() - Known->m_LastHeartbeatAt))};
+}
+
+std::uint64_t
+MembershipDirectory::changeNumber(std::string_view BackendServer) const {
+  const std::lock_guard Lock(m_Mutex);
+  const TableEntry *Known = find(m_Table, BackendServer);
+  return Known ? Known->m_ChangeNumber : 0;
+}
+
 void MembershipDirectory::mergeRecord(const Member &Record, Duration HeardAgo) {
   MergeResult Result;
   {
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -139,6 +139,15 @@
   }
   // Merges a record received from another entry.
   void heard(const schema::MemberRecord &Record);
+  void heard(const MemberDelta &Record) {
+    mergeRecord(Record.m_Member, Record.m_HeartbeatAge);
+  }
+  // The record of a backend server that is leaving or has left; no value for
+  // others.
+  std::optional<MemberDelta> departure(std::string_view BackendServer) const;
+  // The number of the last change of the backend server's record, which
+  // differences() needs to be past to have returned it; 0 if it is unknown.
+  std::uint64_t changeNumber(std::string_view BackendServer) const;
   DeltaBatch differences(std::uint64_t Since, std::size_t MaxRecords);
   // Logs members that became suspect, lost, healthy, cold or no longer cold,
   // and servers that were ejected or reinstated.
--- a/Source/Gateway/VoterWatch.cpp
+++ b/Source/Gateway/VoterWatch.cpp
@@ -169,6 +169,7 @@
   Hello.set_kind(toSchema(m_Targets.m_Kind));
   Hello.set_endpoint(m_Targets.m_Endpoint);
   Hello.set_accepts_compressed(true);
+  Hello.set_confirms_changes(true);
   Peer.m_Stream->send(Hello.SerializeAsString());
 }
 
@@ -199,8 +200,12 @@
   }
   if (Update.has_evacuations())
     m_Targets.m_OnEvacuations(evacuationsFromSchema(Update.evacuations()));
-  for (const schema::MemberRecord &Record : Update.records())
+  for (const schema::MemberRecord &Record : Update.records()) {
     m_Targets.m_Directory.heard(Record);
+    m_Targets.m_OnRecord(Record.announcement().backend_server());
+  }
+  if (Update.confirm_change() != 0)
+    confirm(Peer, Update.confirm_change());
   applyConfiguration(From, Update);
   Peer.m_Gateways.clear();
   for (const std::string &Gateway : Update.gateways())
@@ -219,6 +224,15 @@
       m_Members.insert(*Endpoint);
 }
 
+void VoterWatch::confirm(Link &Peer, std::uint64_t Change) {
+  // The stream may have been lost while the update was queued.
+  if (!Peer.m_Stream)
+    return;
+  schema::WatchConfirmation Confirmation;
+  Confirmation.set_change(Change);
+  Peer.m_Stream->send(Confirmation.SerializeAsString());
+}
+
 void VoterWatch::applyConfiguration(const PeerEndpoint &From,
                                     const schema::WatchUpdate &Update) {
   const std::uint64_t Version = Update.configuration_version();
--- a/Source/Gateway/VoterWatch.h
+++ b/Source/Gateway/VoterWatch.h
@@ -53,6 +53,10 @@
   // older than those of an earlier update.
   std::function<void(const Evacuations &)> m_OnEvacuations =
       [](const Evacuations &) {};
+  // Called with the name of a backend server whose record m_Directory has
+  // merged, before the update with the record is confirmed.
+  std::function<void(const std::string &)> m_OnRecord =
+      [](const std::string &) {};
 };
 
 // All functions except start() and setSeeds() must be called on the worker
@@ -95,6 +99,7 @@
                    const schema::WatchUpdate &Update);
   void applyConfiguration(const PeerEndpoint &From,
                           const schema::WatchUpdate &Update);
+  void confirm(Link &Peer, std::uint64_t Change);
   void removeUnknownVoters();
   bool isKnown(const PeerEndpoint &Voter) const;
 
--- a/Source/Membership/MembershipTable.h
+++ b/Source/Membership/MembershipTable.h
@@ -35,6 +35,11 @@
   Left
 };
 
+// Whether a backend server in this state gets no new requests for good.
+constexpr bool hasDeparted(MemberState State) {
+  return State == MemberState::Leaving || State == MemberState::Left;
+}
+
 // An announcement of a backend server, as sent by its agent.
 struct Member {
   std::string m_BackendServer;
--- a/Source/Voter/ControlFront.cpp
+++ b/Source/Voter/ControlFront.cpp
@@ -115,8 +115,24 @@
 
 void ControlFront::handleCall(const Exchange &Client,
                               const AnnounceServer &Call) {
-  m_Dependencies.m_Announce(Call.m_Record);
-  Client->respond(m_Dependencies.m_Protocol.announced());
+  m_Dependencies.m_Announce(Call.m_Record,
+                            [this, Client, Record = Call.m_Record](
+                                const Result<void, std::string> &Stored) {
+                              respondToAnnouncement(Client, Record, Stored);
+                            });
+}
+
+void ControlFront::respondToAnnouncement(
+    const Exchange &Client, const Member &Record,
+    const Result<void, std::string> &Stored) {
+  if (Stored)
+    return Client->respond(m_Dependencies.m_Protocol.announced());
+  m_Dependencies.m_Events.write(
+      Event::DepartureUnconfirmed,
+      {{"backend_server", Record.m_BackendServer},
+       {"state", static_cast<unsigned>(Record.m_State)},
+       {"detail", Stored.error()}});
+  Client->respond(m_Dependencies.m_Protocol.unavailable(Stored.error()));
 }
 
 void ControlFront::handleCall(const Exchange &Client, const BadCall &Call) {
--- a/Source/Voter/ControlFront.h
+++ b/Source/Voter/ControlFront.h
@@ -18,8 +18,11 @@
   EventLog &m_Events;
   const DocumentMachine &m_Machine;
   ReplicatedLog &m_Log;
-  // Stores an announcement and has posted it to the gateways when it returns.
-  std::function<void(const Member &)> m_Announce;
+  // Stores an announcement and calls Done once it may be acknowledged, or can't
+  // be; then the error says why. Done is called on the exchange's worker.
+  std::function<void(const Member &,
+                     std::function<void(Result<void, std::string>)> Done)>
+      m_Announce;
   // Whether the settings name the availability zone or a backend server in it
   // has announced itself.
   std::function<bool(const std::string &)> m_IsKnownZone;
@@ -39,6 +42,8 @@
   void handleCall(const Exchange &Client, const ReadConfiguration &Call);
   void handleCall(const Exchange &Client, OrderEvacuation Call);
   void handleCall(const Exchange &Client, const AnnounceServer &Call);
+  void respondToAnnouncement(const Exchange &Client, const Member &Record,
+                             const Result<void, std::string> &Stored);
   void handleCall(const Exchange &Client, const BadCall &Call);
   void respondToPut(const Exchange &Client, std::uint64_t Version,
                     const Result<schema::CommandReply, ProposeError> &Reply);
--- a/Source/Voter/VoterDaemon.cpp
+++ b/Source/Voter/VoterDaemon.cpp
@@ -54,7 +54,8 @@
           WatchServiceDependencies{
               m_Events, m_Machine, m_LocalAnnouncements, m_AllAnnouncements,
               [this] { return memberNames(); }, m_Settings.availability_zone(),
-              [this] { return m_CatchUp->isCaughtUp(); }})),
+              [this] { return m_CatchUp->isCaughtUp(); },
+              [this] { return requiredVoters(); }})),
       m_OtherVoters(std::make_shared<VoterWatch>(
           m_Workers.worker(0), m_Peers,
           WatchTargets{WatcherKind::Voter,
@@ -63,13 +64,19 @@
                        m_AllAnnouncements,
                        [](const std::set<PeerEndpoint> &) {},
                        {},
-                       {}},
+                       {},
+                       [](const Evacuations &) {},
+                       [this](const std::string &BackendServer) {
+                         adoptDeparture(BackendServer);
+                       }},
           m_Settings.name())),
       m_Log(openLog()),
       m_CatchUp(std::make_shared<CatchUpCheck>(
           m_Machine, *m_Log, [this] { m_WatchService->sendChanges(); })),
       m_Front({Protocol, m_Events, m_Machine, *m_Log,
-               [this](const Member &Record) { announced(Record); },
+               [this](const Member &Record, ConfirmationHandler Done) {
+                 announced(Record, std::move(Done));
+               },
                [this](const std::string &Zone) { return isKnownZone(Zone); }}),
       m_ControlServer(m_Workers, controlLimits(m_Settings),
                       [this](const std::shared_ptr<HttpExchange> &Exchange) {
@@ -185,9 +192,38 @@
   });
 }
 
-void VoterDaemon::announced(const Member &Record) {
-  m_LocalAnnouncements.announced(Record);
+void VoterDaemon::announced(const Member &Record, ConfirmationHandler Done) {
   m_AllAnnouncements.announced(Record);
+  if (!adoptDeparture(Record.m_BackendServer)) {
+    m_LocalAnnouncements.announced(Record);
+    return Done(success());
+  }
+  // A late heartbeat of a backend server that has departed promises nothing.
+  if (!hasDeparted(Record.m_State))
+    return Done(success());
+  m_WatchService->confirmChange(
+      m_LocalAnnouncements.changeNumber(Record.m_BackendServer),
+      std::move(Done));
+}
+
+bool VoterDaemon::adoptDeparture(const std::string &BackendServer) {
+  const auto Departure = m_AllAnnouncements.departure(BackendServer);
+  if (Departure)
+    m_LocalAnnouncements.heard(*Departure);
+  return Departure.has_value();
+}
+
+// With this voter they are one more than may be lost at once.
+std::size_t VoterDaemon::requiredVoters() const {
+  const std::vector<std::string> Members = memberNames();
+  const std::size_t Tolerated = m_Settings.tolerated_losses();
+  if (Members.empty())
+    return Tolerated;
+  const auto Others = static_cast<std::size_t>(
+      std::count_if(Members.begin(), Members.end(), [&](const auto &Each) {
+        return Each != toString(ownEndpoint());
+      }));
+  return std::min(Tolerated, Others);
 }
 
 bool VoterDaemon::isKnownZone(const std::string &Zone) const {
--- a/Source/Voter/VoterDaemon.h
+++ b/Source/Voter/VoterDaemon.h
@@ -36,7 +36,13 @@
   std::unique_ptr<RaftRunner> openLog();
   bool listen();
   void runMaintenance();
-  void announced(const Member &Record);
+  // Calls Done when the announcement may be acknowledged: at once, but for a
+  // backend server that departs.
+  void announced(const Member &Record, ConfirmationHandler Done);
+  // Sends on to the gateways that a backend server departs, whichever voter has
+  // heard it; false if it doesn't. So the record isn't lost with that voter.
+  bool adoptDeparture(const std::string &BackendServer);
+  std::size_t requiredVoters() const;
   bool isKnownZone(const std::string &Zone) const;
   std::vector<std::string> memberNames() const;
   void addMetrics();
@@ -52,7 +58,8 @@
   WorkerPool m_Workers;
   EventLog m_Events;
   MetricRegistry m_Registry;
-  // Announcements of backend servers received by this voter, and by any voter.
+  // Announcements of backend servers received by this voter, with the
+  // departures that any voter has heard; and those received by any voter.
   MembershipDirectory m_LocalAnnouncements;
   MembershipDirectory m_AllAnnouncements;
   DocumentMachine m_Machine;
--- a/Source/Voter/WatchService.cpp
+++ b/Source/Voter/WatchService.cpp
@@ -5,6 +5,7 @@
 #include "Core/PostTask.h"
 #include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
+#include "Voter/ChangeConfirmation.h"
 #include "Voter/DocumentMachine.h"
 #include "Watch.pb.h"
 
@@ -21,6 +22,10 @@
 // skipped.
 constexpr std::size_t MaxQueuedBytes = std::size_t{1024} * 1024;
 constexpr std::size_t MaxRecords = 1000;
+// A watcher that is suspended must not hold up an acknowledgement for longer.
+constexpr Duration ConfirmationByAllTimeout = std::chrono::milliseconds(200);
+// Callers try another voter after a second without a response.
+constexpr Duration ConfirmationTimeout = std::chrono::milliseconds(900);
 
 WatcherKind fromSchema(schema::WatchHello::Kind Kind) {
   switch (Kind) {
@@ -37,35 +42,42 @@
 
 WatchService::WatchService(boost::asio::io_context &Worker,
                            WatchServiceDependencies Dependencies)
-    : m_Dependencies(std::move(Dependencies)), m_Timer(Worker) {}
+    : m_Dependencies(std::move(Dependencies)), m_Timer(Worker),
+      m_PendingTimer(Worker) {}
 
 void WatchService::serve(PeerServer &Server) {
   Server.addMethod(WatchMethod, [Weak = weak_from_this()](
                                     const std::shared_ptr<PeerStream> &Stream) {
-    const auto Post = [Weak](std::function<void(WatchService &)> Task) {
-      if (const auto Self = Weak.lock())
-        postTask(Self->m_Timer.get_executor(),
-                 [Self, Task = std::move(Task)] { Task(*Self); });
-    };
-    const std::weak_ptr<PeerStream> WeakStream = Stream;
-    const PeerStream *Key = Stream.get();
-    PeerStreamHandlers Handlers;
-    Handlers.m_OnMessage = [Post, WeakStream](std::string_view Bytes) {
-      Post([WeakStream, Hello = std::string(Bytes)](WatchService &Self) {
-        if (const auto Live = WeakStream.lock())
-          Self.addWatcher(Live, Hello);
-      });
-    };
-    Handlers.m_OnEnd = [Post, Key] {
-      Post([Key](WatchService &Self) { Self.removeWatcher(Key); });
-    };
-    Handlers.m_OnError = [Post, Key](const PeerError &) {
-      Post([Key](WatchService &Self) { Self.removeWatcher(Key); });
-    };
-    Stream->setHandlers(std::move(Handlers));
+    if (const auto Self = Weak.lock())
+      Self->accept(Stream);
   });
 }
 
+void WatchService::accept(const std::shared_ptr<PeerStream> &Stream) {
+  const auto Post =
+      [Weak = weak_from_this()](std::function<void(WatchService &)> Task) {
+        if (const auto Self = Weak.lock())
+          postTask(Self->m_Timer.get_executor(),
+                   [Self, Task = std::move(Task)] { Task(*Self); });
+      };
+  const std::weak_ptr<PeerStream> WeakStream = Stream;
+  const PeerStream *Key = Stream.get();
+  PeerStreamHandlers Handlers;
+  Handlers.m_OnMessage = [Post, WeakStream](std::string_view Bytes) {
+    Post([WeakStream, Message = std::string(Bytes)](WatchService &Self) {
+      if (const auto Live = WeakStream.lock())
+        Self.onMessage(Live, Message);
+    });
+  };
+  Handlers.m_OnEnd = [Post, Key] {
+    Post([Key](WatchService &Self) { Self.removeWatcher(Key); });
+  };
+  Handlers.m_OnError = [Post, Key](const PeerError &) {
+    Post([Key](WatchService &Self) { Self.removeWatcher(Key); });
+  };
+  Stream->setHandlers(std::move(Handlers));
+}
+
 void WatchService::start() {
   postTask(m_Timer.get_executor(),
            [Self = shared_from_this()] { Self->tick(); });
@@ -89,6 +101,22 @@
   });
 }
 
+std::list<WatchService::Watcher>::iterator
+WatchService::findWatcher(const PeerStream *Stream) {
+  return std::find_if(
+      m_Watchers.begin(), m_Watchers.end(),
+      [&](const Watcher &Each) { return Each.m_Stream.get() == Stream; });
+}
+
+void WatchService::onMessage(const std::shared_ptr<PeerStream> &Stream,
+                             std::string_view Bytes) {
+  const auto Known = findWatcher(Stream.get());
+  if (Known == m_Watchers.end())
+    addWatcher(Stream, Bytes);
+  else
+    onConfirmation(*Known, Bytes);
+}
+
 void WatchService::addWatcher(const std::shared_ptr<PeerStream> &Stream,
                               std::string_view Hello) {
   schema::WatchHello Parsed;
@@ -96,26 +124,44 @@
     return Stream->reset();
   m_Dependencies.m_Events.write(Event::WatcherJoined,
                                 {{"watcher", Parsed.watcher()}});
-  m_Watchers.push_back({Stream, Parsed.watcher(), fromSchema(Parsed.kind()),
-                        Parsed.endpoint(), 0, 0, Parsed.accepts_compressed()});
-  sendUpdate(m_Watchers.back());
+  Watcher &Added = m_Watchers.emplace_back();
+  Added.m_Stream = Stream;
+  Added.m_Name = Parsed.watcher();
+  Added.m_Kind = fromSchema(Parsed.kind());
+  Added.m_Endpoint = Parsed.endpoint();
+  Added.m_AcceptsCompressed = Parsed.accepts_compressed();
+  Added.m_ConfirmsChanges = Parsed.confirms_changes();
+  sendUpdate(Added);
+}
+
+void WatchService::onConfirmation(Watcher &From, std::string_view Bytes) {
+  schema::WatchConfirmation Parsed;
+  if (!Parsed.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    return From.m_Stream->reset();
+  From.m_ConfirmedChange =
+      std::max(From.m_ConfirmedChange,
+               std::min<std::uint64_t>(Parsed.change(), From.m_SentChange));
+  // One update doesn't hold any number of records.
+  if (From.m_SentChange < lastPendingChange())
+    sendUpdate(From);
+  settlePendingChanges();
 }
 
 void WatchService::removeWatcher(const PeerStream *Stream) {
-  const auto Found =
-      std::find_if(m_Watchers.begin(), m_Watchers.end(), [&](const Watcher &W) {
-        return W.m_Stream.get() == Stream;
-      });
+  const auto Found = findWatcher(Stream);
   if (Found == m_Watchers.end())
     return;
   m_Dependencies.m_Events.write(Event::WatcherLost,
                                 {{"watcher", Found->m_Name}});
   m_Watchers.erase(Found);
+  settlePendingChanges();
 }
 
 void WatchService::sendUpdateToAll() {
   for (Watcher &Each : m_Watchers)
     sendUpdate(Each);
+  // Watchers that don't confirm changes have been sent them now.
+  settlePendingChanges();
 }
 
 const std::string &WatchService::compressed(const VersionedDocument &Document) {
@@ -167,7 +213,95 @@
       if (Each.m_Kind == WatcherKind::Gateway)
         Update.add_gateways(Each.m_Endpoint);
   Update.set_availability_zone(m_Dependencies.m_AvailabilityZone);
+  requestConfirmation(To, Update);
   To.m_Stream->send(Update.SerializeAsString());
 }
 
+// ---- Confirmations.
+
+void WatchService::confirmChange(std::uint64_t Change,
+                                 ConfirmationHandler Done) {
+  const TimePoint Now = RuntimeClock::now();
+  m_PendingChanges.push_back({Change, Now + ConfirmationByAllTimeout,
+                              Now + ConfirmationTimeout, std::move(Done)});
+  sendChanges();
+  settlePendingChanges();
+}
+
+void WatchService::requestConfirmation(Watcher &To,
+                                       schema::WatchUpdate &Update) {
+  if (To.m_Kind == WatcherKind::Balancer ||
+      To.m_ConfirmedChange >= lastPendingChange())
+    return;
+  if (To.m_ConfirmsChanges)
+    Update.set_confirm_change(To.m_SentChange);
+  else
+    To.m_ConfirmedChange = To.m_SentChange;
+}
+
+std::uint64_t WatchService::lastPendingChange() const {
+  std::uint64_t Last = 0;
+  for (const PendingChange &Each : m_PendingChanges)
+    Last = std::max(Last, Each.m_Change);
+  return Last;
+}
+
+std::vector<WatcherProgress> WatchService::progress() const {
+  std::vector<WatcherProgress> Watchers;
+  for (const Watcher &Each : m_Watchers)
+    Watchers.push_back({Each.m_Name, Each.m_Kind, Each.m_ConfirmedChange});
+  return Watchers;
+}
+
+std::optional<Result<void, std::string>>
+WatchService::resultOf(const PendingChange &Pending, TimePoint Now) const {
+  switch (confirmationState(progress(), Pending.m_Change,
+                            m_Dependencies.m_RequiredVoters(),
+                            Now < Pending.m_ForAllUntil)) {
+  case ConfirmationState::Confirmed:
+    return success();
+  case ConfirmationState::OutOfReach:
+    return std::string("too few other voters are connected");
+  case ConfirmationState::Pending:
+    break;
+  }
+  if (Now < Pending.m_Deadline)
+    return std::nullopt;
+  return std::string("too few other voters have confirmed the change in time");
+}
+
+void WatchService::settlePendingChanges() {
+  const TimePoint Now = RuntimeClock::now();
+  // Handlers are called last: they may add pending changes.
+  std::vector<std::function<void()>> Handlers;
+  for (auto Each = m_PendingChanges.begin(); Each != m_PendingChanges.end();) {
+    auto Settled = resultOf(*Each, Now);
+    if (!Settled) {
+      ++Each;
+      continue;
+    }
+    Handlers.push_back([Done = std::move(Each->m_Done),
+                        Result = std::move(*Settled)] { Done(Result); });
+    Each = m_PendingChanges.erase(Each);
+  }
+  armPendingTimer(Now);
+  for (const auto &Handler : Handlers)
+    Handler();
+}
+
+void WatchService::armPendingTimer(TimePoint Now) {
+  if (m_PendingChanges.empty())
+    return;
+  TimePoint Due = TimePoint::max();
+  for (const PendingChange &Each : m_PendingChanges)
+    Due = std::min(Due, Now < Each.m_ForAllUntil ? Each.m_ForAllUntil
+                                                 : Each.m_Deadline);
+  m_PendingTimer.expires_at(Due);
+  m_PendingTimer.async_wait(
+      [Self = shared_from_this()](boost::system::error_code E) {
+        if (!E)
+          Self->settlePendingChanges();
+      });
+}
+
 } // namespace mangocart
--- a/Source/Voter/WatchService.h
+++ b/Source/Voter/WatchService.h
@@ -4,6 +4,7 @@
 #ifndef MANGOCART_VOTER_WATCHSERVICE_H
 #define MANGOCART_VOTER_WATCHSERVICE_H
 
+#include "Core/Result.h"
 #include "Core/Timer.h"
 #include "Gateway/VoterWatch.h"
 #include "Net/PeerStream.h"
@@ -13,6 +14,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,11 +27,13 @@
 struct VersionedDocument;
 class EventLog;
 class MembershipDirectory;
+struct WatcherProgress;
 
 struct WatchServiceDependencies {
   EventLog &m_Events;
   const DocumentMachine &m_Machine;
-  // Announcements of backend servers received by this voter, and by any voter.
+  // Announcements of backend servers received by this voter, with the
+  // departures that any voter has heard; and those received by any voter.
   MembershipDirectory &m_LocalAnnouncements;
   MembershipDirectory &m_AllAnnouncements;
   // Peer endpoints of the members of the log.
@@ -39,9 +43,14 @@
   // Whether this voter knows all evacuations; until then gateways get no
   // configuration from it.
   std::function<bool()> m_IsCaughtUp;
+  // Number of other voters that must know a change before it is acknowledged.
+  std::function<std::size_t()> m_RequiredVoters;
 };
 
-// All functions but news() run on the worker.
+// The error says why a change isn't confirmed.
+using ConfirmationHandler = std::function<void(Result<void, std::string>)>;
+
+// All functions but accept() and sendChanges() run on the worker.
 class WatchService : public std::enable_shared_from_this<WatchService> {
 public:
   WatchService(boost::asio::io_context &Worker,
@@ -49,10 +58,17 @@
 
   // Called before the server listens.
   void serve(PeerServer &Server);
+  // Serves the stream of one watcher. Called from any thread.
+  void accept(const std::shared_ptr<PeerStream> &Stream);
   void start();
   // Sends the latest changes to all watchers without waiting for the next
   // interval. Called from any thread.
   void sendChanges();
+  // Sends the change of m_LocalAnnouncements with this number, and those before
+  // it, to all watchers. Calls Done once the watchers that confirmationState()
+  // asks for have confirmed it, or as soon as it is known that they won't in
+  // time.
+  void confirmChange(std::uint64_t Change, ConfirmationHandler Done);
 
 private:
   struct Watcher {
@@ -65,11 +81,27 @@
     std::uint64_t m_SentVersion = 0;
     // Change number of the last announcement sent.
     std::uint64_t m_SentChange = 0;
+    // Number of the last change that the watcher has confirmed.
+    std::uint64_t m_ConfirmedChange = 0;
     bool m_AcceptsCompressed = false;
+    bool m_ConfirmsChanges = false;
+  };
+
+  // A change that waits for confirmations.
+  struct PendingChange {
+    std::uint64_t m_Change = 0;
+    // Until then all watchers are waited for.
+    TimePoint m_ForAllUntil;
+    TimePoint m_Deadline;
+    ConfirmationHandler m_Done;
   };
 
+  void onMessage(const std::shared_ptr<PeerStream> &Stream,
+                 std::string_view Bytes);
   void addWatcher(const std::shared_ptr<PeerStream> &Stream,
                   std::string_view Hello);
+  void onConfirmation(Watcher &From, std::string_view Bytes);
+  std::list<Watcher>::iterator findWatcher(const PeerStream *Stream);
   void removeWatcher(const PeerStream *Stream);
   void tick();
   void sendUpdateToAll();
@@ -77,6 +109,18 @@
   void addConfiguration(Watcher &To, schema::WatchUpdate &Update);
   // Compresses the document once for all watchers.
   const std::string &compressed(const VersionedDocument &Document);
+  // Asks the watcher to confirm what it was sent, if a pending change needs
+  // that.
+  void requestConfirmation(Watcher &To, schema::WatchUpdate &Update);
+  // The highest number of a pending change; 0 if there is none.
+  std::uint64_t lastPendingChange() const;
+  std::vector<WatcherProgress> progress() const;
+  // Ends the pending changes that are confirmed or can't be any more.
+  void settlePendingChanges();
+  // Result of a pending change; no value while it stays pending.
+  std::optional<Result<void, std::string>>
+  resultOf(const PendingChange &Pending, TimePoint Now) const;
+  void armPendingTimer(TimePoint Now);
 
   const WatchServiceDependencies m_Dependencies;
   Timer m_Timer;
@@ -85,6 +129,8 @@
   std::string m_Compressed;
   std::uint64_t m_CompressedVersion = 0;
   std::atomic<bool> m_UpdatePosted{false};
+  std::list<PendingChange> m_PendingChanges;
+  Timer m_PendingTimer;
 };
 
 } // namespace mangocart
--- /dev/null
+++ b/Tests/Gateways/VoterDeployment.h
@@ -0,0 +1,46 @@
+// Several voters as separate processes on loopback addresses.
+#ifndef MANGOCART_TESTS_VOTERDEPLOYMENT_H
+#define MANGOCART_TESTS_VOTERDEPLOYMENT_H
+
+#include "Http/HttpClient.h"
+#include "Net/PeerStream.h"
+#include "Processes/ChildProcess.h"
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mangocart::test {
+
+class VoterDeployment {
+public:
+  // Voter I has the address 127.OCTET.0.(I+1).
+  VoterDeployment(int Octet, unsigned Voters);
+  ~VoterDeployment();
+  VoterDeployment(const VoterDeployment &) = delete;
+  VoterDeployment &operator=(const VoterDeployment &) = delete;
+
+  // Starts all and waits until a configuration is acknowledged and each voter
+  // watches the others.
+  void start();
+  void startVoter(unsigned Index);
+  void signalVoter(unsigned Index, int SignalNumber);
+  // Kills the voter and waits for its end.
+  void killVoter(unsigned Index);
+
+  HttpTarget control(unsigned Index) const;
+  PeerEndpoint peer(unsigned Index) const;
+
+private:
+  std::string address(unsigned Index) const;
+  std::string seeds() const;
+
+  const int m_Octet;
+  std::filesystem::path m_Folder;
+  std::vector<std::unique_ptr<ChildProcess>> m_Voters;
+};
+
+} // namespace mangocart::test
+
+#endif
--- a/Tests/Voter/testControlFront.cpp
+++ b/Tests/Voter/testControlFront.cpp
@@ -4,6 +4,7 @@
 #include "Http/HttpServer.h"
 #include "Voter/ControlFront.h"
 #include "Voter/DocumentMachine.h"
+#include "Voter/WatchService.h"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
@@ -72,7 +73,12 @@
   Fixture()
       : m_Events({"voter", "v1", "a"}, "/dev/null"),
         m_Front({m_Protocol, m_Events, m_Machine, m_Log,
-                 [this](const Member &Record) { m_Announced = Record; },
+                 [this](const Member &Record, ConfirmationHandler Done) {
+                   m_Announced = Record;
+                   m_Confirm = std::move(Done);
+                   if (m_Stored)
+                     m_Confirm(*m_Stored);
+                 },
                  [](const std::string &Zone) { return Zone != "unknown"; }}),
         m_Exchange(std::make_shared<AnsweredExchange>(m_Context)) {}
 
@@ -97,6 +103,9 @@
   MockLog m_Log;
   DocumentMachine m_Machine;
   std::optional<Member> m_Announced;
+  // The result of the next announcement; no value while it is being stored.
+  std::optional<Result<void, std::string>> m_Stored = success();
+  ConfirmationHandler m_Confirm;
   ControlFront m_Front;
   std::shared_ptr<AnsweredExchange> m_Exchange;
 };
@@ -163,6 +172,28 @@
   CHECK(F.m_Announced->m_State == MemberState::Leaving);
 }
 
+TEST_CASE("an announcement isn't acknowledged before it is stored") {
+  Fixture F;
+  F.m_Stored.reset();
+  Member Record;
+  Record.m_BackendServer = "i-1";
+  Record.m_State = MemberState::Left;
+  ALLOW_CALL(F.m_Protocol, read(trompeloeil::_))
+      .RETURN(ControlCall(AnnounceServer{Record}));
+  F.m_Front.handle(F.m_Exchange);
+  F.m_Context.run();
+  CHECK_FALSE(F.m_Exchange->m_Answer);
+  F.m_Confirm(success());
+  REQUIRE(F.m_Exchange->m_Answer);
+  CHECK(F.m_Exchange->m_Answer->m_Body == "announced");
+}
+
+TEST_CASE("an announcement that can't be stored is refused") {
+  Fixture F;
+  F.m_Stored = std::string("no other voter is connected");
+  CHECK(F.handle(AnnounceServer{Member()}).m_Head.m_Status == 503);
+}
+
 TEST_CASE("an invalid call gets the protocol's response") {
   Fixture F;
   CHECK(F.handle(BadCall{BadCall::From::Operator, {{400, {}}, "bad"}, "bad"})
