Membership: a departure without an incarnation merges in any order

Cause: such a departure was completed with the incarnation only if the server's record came first; in the other order the SERVING record counted as a new incarnation. The voter that got the call didn't ask what other voters had heard.

Change: such a departure ends the incarnation whose first known heartbeat isn't later than the departure, whichever record comes first, and no later one.

Evidence: testMembershipTable, "a departure without an incarnation merges in any order".

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -374,8 +374,7 @@
   {
     const std::lock_guard Lock(m_Mutex);
     const TimePoint Now = RuntimeClock::now();
-    Result =
-        merge(m_Table, withKnownIncarnation(m_Table, Record), HeardAgo, Now);
+    Result = merge(m_Table, Record, HeardAgo, Now);
     if (Result == MergeResult::Joined)
       markReplacedAsLeft(m_Table, Record.m_BackendServer, Now);
   }
--- a/Source/Membership/MembershipTable.cpp
+++ b/Source/Membership/MembershipTable.cpp
@@ -4,6 +4,7 @@
 #include "Peer.pb.h"
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 
 namespace mangocart {
@@ -155,11 +156,30 @@
              Known.m_ColdUntil;
 }
 
+bool lacksIncarnation(const Member &Record) {
+  return Record.m_State == MemberState::Left && Record.m_Incarnation == 0;
+}
+
+// Of a record that names an incarnation and one of a departure that doesn't,
+// returns the one to merge; no value if the departure was that of an earlier
+// incarnation. Joined and Departed are the times of their heartbeats.
+std::optional<Member> departedMember(const Member &Named, TimePoint Joined,
+                                     const Member &Departure,
+                                     TimePoint Departed) {
+  if (Joined > Departed)
+    return std::nullopt;
+  Member Result = Named;
+  Result.m_State = MemberState::Left;
+  Result.m_Counter = std::max(Named.m_Counter, Departure.m_Counter);
+  return Result;
+}
+
 MergeResult insertNew(MembershipTable &Table, const Member &Record,
                       TimePoint HeartbeatAt, TimePoint Now) {
   TableEntry Entry;
   Entry.m_Member = Record;
   Entry.m_LastHeartbeatAt = HeartbeatAt;
+  Entry.m_JoinedAt = HeartbeatAt;
   Entry.m_Zone = zoneIndex(Table, Record.m_AvailabilityZone);
   markChanged(Table, Entry, Now);
   Table.m_Entries.insert_or_assign(Record.m_BackendServer, std::move(Entry));
@@ -216,6 +236,23 @@
     return insertNew(Table, Record, HeartbeatAt, Now);
   }
   TableEntry &Entry = Found->second;
+  if (lacksIncarnation(Record) && Entry.m_Member.m_Incarnation > 0) {
+    const auto Departed =
+        departedMember(Entry.m_Member, Entry.m_JoinedAt, Record, HeartbeatAt);
+    return Departed ? merge(Table, *Departed, HeartbeatAge, Now)
+                    : MergeResult::Stale;
+  }
+  if (lacksIncarnation(Entry.m_Member) && Record.m_Incarnation > 0) {
+    const auto Departed = departedMember(Record, HeartbeatAt, Entry.m_Member,
+                                         Entry.m_LastHeartbeatAt);
+    if (Departed) {
+      Entry.m_Member = *Departed;
+      Entry.m_JoinedAt = HeartbeatAt;
+      Entry.m_Zone = zoneIndex(Table, Record.m_AvailabilityZone);
+      markChanged(Table, Entry, Now);
+      return MergeResult::StateChanged;
+    }
+  }
   if (mergeOrder(Record) <= mergeOrder(Entry.m_Member))
     return MergeResult::Stale;
   if (Record.m_Incarnation > Entry.m_Member.m_Incarnation)
@@ -234,18 +271,6 @@
   return StateChanged ? MergeResult::StateChanged : MergeResult::Refreshed;
 }
 
-Member withKnownIncarnation(const MembershipTable &Table, Member Record) {
-  const TableEntry *Known = find(Table, Record.m_BackendServer);
-  if (Known && Record.m_Incarnation == 0 &&
-      Record.m_State == MemberState::Left) {
-    const std::uint64_t Counter = Record.m_Counter;
-    Record = Known->m_Member;
-    Record.m_State = MemberState::Left;
-    Record.m_Counter = std::max(Counter, Record.m_Counter);
-  }
-  return Record;
-}
-
 void markReplacedAsLeft(MembershipTable &Table, const std::string &Joined,
                         TimePoint Now) {
   const auto Found = Table.m_Entries.find(Joined);
--- a/Source/Membership/MembershipTable.h
+++ b/Source/Membership/MembershipTable.h
@@ -7,6 +7,10 @@
 // UNAVAILABLE), then the one with the higher counter. So a late SERVING never
 // revives a server that is leaving, while a backend server may become
 // unavailable and serve again in one incarnation.
+//
+// A LEFT record without an incarnation comes from a sender that doesn't know
+// it. It ends the incarnation that was known when it was sent, in whatever
+// order the records arrive, but no later one.
 #ifndef MANGOCART_MEMBERSHIP_MEMBERSHIPTABLE_H
 #define MANGOCART_MEMBERSHIP_MEMBERSHIPTABLE_H
 
@@ -114,6 +118,8 @@
   // When the latest heartbeat was received, here or by the entry that forwarded
   // it. Never decreases.
   TimePoint m_LastHeartbeatAt;
+  // When the first known heartbeat of this incarnation was received.
+  TimePoint m_JoinedAt;
   // The member is suspect until this time because of failed calls.
   TimePoint m_AvoidedUntil;
   std::uint32_t m_ConsecutiveFailures = 0;
@@ -158,10 +164,6 @@
 MergeResult merge(MembershipTable &Table, const Member &Record,
                   Duration HeartbeatAge, TimePoint Now);
 
-// Completes a LEFT record without an incarnation, from a sender that doesn't
-// know it, with the incarnation in the table.
-Member withKnownIncarnation(const MembershipTable &Table, Member Record);
-
 // If two backend servers announce the same address, marks the older incarnation
 // as left, even if it never announced leaving. To be called after a merge()
 // that returned Joined.
--- a/Tests/Membership/testMembershipTable.cpp
+++ b/Tests/Membership/testMembershipTable.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <functional>
 #include <iostream>
+#include <numeric>
 
 using namespace mangocart;
 using namespace std::chrono_literals;
@@ -413,7 +414,7 @@
   MembershipTable Table;
   merge(Table, member("a", 7, 4), 0s, Begin);
   Member LeftRecord = member("a", 0, 0, MemberState::Left);
-  merge(Table, withKnownIncarnation(Table, LeftRecord), 0s, Begin);
+  merge(Table, LeftRecord, 0s, Begin);
   CHECK(candidates(Table, Begin) == "");
   // A late heartbeat of the same incarnation doesn't add it again, a new
   // incarnation does.
@@ -422,3 +423,55 @@
   merge(Table, member("a", 8, 1), 0s, Begin);
   CHECK(candidates(Table, Begin) == "a");
 }
+
+// Guards against gateways that start after a departure and go on sending,
+// because they heard of it before they heard of the server from another voter.
+TEST_CASE("a departure without an incarnation merges in any order") {
+  using State = MemberState;
+  struct Received {
+    Member m_Record;
+    Duration m_Age;
+  };
+  const Received Earlier{member("a", 5, 3), 1s};
+  const Received Last{member("a", 5, 4), 400ms};
+  const Received Departure{member("a", 0, 0, State::Left), 200ms};
+  // The same departure, from a voter that knew the incarnation.
+  const Received Known{member("a", 5, 4, State::Left), 200ms};
+  const Received Restarted{member("a", 6, 1), 100ms};
+  struct Row {
+    std::string m_Name;
+    std::vector<Received> m_Records;
+    std::uint64_t m_Incarnation;
+    State m_State;
+  };
+  const std::vector<Row> Rows = {
+      {"one voter each", {Last, Departure}, 5, State::Left},
+      {"two heartbeats", {Earlier, Last, Departure}, 5, State::Left},
+      {"two departures", {Earlier, Departure, Known}, 5, State::Left},
+      {"twice", {Last, Departure, Departure, Last}, 5, State::Left},
+      {"started again", {Last, Departure, Restarted}, 6, State::Serving},
+      {"started again, known",
+       {Known, Departure, Restarted},
+       6,
+       State::Serving},
+      {"only the new start", {Departure, Restarted}, 6, State::Serving},
+  };
+  for (const Row &R : Rows) {
+    std::vector<std::size_t> Order(R.m_Records.size());
+    std::iota(Order.begin(), Order.end(), 0);
+    do {
+      MembershipTable Table;
+      std::string Text;
+      for (const std::size_t I : Order) {
+        Text += std::to_string(I);
+        merge(Table, R.m_Records[I].m_Record, R.m_Records[I].m_Age, Begin);
+      }
+      INFO(R.m_Name << ", order " << Text);
+      const Member &Merged = find(Table, "a")->m_Member;
+      CHECK(Merged.m_Incarnation == R.m_Incarnation);
+      CHECK(Merged.m_State == R.m_State);
+      CHECK(candidates(Table, Begin) ==
+            (R.m_State == State::Serving ? "a" : ""));
+    } while (std::next_permutation(Order.begin(), Order.end()));
+  }
+}
