Http: the fields of an answer's head and trailer are bounded together

What callers would see: a faulty replica sends fields without end; the gateway that called it keeps them until the deadline of the request, and runs out of memory with the requests of other clients.

Cause: the parser hands over each field once it is whole and limits only what it hasn't handed over. It insists on seeing the end of the head after the first incomplete read, but not if the read ended within three bytes of a field.

Change: the bytes of the fields of a head, and of a trailer, are counted.

Evidence: testEndlessAnswers, a server that sends each of 15 forms without end. Before, fields that reads cut after three bytes were kept until the deadline (94,646,292 bytes in 10 s); the other forms were given up before as well: status line, one field, small, equal and folded fields, interim answers, chunk length and extension, trailers, answers to other calls. All pass now.

--- a/Source/Http/HttpResponseParser.cpp
+++ b/Source/Http/HttpResponseParser.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
+// A field's colon and line end.
+constexpr std::size_t FieldOverheadBytes = 3;
 constexpr int SwitchingProtocols = 101;
 constexpr int FirstFinalStatus = 200;
 
@@ -83,8 +85,16 @@
   }
 }
 
+// The parser hands over each field once it is whole, so that its own limit
+// bounds a single field only.
 void HttpResponseParser::on_field_impl(http::field, StringView Name,
-                                       StringView Value, ErrorCode &) {
+                                       StringView Value, ErrorCode &Error) {
+  m_FieldBytes += Name.size() + Value.size() + FieldOverheadBytes;
+  if (m_FieldBytes > MaxHeadBytes) {
+    m_Detail = "malformed answer: the head or the trailer is too large";
+    Error = http::error::header_limit;
+    return;
+  }
   if (!m_HeadDone)
     m_Head.m_Headers.push_back({std::string(Name.data(), Name.size()),
                                 std::string(Value.data(), Value.size())});
@@ -92,6 +102,7 @@
 
 void HttpResponseParser::on_header_impl(ErrorCode &Error) {
   m_HeadDone = true;
+  m_FieldBytes = 0;
   if (m_Interim)
     return;
   if (need_eof() && !m_TakesEndByClosing) {
--- a/Source/Http/HttpResponseParser.h
+++ b/Source/Http/HttpResponseParser.h
@@ -64,6 +64,8 @@
   HttpResponseSink &m_Sink;
   const bool m_TakesEndByClosing;
   HttpHead m_Head;
+  // Bytes of the fields of the head, then of the trailer.
+  std::size_t m_FieldBytes = 0;
   std::string m_Detail;
   bool m_HeadDone = false;
   std::optional<unsigned> m_KeepSeconds;
