Http: a taker that keeps an answer's body names the largest one

What callers would see: a faulty replica answers a balancer's or an agent's calls with a body without end; the process keeps it until its timeout and can run out of memory. An entry does so with answers that it hands on whole.

Cause: no bound at takers that keep the body: balancers (state, counts, experts), agents (load pages, the stored answers of calls that may run once), entries (answers that aren't streams). A balancer also wrote such a body into its log.

Change: the client of the HTTP answers and of the calls to agents has a limit for the body, after which the call fails. Gateways have limits of their own.

--- a/Source/Agent/BackendProbe.cpp
+++ b/Source/Agent/BackendProbe.cpp
@@ -16,6 +16,7 @@
 // Consecutive failed probes after which the backend server is unavailable; a
 // single lost probe is not sufficient evidence.
 constexpr int UnavailableFailureThreshold = 2;
+constexpr std::size_t MaxLoadPageBytes = std::size_t{64} * 1024;
 constexpr const char *LoadPath = "/load";
 
 double parseLoad(const std::string &Body) {
@@ -82,6 +83,7 @@
   Handlers.m_OnError = [Self = shared_from_this()](const HttpError &) {
     Self->recordResult(false, {});
   };
+  Handlers.m_MaxBodyBytes = MaxLoadPageBytes;
   m_Context.m_Clients.on(m_Timer.get_executor())
       .send(m_Context.backend(), std::move(Request), ProbeTimeout,
             std::move(Handlers));
--- a/Source/Agent/CallForwarder.cpp
+++ b/Source/Agent/CallForwarder.cpp
@@ -121,7 +121,9 @@
 void CallForwarder::handleResponseBody(std::string_view Data) {
   m_ByteCount += Data.size();
   m_Checksum = hash64(Data, m_Checksum);
-  if (!isIdempotent())
+  // The guard doesn't store an answer that is larger than its limit.
+  if (!isIdempotent() &&
+      m_StoredAnswer.body().size() <= GuardLimits().m_MaxAnswerBytes)
     m_StoredAnswer.mutable_body()->append(Data);
   schema::CallReply Reply;
   Reply.set_body(std::string(Data));
--- a/Source/Balancer/RankService.cpp
+++ b/Source/Balancer/RankService.cpp
@@ -9,6 +9,10 @@
 
 // Short, because the replica is on the same machine and answers within a few
 // ms.
+// States and counts of large groups have some hundred kilobytes.
+constexpr std::size_t MaxAnswerBytes = std::size_t{4} * 1024 * 1024;
+// Of an answer that can't be used, for the log.
+constexpr std::size_t MaxLoggedBytes = 256;
 constexpr Duration CallTimeout = std::chrono::milliseconds(60);
 // An order without an answer in this time may be executed later; a later report
 // will then show its effect.
@@ -104,7 +108,7 @@
       m_Events.write(Event::EngineAnswerUnusable,
                      {{"target", Target},
                       {"status", Response->m_Status},
-                      {"detail", Response->m_Body}});
+                      {"detail", Response->m_Body.substr(0, MaxLoggedBytes)}});
     m_Reachable = true;
     OnAnswer(true, Response->m_Body);
   };
@@ -117,6 +121,7 @@
           {{"target", Target}, {"status", 0}, {"detail", Error.m_Detail}});
     OnAnswer(false, {});
   };
+  Handlers.m_MaxBodyBytes = MaxAnswerBytes;
   m_Client.send(Pending->m_Replica, std::move(Request), Timeout,
                 std::move(Handlers));
 }
--- a/Source/Entry/CallAttempt.cpp
+++ b/Source/Entry/CallAttempt.cpp
@@ -88,6 +88,8 @@
     return m_Handlers.m_OnHead(std::move(*Reply.mutable_head()));
   case schema::CallReply::kBody:
     m_ByteCount += Reply.body().size();
+    if (m_ByteCount > m_Handlers.m_MaxBodyBytes)
+      return fail("the answer is too large", false);
     m_Checksum = hash64(Reply.body(), m_Checksum);
     return m_Handlers.m_OnBody(std::move(*Reply.mutable_body()));
   case schema::CallReply::kEnd:
--- a/Source/Entry/CallAttempt.h
+++ b/Source/Entry/CallAttempt.h
@@ -7,6 +7,7 @@
 #include "Peer.pb.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -32,8 +33,15 @@
   std::function<void()> m_OnEnd;
   std::function<void(schema::CallRefusal)> m_OnRefusal;
   std::function<void(CallBroken)> m_OnBroken;
+  // Largest body of the answer; the call is broken when more has arrived. For
+  // takers that keep the body; others may have bodies of any size.
+  std::uint64_t m_MaxBodyBytes = std::numeric_limits<std::uint64_t>::max();
 };
 
+// For answers that are handed on only when they are whole.
+inline constexpr std::uint64_t MaxBufferedAnswerBytes =
+    std::uint64_t{16} * 1024 * 1024;
+
 class CallAttempt : public std::enable_shared_from_this<CallAttempt> {
 public:
   static std::shared_ptr<CallAttempt>
--- a/Source/Entry/ForwardedRequest.cpp
+++ b/Source/Entry/ForwardedRequest.cpp
@@ -194,6 +194,8 @@
   Handlers.m_OnBroken = [Self](const CallBroken &Broken) {
     Self->handleBroken(Broken);
   };
+  if (!m_Match.m_Route->streamed())
+    Handlers.m_MaxBodyBytes = MaxBufferedAnswerBytes;
   return Handlers;
 }
 
--- a/Source/Entry/SettlementDriver.cpp
+++ b/Source/Entry/SettlementDriver.cpp
@@ -182,6 +182,7 @@
     Ended(CallResult::Broken);
     Self->feed(CallLost{ClaimNumber, Broken.m_NothingSent});
   };
+  Handlers.m_MaxBodyBytes = MaxBufferedAnswerBytes;
   return Handlers;
 }
 
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -8,6 +8,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <limits>
+
 namespace mangocart {
 
 struct HttpTarget {
@@ -52,6 +54,9 @@
   // which is not kept; otherwise the call fails and the connection is closed.
   // Absent: answers name no call.
   std::function<AnswerOwner(const HttpHead &)> m_OwnerOf;
+  // Largest body; the call fails with TooLarge when more has arrived. For
+  // takers that keep the body; others may have bodies of any size.
+  std::size_t m_MaxBodyBytes = std::numeric_limits<std::size_t>::max();
 };
 
 class HttpCall {
--- a/Source/Http/HttpClientCall.cpp
+++ b/Source/Http/HttpClientCall.cpp
@@ -2,6 +2,8 @@
 #include "Http/HttpClientConnection.h"
 #include "Http/HttpWire.h"
 
+#include <fmt/format.h>
+
 namespace mangocart {
 
 namespace {
@@ -86,6 +88,14 @@
 bool HttpClientCall::takeBody(std::string_view Piece) {
   if (m_Finished)
     return false;
+  m_BodyBytes += Piece.size();
+  if (m_BodyBytes > m_Handlers.m_MaxBodyBytes) {
+    fail({HttpErrorCode::TooLarge,
+          fmt::format("the body of the answer is larger than {} bytes",
+                      m_Handlers.m_MaxBodyBytes),
+          false});
+    return false;
+  }
   auto Handler = std::move(m_Handlers.m_OnBody);
   if (Handler)
     Handler(Piece);
--- a/Source/Http/HttpClientConnection.h
+++ b/Source/Http/HttpClientConnection.h
@@ -142,6 +142,8 @@
   std::shared_ptr<HttpClientConnection> m_Connection;
   bool m_IsHead;
   // Set when the owner of an answer is looked up.
+  // Bytes of the body that have arrived.
+  std::size_t m_BodyBytes = 0;
   bool m_IsAnswerNamed = false;
   bool m_AnySent = false;
   bool m_Finished = false;
--- a/Tests/Http/testEndlessAnswers.cpp
+++ b/Tests/Http/testEndlessAnswers.cpp
@@ -123,6 +123,24 @@
   }
 }
 
+TEST_CASE("a body without end is given up at the taker's limit") {
+  const std::size_t Limit = 1 * MiB;
+  const std::vector<EndlessAnswer> Answers = {
+      {Chunked, "1\r\nx\r\n"},
+      {Ok + "Content-Length: 99999999999\r\n\r\n", "x"},
+      {Ok + "\r\n", "x"}};
+  for (const EndlessAnswer &Answer : Answers) {
+    const EndlessServer Server("127.0.0.1", 0, always(Answer));
+    HttpCallHandlers Handlers;
+    Handlers.m_MaxBodyBytes = Limit;
+    const Outcome Result = callServer(Server, Handlers);
+    REQUIRE(Result.m_Error);
+    CHECK(Result.m_Error->m_Code == HttpErrorCode::TooLarge);
+    CHECK(Result.m_BodyBytes <= Limit);
+    CHECK(Server.sentBytes() < MaxTakenBytes);
+  }
+}
+
 TEST_CASE("a head without end that comes slowly is given up by the deadline") {
   const EndlessServer Server("127.0.0.1", 0, always({Ok, "A: b\r\n", 1ms}));
   const Outcome Result = callServer(Server, {}, 300ms);
