Http: the bodies of all requests of a server are bounded together

What callers would see: callers, or replicas at a voter, that send many large bodies at a time, each within the limit of one, fill the memory of the process; it ends, and the requests of its other clients with it.

Cause: only the body of one request was bounded: 4,096 connections of up to 4 MiB at a gateway with 160 to 780 MB, 1,024 of up to 16 MiB at a voter with 256 MB.

Change: a server keeps at most 32 MiB of bodies that arrive or wait for their answers, or one largest body if that is more. The first 16 KiB of each don't count, so that small requests are accepted whatever large ones there are. What has no room is refused with 503 at once, as not run.

--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -6,6 +6,9 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace mangocart {
 
 namespace asio = boost::asio;
@@ -40,6 +43,7 @@
       m_Shared(std::move(Shared)), m_Worker(Worker), m_Timer(Context) {}
 
 HttpConnection::~HttpConnection() {
+  releaseBody();
   if (m_Closed)
     return;
   if (m_Lingering)
@@ -150,6 +154,10 @@
       refuse(m_Parser->refusal());
       break;
     }
+    if (!reserveBody()) {
+      refuse({503, "too many large requests are in progress"});
+      break;
+    }
     if (Progress == HttpRequestParser::Progress::Done) {
       startExchange();
       continue;
@@ -252,6 +260,7 @@
   Exchange.complete();
   m_Exchange.reset();
   m_InExchange = false;
+  releaseBody();
   m_CloseAfterWrite = !m_KeepAlive || m_Shared->m_Closing;
   m_Framing = HttpFraming::None;
   flush();
@@ -270,11 +279,31 @@
   appendResponseHead(m_Queued, Response.m_Head, HttpFraming::ContentLength,
                      Response.m_Body.size(), false);
   m_Queued.append(Response.m_Body);
+  // What has arrived of the request isn't needed while the client reads this.
+  if (m_Parser)
+    m_Parser->request() = {};
+  releaseBody();
   m_ReadDeadline.reset();
   m_CloseAfterWrite = true;
   flush();
 }
 
+bool HttpConnection::reserveBody() {
+  const HttpLimits &Limits = m_Shared->m_Limits[m_Worker];
+  const std::size_t Body = m_Parser->request().m_Body.size();
+  const std::size_t Needed = Body - std::min(Body, Limits.m_SmallBodyBytes);
+  if (Needed <= m_ReservedBytes)
+    return true;
+  const std::size_t Added = Needed - m_ReservedBytes;
+  m_ReservedBytes = Needed;
+  return m_Shared->m_BufferedBytes.fetch_add(Added) + Added <=
+         std::max(Limits.m_MaxBufferedBytes, Limits.m_MaxBodyBytes);
+}
+
+void HttpConnection::releaseBody() {
+  m_Shared->m_BufferedBytes -= std::exchange(m_ReservedBytes, 0);
+}
+
 // --- Writing
 
 void HttpConnection::scheduleFlush() {
@@ -371,6 +400,7 @@
   m_Timer.cancel();
   m_Pending.clear();
   m_Queued.clear();
+  releaseBody();
   if (const auto Exchange = m_Exchange.lock())
     Exchange->closed();
   m_Exchange.reset();
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -29,6 +29,8 @@
   HttpServer::Handler m_OnRequest;
   std::atomic<std::size_t> m_ConnectionCount{0};
   std::atomic<std::size_t> m_ExchangeCount{0};
+  // What counts for HttpLimits::m_MaxBufferedBytes.
+  std::atomic<std::size_t> m_BufferedBytes{0};
   // Connections whose last answer is sent and that read no more.
   std::atomic<std::size_t> m_LingeringCount{0};
   // The acceptor and the workers that may still take a new connection or keep
@@ -85,6 +87,10 @@
   // The answer has been queued whole: goes on with the next request or closes.
   void onExchangeEnded(HttpServerExchange &Exchange);
   void refuse(const HttpRefusal &Refusal);
+  // Counts the body of the request that arrives; false if there is no room for
+  // it.
+  bool reserveBody();
+  void releaseBody();
   void scheduleFlush();
   void flush();
   void writeRest();
@@ -113,6 +119,8 @@
   // The exchange in progress; empty between requests.
   std::weak_ptr<HttpServerExchange> m_Exchange;
   bool m_InExchange = false;
+  // The part of m_Shared->m_BufferedBytes that is this connection's.
+  std::size_t m_ReservedBytes = 0;
   bool m_InProcess = false;
   HttpFraming m_Framing = HttpFraming::None;
   bool m_HeadOnly = false;
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -25,6 +25,12 @@
   std::size_t m_MaxHeaderBytes = std::size_t{16} * 1024;
   std::size_t m_MaxHeaders = 100;
   std::size_t m_MaxBodyBytes = std::size_t{1024} * 1024;
+  // Largest sum over all connections of the bodies that arrive or wait for
+  // their answers, but for the first m_SmallBodyBytes of each, so that clients
+  // with large bodies don't keep out those with small ones. One largest body is
+  // accepted in any case. A request beyond that is refused with 503.
+  std::size_t m_MaxBufferedBytes = std::size_t{32} * 1024 * 1024;
+  std::size_t m_SmallBodyBytes = std::size_t{16} * 1024;
   // For a request to arrive whole once its first byte has come, and for a
   // first request on a new connection.
   Duration m_ReadTimeout = std::chrono::seconds(10);
