Net: messages that haven't arrived whole are bounded for a connection

What callers would see: a faulty peer begins any number of messages of up to 64 MiB and ends none; the process keeps them all and runs out of memory.

Cause: only a single message was bounded; a connection has up to 100,000 streams.

Change: the unfinished messages on all streams of a connection have at most the size of the largest message; the stream that would pass that is reset.

The number of a peer's connections has no bound yet.

--- a/Source/Net/MessageFramer.h
+++ b/Source/Net/MessageFramer.h
@@ -24,6 +24,8 @@
 
   // True between messages.
   bool atBoundary() const { return m_Buffer.empty(); }
+  // Bytes that wait for the rest of their message.
+  std::size_t heldBytes() const { return m_Buffer.size(); }
 
 private:
   // Bytes of a message that is not complete yet, its length included.
--- a/Source/Net/PeerSession.cpp
+++ b/Source/Net/PeerSession.cpp
@@ -105,7 +105,17 @@
     // slow holds up no other.
     nghttp2_session_consume_connection(Session, Size);
     const auto Stream = Self.find(Id);
-    if (Stream && !Stream->receive(toView(Data, Size)))
+    if (!Stream)
+      return 0;
+    const std::size_t HeldBefore = Stream->heldBytes();
+    const bool IsValid = Stream->receive(toView(Data, Size));
+    Self.m_HeldBytes += Stream->heldBytes() - HeldBefore;
+    const bool IsTooMuch = Self.m_HeldBytes > MaxHeldBytes;
+    if (IsTooMuch)
+      Stream->fail({PeerErrorCode::Malformed,
+                    "messages of the connection are too large together",
+                    false});
+    if (!IsValid || IsTooMuch)
       nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, Id,
                                 NGHTTP2_PROTOCOL_ERROR);
     return 0;
@@ -138,6 +148,7 @@
     if (!Stream)
       return 0;
     Self.m_Streams.erase(Id);
+    Self.m_HeldBytes -= Stream->heldBytes();
     if (ErrorCode == NGHTTP2_REFUSED_STREAM)
       Stream->m_HeadersSent = false;
     Stream->closed(ErrorCode == NGHTTP2_NO_ERROR);
--- a/Source/Net/PeerSession.h
+++ b/Source/Net/PeerSession.h
@@ -4,6 +4,7 @@
 #define MANGOCART_NET_PEERSESSION_H
 
 #include "Core/Timer.h"
+#include "Net/MessageFramer.h"
 #include "Net/PeerStream.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -64,6 +65,10 @@
   // Frames wait in this buffer while the previous write is under way.
   static constexpr std::size_t MaxWriteBytes = std::size_t{256} * 1024;
   static constexpr std::size_t ReadBytes = std::size_t{64} * 1024;
+  // Of messages on all streams that haven't arrived whole; one of the largest
+  // size fits.
+  static constexpr std::size_t MaxHeldBytes =
+      MaxMessageBytes + FrameLengthBytes;
   // A connection with open streams on which nothing arrives is probed at this
   // interval, and given up after that many silent intervals.
   static constexpr Duration ProbeInterval = std::chrono::seconds(1);
@@ -83,6 +88,8 @@
   AcceptHandler m_OnAccept;
   ClosedHandler m_OnClosed;
   std::unordered_map<std::int32_t, std::shared_ptr<SessionStream>> m_Streams;
+  // Sum of SessionStream::heldBytes().
+  std::size_t m_HeldBytes = 0;
   std::array<char, ReadBytes> m_ReadBuffer;
   std::string m_WriteBuffer;
   Timer m_ProbeTimer;
--- a/Source/Net/SessionStream.h
+++ b/Source/Net/SessionStream.h
@@ -37,6 +37,8 @@
   std::size_t takeData(char *Buffer, std::size_t Capacity, bool &Ended);
   // False when the bytes are no valid frame.
   bool receive(std::string_view Bytes);
+  // Bytes that wait for the rest of their message.
+  std::size_t heldBytes() const { return m_Framer.heldBytes(); }
   void remoteEnded();
   void fail(PeerError Error);
   void closed(bool Cleanly);
--- a/Tests/Net/testPeerStream.cpp
+++ b/Tests/Net/testPeerStream.cpp
@@ -184,6 +184,44 @@
   Sender.reset();
 }
 
+// Guards against a peer that begins any number of large messages.
+TEST_CASE("messages on one connection are bounded together") {
+  Pair P;
+  P.m_Server.addMethod("/size", [](const std::shared_ptr<PeerStream> &Stream) {
+    PeerStreamHandlers Handlers;
+    Handlers.m_OnMessage = [S = Stream.get()](std::string_view Message) {
+      S->send(std::to_string(Message.size()));
+    };
+    Handlers.m_OnEnd = [S = Stream.get()] { S->finish(); };
+    Stream->setHandlers(std::move(Handlers));
+  });
+  P.start();
+  // Two that fit one after the other, but not together.
+  constexpr std::size_t Size = std::size_t{40} * 1024 * 1024;
+  REQUIRE(P.call("/size", "m").has_value());
+  std::vector<std::promise<Answer>> Answers(2);
+  for (auto &Each : Answers)
+    P.m_Client.call({Address, Port}, "/size", std::string(Size, 'm'), Patience,
+                    [&](Answer Got) { Each.set_value(std::move(Got)); });
+  unsigned Refused = 0;
+  for (auto &Each : Answers) {
+    auto Future = Each.get_future();
+    REQUIRE(Future.wait_for(Patience) == std::future_status::ready);
+    const Answer Got = Future.get();
+    if (Got)
+      CHECK(Got.value() == std::to_string(Size));
+    else
+      ++Refused;
+  }
+  CHECK(Refused == 1);
+  // The connection goes on, and its room is free again.
+  for (unsigned I = 0; I < 3; ++I) {
+    const Answer Got = P.call("/size", std::string(Size, 'm'));
+    REQUIRE(Got.has_value());
+    CHECK(Got.value() == std::to_string(Size));
+  }
+}
+
 TEST_CASE("frames are cut at any split of the bytes") {
   std::string Bytes;
   appendFrame(Bytes, "first");
