--- a/Tests/Gateways/GatewayDeployment.h
+++ b/Tests/Gateways/GatewayDeployment.h
@@ -44,6 +44,10 @@
     return static_cast<unsigned>(m_Gateways.size());
   }
   std::string engineNetwork() const;
+  // The gateway's largest resident memory so far, in bytes; 0 if it has ended.
+  std::uint64_t peakMemory(unsigned Index) const {
+    return m_Gateways[Index]->peakMemory();
+  }
   // What the gateway has logged so far.
   std::string log(unsigned Index) const;
 
--- a/Tests/Processes/ChildProcess.cpp
+++ b/Tests/Processes/ChildProcess.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -65,4 +66,15 @@
 
 bool ChildProcess::isRunning() { return !poll(); }
 
+std::uint64_t ChildProcess::peakMemory() const {
+  constexpr std::uint64_t BytesPerKilobyte = 1024;
+  std::ifstream Status("/proc/" + std::to_string(m_Pid) + "/status");
+  for (std::string Line; std::getline(Status, Line);) {
+    constexpr std::string_view Name("VmHWM:");
+    if (Line.starts_with(Name))
+      return std::stoull(Line.substr(Name.size())) * BytesPerKilobyte;
+  }
+  return 0;
+}
+
 } // namespace mangocart::test
--- a/Tests/Processes/ChildProcess.h
+++ b/Tests/Processes/ChildProcess.h
@@ -3,6 +3,7 @@
 #define MANGOCART_TESTS_CHILDPROCESS_H
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -26,6 +27,8 @@
   // process is still running after the timeout.
   std::optional<int> wait(std::chrono::seconds Timeout);
   bool isRunning();
+  // The largest resident memory so far, in bytes; 0 if the process has ended.
+  std::uint64_t peakMemory() const;
 
 private:
   std::optional<int> poll();
