Gateway: a server that has started again doesn't vouch for the run before

Cause: an answer that ends with its connection is whole only if its server still runs, and anything that answered at the server's address counted as it.

Change: the answer to a probe names the start of the engine, which must be that of the incarnation that took the request; another one counts as a crash, too. Servers whose answer names none can't start again between the end of an answer and the probe, unless the gateway was suspended and read that end late. Then the answer is whole only once a later heartbeat of the incarnation is known.

--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -134,6 +134,19 @@
   mangocart::noteGroupBroken(m_Table, Target.m_Name);
 }
 
+std::optional<bool>
+MembershipDirectory::hasBeatSince(const BackendTarget &Target,
+                                  TimePoint Since) const {
+  const std::lock_guard Lock(m_Mutex);
+  const TableEntry *Known = find(m_Table, Target.m_Name);
+  if (!Known || Known->m_Member.m_Incarnation != Target.m_Incarnation ||
+      Known->m_Member.m_State == MemberState::Left)
+    return false;
+  if (Known->m_LastHeartbeatAt < Since)
+    return std::nullopt;
+  return true;
+}
+
 void MembershipDirectory::markReplaced(const BackendTarget &Target) {
   const std::lock_guard Lock(m_Mutex);
   advanceState(Target, MemberState::Left);
--- a/Source/Gateway/CallerProtocol.h
+++ b/Source/Gateway/CallerProtocol.h
@@ -84,6 +84,10 @@
                               const ForwardedMetadata &Metadata) const = 0;
   // Returns a request that an engine answers immediately, even under load.
   virtual HttpRequest livenessProbe() const = 0;
+  // The incarnation of the engine, by the body of its response to that request;
+  // no value if the response doesn't name one.
+  virtual std::optional<std::uint64_t>
+  readIncarnation(std::string_view ProbeBody) const = 0;
   // Whether the response is one to the request with this ID.
   virtual AnswerOwner ownerOf(const HttpHead &Response,
                               std::string_view RequestId) const = 0;
--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -27,6 +27,8 @@
 constexpr Duration SoundAfter = std::chrono::seconds(1);
 // As long as a connection to a backend server may take.
 constexpr Duration ProbeTimeout = milliseconds(300);
+// Reports of engines have a few hundred bytes.
+constexpr std::size_t MaxProbeBodyBytes = std::size_t{64} * 1024;
 // Probes that may end with a reset before the server counts as running.
 constexpr unsigned MaxProbeResets = 2;
 // Retry-After of a request that another one on probation goes before.
@@ -230,11 +232,10 @@
                         return mayBecomeRestricted(
                             m_Evidence, {Each.m_Request.m_Service, Id}, 1, Now);
                       });
-      std::function<void(bool)> OnProbed = [](bool) {};
+      std::function<void(ServerLiveness)> OnProbed = [](ServerLiveness) {};
       if (Matters)
-        OnProbed = [Executor = Each.m_Request.m_Executor, Done](bool) {
-          postTask(Executor, Done);
-        };
+        OnProbed = [Executor = Each.m_Request.m_Executor,
+                    Done](ServerLiveness) { postTask(Executor, Done); };
       LostConnections &Lost =
           probe(*Each.m_Target, Now, std::move(OnProbed), After);
       if (IsBeginning)
@@ -248,14 +249,15 @@
 
 void CrashGuard::verifyRunning(const BackendTarget &Target,
                                boost::asio::any_io_executor Executor,
-                               std::function<void(bool Running)> Done) {
+                               std::function<void(ServerLiveness)> Done) {
   Calls After;
   {
     const std::lock_guard Lock(m_Mutex);
     probe(
         Target, RuntimeClock::now(),
-        [Executor = std::move(Executor), Done = std::move(Done)](bool Running) {
-          postTask(Executor, [Done, Running] { Done(Running); });
+        [Executor = std::move(Executor),
+         Done = std::move(Done)](ServerLiveness Liveness) {
+          postTask(Executor, [Done, Liveness] { Done(Liveness); });
         },
         After);
   }
@@ -265,7 +267,7 @@
 // A known crash doesn't count: the server may only have been silent.
 CrashGuard::LostConnections &
 CrashGuard::probe(const BackendTarget &Target, TimePoint Now,
-                  std::function<void(bool Running)> Done, Calls &After) {
+                  std::function<void(ServerLiveness)> Done, Calls &After) {
   const auto [At, Inserted] = m_Lost.try_emplace(runOf(Target));
   LostServer &Server = At->second;
   LostConnections &Lost = Inserted ? Server.m_Probed : Server.m_Later;
@@ -279,7 +281,17 @@
   return Lost;
 }
 
-// Any response shows that the server runs. A server that has ended refuses
+// A start under the same name has another incarnation.
+ServerLiveness CrashGuard::livenessOf(const BackendTarget &Target,
+                                      std::string_view ProbeBody) const {
+  const auto Named = m_Protocol.readIncarnation(ProbeBody);
+  if (!Named || Target.m_Incarnation == 0)
+    return ServerLiveness::Answering;
+  return *Named == Target.m_Incarnation ? ServerLiveness::Running
+                                        : ServerLiveness::Ended;
+}
+
+// Any response shows that a server runs. A server that has ended refuses
 // connections, or its machine gives no answer. A reset connection may have been
 // accepted by a server that was ending, or by one that has too many.
 void CrashGuard::sendProbe(const BackendTarget &Target, unsigned Resets,
@@ -287,10 +299,14 @@
   After.emplace_back([this, Self = shared_from_this(), Target, Resets] {
     postTask(m_Executor, [this, Self, Target, Resets] {
       HttpCallHandlers Handlers;
+      const auto Body = std::make_shared<std::string>();
       Handlers.m_OnHead = [](const HttpHead &) {};
-      Handlers.m_OnBody = [](std::string_view) {};
-      Handlers.m_OnEnd = [Self, Target] {
-        Self->onProbed(runOf(Target), true);
+      Handlers.m_OnBody = [Body](std::string_view Piece) {
+        Body->append(Piece);
+      };
+      Handlers.m_MaxBodyBytes = MaxProbeBodyBytes;
+      Handlers.m_OnEnd = [Self, Target, Body] {
+        Self->onProbed(runOf(Target), Self->livenessOf(Target, *Body));
       };
       Handlers.m_OnError = [Self, Target, Resets](const HttpError &Error) {
         if (Error.m_Code == HttpErrorCode::ConnectionLost &&
@@ -300,8 +316,10 @@
           return runAll(Again);
         }
         Self->onProbed(runOf(Target),
-                       Error.m_Code != HttpErrorCode::ConnectFailed &&
-                           Error.m_Code != HttpErrorCode::TimedOut);
+                       Error.m_Code == HttpErrorCode::ConnectFailed ||
+                               Error.m_Code == HttpErrorCode::TimedOut
+                           ? ServerLiveness::Ended
+                           : ServerLiveness::Answering);
       };
       m_Clients.on(m_Executor)
           .send({Target.m_Agent.m_Address, Target.m_Agent.m_Port},
@@ -310,9 +328,10 @@
   });
 }
 
-void CrashGuard::onProbed(const ServerRun &Run, bool Running) {
+void CrashGuard::onProbed(const ServerRun &Run, ServerLiveness Liveness) {
+  const bool Running = Liveness != ServerLiveness::Ended;
   Calls After;
-  std::vector<std::function<void(bool Running)>> Waiting;
+  std::vector<std::function<void(ServerLiveness)>> Waiting;
   {
     const std::lock_guard Lock(m_Mutex);
     const auto Found = m_Lost.find(Run);
@@ -339,7 +358,7 @@
   }
   runAll(After);
   for (const auto &Done : Waiting)
-    Done(Running);
+    Done(Liveness);
 }
 
 void CrashGuard::implicate(Watched &Each, Implicated &By) {
--- a/Source/Gateway/CrashGuard.h
+++ b/Source/Gateway/CrashGuard.h
@@ -18,6 +18,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mangocart {
@@ -51,6 +52,16 @@
   std::optional<SuspectId> m_Suspect;
 };
 
+// Whether a server still runs.
+enum class ServerLiveness {
+  // Nothing answers at its address, or another incarnation does.
+  Ended,
+  // Something answers at its address, perhaps another incarnation.
+  Answering,
+  // This very incarnation answers.
+  Running
+};
+
 // Thread-safe. Its mutex is locked before the directory's; handlers run on
 // their executors without holding it.
 class CrashGuard : public std::enable_shared_from_this<CrashGuard> {
@@ -81,7 +92,7 @@
   // Finds out whether the server still runs. Done is called on the executor.
   void verifyRunning(const BackendTarget &Target,
                      boost::asio::any_io_executor Executor,
-                     std::function<void(bool Running)> Done);
+                     std::function<void(ServerLiveness)> Done);
 
   // All known gateways, this one included.
   void setGateways(std::set<PeerEndpoint> Gateways);
@@ -119,7 +130,7 @@
     TimePoint m_At;
     // Requests whose attempts ended with their connections.
     Implicated m_Implicated;
-    std::vector<std::function<void(bool Running)>> m_Waiting;
+    std::vector<std::function<void(ServerLiveness)>> m_Waiting;
   };
   // A server run of which a connection was lost, until a probe has ended.
   struct LostServer {
@@ -141,9 +152,12 @@
   void releaseTrials(Number Request);
   void recordSound(Watched &Each, TimePoint Now, Calls &After);
   LostConnections &probe(const BackendTarget &Target, TimePoint Now,
-                         std::function<void(bool Running)> Done, Calls &After);
+                         std::function<void(ServerLiveness)> Done,
+                         Calls &After);
   void sendProbe(const BackendTarget &Target, unsigned Resets, Calls &After);
-  void onProbed(const ServerRun &Run, bool Running);
+  ServerLiveness livenessOf(const BackendTarget &Target,
+                            std::string_view ProbeBody) const;
+  void onProbed(const ServerRun &Run, ServerLiveness Liveness);
   static void implicate(Watched &Each, Implicated &By);
   void recordCrash(const BackendTarget &Target, TimePoint At, TimePoint Now,
                    Implicated By, Calls &After);
--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -25,6 +25,7 @@
 class MembershipDirectory;
 class PlanHolder;
 class ServiceDispatcher;
+class SuspensionDetector;
 struct GatewayMetrics;
 
 // The gateway's shares of the retry budgets of all services. Thread-safe; its
@@ -64,6 +65,7 @@
   RetryBudgets &m_RetryBudgets;
   AttemptMonitor &m_AttemptMonitor;
   CrashGuard &m_CrashGuard;
+  SuspensionDetector &m_Suspensions;
   GatewayMetrics &m_Metrics;
   // When requests that aren't answered by then are ended; the latest time while
   // not draining.
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -85,11 +85,14 @@
       m_CrashGuard(std::make_shared<CrashGuard>(
           m_Workers.worker(0), m_Clients, Protocol, m_Directory, m_Events,
           m_Metrics, m_Settings.name(), ownEndpoint(m_Settings))),
+      m_Suspensions(std::make_shared<SuspensionDetector>(m_Workers.worker(0))),
       m_DrainLimits(
           gatewayDrainLimits(milliseconds(m_Settings.drain_max_ms()))),
-      m_Context{m_Settings,        m_Events,      Protocol,     m_Plans,
-                m_Directory,       m_Clients,     m_Dispatcher, m_RetryBudgets,
-                *m_AttemptMonitor, *m_CrashGuard, m_Metrics,    m_DrainEnd},
+      m_Context{m_Settings,    m_Events,       Protocol,
+                m_Plans,       m_Directory,    m_Clients,
+                m_Dispatcher,  m_RetryBudgets, *m_AttemptMonitor,
+                *m_CrashGuard, *m_Suspensions, m_Metrics,
+                m_DrainEnd},
       m_Router(m_Context, RuntimeClock::wallMilliseconds()),
       m_CallerServer(m_Workers, callerLimits(m_Settings, {}),
                      [this](const std::shared_ptr<HttpExchange> &Exchange) {
@@ -171,6 +174,7 @@
       peerEndpointsFor(m_Settings.seeds(), m_Settings.peer_port()));
   m_LoadExchange->start();
   m_AttemptMonitor->start();
+  m_Suspensions->start();
   runMaintenance();
   dispatchPeriodically();
   m_Workers.start();
--- a/Source/Gateway/GatewayDaemon.h
+++ b/Source/Gateway/GatewayDaemon.h
@@ -17,6 +17,7 @@
 #include "Gateway/PlanHolder.h"
 #include "Gateway/RequestRouter.h"
 #include "Gateway/ServiceDispatcher.h"
+#include "Gateway/SuspensionDetector.h"
 #include "Gateway/VoterWatch.h"
 #include "Http/HttpClients.h"
 #include "Http/HttpServer.h"
@@ -59,6 +60,7 @@
   RetryBudgets m_RetryBudgets;
   const std::shared_ptr<AttemptMonitor> m_AttemptMonitor;
   const std::shared_ptr<CrashGuard> m_CrashGuard;
+  const std::shared_ptr<SuspensionDetector> m_Suspensions;
   const DrainLimits m_DrainLimits;
   std::atomic<TimePoint> m_DrainEnd{TimePoint::max()};
   GatewayContext m_Context;
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -10,6 +10,7 @@
 #include "Gateway/RequestDigest.h"
 #include "Gateway/RequestPriority.h"
 #include "Gateway/ResponseBuffering.h"
+#include "Gateway/SuspensionDetector.h"
 #include "Http/HttpClients.h"
 #include "Raft/RaftPeers.h"
 #include "Settings.pb.h"
@@ -46,6 +47,11 @@
 // capacity; the caller's own delays are far shorter.
 constexpr Duration MinUsedTime = milliseconds(100);
 
+// By then, all updates of the voters have been read that arrived while this
+// process stood still and seem to be newer than they are.
+constexpr Duration LateUpdates = milliseconds(500);
+constexpr Duration HeartbeatPollInterval = milliseconds(50);
+
 bool isSuccess(unsigned Status) {
   return Status >= FirstSuccess && Status < FirstRedirect;
 }
@@ -100,7 +106,7 @@
       m_Digest(digestOf(m_Request, m_Exchange->request())),
       m_ArrivedAt(RuntimeClock::now()), m_LastProgress(m_ArrivedAt),
       m_Timer(m_Exchange->executor()), m_AttemptTimer(m_Exchange->executor()),
-      m_Size(sizeOf(m_Request)) {
+      m_HeartbeatTimer(m_Exchange->executor()), m_Size(sizeOf(m_Request)) {
   const Duration CallerTimeout =
       m_Request.m_Caller.m_TimeLeft.value_or(DefaultTimeLeft);
   m_Deadline =
@@ -496,13 +502,36 @@
   // only if the server still runs.
   m_Context.m_CrashGuard.verifyRunning(
       *m_Target, m_Exchange->executor(),
-      [Self = shared_from_this()](bool Running) {
-        if (Self->m_Finished || !Self->m_Target)
-          return;
-        if (Running)
-          return Self->onComplete();
-        Self->endAttempt(Self->lostResult(),
-                         "the backend server ended with its answer");
+      [Self = shared_from_this()](ServerLiveness Liveness) {
+        if (!Self->m_Finished && Self->m_Target)
+          Self->onServerVerified(Liveness);
+      });
+}
+
+void ProxiedRequest::onServerVerified(ServerLiveness Liveness) {
+  if (Liveness == ServerLiveness::Ended)
+    return endAttempt(lostResult(), "the backend server ended with its answer");
+  // A server doesn't start again between the end of its answer and the probe,
+  // unless this process stood still and read that end late.
+  if (Liveness == ServerLiveness::Running ||
+      !m_Context.m_Suspensions.wasSuspended(m_SentAt))
+    return onComplete();
+  waitForHeartbeat(RuntimeClock::now());
+}
+
+void ProxiedRequest::waitForHeartbeat(TimePoint EndedAt) {
+  const auto HasBeat =
+      m_Context.m_Directory.hasBeatSince(*m_Target, EndedAt + LateUpdates);
+  if (HasBeat && *HasBeat)
+    return onComplete();
+  if (HasBeat)
+    return endAttempt(lostResult(), "the backend server has started again");
+  m_HeartbeatTimer.expires_after(HeartbeatPollInterval);
+  m_HeartbeatTimer.async_wait(
+      [Weak = weak_from_this(), EndedAt](boost::system::error_code E) {
+        const auto Self = Weak.lock();
+        if (!E && Self && !Self->m_Finished && Self->m_Target)
+          Self->waitForHeartbeat(EndedAt);
       });
 }
 
@@ -733,6 +762,7 @@
     m_Context.m_RetryBudgets.dropRetry(m_Request.m_Service);
   m_Timer.cancel();
   m_AttemptTimer.cancel();
+  m_HeartbeatTimer.cancel();
   if (m_DispatchId)
     m_Context.m_Dispatcher.cancel(m_Request.m_Service, *m_DispatchId);
   const TimePoint Now = RuntimeClock::now();
--- a/Source/Gateway/ProxiedRequest.h
+++ b/Source/Gateway/ProxiedRequest.h
@@ -8,6 +8,7 @@
 #include "Entry/BackendDirectory.h"
 #include "Gateway/AttemptOutcome.h"
 #include "Gateway/CallerProtocol.h"
+#include "Gateway/CrashGuard.h"
 #include "Gateway/EventStreamSplitter.h"
 #include "Gateway/GatewayContext.h"
 #include "Gateway/ServiceDispatcher.h"
@@ -97,6 +98,12 @@
   void recordEventGap(std::string_view Events);
   void forwardToCaller(std::string Bytes);
   // Records the first data of the current attempt's answer.
+  // Completes an answer that ended with its connection if its server still
+  // runs; ends the attempt if it doesn't.
+  void onServerVerified(ServerLiveness Liveness);
+  // Waits for a heartbeat that the server's incarnation has sent after the end
+  // of its answer.
+  void waitForHeartbeat(TimePoint EndedAt);
   void recordAnswerBegan();
   void recordFirstByte();
   void startResponse();
@@ -135,6 +142,8 @@
   Timer m_Timer;
   // Expires when the current attempt has received no data for too long.
   Timer m_AttemptTimer;
+  // Runs while a heartbeat is waited for.
+  Timer m_HeartbeatTimer;
   CallSize m_Size;
   RequestState m_State;
 
--- a/Tests/Gateway/testCrashGuard.cpp
+++ b/Tests/Gateway/testCrashGuard.cpp
@@ -18,6 +18,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <charconv>
 #include <future>
 
 using namespace mangocart;
@@ -37,6 +38,14 @@
                    HttpRequest(const HttpRequest &, const ForwardedMetadata &),
                    override);
   MAKE_CONST_MOCK0(livenessProbe, HttpRequest(), override);
+  // The body is the number.
+  std::optional<std::uint64_t>
+  readIncarnation(std::string_view Body) const override {
+    std::uint64_t Number = 0;
+    const auto Parsed =
+        std::from_chars(Body.data(), Body.data() + Body.size(), Number);
+    return Parsed.ec == std::errc() ? std::optional(Number) : std::nullopt;
+  }
   MAKE_CONST_MOCK2(ownerOf, AnswerOwner(const HttpHead &, std::string_view),
                    override);
   MAKE_CONST_MOCK2(classify, ResponseKind(const HttpHead &, std::string_view),
@@ -162,7 +171,7 @@
     if (m_HoldsProbe)
       m_HeldProbe.set_value(Exchange);
     else
-      Exchange->respond({{200, {}}, "{}"});
+      Exchange->respond({{200, {}}, m_ProbeBody});
   }
   BackendTarget running() const {
     return {"running", Service, "a", {EngineAddress, m_Engine.port()}, 1};
@@ -170,13 +179,18 @@
   static BackendTarget ended(const std::string &Name) {
     return {Name, Service, "a", {EndedAddress, 9}, 1};
   }
+  ServerLiveness livenessOf(const BackendTarget &Target) {
+    std::promise<ServerLiveness> Known;
+    m_First.m_Guard->verifyRunning(
+        Target, m_First.m_Executor,
+        [&](ServerLiveness Found) { Known.set_value(Found); });
+    return Known.get_future().get();
+  }
   bool verify(const BackendTarget &Target) {
-    std::promise<bool> Running;
-    m_First.m_Guard->verifyRunning(Target, m_First.m_Executor,
-                                   [&](bool Is) { Running.set_value(Is); });
-    return Running.get_future().get();
+    return livenessOf(Target) != ServerLiveness::Ended;
   }
 
+  std::string m_ProbeBody = "{}";
   // The engine keeps its next probe without an answer.
   std::atomic<bool> m_HoldsProbe{false};
   std::promise<std::shared_ptr<HttpExchange>> m_HeldProbe;
@@ -325,8 +339,9 @@
   std::promise<bool> Second;
   const auto Verify = [&](std::promise<bool> &Result) {
     F.m_First.m_Guard->verifyRunning(
-        F.running(), F.m_First.m_Executor,
-        [&Result](bool Running) { Result.set_value(Running); });
+        F.running(), F.m_First.m_Executor, [&Result](ServerLiveness Found) {
+          Result.set_value(Found != ServerLiveness::Ended);
+        });
   };
   Verify(First);
   const auto Probe = F.m_HeldProbe.get_future().get();
@@ -338,3 +353,23 @@
   CHECK(First.get_future().get());
   CHECK_FALSE(Second.get_future().get());
 }
+
+// Guards against a server that has started again and vouches for the answers of
+// the run before.
+TEST_CASE("a server that names its incarnation answers for no other one") {
+  Fixture F;
+  CHECK(F.livenessOf(F.running()) == ServerLiveness::Answering);
+  F.m_ProbeBody = "1";
+  CHECK(F.livenessOf(F.running()) == ServerLiveness::Running);
+  F.m_ProbeBody = "2";
+  CHECK(F.livenessOf(F.running()) == ServerLiveness::Ended);
+  // A crash, although something answers.
+  F.m_First.lose(F.m_First.send({"all", "bad"}, F.running()));
+  CHECK_FALSE(F.m_First.allows(F.m_First.begin({"all", "bad"})));
+}
+
+TEST_CASE("a probe's answer without end shows that something answers") {
+  Fixture F;
+  F.m_ProbeBody = std::string(100'000, '1');
+  CHECK(F.livenessOf(F.running()) == ServerLiveness::Answering);
+}
--- a/Tests/Gateways/EngineFleet.cpp
+++ b/Tests/Gateways/EngineFleet.cpp
@@ -56,6 +56,8 @@
 
   std::string m_Id;
   std::string m_Ip;
+  // Its start time; 0 if it names none.
+  std::uint64_t m_Started = 0;
   std::string m_Headers;
   Clock::time_point m_ColdUntil;
   unsigned m_Rank = 0;
@@ -137,7 +139,10 @@
       return;
     }
     if (m_Request.method() == http::verb::get)
-      return respond(200, {}, "{}");
+      return respond(200, {},
+                     m_Fleet.m_Options.m_ReportsStart
+                         ? fmt::format(R"({{"born":{}}})", m_Engine.m_Started)
+                         : "{}");
     m_Parts = partsOf(std::string(m_Request[PartsHeader]));
     if (std::string(m_Request[ExpectedHeader]) != m_Engine.m_Id)
       return respond(421, {}, "");
@@ -318,7 +323,12 @@
 }
 
 void EngineFleet::open(Engine &Each) {
-  Each.m_Id = fmt::format("i-{}-{}", Each.m_Rank, ++m_Started);
+  ++m_Started;
+  Each.m_Id = m_Options.m_KeepsNames
+                  ? fmt::format("i-{}", Each.m_Rank)
+                  : fmt::format("i-{}-{}", Each.m_Rank, m_Started);
+  if (m_Options.m_KeepsNames)
+    Each.m_Started = m_Started;
   Each.m_Up = true;
   Each.m_Acceptor = tcp::acceptor(
       m_Context, {asio::ip::make_address(Each.m_Ip), EnginePort}, true);
@@ -360,6 +370,8 @@
           0, std::chrono::ceil<milliseconds>(Each.m_ColdUntil - Clock::now())
                  .count()),
       ++m_Sequence);
+  if (Each.m_Started > 0)
+    Body += fmt::format(R"(,"born":{})", Each.m_Started);
   if (m_Options.m_Grouped)
     Body += fmt::format(
         R"(,"group":{{"name":"g","epoch":{},"rank":{},"state":"{}"}},"size":{})",
--- a/Tests/Gateways/EngineFleet.h
+++ b/Tests/Gateways/EngineFleet.h
@@ -35,6 +35,10 @@
   bool m_Grouped = false;
   // Answers have neither a length nor chunks and end with their connection.
   bool m_Unframed = false;
+  // An engine starts again under its name, with a later start time, which it
+  // announces and, if m_ReportsStart, names to probes.
+  bool m_KeepsNames = false;
+  bool m_ReportsStart = false;
   std::set<std::string> m_CrashingParts;
   std::set<std::string> m_CrashingBodies;
   // From the receipt of a request to its first token.
--- a/Tests/Gateways/testBrokenStreams.cpp
+++ b/Tests/Gateways/testBrokenStreams.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <csignal>
 
 using namespace mangocart;
 using namespace mangocart::test;
@@ -51,6 +52,42 @@
   CHECK(Broken > 0);
 }
 
+// Guards against an engine that has started again and vouches for the streams
+// of the run that crashed: they ended as complete after a part of their events.
+TEST_CASE("a stream whose engine starts again while the gateway is suspended "
+          "isn't whole") {
+  const bool ReportsStart = GENERATE(false, true);
+  CAPTURE(ReportsStart);
+  GatewayDeployment D(111, 1);
+  D.start();
+  FleetOptions Options = fleetOptionsFor(D);
+  Options.m_Engines = 2;
+  Options.m_Unframed = true;
+  Options.m_KeepsNames = true;
+  Options.m_ReportsStart = ReportsStart;
+  Options.m_Restart = 300ms;
+  EngineFleet Fleet(Options);
+  Fleet.start();
+  std::this_thread::sleep_for(1s);
+  CallerLoad Load({D.gateway(0)}, {{30.0, true, {}}}, 11);
+  Load.start();
+  for (int Round = 0; Round < 3; ++Round) {
+    std::this_thread::sleep_for(2500ms);
+    D.signalGateway(0, SIGSTOP);
+    std::this_thread::sleep_for(100ms);
+    Fleet.endEngine(0);
+    std::this_thread::sleep_for(1000ms);
+    D.signalGateway(0, SIGCONT);
+  }
+  std::this_thread::sleep_for(2500ms);
+  const auto &Records = Load.finish();
+  const auto Answered =
+      std::count_if(Records.begin(), Records.end(), isAnswered);
+  const auto Whole = std::count_if(Records.begin(), Records.end(), isWhole);
+  CHECK(Answered == Whole);
+  CHECK(Whole * 2 > static_cast<std::ptrdiff_t>(Records.size()));
+}
+
 // Guards against a success that is made up from the beginning of a head.
 TEST_CASE("an engine that closes in the middle of its heads gives no success") {
   const bool Unframed = GENERATE(false, true);
