Voter: progress of the watchers is collected once for all pending changes

Cause: each confirmation copied the names of all watchers once for each pending departure; on a large site that is some 5,000 copies for each of 70 confirmations while 70 departures are pending. Result: testVoter passes (303 assertions); no figures taken.

--- a/Source/Voter/WatchService.cpp
+++ b/Source/Voter/WatchService.cpp
@@ -254,8 +254,10 @@
 }
 
 std::optional<Result<void, std::string>>
-WatchService::resultOf(const PendingChange &Pending, TimePoint Now) const {
-  switch (confirmationState(progress(), Pending.m_Change,
+WatchService::resultOf(const PendingChange &Pending,
+                       const std::vector<WatcherProgress> &Watchers,
+                       TimePoint Now) const {
+  switch (confirmationState(Watchers, Pending.m_Change,
                             m_Dependencies.m_RequiredVoters(),
                             Now < Pending.m_ForAllUntil)) {
   case ConfirmationState::Confirmed:
@@ -271,11 +273,14 @@
 }
 
 void WatchService::settlePendingChanges() {
+  if (m_PendingChanges.empty())
+    return;
+  const std::vector<WatcherProgress> Watchers = progress();
   const TimePoint Now = RuntimeClock::now();
   // Handlers are called last: they may add pending changes.
   std::vector<std::function<void()>> Handlers;
   for (auto Each = m_PendingChanges.begin(); Each != m_PendingChanges.end();) {
-    auto Settled = resultOf(*Each, Now);
+    auto Settled = resultOf(*Each, Watchers, Now);
     if (!Settled) {
       ++Each;
       continue;
--- a/Source/Voter/WatchService.h
+++ b/Source/Voter/WatchService.h
@@ -119,7 +119,8 @@
   void settlePendingChanges();
   // Result of a pending change; no value while it stays pending.
   std::optional<Result<void, std::string>>
-  resultOf(const PendingChange &Pending, TimePoint Now) const;
+  resultOf(const PendingChange &Pending,
+           const std::vector<WatcherProgress> &Watchers, TimePoint Now) const;
   void armPendingTimer(TimePoint Now);
 
   const WatchServiceDependencies m_Dependencies;
