--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -135,8 +135,8 @@
 }
 
 std::optional<bool>
-MembershipDirectory::hasBeatSince(const BackendTarget &Target,
-                                  TimePoint Since) const {
+MembershipDirectory::hasHeartbeatSince(const BackendTarget &Target,
+                                       TimePoint Since) const {
   const std::lock_guard Lock(m_Mutex);
   const TableEntry *Known = find(m_Table, Target.m_Name);
   if (!Known || Known->m_Member.m_Incarnation != Target.m_Incarnation ||
--- a/Source/Entry/MembershipDirectory.h
+++ b/Source/Entry/MembershipDirectory.h
@@ -94,8 +94,8 @@
   // Whether the target's incarnation has sent a heartbeat since then: false if
   // it has left or another one has taken its place, no value while nothing
   // later is known.
-  std::optional<bool> hasBeatSince(const BackendTarget &Target,
-                                   TimePoint Since) const;
+  std::optional<bool> hasHeartbeatSince(const BackendTarget &Target,
+                                        TimePoint Since) const;
   // Records that another backend server has answered at the address of the
   // target.
   void markReplaced(const BackendTarget &Target);
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -47,8 +47,8 @@
 // capacity; the caller's own delays are far shorter.
 constexpr Duration MinUsedTime = milliseconds(100);
 
-// By then, all updates of the voters have been read that arrived while this
-// process stood still and seem to be newer than they are.
+// Updates of the voters that arrived while this process was suspended are read
+// within this time; their heartbeats seem to be newer than they are.
 constexpr Duration LateUpdates = milliseconds(500);
 constexpr Duration HeartbeatPollInterval = milliseconds(50);
 
@@ -512,7 +512,7 @@
   if (Liveness == ServerLiveness::Ended)
     return endAttempt(lostResult(), "the backend server ended with its answer");
   // A server doesn't start again between the end of its answer and the probe,
-  // unless this process stood still and read that end late.
+  // unless this process was suspended and has read that end late.
   if (Liveness == ServerLiveness::Running ||
       !m_Context.m_Suspensions.wasSuspended(m_SentAt))
     return onComplete();
@@ -520,11 +520,11 @@
 }
 
 void ProxiedRequest::waitForHeartbeat(TimePoint EndedAt) {
-  const auto HasBeat =
-      m_Context.m_Directory.hasBeatSince(*m_Target, EndedAt + LateUpdates);
-  if (HasBeat && *HasBeat)
+  const auto HasHeartbeat =
+      m_Context.m_Directory.hasHeartbeatSince(*m_Target, EndedAt + LateUpdates);
+  if (HasHeartbeat && *HasHeartbeat)
     return onComplete();
-  if (HasBeat)
+  if (HasHeartbeat)
     return endAttempt(lostResult(), "the backend server has started again");
   m_HeartbeatTimer.expires_after(HeartbeatPollInterval);
   m_HeartbeatTimer.async_wait(
--- a/Source/Gateway/SuspensionDetector.h
+++ b/Source/Gateway/SuspensionDetector.h
@@ -1,6 +1,6 @@
-// Notices that this process has stood still: suspended with its machine, or
-// kept from the processor. What arrived meanwhile is read late, so that the end
-// of a connection may be much older than it seems.
+// Detects that this process was suspended, with its machine or alone, or got no
+// processor time. What arrived meanwhile is read late, so that the end of a
+// connection may be much older than it seems.
 #ifndef MANGOCART_GATEWAY_SUSPENSIONDETECTOR_H
 #define MANGOCART_GATEWAY_SUSPENSIONDETECTOR_H
 
@@ -25,8 +25,8 @@
 constexpr Duration SuspensionTickInterval = std::chrono::milliseconds(100);
 
 void recordTick(SuspensionState &State, TimePoint Now);
-// Whether the process stands still, as no tick came in time, or has done so and
-// went on after Since.
+// Whether the process was suspended and went on after Since, or is only just
+// going on: then the last tick is too old.
 bool wasSuspended(const SuspensionState &State, TimePoint Since, TimePoint Now);
 
 // Thread-safe.
--- a/Source/Voter/WatchService.cpp
+++ b/Source/Voter/WatchService.cpp
@@ -259,7 +259,7 @@
                        TimePoint Now) const {
   switch (confirmationState(Watchers, Pending.m_Change,
                             m_Dependencies.m_RequiredVoters(),
-                            Now < Pending.m_ForAllUntil)) {
+                            Now < Pending.m_AllDeadline)) {
   case ConfirmationState::Confirmed:
     return success();
   case ConfirmationState::OutOfReach:
@@ -299,7 +299,7 @@
     return;
   TimePoint Due = TimePoint::max();
   for (const PendingChange &Each : m_PendingChanges)
-    Due = std::min(Due, Now < Each.m_ForAllUntil ? Each.m_ForAllUntil
+    Due = std::min(Due, Now < Each.m_AllDeadline ? Each.m_AllDeadline
                                                  : Each.m_Deadline);
   m_PendingTimer.expires_at(Due);
   m_PendingTimer.async_wait(
--- a/Source/Voter/WatchService.h
+++ b/Source/Voter/WatchService.h
@@ -90,8 +90,8 @@
   // A change that waits for confirmations.
   struct PendingChange {
     std::uint64_t m_Change = 0;
-    // Until then all watchers are waited for.
-    TimePoint m_ForAllUntil;
+    // Until then, the confirmations of all watchers are awaited.
+    TimePoint m_AllDeadline;
     TimePoint m_Deadline;
     ConfirmationHandler m_Done;
   };
--- a/Tests/Agent/testBackendProbe.cpp
+++ b/Tests/Agent/testBackendProbe.cpp
@@ -29,7 +29,7 @@
   const EndlessServer Server("127.0.0.1", 0, [](const std::string &) {
     return EndlessAnswer{
         "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
-        std::string(64 * 1024, '1')};
+        std::string(std::size_t{64} * 1024, '1')};
   });
   schema::AgentSettings Settings;
   Settings.set_backend_address("127.0.0.1");
--- a/Tests/Balancer/testRankService.cpp
+++ b/Tests/Balancer/testRankService.cpp
@@ -54,7 +54,7 @@
         if (Head.starts_with("GET " + Target))
           return {"HTTP/1.1 " + Status +
                       "\r\nContent-Length: 99999999999\r\n\r\n",
-                  std::string(64 * 1024, 'x')};
+                  std::string(std::size_t{64} * 1024, 'x')};
         return {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstate", ""};
       });
   boost::asio::io_context Context;
--- a/Tests/Entry/testCallAttempt.cpp
+++ b/Tests/Entry/testCallAttempt.cpp
@@ -25,7 +25,7 @@
   Stream->send(Head.SerializeAsString());
   const auto SendPiece = [Weak = std::weak_ptr(Stream)] {
     schema::CallReply Piece;
-    Piece.set_body(std::string(64 * 1024, 'x'));
+    Piece.set_body(std::string(std::size_t{64} * 1024, 'x'));
     if (const auto Live = Weak.lock())
       Live->send(Piece.SerializeAsString());
   };
--- a/Tests/Gateway/testCrashGuard.cpp
+++ b/Tests/Gateway/testCrashGuard.cpp
@@ -354,8 +354,8 @@
   CHECK_FALSE(Second.get_future().get());
 }
 
-// Guards against a server that has started again and vouches for the answers of
-// the run before.
+// Guards against a server that has started again and is taken for the run
+// before.
 TEST_CASE("a server that names its incarnation answers for no other one") {
   Fixture F;
   CHECK(F.livenessOf(F.running()) == ServerLiveness::Answering);
--- a/Tests/Gateway/testSuspensionDetector.cpp
+++ b/Tests/Gateway/testSuspensionDetector.cpp
@@ -6,7 +6,7 @@
 using namespace mangocart;
 using namespace std::chrono_literals;
 
-TEST_CASE("a process that stood still is known to have done so") {
+TEST_CASE("a suspension is known after it has ended") {
   const TimePoint Begin(1000s);
   SuspensionState State{Begin};
   TimePoint Now = Begin;
--- a/Tests/Gateways/GatewayDeployment.cpp
+++ b/Tests/Gateways/GatewayDeployment.cpp
@@ -51,7 +51,8 @@
 
 } // namespace
 
-HttpResponse call(const HttpTarget &To, HttpRequest Request) {
+HttpResponse call(const HttpTarget &To, HttpRequest Request,
+                  std::chrono::milliseconds Deadline) {
   boost::asio::io_context Context;
   HttpClient Client(Context);
   HttpResponse Response;
@@ -66,9 +67,9 @@
     Response.m_Head.m_Status = 0;
     Context.stop();
   };
-  const auto Call = Client.send(To, std::move(Request), std::chrono::seconds(3),
-                                std::move(Handlers));
-  Context.run_for(std::chrono::seconds(4));
+  const auto Call =
+      Client.send(To, std::move(Request), Deadline, std::move(Handlers));
+  Context.run_for(Deadline + std::chrono::seconds(1));
   return Response;
 }
 
--- a/Tests/Gateways/GatewayDeployment.h
+++ b/Tests/Gateways/GatewayDeployment.h
@@ -7,6 +7,7 @@
 #include "Http/HttpClient.h"
 #include "Processes/ChildProcess.h"
 
+#include <chrono>
 #include <filesystem>
 #include <memory>
 #include <string>
@@ -63,7 +64,8 @@
 };
 
 // Sends one request and waits for its response; status 0 without one.
-HttpResponse call(const HttpTarget &To, HttpRequest Request);
+HttpResponse call(const HttpTarget &To, HttpRequest Request,
+                  std::chrono::milliseconds Deadline = std::chrono::seconds(3));
 
 } // namespace mangocart::test
 
--- a/Tests/Gateways/VoterDeployment.cpp
+++ b/Tests/Gateways/VoterDeployment.cpp
@@ -105,6 +105,11 @@
   REQUIRE(m_Voters[Index]->wait(EndTimeout));
 }
 
+void VoterDeployment::stopVoter(unsigned Index) {
+  signalVoter(Index, SIGTERM);
+  REQUIRE(m_Voters[Index]->wait(EndTimeout).value_or(-1) == 0);
+}
+
 void VoterDeployment::start() {
   const auto Count = static_cast<unsigned>(m_Voters.size());
   for (unsigned I = 0; I < Count; ++I)
--- a/Tests/Gateways/VoterDeployment.h
+++ b/Tests/Gateways/VoterDeployment.h
@@ -28,6 +28,9 @@
   void signalVoter(unsigned Index, int SignalNumber);
   // Kills the voter and waits for its end.
   void killVoter(unsigned Index);
+  // Stops the voter as planned and waits for its end.
+  void stopVoter(unsigned Index);
+  bool isRunning(unsigned Index) const { return m_Voters[Index]->isRunning(); }
 
   HttpTarget control(unsigned Index) const;
   PeerEndpoint peer(unsigned Index) const;
--- a/Tests/Gateways/testBrokenStreams.cpp
+++ b/Tests/Gateways/testBrokenStreams.cpp
@@ -52,8 +52,8 @@
   CHECK(Broken > 0);
 }
 
-// Guards against an engine that has started again and vouches for the streams
-// of the run that crashed: they ended as complete after a part of their events.
+// Guards against an engine that has started again and is taken for the run that
+// crashed: streams of that run ended as complete after a part of their events.
 TEST_CASE("a stream whose engine starts again while the gateway is suspended "
           "isn't whole") {
   const bool ReportsStart = GENERATE(false, true);
