Tests: the linter's remarks on the watchers' test

Cause: a const local that kept a move from happening, and parameters by value. Change: as the linter asks, in testWatchService only.

--- a/Tests/Voter/testWatchService.cpp
+++ b/Tests/Voter/testWatchService.cpp
@@ -79,7 +79,7 @@
 
   std::shared_ptr<FakeWatcher> add(const std::string &Name, WatcherKind Kind,
                                    bool Confirms = true) {
-    const auto Added = std::make_shared<FakeWatcher>(m_Context, Name, Kind);
+    auto Added = std::make_shared<FakeWatcher>(m_Context, Name, Kind);
     m_Service->accept(Added);
     Added->hello(Confirms);
     run();
@@ -101,7 +101,8 @@
     announce("a", MemberState::Left);
     m_Change = m_Directory.changeNumber("a");
     m_Service->confirmChange(
-        m_Change, [this](Result<void, std::string> Done) { m_Result = Done; });
+        m_Change,
+        [this](const Result<void, std::string> &Done) { m_Result = Done; });
     run();
   }
 
@@ -226,7 +227,8 @@
   REQUIRE(F.isConfirmed());
   F.m_Result.reset();
   F.m_Service->confirmChange(
-      F.m_Change, [&](Result<void, std::string> Done) { F.m_Result = Done; });
+      F.m_Change,
+      [&](const Result<void, std::string> &Done) { F.m_Result = Done; });
   CHECK(F.isConfirmed());
 }
 
