Voter: comments and a parameter's name for newcomers

Cause: reading the diff: two comments didn't say what they count, and ForAll was no question. Change: wording only. Result: testVoter passes.

--- a/Source/Voter/ChangeConfirmation.cpp
+++ b/Source/Voter/ChangeConfirmation.cpp
@@ -10,7 +10,7 @@
 ConfirmationState
 confirmationState(const std::vector<WatcherProgress> &Watchers,
                   std::uint64_t Change, std::size_t RequiredVoters,
-                  bool ForAll) {
+                  bool WaitsForAll) {
   // A voter that has connected again may be listed twice for a while.
   std::set<std::string_view> Voters;
   std::set<std::string_view> Confirmed;
@@ -30,8 +30,8 @@
         return Each.m_Kind == WatcherKind::Balancer ||
                Each.m_ConfirmedChange >= Change;
       });
-  return ForAll && !IsConfirmedByAll ? ConfirmationState::Pending
-                                     : ConfirmationState::Confirmed;
+  return WaitsForAll && !IsConfirmedByAll ? ConfirmationState::Pending
+                                          : ConfirmationState::Confirmed;
 }
 
 } // namespace mangocart
--- a/Source/Voter/ChangeConfirmation.h
+++ b/Source/Voter/ChangeConfirmation.h
@@ -31,12 +31,12 @@
 };
 
 // A change is confirmed once all connected voters and gateways have confirmed
-// it. If not ForAll, the confirmations of RequiredVoters voters are enough, as
-// those send it to all gateways. Balancers don't count.
+// it. Unless WaitsForAll, the confirmations of RequiredVoters voters are
+// enough, as those send it to all gateways. Balancers don't count.
 ConfirmationState
 confirmationState(const std::vector<WatcherProgress> &Watchers,
                   std::uint64_t Change, std::size_t RequiredVoters,
-                  bool ForAll);
+                  bool WaitsForAll);
 
 } // namespace mangocart
 
--- a/Source/Voter/VoterDaemon.cpp
+++ b/Source/Voter/VoterDaemon.cpp
@@ -213,7 +213,8 @@
   return Departure.has_value();
 }
 
-// With this voter they are one more than may be lost at once.
+// So many that, with this voter, one more knows a departure than may be lost at
+// once.
 std::size_t VoterDaemon::requiredVoters() const {
   const std::vector<std::string> Members = memberNames();
   const std::size_t Tolerated = m_Settings.tolerated_losses();
--- a/Source/Voter/VoterDaemon.h
+++ b/Source/Voter/VoterDaemon.h
@@ -39,8 +39,9 @@
   // Calls Done when the announcement may be acknowledged: at once, but for a
   // backend server that departs.
   void announced(const Member &Record, ConfirmationHandler Done);
-  // Sends on to the gateways that a backend server departs, whichever voter has
-  // heard it; false if it doesn't. So the record isn't lost with that voter.
+  // Copies the record of a backend server that departs to the announcements
+  // that gateways get, so that it isn't lost with the voter that has heard it.
+  // Returns false if the server doesn't depart.
   bool adoptDeparture(const std::string &BackendServer);
   std::size_t requiredVoters() const;
   bool isKnownZone(const std::string &Zone) const;
