Tests: a suspended process is waited for

Cause: SIGSTOP stops a process only once one of its threads has run; on a busy machine another may go on until then. Change: ChildProcess::suspend() returns when all threads have stopped.

--- a/Tests/Gateways/VoterDeployment.h
+++ b/Tests/Gateways/VoterDeployment.h
@@ -26,6 +26,8 @@
   void start();
   void startVoter(unsigned Index);
   void signalVoter(unsigned Index, int SignalNumber);
+  // As ChildProcess::suspend(); SIGCONT resumes it.
+  void suspendVoter(unsigned Index) { m_Voters[Index]->suspend(); }
   // Kills the voter and waits for its end.
   void killVoter(unsigned Index);
   // Stops the voter as planned and waits for its end.
--- a/Tests/Gateways/testDepartures.cpp
+++ b/Tests/Gateways/testDepartures.cpp
@@ -137,8 +137,8 @@
   D.start();
   REQUIRE(heartbeat(D.control(2), "i-1", 1) == 200);
   REQUIRE(heartbeat(D.control(2), "i-2", 1) == 200);
-  D.signalVoter(1, SIGSTOP);
-  D.signalVoter(2, SIGSTOP);
+  D.suspendVoter(1);
+  D.suspendVoter(2);
   CHECK(leave(D.control(0), "i-1") == 503);
   CHECK(heartbeat(D.control(0), "i-2", 2, FirstStart, "draining") == 503);
   // Gateways that are connected to the voter stop sending all the same.
@@ -186,7 +186,7 @@
   };
   Measure("one-by-one", 300, 1);
   Measure("64-at-once", 640, 64);
-  D.signalVoter(1, SIGSTOP);
+  D.suspendVoter(1);
   Measure("one-voter-suspended", 20, 1);
   D.signalVoter(1, SIGCONT);
   std::this_thread::sleep_for(3s);
--- a/Tests/Processes/ChildProcess.cpp
+++ b/Tests/Processes/ChildProcess.cpp
@@ -66,6 +66,13 @@
 
 bool ChildProcess::isRunning() { return !poll(); }
 
+void ChildProcess::suspend() const {
+  signal(SIGSTOP);
+  siginfo_t Stopped{};
+  ::waitid(P_PID, static_cast<id_t>(m_Pid), &Stopped,
+           WSTOPPED | WEXITED | WNOWAIT);
+}
+
 std::uint64_t ChildProcess::peakMemory() const {
   constexpr std::uint64_t BytesPerKilobyte = 1024;
   std::ifstream Status("/proc/" + std::to_string(m_Pid) + "/status");
--- a/Tests/Processes/ChildProcess.h
+++ b/Tests/Processes/ChildProcess.h
@@ -23,6 +23,9 @@
   ChildProcess &operator=(const ChildProcess &) = delete;
 
   void signal(int SignalNumber) const;
+  // Suspends the process. On return none of its threads runs; after the signal
+  // alone, some may go on for a while on a busy machine.
+  void suspend() const;
   // Returns the exit code, or 128 plus the signal number; no value if the
   // process is still running after the timeout.
   std::optional<int> wait(std::chrono::seconds Timeout);
