--- a/Source/Balancer/RankService.cpp
+++ b/Source/Balancer/RankService.cpp
@@ -7,12 +7,12 @@
 
 namespace {
 
-// Short, because the replica is on the same machine and answers within a few
-// ms.
 // States and counts of large groups have some hundred kilobytes.
 constexpr std::size_t MaxAnswerBytes = std::size_t{4} * 1024 * 1024;
 // Of an answer that can't be used, for the log.
 constexpr std::size_t MaxLoggedBytes = 256;
+// Short, because the replica is on the same machine and answers within a few
+// ms.
 constexpr Duration CallTimeout = std::chrono::milliseconds(60);
 // An order without an answer in this time may be executed later; a later report
 // will then show its effect.
--- a/Source/Entry/MembershipDirectory.cpp
+++ b/Source/Entry/MembershipDirectory.cpp
@@ -369,10 +369,8 @@
   const TableEntry *Known = find(m_Table, BackendServer);
   if (!Known || !hasDeparted(Known->m_Member.m_State))
     return std::nullopt;
-  return MemberDelta{
-      Known->m_Member,
-      std::max(Duration::zero(),
-               Duration(RuntimeClock::now() - Known->m_LastHeartbeatAt))};
+  return MemberDelta{Known->m_Member,
+                     heartbeatAge(*Known, RuntimeClock::now())};
 }
 
 std::uint64_t
--- a/Source/Http/HttpClientConnection.h
+++ b/Source/Http/HttpClientConnection.h
@@ -141,9 +141,9 @@
   Timer m_Deadline;
   std::shared_ptr<HttpClientConnection> m_Connection;
   bool m_IsHead;
-  // Set when the owner of an answer is looked up.
   // Bytes of the body that have arrived.
   std::size_t m_BodyBytes = 0;
+  // Set when the owner of an answer is looked up.
   bool m_IsAnswerNamed = false;
   bool m_AnySent = false;
   bool m_Finished = false;
--- a/Source/Membership/MembershipTable.cpp
+++ b/Source/Membership/MembershipTable.cpp
@@ -60,10 +60,6 @@
   return schema::Announcement::STATE_UNSPECIFIED;
 }
 
-Duration heartbeatAge(const TableEntry &Entry, TimePoint Now) {
-  return std::max(Duration::zero(), Now - Entry.m_LastHeartbeatAt);
-}
-
 MemberHealth heartbeatHealth(const MembershipLimits &Limits,
                              Duration HeartbeatAge) {
   if (HeartbeatAge >= Limits.m_LostAfter)
@@ -213,6 +209,10 @@
 
 } // namespace
 
+Duration heartbeatAge(const TableEntry &Entry, TimePoint Now) {
+  return std::max(Duration::zero(), Now - Entry.m_LastHeartbeatAt);
+}
+
 std::string_view toString(MemberHealth Health) {
   switch (Health) {
   case MemberHealth::Healthy:
--- a/Source/Membership/MembershipTable.h
+++ b/Source/Membership/MembershipTable.h
@@ -134,6 +134,9 @@
   bool operator==(const TableEntry &) const = default;
 };
 
+// Time since the latest heartbeat.
+Duration heartbeatAge(const TableEntry &Entry, TimePoint Now);
+
 struct MembershipTable {
   MembershipLimits m_Limits;
   // Keyed by the name of the backend server.
--- a/Source/Voter/ChangeConfirmation.h
+++ b/Source/Voter/ChangeConfirmation.h
@@ -4,10 +4,12 @@
 #ifndef MANGOCART_VOTER_CHANGECONFIRMATION_H
 #define MANGOCART_VOTER_CHANGECONFIRMATION_H
 
+#include "Core/Result.h"
 #include "Gateway/VoterWatch.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,9 @@
   bool operator==(const WatcherProgress &) const = default;
 };
 
+// The error says why a change isn't confirmed.
+using ConfirmationHandler = std::function<void(Result<void, std::string>)>;
+
 enum class ConfirmationState {
   Pending,
   Confirmed,
--- a/Source/Voter/ControlFront.h
+++ b/Source/Voter/ControlFront.h
@@ -4,6 +4,7 @@
 
 #include "Http/HttpServer.h"
 #include "Raft/ReplicatedLog.h"
+#include "Voter/ChangeConfirmation.h"
 #include "Voter/ControlProtocol.h"
 
 #include <functional>
@@ -20,9 +21,7 @@
   ReplicatedLog &m_Log;
   // Stores an announcement and calls Done once it may be acknowledged, or can't
   // be; then the error says why. Done is called on the exchange's worker.
-  std::function<void(const Member &,
-                     std::function<void(Result<void, std::string>)> Done)>
-      m_Announce;
+  std::function<void(const Member &, ConfirmationHandler Done)> m_Announce;
   // Whether the settings name the availability zone or a backend server in it
   // has announced itself.
   std::function<bool(const std::string &)> m_IsKnownZone;
--- a/Source/Voter/VoterDaemon.cpp
+++ b/Source/Voter/VoterDaemon.cpp
@@ -220,11 +220,9 @@
   const std::size_t Tolerated = m_Settings.tolerated_losses();
   if (Members.empty())
     return Tolerated;
-  const auto Others = static_cast<std::size_t>(
-      std::count_if(Members.begin(), Members.end(), [&](const auto &Each) {
-        return Each != toString(ownEndpoint());
-      }));
-  return std::min(Tolerated, Others);
+  const auto Own = static_cast<std::size_t>(
+      std::count(Members.begin(), Members.end(), toString(ownEndpoint())));
+  return std::min(Tolerated, Members.size() - Own);
 }
 
 bool VoterDaemon::isKnownZone(const std::string &Zone) const {
--- a/Source/Voter/WatchService.cpp
+++ b/Source/Voter/WatchService.cpp
@@ -5,7 +5,6 @@
 #include "Core/PostTask.h"
 #include "Entry/MembershipDirectory.h"
 #include "Events/EventLog.h"
-#include "Voter/ChangeConfirmation.h"
 #include "Voter/DocumentMachine.h"
 #include "Watch.pb.h"
 
@@ -256,9 +255,8 @@
 std::optional<Result<void, std::string>>
 WatchService::resultOf(const PendingChange &Pending,
                        const std::vector<WatcherProgress> &Watchers,
-                       TimePoint Now) const {
-  switch (confirmationState(Watchers, Pending.m_Change,
-                            m_Dependencies.m_RequiredVoters(),
+                       std::size_t RequiredVoters, TimePoint Now) {
+  switch (confirmationState(Watchers, Pending.m_Change, RequiredVoters,
                             Now < Pending.m_AllDeadline)) {
   case ConfirmationState::Confirmed:
     return success();
@@ -276,11 +274,12 @@
   if (m_PendingChanges.empty())
     return;
   const std::vector<WatcherProgress> Watchers = progress();
+  const std::size_t RequiredVoters = m_Dependencies.m_RequiredVoters();
   const TimePoint Now = RuntimeClock::now();
   // Handlers are called last: they may add pending changes.
   std::vector<std::function<void()>> Handlers;
   for (auto Each = m_PendingChanges.begin(); Each != m_PendingChanges.end();) {
-    auto Settled = resultOf(*Each, Watchers, Now);
+    auto Settled = resultOf(*Each, Watchers, RequiredVoters, Now);
     if (!Settled) {
       ++Each;
       continue;
--- a/Source/Voter/WatchService.h
+++ b/Source/Voter/WatchService.h
@@ -4,10 +4,10 @@
 #ifndef MANGOCART_VOTER_WATCHSERVICE_H
 #define MANGOCART_VOTER_WATCHSERVICE_H
 
-#include "Core/Result.h"
 #include "Core/Timer.h"
 #include "Gateway/VoterWatch.h"
 #include "Net/PeerStream.h"
+#include "Voter/ChangeConfirmation.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -27,7 +27,6 @@
 struct VersionedDocument;
 class EventLog;
 class MembershipDirectory;
-struct WatcherProgress;
 
 struct WatchServiceDependencies {
   EventLog &m_Events;
@@ -47,9 +46,6 @@
   std::function<std::size_t()> m_RequiredVoters;
 };
 
-// The error says why a change isn't confirmed.
-using ConfirmationHandler = std::function<void(Result<void, std::string>)>;
-
 // All functions but accept() and sendChanges() run on the worker.
 class WatchService : public std::enable_shared_from_this<WatchService> {
 public:
@@ -118,9 +114,10 @@
   // Ends the pending changes that are confirmed or can't be any more.
   void settlePendingChanges();
   // Result of a pending change; no value while it stays pending.
-  std::optional<Result<void, std::string>>
+  static std::optional<Result<void, std::string>>
   resultOf(const PendingChange &Pending,
-           const std::vector<WatcherProgress> &Watchers, TimePoint Now) const;
+           const std::vector<WatcherProgress> &Watchers,
+           std::size_t RequiredVoters, TimePoint Now);
   void armPendingTimer(TimePoint Now);
 
   const WatchServiceDependencies m_Dependencies;
--- a/Tests/Voter/testControlFront.cpp
+++ b/Tests/Voter/testControlFront.cpp
@@ -4,7 +4,6 @@
 #include "Http/HttpServer.h"
 #include "Voter/ControlFront.h"
 #include "Voter/DocumentMachine.h"
-#include "Voter/WatchService.h"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
