review: cases keep their files unless the rule held

Cause: a case that couldn't run (exit status 2) removed its temporary folder, so that the one such run of the review couldn't be traced.

Change: run.sh starts the case by run-case.sh, which gives it a temporary folder of its own, removes that folder only on exit status 0 and names it otherwise.

Measured: run-case.sh with commands that end with 0, 1, 2 and by SIGKILL: the status is passed on, the folder is removed only after 0, and kept after 0 with KEEP_FILES.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # With TROUBLE=0 it does the same without the disruption.
 cd "$(dirname "$0")" || exit 2
 export TROUBLE=${TROUBLE:-1}
-exec ../build/case-5 ../../target/bin ../build "$PWD/record.txt"
+exec ../run-case.sh ../build/case-5 ../../target/bin ../build "$PWD/record.txt"
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/KilledCatchUp ] || exit 2
-exec target/review-2/KilledCatchUp review/6
+exec review/run-case.sh target/review-2/KilledCatchUp review/6
--- a/review/kit/Deployment.cpp
+++ b/review/kit/Deployment.cpp
@@ -147,9 +147,7 @@
 
 Deployment::~Deployment() {
   stop();
-  if (std::getenv("KEEP_FILES"))
-    std::fprintf(stderr, "files: %s\n", m_Folder.c_str());
-  else
+  if (!std::getenv("KEEP_FILES"))
     std::filesystem::remove_all(m_Folder);
 }
 
