Entry, Agent: bytes above ASCII don't fail the request that has them

Cause: field values, targets, idempotency keys and the texts of orders travel in message fields that must be UTF-8; HTTP allows other bytes. A message with such a field can't be parsed as a whole. A request with such a field value or target failed with 502 or 503, an answer likewise; a key became a command in the replicated log that no member could parse, and the caller got 504. An agent cuts a backend server's text about an order at 256 bytes, so that the answer to the order could become unreadable by a character that is cut in two.

A key must be printable ASCII, others are rejected at once with 400. Texts of orders have question marks in place of other bytes.

--- a/Source/Agent/OrderExecutor.cpp
+++ b/Source/Agent/OrderExecutor.cpp
@@ -3,6 +3,7 @@
 
 #include "Agent/CallGuard.h"
 #include "Core/Hash.h"
+#include "Core/PrintableText.h"
 
 #include <utility>
 
@@ -139,7 +140,7 @@
   --m_Running;
   schema::OrderAnswer Answer = makeAnswer(verdictOf(Result));
   Answer.set_backend_status(Result.m_Status);
-  Answer.set_detail(Result.m_Detail.substr(0, MaxDetailBytes));
+  Answer.set_detail(toPrintable(Result.m_Detail, MaxDetailBytes));
   if (Result.m_CurrentFencingNumber)
     Answer.set_number_in_force(*Result.m_CurrentFencingNumber);
   const auto Found = m_Orders.find(OrderId);
--- a/Source/Entry/ClaimedRequest.cpp
+++ b/Source/Entry/ClaimedRequest.cpp
@@ -1,5 +1,6 @@
 #include "Entry/ClaimedRequest.h"
 
+#include "Core/PrintableText.h"
 #include "Entry/CallRequests.h"
 #include "Entry/EntryContext.h"
 #include "Entry/LocalReply.h"
@@ -89,12 +90,15 @@
                            AdmissionPermit Permit) {
   const HttpRequest &Request = Exchange->request();
   const auto ReceivedKey = findHeader(Request.m_Headers, IdempotencyKeyHeader);
+  // The key is kept in the replicated log, in a field that must be UTF-8.
   if (ReceivedKey &&
-      (ReceivedKey->empty() || ReceivedKey->size() > MaxKeyBytes)) {
+      (ReceivedKey->empty() || ReceivedKey->size() > MaxKeyBytes ||
+       !isPrintable(*ReceivedKey))) {
     ++Context.m_Counters.m_Refused;
     return Exchange->respond(
         toResponse(LocalReply{StatusBadRequest, "bad-key",
-                              "Idempotency-Key must have 1 to 255 bytes",
+                              "Idempotency-Key must have 1 to 255 printable "
+                              "ASCII characters",
                               schema::NOT_RUN, std::nullopt},
                    RequestId));
   }
--- a/Tests/Agent/testOrderExecutor.cpp
+++ b/Tests/Agent/testOrderExecutor.cpp
@@ -86,9 +86,11 @@
     }
     const auto Found = m_Answers.find(Next.m_Id);
     REQUIRE((Found != m_Answers.end()) == Next.m_Verdict.has_value());
-    if (Next.m_Verdict)
-      CHECK(OrderAnswer::Verdict_Name(Found->second.verdict()) ==
-            OrderAnswer::Verdict_Name(*Next.m_Verdict));
+    if (!Next.m_Verdict)
+      return;
+    CHECK(OrderAnswer::Verdict_Name(Found->second.verdict()) ==
+          OrderAnswer::Verdict_Name(*Next.m_Verdict));
+    CHECK(OrderAnswer().ParseFromString(Found->second.SerializeAsString()));
   }
 
   // Fencing numbers in the order in which the backend server received them.
@@ -139,6 +141,10 @@
   const BackendOrderResult NeverSent{Outcome::NeverSent, 0, {}, {}};
   const BackendOrderResult ServerError{Outcome::Answered, 500, {}, {}};
   const BackendOrderResult OldAtBackend{Outcome::Answered, 409, 12, {}};
+  const BackendOrderResult NotUtf8{Outcome::Answered, 200, {}, "caf\xe9"};
+  // A character of two bytes at the place where the text is cut.
+  BackendOrderResult TooLong{Outcome::Answered, 200, {}, {}};
+  TooLong.m_Detail.assign(255, 'a').append("\xc3\xa9");
   struct Row {
     const char *m_Name;
     bool m_ChecksFencingNumbers;
@@ -147,6 +153,15 @@
   };
   const Row Rows[] = {
       {"no fencing number known", false, {order(9, "a", NotYet)}, {}},
+      {"the backend's text isn't UTF-8",
+       false,
+       {fenceReply(9), order(9, "a"), backendResult("a", Done, NotUtf8),
+        order(9, "a", Done)},
+       {9}},
+      {"the backend's text is cut within a character",
+       false,
+       {fenceReply(9), order(9, "a"), backendResult("a", Done, TooLong)},
+       {9}},
       {"no fencing number known, backend checks numbers",
        true,
        {order(9, "a", NotYet)},
--- a/Tests/Processes/testRequestForwarding.cpp
+++ b/Tests/Processes/testRequestForwarding.cpp
@@ -1,5 +1,6 @@
-// Forwarding of a request's priority, and of its cancellation when the caller
-// disconnects, through entry and agent to the engine.
+// Forwarding of a request's priority, of its cancellation when the caller
+// disconnects, and of bytes above ASCII, through entry and agent to the backend
+// server.
 #include "Core/WorkerPool.h"
 #include "Http/HttpClient.h"
 #include "Processes/Deployment.h"
@@ -118,3 +119,36 @@
   CHECK(eventually([&] { return Engine.completedPriorities().size() == 2; }));
   CHECK(Engine.completedPriorities() == std::vector<std::string>{"5", "0"});
 }
+
+TEST_CASE("bytes above ASCII in a request harm neither it nor later ones") {
+  const std::string Latin = "caf\xe9";
+  Deployment D(139);
+  D.start();
+  WorkerPool Workers(1);
+  HttpClient Client(Workers.worker(0));
+  Workers.start();
+  const auto Post = [&](const std::string &Path, const HttpHeader &Field) {
+    HttpRequest Request{
+        "POST", Path, {{"Mangocart-Customer", "families"}, Field}, "{}", {}};
+    std::promise<unsigned> Status;
+    boost::asio::post(Workers.worker(0), [&] {
+      const auto Head = std::make_shared<HttpHead>();
+      Client.send({D.address("entry-a"), 8080}, std::move(Request), 20s,
+                  {[Head](const HttpHead &Got) { *Head = Got; },
+                   [](std::string_view) {},
+                   [&, Head] { Status.set_value(Head->m_Status); },
+                   [&](const HttpError &) { Status.set_value(0); }});
+    });
+    return Status.get_future().get();
+  };
+  for (int Round = 0; Round < 5; ++Round) {
+    CHECK(Post("/v1/drafts", {"X-Visitor", Latin}) == 200);
+    CHECK(Post("/bookings", {"X-Visitor", Latin}) == 200);
+    CHECK(Post("/v1/drafts?visitor=" + Latin, {"X-Round", "1"}) == 200);
+    // The key is kept in the log of all entries.
+    CHECK(Post("/bookings", {"Idempotency-Key", Latin}) == 400);
+  }
+  CHECK(Post("/bookings", {"Idempotency-Key", "row 7"}) == 200);
+  CHECK(Post("/v1/drafts", {"X-Round", "6"}) == 200);
+  Workers.stop();
+}
