Agent: probes of a server whose answers name them share a connection

Cause: connections are kept only after answers that name their request. Probes had no ID, so that each of them opened a connection, two a second for each agent.

Change: a probe has an ID in the header Mangocart-Request and uses a kept connection while the answers repeat it; after one that doesn't, the next probe uses a connection of its own. Stand-ins repeat the ID on their load and health pages and after orders.

--- a/Source/Agent/BackendProbe.cpp
+++ b/Source/Agent/BackendProbe.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
+#include <fmt/format.h>
 
 namespace mangocart {
 
@@ -67,9 +68,18 @@
   HttpRequest Request;
   Request.m_Method = "GET";
   Request.m_Target = LoadPath;
+  const std::string Id = fmt::format("probe-{}", ++m_ProbeCount);
+  Request.m_Headers.push_back({RequestHeader, Id});
   HttpCallHandlers Handlers;
-  Handlers.m_OnHead = [Response](const HttpHead &Head) {
+  if (m_IsNamed)
+    Handlers.m_OwnerOf = [Id](const HttpHead &Head) {
+      return ownerByHeader(Head, RequestHeader, Id);
+    };
+  Handlers.m_OnHead = [Self = shared_from_this(), Response,
+                       Id](const HttpHead &Head) {
     Response->m_Status = Head.m_Status;
+    Self->m_IsNamed =
+        ownerByHeader(Head, RequestHeader, Id) == AnswerOwner::ThisCall;
   };
   Handlers.m_OnBody = [Response](std::string_view Data) {
     Response->m_Body.append(Data);
@@ -81,6 +91,7 @@
     Self->recordResult(Response->m_Status < FirstServerError, Response->m_Body);
   };
   Handlers.m_OnError = [Self = shared_from_this()](const HttpError &) {
+    Self->m_IsNamed = false;
     Self->recordResult(false, {});
   };
   Handlers.m_MaxBodyBytes = MaxLoadPageBytes;
--- a/Source/Agent/BackendProbe.h
+++ b/Source/Agent/BackendProbe.h
@@ -38,6 +38,10 @@
   const std::function<void()> m_OnChange;
   Timer m_Timer;
   int m_ConsecutiveFailures = 0;
+  std::uint64_t m_ProbeCount = 0;
+  // The last answer repeated the ID of its probe. If not, the next probe uses a
+  // connection of its own, as its answer couldn't be told from others.
+  bool m_IsNamed = false;
   mutable std::mutex m_Mutex;
   // Guarded by m_Mutex.
   BackendReport m_Report;
--- a/Source/Agent/CallForwarder.cpp
+++ b/Source/Agent/CallForwarder.cpp
@@ -16,7 +16,6 @@
 // entry that reads the response slowly.
 constexpr std::size_t MaxQueuedBytes = std::size_t{256} * 1024;
 constexpr std::uint32_t RetryAfterUnreachableMilliseconds = 500;
-constexpr const char *RequestHeader = "Mangocart-Request";
 constexpr const char *IdempotencyKeyHeader = "Idempotency-Key";
 
 schema::CallRefusal makeRefusal(schema::CallRefusal::Reason Reason,
--- a/Source/Standin/Standin.cpp
+++ b/Source/Standin/Standin.cpp
@@ -40,6 +40,11 @@
   return Number;
 }
 
+void respond(HttpExchange &Exchange, HttpResponse Response) {
+  echoRequestId(Response.m_Head, Exchange.request());
+  Exchange.respond(std::move(Response));
+}
+
 // Returns whether an event is never published. The decision is the same for
 // every reader and every read.
 bool isLost(const CacheEvent &Event, double LossRate, std::uint64_t Seed) {
@@ -130,14 +135,14 @@
   HttpResponse Response = m_Orders.handle(Exchange.request());
   if (Faults.current().m_DropAnswer)
     return Exchange.abort();
-  Exchange.respond(std::move(Response));
+  respond(Exchange, std::move(Response));
 }
 
 void Standin::State::handleHealth(HttpExchange &Exchange) {
   // The connection is closed without a response.
   if (m_Context->m_Faults.m_StallHealth)
     return Exchange.abort();
-  Exchange.respond(jsonResponse(200, R"({"status":"ok"})"));
+  respond(Exchange, jsonResponse(200, R"({"status":"ok"})"));
 }
 
 void Standin::State::handleLoad(HttpExchange &Exchange) {
@@ -156,7 +161,7 @@
       {"completed", Counters.m_Completed},
       {"cancelled", Counters.m_Cancelled},
       {"tokens", Counters.m_TokensGenerated}};
-  Exchange.respond(jsonResponse(200, json::serialize(Body)));
+  respond(Exchange, jsonResponse(200, json::serialize(Body)));
 }
 
 void Standin::State::handleCacheEvents(HttpExchange &Exchange) {
--- a/Tests/Http/EndlessServer.cpp
+++ b/Tests/Http/EndlessServer.cpp
@@ -100,6 +100,7 @@
   m_Acceptor.async_accept([this](error_code Error, tcp::socket Socket) {
     if (Error)
       return;
+    ++m_Connections;
     std::make_shared<Connection>(*this, std::move(Socket))->readHead();
     accept();
   });
--- a/Tests/Http/EndlessServer.h
+++ b/Tests/Http/EndlessServer.h
@@ -34,6 +34,7 @@
   EndlessServer &operator=(const EndlessServer &) = delete;
 
   std::uint16_t port() const;
+  unsigned connections() const { return m_Connections; }
   // Bytes that the clients' machines have taken so far, and the connections on
   // which an answer without end was begun or has been ended by the client.
   std::uint64_t sentBytes() const { return m_SentBytes; }
@@ -47,6 +48,7 @@
   boost::asio::io_context m_Context;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   const Answers m_Answer;
+  std::atomic<unsigned> m_Connections{0};
   std::atomic<std::uint64_t> m_SentBytes{0};
   std::atomic<unsigned> m_Begun{0};
   std::atomic<unsigned> m_Ended{0};
