Tests: the soak loses disks and takes any number of gateways

Change: a soak's voter may lose its disk, once in a cycle, while the others are whole; it must have the log again before the next voter is disturbed. The number of gateways is a parameter. Programs of another build can be played (MANGOCART_PROGRAMS), for comparisons and for programs without a guard.

--- a/Tests/Gateways/CallerLoad.cpp
+++ b/Tests/Gateways/CallerLoad.cpp
@@ -11,8 +11,8 @@
 
 constexpr std::chrono::seconds CallerDeadline{4};
 
-std::chrono::milliseconds since(std::chrono::steady_clock::time_point At) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
+std::chrono::microseconds since(std::chrono::steady_clock::time_point At) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
       std::chrono::steady_clock::now() - At);
 }
 
--- a/Tests/Gateways/CallerLoad.h
+++ b/Tests/Gateways/CallerLoad.h
@@ -39,7 +39,7 @@
   std::size_t m_Kind = 0;
   unsigned m_Attempts = 0;
   std::chrono::steady_clock::time_point m_SentAt;
-  std::chrono::milliseconds m_EndedAfter{0};
+  std::chrono::microseconds m_EndedAfter{0};
   // 0 without a response.
   unsigned m_Status = 0;
   std::string m_Body;
--- a/Tests/Gateways/EngineFleet.cpp
+++ b/Tests/Gateways/EngineFleet.cpp
@@ -343,6 +343,7 @@
     if (Error || !Each.m_Up)
       return;
     closeOnExec(Socket.native_handle());
+    ++m_Connections;
     auto Connection = std::make_shared<Session>(*this, Each, std::move(Socket));
     Each.m_Sessions.insert(Connection);
     Connection->read();
--- a/Tests/Gateways/EngineFleet.h
+++ b/Tests/Gateways/EngineFleet.h
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -84,6 +85,8 @@
   void start();
   std::vector<Arrival> arrivals() const;
   std::vector<Crash> crashes() const;
+  // Connections that all engines have accepted so far.
+  std::uint64_t connections() const { return m_Connections; }
   // Ends an engine that did nothing wrong.
   void endEngine(unsigned Index);
   // Header lines that the engine adds to all its answers from now on, each with
@@ -130,6 +133,7 @@
   bool m_Stalled = false;
   bool m_Broken = false;
   std::string m_FaultyAddress;
+  std::atomic<std::uint64_t> m_Connections{0};
   mutable std::mutex m_Mutex;
   // Guarded by m_Mutex.
   std::vector<Arrival> m_Arrivals;
--- a/Tests/Gateways/GatewayDeployment.h
+++ b/Tests/Gateways/GatewayDeployment.h
@@ -4,11 +4,10 @@
 #ifndef MANGOCART_TESTS_GATEWAYDEPLOYMENT_H
 #define MANGOCART_TESTS_GATEWAYDEPLOYMENT_H
 
-#include "Http/HttpClient.h"
-#include "Processes/ChildProcess.h"
+#include "Gateways/GatewayProcess.h"
+#include "Gateways/VoterDeployment.h"
+#include "Processes/TemporaryFolder.h"
 
-#include <chrono>
-#include <filesystem>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,7 +19,6 @@
   // Addresses are 127.OCTET.0.1 for the voter, 127.OCTET.1.N for the gateways;
   // 127.OCTET.2.N is left to engines.
   GatewayDeployment(int Octet, unsigned Gateways);
-  ~GatewayDeployment();
   GatewayDeployment(const GatewayDeployment &) = delete;
   GatewayDeployment &operator=(const GatewayDeployment &) = delete;
 
@@ -53,20 +51,13 @@
   std::string log(unsigned Index) const;
 
 private:
-  std::string writeSettings(const std::string &Name,
-                            const std::string &Text) const;
-
   const int m_Octet;
   double m_ColdRate = 0.0;
-  std::filesystem::path m_Folder;
-  std::unique_ptr<ChildProcess> m_Voter;
+  TemporaryFolder m_Folder;
+  VoterDeployment m_Voters;
   std::vector<std::unique_ptr<ChildProcess>> m_Gateways;
 };
 
-// Sends one request and waits for its response; status 0 without one.
-HttpResponse call(const HttpTarget &To, HttpRequest Request,
-                  std::chrono::milliseconds Deadline = std::chrono::seconds(3));
-
 } // namespace mangocart::test
 
 #endif
--- a/Tests/Gateways/VoterDeployment.cpp
+++ b/Tests/Gateways/VoterDeployment.cpp
@@ -1,7 +1,7 @@
 // Settings and processes of the voters.
 #include "Gateways/VoterDeployment.h"
 
-#include "Gateways/GatewayDeployment.h"
+#include "Gateways/GatewayProcess.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -10,7 +10,6 @@
 #include <csignal>
 #include <fstream>
 #include <sstream>
-#include <stdexcept>
 #include <thread>
 
 namespace mangocart::test {
@@ -45,24 +44,16 @@
 } // namespace
 
 VoterDeployment::VoterDeployment(int Octet, unsigned Voters)
-    : m_Octet(Octet), m_Voters(Voters) {
-  std::string Template =
-      (std::filesystem::temp_directory_path() / "mangocart-XXXXXX").string();
-  if (!::mkdtemp(Template.data()))
-    throw std::runtime_error("cannot create a temporary folder");
-  m_Folder = Template;
-}
-
-VoterDeployment::~VoterDeployment() {
-  m_Voters.clear();
-  std::error_code Ignored;
-  std::filesystem::remove_all(m_Folder, Ignored);
-}
+    : m_Octet(Octet), m_Voters(Voters) {}
 
 std::string VoterDeployment::address(unsigned Index) const {
   return fmt::format("127.{}.0.{}", m_Octet, Index + 1);
 }
 
+std::filesystem::path VoterDeployment::dataFolder(unsigned Index) const {
+  return m_Folder.path() / fmt::format("data-{}", Index);
+}
+
 HttpTarget VoterDeployment::control(unsigned Index) const {
   return {address(Index), ControlPort};
 }
@@ -81,19 +72,20 @@
 
 void VoterDeployment::startVoter(unsigned Index) {
   const std::string Name = fmt::format("voter-{}", Index);
-  std::filesystem::create_directories(m_Folder / Name);
-  const std::string File = (m_Folder / (Name + ".toml")).string();
+  const std::filesystem::path Data = dataFolder(Index);
+  std::filesystem::create_directories(Data);
+  const std::string File = (m_Folder.path() / (Name + ".toml")).string();
   std::ofstream(File) << fmt::format(
       "name = \"{0}\"\navailability_zone = \"z{1}\"\n"
       "control_endpoint = \"{2}:{3}\"\npeer_port = {4}\nmetrics_port = 9464\n"
-      "seeds = [{5}]\nfirst_start = true\ndata_folder = \"{6}\"\n"
-      "tolerated_losses = 1\nannounce_interval_ms = 1200\n",
+      "seeds = [{5}]\nfirst_start = {8}\ndata_folder = \"{6}\"\n"
+      "tolerated_losses = {7}\nannounce_interval_ms = 1200\n",
       Name, Index, address(Index), ControlPort, PeerPort, seeds(),
-      (m_Folder / Name).string());
+      Data.string(), m_Voters.size() > 1 ? 1 : 0, m_IsFirstStart);
   m_Voters[Index] = std::make_unique<ChildProcess>(
-      std::string(MANGOCART_PROGRAM_DIR) + "/mangocart-voter",
+      programPath("mangocart-voter"),
       std::vector<std::string>{"--settings", File},
-      (m_Folder / (Name + ".log")).string());
+      (m_Folder.path() / (Name + ".log")).string());
 }
 
 void VoterDeployment::signalVoter(unsigned Index, int SignalNumber) {
@@ -105,6 +97,11 @@
   REQUIRE(m_Voters[Index]->wait(EndTimeout));
 }
 
+void VoterDeployment::loseDisk(unsigned Index) {
+  killVoter(Index);
+  std::filesystem::remove_all(dataFolder(Index));
+}
+
 void VoterDeployment::stopVoter(unsigned Index) {
   signalVoter(Index, SIGTERM);
   REQUIRE(m_Voters[Index]->wait(EndTimeout).value_or(-1) == 0);
@@ -114,26 +111,21 @@
   const auto Count = static_cast<unsigned>(m_Voters.size());
   for (unsigned I = 0; I < Count; ++I)
     startVoter(I);
-  const HttpRequest Put{
-      "PUT",
-      "/config",
-      {{"Host", "voter"}, {"Content-Type", "application/json"}},
-      Configuration,
-      {}};
   const auto IsReady = [&] {
     for (unsigned I = 0; I < Count; ++I)
-      if (countOf(readFile(m_Folder / fmt::format("voter-{}.log", I)),
+      if (countOf(readFile(m_Folder.path() / fmt::format("voter-{}.log", I)),
                   R"("name":"VoterConnected")") +
               1 <
           Count)
         return false;
-    return call(control(0), Put).m_Head.m_Status == 200;
+    return putConfiguration(control(0), Configuration) == 200;
   };
   const auto Deadline = std::chrono::steady_clock::now() + StartTimeout;
   while (!IsReady()) {
     REQUIRE(std::chrono::steady_clock::now() < Deadline);
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
   }
+  m_IsFirstStart = false;
 }
 
 } // namespace mangocart::test
--- a/Tests/Gateways/VoterDeployment.h
+++ b/Tests/Gateways/VoterDeployment.h
@@ -5,6 +5,7 @@
 #include "Http/HttpClient.h"
 #include "Net/PeerStream.h"
 #include "Processes/ChildProcess.h"
+#include "Processes/TemporaryFolder.h"
 
 #include <filesystem>
 #include <memory>
@@ -17,7 +18,6 @@
 public:
   // Voter I has the address 127.OCTET.0.(I+1).
   VoterDeployment(int Octet, unsigned Voters);
-  ~VoterDeployment();
   VoterDeployment(const VoterDeployment &) = delete;
   VoterDeployment &operator=(const VoterDeployment &) = delete;
 
@@ -30,19 +30,25 @@
   void suspendVoter(unsigned Index) { m_Voters[Index]->suspend(); }
   // Kills the voter and waits for its end.
   void killVoter(unsigned Index);
+  // Kills the voter and removes its data.
+  void loseDisk(unsigned Index);
   // Stops the voter as planned and waits for its end.
   void stopVoter(unsigned Index);
   bool isRunning(unsigned Index) const { return m_Voters[Index]->isRunning(); }
 
   HttpTarget control(unsigned Index) const;
+  // The control endpoints of all voters, as a list of TOML strings.
+  std::string seeds() const;
   PeerEndpoint peer(unsigned Index) const;
 
 private:
   std::string address(unsigned Index) const;
-  std::string seeds() const;
+  std::filesystem::path dataFolder(unsigned Index) const;
 
   const int m_Octet;
-  std::filesystem::path m_Folder;
+  TemporaryFolder m_Folder;
+  // Until the first configuration is acknowledged.
+  bool m_IsFirstStart = true;
   std::vector<std::unique_ptr<ChildProcess>> m_Voters;
 };
 
--- a/Tests/Processes/ChildProcess.cpp
+++ b/Tests/Processes/ChildProcess.cpp
@@ -2,6 +2,7 @@
 #include "Processes/ChildProcess.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
 #include <spawn.h>
@@ -18,6 +19,11 @@
 constexpr int FileMode = 0644;
 } // namespace
 
+std::string programPath(const std::string &Name) {
+  const char *Folder = std::getenv("MANGOCART_PROGRAMS");
+  return std::string(Folder ? Folder : MANGOCART_PROGRAM_DIR) + "/" + Name;
+}
+
 ChildProcess::ChildProcess(const std::string &Program,
                            const std::vector<std::string> &Arguments,
                            const std::string &OutputFile) {
--- a/Tests/Processes/ChildProcess.h
+++ b/Tests/Processes/ChildProcess.h
@@ -11,6 +11,10 @@
 
 namespace mangocart::test {
 
+// Path of a program of this build, or of the build whose folder of programs is
+// in MANGOCART_PROGRAMS.
+std::string programPath(const std::string &Name);
+
 class ChildProcess {
 public:
   // Standard output and standard error are appended to the file.
--- a/Tests/Processes/Deployment.cpp
+++ b/Tests/Processes/Deployment.cpp
@@ -20,10 +20,6 @@
 constexpr int CallerPort = 8080;
 constexpr int BackendPort = 9000;
 
-std::string programPath(const std::string &Name) {
-  return std::string(MANGOCART_PROGRAM_DIR) + "/" + Name;
-}
-
 std::string readFile(const std::filesystem::path &File) {
   std::ifstream Stream(File);
   std::ostringstream Text;
--- a/Tests/Soak/ReplicaFleet.cpp
+++ b/Tests/Soak/ReplicaFleet.cpp
@@ -1,7 +1,7 @@
 // Connections, answers and heartbeats of the replicas.
 #include "Soak/ReplicaFleet.h"
 
-#include "Gateways/GatewayDeployment.h"
+#include "Gateways/GatewayProcess.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/Tests/Soak/SoakCallers.cpp
+++ b/Tests/Soak/SoakCallers.cpp
@@ -1,7 +1,7 @@
 // Connections of the callers, and their checks.
 #include "Soak/SoakCallers.h"
 
-#include "Gateways/GatewayDeployment.h"
+#include "Gateways/GatewayProcess.h"
 #include "Soak/ReplicaFleet.h"
 
 #include <boost/asio/io_context.hpp>
@@ -120,7 +120,7 @@
     if (!Connection || !Connection->isOpen())
       Connection = std::make_unique<CallerConnection>(
           m_System.gateway(static_cast<unsigned>(
-              uniform(Generator, 0, SoakSystem::Gateways - 1))));
+              uniform(Generator, 0, m_System.gatewayCount() - 1))));
     const std::uint64_t Kind = uniform(Generator, 0, 2);
     const std::string Id = fmt::format("q{}-{}-{}", Number, I, Seed);
     http::request<http::string_body> Request(http::verb::post,
@@ -170,14 +170,7 @@
   };
   while (!m_IsStopping) {
     ++Version;
-    if (call(Voter(),
-             {"PUT",
-              "/config",
-              {{"Host", "voter"}, {"Content-Type", "application/json"}},
-              soakConfiguration(Version),
-              {}},
-             1s)
-            .m_Head.m_Status == 200)
+    if (putConfiguration(Voter(), engineConfiguration(Version), 1s) == 200)
       m_Acknowledged = Version;
     const std::uint64_t Before = m_Acknowledged;
     const HttpResponse Read =
--- a/Tests/Soak/SoakSystem.cpp
+++ b/Tests/Soak/SoakSystem.cpp
@@ -1,13 +1,10 @@
 // Processes and faults of a soak.
 #include "Soak/SoakSystem.h"
 
-#include "Gateways/GatewayDeployment.h"
-
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
 #include <csignal>
-#include <fstream>
 #include <thread>
 
 namespace mangocart::test {
@@ -16,29 +13,8 @@
 
 namespace {
 
-constexpr std::uint16_t ControlPort = 8229;
-constexpr std::uint16_t CallerPort = 8227;
-constexpr std::uint16_t HealthPort = 8220;
 constexpr std::uint64_t MaxGatewayBytes = std::uint64_t{160} * 1000 * 1000;
 
-constexpr const char *ConfigurationRest = R"(,"routes":[
-{"name":"streams","host":"test.example","path_prefix":"/stream/",
- "route_type":"stream","timeout_ms":8000,"target_latency_ms":400,"priority":1,
- "service":"engines","max_attempts":2,"public":true,"resumable":true,
- "gap_target_ms":120},
-{"name":"plain","host":"test.example","path_prefix":"/plain/",
- "route_type":"idempotent","timeout_ms":4000,"target_latency_ms":400,
- "priority":1,"service":"engines","max_attempts":2,"public":true},
-{"name":"unsafe","host":"test.example","path_prefix":"/unsafe/",
- "route_type":"non_idempotent","timeout_ms":4000,"target_latency_ms":400,
- "priority":1,"service":"engines","max_attempts":2,"public":true}],
-"services":[{"name":"engines","health_path":"/health","max_connections":300,
- "protocol":"h1","tls":false,"engine":{"slots":8,"kv_capacity_tokens":372000,
- "models":[{"name":"m"}],"step_ms":5.85,"per_seq_ms":0.355,
- "read_per_s":61200.0,"usual":{"prompt":835,"answer":139}}}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
- "header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]})";
-
 template <class Predicate>
 void requireWithin(std::chrono::seconds Timeout, Predicate Condition) {
   const auto Deadline = SoakClock::now() + Timeout;
@@ -48,35 +24,26 @@
   }
 }
 
-bool doesAnswer(const HttpTarget &To, const std::string &Target) {
-  return call(To, {"GET", Target, {{"Host", "s"}}, {}, {}}, 500ms)
-             .m_Head.m_Status != 0;
+HttpResponse get(const HttpTarget &From, const std::string &Target) {
+  return call(From, {"GET", Target, {{"Host", "v"}}, {}, {}}, 500ms);
 }
 
-} // namespace
-
-std::string soakConfiguration(std::uint64_t Version) {
-  return fmt::format(R"({{"version":{})", Version) + ConfigurationRest;
+bool doesAnswer(const HttpTarget &Voter) {
+  return get(Voter, "/").m_Head.m_Status != 0;
 }
 
-SoakSystem::SoakSystem(int Octet, std::uint64_t Seed)
-    : m_Octet(Octet), m_Random(Seed), m_Voters(Octet, Voters),
-      m_Gateways(Gateways) {
-  std::string Template =
-      (std::filesystem::temp_directory_path() / "mangocart-XXXXXX").string();
-  REQUIRE(::mkdtemp(Template.data()));
-  m_Folder = Template;
+bool hasLog(const HttpTarget &Voter) {
+  return get(Voter, "/config").m_Head.m_Status == 200;
 }
 
-SoakSystem::~SoakSystem() {
-  m_Gateways.clear();
-  std::error_code Ignored;
-  if (!std::getenv("MANGOCART_KEEP_LOGS"))
-    std::filesystem::remove_all(m_Folder, Ignored);
-}
+} // namespace
+
+SoakSystem::SoakSystem(int Octet, unsigned Gateways, std::uint64_t Seed)
+    : m_Octet(Octet), m_Random(Seed), m_Voters(Octet, Voters),
+      m_Gateways(Gateways) {}
 
 HttpTarget SoakSystem::gateway(unsigned Index) const {
-  return {fmt::format("127.{}.1.{}", m_Octet, Index + 1), CallerPort};
+  return callerEndpoint(fmt::format("127.{}.1.{}", m_Octet, Index + 1));
 }
 
 std::string SoakSystem::replicaAddress(unsigned Index) const {
@@ -84,47 +51,22 @@
 }
 
 void SoakSystem::startGateway(unsigned Index) {
-  const std::string Name = fmt::format("gateway-{}", Index);
-  const std::string File = (m_Folder / (Name + ".toml")).string();
-  std::string Seeds;
-  for (unsigned I = 0; I < Voters; ++I)
-    Seeds += fmt::format("{}\"{}:{}\"", I > 0 ? ", " : "", control(I).m_Address,
-                         ControlPort);
-  const std::string Address = gateway(Index).m_Address;
-  std::ofstream(File) << fmt::format(
-      "name = \"{0}\"\navailability_zone = \"z{1}\"\n"
-      "caller_endpoint = \"{2}:{3}\"\nhealth_endpoint = \"{2}:{4}\"\n"
-      "peer_port = 7340\nmetrics_port = 9464\nseeds = [{5}]\n"
-      "announce_interval_ms = 1200\nretry_ratio = 0.2\nretry_slack = 80\n"
-      "drain_max_ms = 4000\n",
-      Name, Index, Address, CallerPort, HealthPort, Seeds);
-  m_Gateways[Index] = std::make_unique<ChildProcess>(
-      std::string(MANGOCART_PROGRAM_DIR) + "/mangocart-gateway",
-      std::vector<std::string>{"--settings", File},
-      (m_Folder / (Name + ".log")).string());
-}
-
-bool SoakSystem::isReady(unsigned Index) const {
-  return call({gateway(Index).m_Address, HealthPort},
-              {"GET", "/ready", {{"Host", "g"}}, {}, {}})
-             .m_Head.m_Status == 200;
+  m_Gateways[Index] = startGatewayProcess(
+      {fmt::format("gateway-{}", Index), fmt::format("z{}", Index % Voters),
+       gateway(Index), m_Voters.seeds(), "drain_max_ms = 4000\n"},
+      m_Folder.path());
 }
 
 void SoakSystem::start() {
   m_Voters.start();
-  for (unsigned I = 0; I < Gateways; ++I)
+  for (unsigned I = 0; I < gatewayCount(); ++I)
     startGateway(I);
   requireWithin(20s, [&] {
-    return call(control(0),
-                {"PUT",
-                 "/config",
-                 {{"Host", "voter"}, {"Content-Type", "application/json"}},
-                 soakConfiguration(FirstVersion),
-                 {}})
-               .m_Head.m_Status == 200;
+    return putConfiguration(control(0), engineConfiguration(FirstVersion)) ==
+           200;
   });
-  for (unsigned I = 0; I < Gateways; ++I)
-    requireWithin(20s, [&] { return isReady(I); });
+  for (unsigned I = 0; I < gatewayCount(); ++I)
+    requireWithin(20s, [&] { return isGatewayReady(gateway(I)); });
 }
 
 void SoakSystem::pauseRandomly(unsigned LeastMs, unsigned MostMs) {
@@ -149,9 +91,7 @@
     break;
   default:
     // A process that has just started would be ended by the signal itself.
-    requireWithin(5s, [&] {
-      return doesAnswer({gateway(Index).m_Address, HealthPort}, "/ready");
-    });
+    requireWithin(5s, [&] { return doesGatewayAnswer(gateway(Index)); });
     Gateway.signal(SIGTERM);
     // 1: requests were still in progress at the end of the drain.
     REQUIRE(Gateway.wait(10s).value_or(2) <= 1);
@@ -162,7 +102,7 @@
 
 void SoakSystem::disturbVoter(unsigned Index) {
   m_Faults.add();
-  switch (uniform(m_Random, 0, 2)) {
+  switch (uniform(m_Random, 0, m_IsDiskLost ? 2 : 3)) {
   case 0:
     m_Voters.killVoter(Index);
     pauseRandomly(50, 400);
@@ -173,10 +113,34 @@
     pauseRandomly(200, 1500);
     m_Voters.signalVoter(Index, SIGCONT);
     break;
-  default:
-    requireWithin(5s, [&] { return doesAnswer(control(Index), "/"); });
+  case 2:
+    requireWithin(5s, [&] { return doesAnswer(control(Index)); });
     m_Voters.stopVoter(Index);
     m_Voters.startVoter(Index);
+    break;
+  default:
+    m_IsDiskLost = true;
+    ++m_LostDisks;
+    m_Voters.loseDisk(Index);
+    pauseRandomly(50, 400);
+    m_Voters.startVoter(Index);
+    // With a second failure before it has the log, acknowledged changes would
+    // be on one disk only.
+    requireWithin(20s, [&] { return hasLog(control(Index)); });
+  }
+  m_Faults.add();
+}
+
+void SoakSystem::killGatewaysBut(unsigned Index) {
+  m_Faults.add();
+  for (unsigned I = 0; I < gatewayCount(); ++I)
+    if (I != Index)
+      m_Gateways[I]->signal(SIGKILL);
+  for (unsigned I = 0; I < gatewayCount(); ++I) {
+    if (I == Index)
+      continue;
+    REQUIRE(m_Gateways[I]->wait(5s));
+    startGateway(I);
   }
   m_Faults.add();
 }
@@ -184,6 +148,7 @@
 void SoakSystem::inflictFaults(std::chrono::milliseconds For,
                                std::optional<unsigned> FirstVoter) {
   const auto Until = SoakClock::now() + For;
+  m_IsDiskLost = false;
   if (FirstVoter) {
     m_Faults.add();
     m_Voters.killVoter(*FirstVoter);
@@ -192,7 +157,7 @@
   }
   while (SoakClock::now() < Until) {
     const auto Gateway =
-        static_cast<unsigned>(uniform(m_Random, 0, Gateways - 1));
+        static_cast<unsigned>(uniform(m_Random, 0, gatewayCount() - 1));
     const auto Voter = static_cast<unsigned>(uniform(m_Random, 0, Voters - 1));
     const std::uint64_t Kind = uniform(m_Random, 0, 3);
     if (Kind == 0) {
@@ -207,22 +172,14 @@
       m_Gateways[Gateway]->signal(SIGCONT);
       m_Faults.add();
     } else {
-      // Most gateways end at once.
-      m_Faults.add();
-      for (unsigned I = 0; I + 1 < Gateways; ++I)
-        m_Gateways[(Gateway + I) % Gateways]->signal(SIGKILL);
-      for (unsigned I = 0; I + 1 < Gateways; ++I) {
-        REQUIRE(m_Gateways[(Gateway + I) % Gateways]->wait(5s));
-        startGateway((Gateway + I) % Gateways);
-      }
-      m_Faults.add();
+      killGatewaysBut(Gateway);
     }
     pauseRandomly(0, 300);
   }
 }
 
 std::string SoakSystem::findFailed() const {
-  for (unsigned I = 0; I < Gateways; ++I) {
+  for (unsigned I = 0; I < gatewayCount(); ++I) {
     if (!m_Gateways[I]->isRunning())
       return fmt::format("gateway-{} has ended", I);
     if (m_Gateways[I]->peakMemory() > MaxGatewayBytes)
--- a/Tests/Soak/SoakSystem.h
+++ b/Tests/Soak/SoakSystem.h
@@ -4,10 +4,11 @@
 #define MANGOCART_TESTS_SOAKSYSTEM_H
 
 #include "Core/Random.h"
+#include "Gateways/GatewayProcess.h"
 #include "Gateways/VoterDeployment.h"
+#include "Processes/TemporaryFolder.h"
 
 #include <chrono>
-#include <filesystem>
 #include <mutex>
 
 namespace mangocart::test {
@@ -39,18 +40,13 @@
   std::vector<SoakClock::time_point> m_Times;
 };
 
-// The same content under each version.
-std::string soakConfiguration(std::uint64_t Version);
-
 class SoakSystem {
 public:
   // The version that start() leaves in force.
   static constexpr std::uint64_t FirstVersion = 2;
   static constexpr unsigned Voters = 3;
-  static constexpr unsigned Gateways = 3;
 
-  SoakSystem(int Octet, std::uint64_t Seed);
-  ~SoakSystem();
+  SoakSystem(int Octet, unsigned Gateways, std::uint64_t Seed);
   SoakSystem(const SoakSystem &) = delete;
   SoakSystem &operator=(const SoakSystem &) = delete;
 
@@ -58,12 +54,17 @@
   void start();
   HttpTarget control(unsigned Voter) const { return m_Voters.control(Voter); }
   HttpTarget gateway(unsigned Index) const;
+  unsigned gatewayCount() const {
+    return static_cast<unsigned>(m_Gateways.size());
+  }
   std::string replicaAddress(unsigned Index) const;
   const FaultRecord &faults() const { return m_Faults; }
+  unsigned lostDisks() const { return m_LostDisks; }
 
   // Kills, suspends and stops processes for this long, in series and at once,
-  // but disturbs no more than one voter at a time. Begins with a kill of the
-  // voter, if there is one. All processes run at the end.
+  // but disturbs no more than one voter at a time, and at most one of them
+  // loses its disk. Begins with a kill of the voter, if there is one. All
+  // processes run at the end.
   void inflictFaults(std::chrono::milliseconds For,
                      std::optional<unsigned> FirstVoter);
   // A process that ended without being told to, or has taken more memory than
@@ -72,16 +73,19 @@
 
 private:
   void startGateway(unsigned Index);
-  bool isReady(unsigned Index) const;
   void disturbGateway(unsigned Index);
   void disturbVoter(unsigned Index);
+  void killGatewaysBut(unsigned Index);
   void pauseRandomly(unsigned LeastMs, unsigned MostMs);
 
   const int m_Octet;
   Random m_Random;
   FaultRecord m_Faults;
-  std::filesystem::path m_Folder;
+  TemporaryFolder m_Folder;
   VoterDeployment m_Voters;
+  // The voter whose disk was lost may lack the log while another one fails.
+  bool m_IsDiskLost = false;
+  unsigned m_LostDisks = 0;
   std::vector<std::unique_ptr<ChildProcess>> m_Gateways;
 };
 
--- a/Tests/Soak/testSoak.cpp
+++ b/Tests/Soak/testSoak.cpp
@@ -5,9 +5,8 @@
 // acknowledged, and a replica that has left gets no requests.
 //
 // MANGOCART_SEED names the seed, MANGOCART_SOAK_CYCLES the number of cycles of
-// calm, departure, faults and calm. Several at a time need other values of
-// MANGOCART_SOAK_OCTET.
-#include "Gateways/GatewayDeployment.h"
+// calm, departure, faults and calm, MANGOCART_SOAK_GATEWAYS the number of
+// gateways. Several at a time need other values of MANGOCART_SOAK_OCTET.
 #include "Soak/ReplicaFleet.h"
 #include "Soak/SoakCallers.h"
 #include "Soak/SoakSystem.h"
@@ -96,9 +95,11 @@
   const std::uint64_t Seed = numberFrom("MANGOCART_SEED", 1);
   const std::uint64_t Cycles = numberFrom("MANGOCART_SOAK_CYCLES", 2);
   const auto Octet = static_cast<int>(numberFrom("MANGOCART_SOAK_OCTET", 112));
+  const auto Gateways =
+      static_cast<unsigned>(numberFrom("MANGOCART_SOAK_GATEWAYS", 3));
   INFO("seed " << Seed);
   Random Generator(Seed);
-  SoakSystem System(Octet, Seed);
+  SoakSystem System(Octet, Gateways, Seed);
   System.start();
   ReplicaFleet Replicas(System, Seed);
   Findings Found;
@@ -153,10 +154,10 @@
         return Each.second.m_Status == 200;
       });
   WARN(fmt::format("seed {}: {} requests, {} answered, {} runs, {} "
-                   "disturbances, version {}, {} findings",
+                   "disturbances, {} lost disks, version {}, {} findings",
                    Seed, Requests.size(), Answered, Runs.size(),
-                   System.faults().count(), Callers.acknowledgedVersion(),
-                   Found.lines().size()));
+                   System.faults().count(), System.lostDisks(),
+                   Callers.acknowledgedVersion(), Found.lines().size()));
   for (const std::string &Line : Found.lines())
     FAIL_CHECK(Line);
   CHECK(Answered > 100);
