--- a/Tests/Processes/Deployment.h
+++ b/Tests/Processes/Deployment.h
@@ -7,6 +7,7 @@
 
 #include <boost/json.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <filesystem>
 #include <functional>
@@ -116,7 +117,8 @@
   std::filesystem::path m_Folder;
   std::map<std::string, std::string> m_Addresses;
   std::map<std::string, std::unique_ptr<ChildProcess>> m_Processes;
-  mutable int m_Counter = 0;
+  // Commands may run on several threads.
+  mutable std::atomic<int> m_Counter{0};
 };
 
 } // namespace mangocart::test
--- a/Tests/Soak/testSoak.cpp
+++ b/Tests/Soak/testSoak.cpp
@@ -9,6 +9,7 @@
 // gateways. Several at a time need other values of MANGOCART_SOAK_OCTET.
 #include "Soak/ReplicaFleet.h"
 #include "Soak/SoakCallers.h"
+#include "Soak/SoakParameters.h"
 #include "Soak/SoakSystem.h"
 
 #include <catch2/catch.hpp>
@@ -31,11 +32,6 @@
 // For the clocks of the test's threads.
 constexpr auto Tolerance = 300ms;
 
-std::uint64_t numberFrom(const char *Name, std::uint64_t Default) {
-  const char *Text = std::getenv(Name);
-  return Text ? std::strtoull(Text, nullptr, 10) : Default;
-}
-
 struct Departure {
   std::string m_Replica;
   SoakClock::time_point m_AcknowledgedAt;
@@ -92,11 +88,7 @@
 } // namespace
 
 TEST_CASE("the promises hold under faults", "[soak]") {
-  const std::uint64_t Seed = numberFrom("MANGOCART_SEED", 1);
-  const std::uint64_t Cycles = numberFrom("MANGOCART_SOAK_CYCLES", 2);
-  const auto Octet = static_cast<int>(numberFrom("MANGOCART_SOAK_OCTET", 112));
-  const auto Gateways =
-      static_cast<unsigned>(numberFrom("MANGOCART_SOAK_GATEWAYS", 3));
+  const auto [Seed, Cycles, Gateways, Octet] = soakParameters();
   INFO("seed " << Seed);
   Random Generator(Seed);
   SoakSystem System(Octet, Gateways, Seed);
