Agent: the header that names a request has a name of its own

Cause: AgentContext.h declared RequestHeader, as Entry/LocalReply.h does with another type; a source that included both wouldn't have compiled.

Change: BackendRequestHeader.

Measured: the development build and testAgent pass.

--- a/Source/Agent/AgentContext.h
+++ b/Source/Agent/AgentContext.h
@@ -13,7 +13,7 @@
 class WorkerPool;
 
 // Names a request to the backend server, which repeats it in its answer.
-inline constexpr const char *RequestHeader = "Mangocart-Request";
+inline constexpr const char *BackendRequestHeader = "Mangocart-Request";
 
 // Connections are kept only after answers that name their request: a server
 // that writes an answer twice would otherwise answer the next request wrongly.
--- a/Source/Agent/BackendProbe.cpp
+++ b/Source/Agent/BackendProbe.cpp
@@ -69,17 +69,17 @@
   Request.m_Method = "GET";
   Request.m_Target = LoadPath;
   const std::string Id = fmt::format("probe-{}", ++m_ProbeCount);
-  Request.m_Headers.push_back({RequestHeader, Id});
+  Request.m_Headers.push_back({BackendRequestHeader, Id});
   HttpCallHandlers Handlers;
   if (m_IsNamed)
     Handlers.m_OwnerOf = [Id](const HttpHead &Head) {
-      return ownerByHeader(Head, RequestHeader, Id);
+      return ownerByHeader(Head, BackendRequestHeader, Id);
     };
   Handlers.m_OnHead = [Self = shared_from_this(), Response,
                        Id](const HttpHead &Head) {
     Response->m_Status = Head.m_Status;
     Self->m_IsNamed =
-        ownerByHeader(Head, RequestHeader, Id) == AnswerOwner::ThisCall;
+        ownerByHeader(Head, BackendRequestHeader, Id) == AnswerOwner::ThisCall;
   };
   Handlers.m_OnBody = [Response](std::string_view Data) {
     Response->m_Body.append(Data);
--- a/Source/Agent/CallForwarder.cpp
+++ b/Source/Agent/CallForwarder.cpp
@@ -76,7 +76,7 @@
   for (const schema::Header &Header : m_Request.headers())
     if (Header.name() != IdempotencyKeyHeader)
       Request.m_Headers.push_back({Header.name(), Header.value()});
-  Request.m_Headers.push_back({RequestHeader, m_Request.request_id()});
+  Request.m_Headers.push_back({BackendRequestHeader, m_Request.request_id()});
   if (!isIdempotent())
     Request.m_Headers.push_back(
         {IdempotencyKeyHeader, m_Request.idempotency_key()});
@@ -87,7 +87,8 @@
   HttpCallHandlers Handlers;
   const auto Self = shared_from_this();
   Handlers.m_OwnerOf = [Self](const HttpHead &Head) {
-    return ownerByHeader(Head, RequestHeader, Self->m_Request.request_id());
+    return ownerByHeader(Head, BackendRequestHeader,
+                         Self->m_Request.request_id());
   };
   Handlers.m_OnHead = [Self](const HttpHead &Head) {
     Self->handleResponseHead(Head);
