Tests: members whose disks were full are compared once they agree

Cause: the last check of "disks that were full one after another stop no command" read the state of member 0 once and waited for the others to come to it. If member 0 wasn't the leader at the end, the others went past the state that was read, and the wait of 30 s failed.

Change: all members must come to have the same state, with all commands that were acknowledged last. The check before was satisfied by a state without them.

--- a/Tests/Raft/testRaftRunner.cpp
+++ b/Tests/Raft/testRaftRunner.cpp
@@ -20,6 +20,20 @@
   });
 }
 
+// All members come to have the same state, with so many commands of the name.
+bool agreeWithCommands(RunnerCluster &C, char Name, std::size_t Count) {
+  return RunnerCluster::eventually([&] {
+    const std::string First = C.at(0).m_Machine.state();
+    if (std::count(First.begin(), First.end(), Name) !=
+        static_cast<std::ptrdiff_t>(Count))
+      return false;
+    for (std::size_t I = 1; I < RunnerCluster::VoterCount; ++I)
+      if (C.at(I).m_Machine.state() != First)
+        return false;
+    return true;
+  });
+}
+
 std::size_t otherThan(std::size_t Machine) {
   return (Machine + 1) % RunnerCluster::VoterCount;
 }
@@ -150,7 +164,7 @@
     CHECK_FALSE(C.at(I).m_HasFailed);
     CHECK(C.propose(I, "e", 4s).has_value());
   }
-  CHECK(sameState(C, C.at(0).m_Machine.state()));
+  CHECK(agreeWithCommands(C, 'e', RunnerCluster::ProcessCount));
 }
 
 // Guards against a member that ends because its disk is full as a snapshot is
