Http: an answer isn't whole when writing its request has failed

What callers saw: a replica answered a long upload at once with a 200 without length, sent a part of its body and reset the connection. The caller got that part, or an empty body, as the complete answer.

Cause: a socket reports a reset once. While the request was still being written, the write took that report, and the client ignored it, as reading was expected to tell why the connection was lost. The next read then returned the end of the stream, as after a close in good order, and that ends an answer which has neither a length nor chunks.

Change: the client keeps a failed write in mind. If reading reaches the end before the request is written, the write in progress decides: if it fails, the connection was lost and the request may have run; if the whole request is written, the answer is whole. The second part is needed because the failed write's handler may run after that of the read. An answer that tells its end is still handed over when it has arrived before the reset.

Already handled, with a test each: an answer with a length or chunks in front of a reset, and a server that ends only its sending direction and reads the rest of the request.

--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -30,8 +30,9 @@
   Duration m_MaxIdle = std::chrono::seconds(4);
   double m_KeepAlivePart = 0.6;
   // Whether an answer without length and chunks, which only the end of the
-  // connection ends, is whole when the server closes in good order. Refused
-  // otherwise, as a server that dies may leave the same behind.
+  // connection ends, is whole when the server closes in good order: reading
+  // reached the end without an error, and so did writing the whole request.
+  // Refused otherwise, as a server that dies may leave the same behind.
   bool m_TakesEndByClosing = false;
   // Whether a connection is kept after a call whose answer names no call
   // (HttpCallHandlers::m_OwnerOf is absent). A server that writes an answer
--- a/Source/Http/HttpClientConnection.cpp
+++ b/Source/Http/HttpClientConnection.cpp
@@ -128,19 +128,31 @@
     // An answer may come, or a failure be seen, before the request is out.
     if (Self->m_Closed || Self->m_Call != Call)
       return;
-    // The reading side tells why the connection was lost.
     if (Error)
-      return;
+      return Self->onWriteFailed(Error);
     Self->m_Written += Bytes;
     if (Bytes > 0)
       Call->markSent();
-    if (Self->m_Written < Call->headText().size() + Call->body().size())
-      Self->writeRest();
+    if (!Self->isRequestWritten())
+      return Self->writeRest();
+    if (Self->m_IsEndRead)
+      Self->finishCall(false);
   });
 }
 
+bool HttpClientConnection::isRequestWritten() const {
+  return m_Written == m_Call->headText().size() + m_Call->body().size();
+}
+
+// An answer that tells its end may have arrived whole, so reading goes on.
+void HttpClientConnection::onWriteFailed(const error_code &Error) {
+  m_WriteError = Error;
+  if (m_IsEndRead)
+    failLost(Error);
+}
+
 void HttpClientConnection::read() {
-  if (m_Reading || m_Closed || m_Paused || m_HeldBytes > 0)
+  if (m_Reading || m_Closed || m_Paused || m_HeldBytes > 0 || m_IsEndRead)
     return;
   m_Reading = true;
   m_Socket.async_read_some(
@@ -168,11 +180,16 @@
 
 void HttpClientConnection::onEnd(const error_code &Error) {
   if (Error == asio::error::eof && m_Call && m_Parser &&
-      !m_Parser->isForeign() && m_Parser->endOfConnection())
-    return finishCall(false);
-  fail(HttpErrorCode::ConnectionLost,
-       "the server closed the connection before the answer was whole: " +
-           Error.message());
+      !m_Parser->isForeign() && !m_WriteError && m_Parser->endOfConnection()) {
+    if (isRequestWritten())
+      return finishCall(false);
+    // A socket reports a reset once. If the write in progress has taken that
+    // report, reading sees an end like that of a server that closes in good
+    // order.
+    m_IsEndRead = true;
+    return;
+  }
+  failLost(m_WriteError.value_or(Error));
 }
 
 Duration HttpClientConnection::keepTime() const {
@@ -233,10 +250,9 @@
 }
 
 void HttpClientConnection::finishCall(bool Keep) {
-  const auto Call = std::exchange(m_Call, nullptr);
   // A server that answers early may not read the rest of the request.
-  const bool RequestWhole =
-      m_Written == Call->headText().size() + Call->body().size();
+  const bool RequestWhole = isRequestWritten();
+  const auto Call = std::exchange(m_Call, nullptr);
   const auto Keeper = m_Keeper.lock();
   m_Paused = false;
   m_KeptFor = keepTime();
@@ -262,6 +278,12 @@
   Call->end();
 }
 
+void HttpClientConnection::failLost(const error_code &Error) {
+  fail(HttpErrorCode::ConnectionLost,
+       "the server closed the connection before the answer was whole: " +
+           Error.message());
+}
+
 void HttpClientConnection::fail(HttpErrorCode Code, std::string Detail) {
   const auto Call = std::exchange(m_Call, nullptr);
   close();
--- a/Source/Http/HttpClientConnection.h
+++ b/Source/Http/HttpClientConnection.h
@@ -60,6 +60,8 @@
   bool isOpenAtPeer();
   FirstWrite writeFirst();
   void writeRest();
+  bool isRequestWritten() const;
+  void onWriteFailed(const boost::system::error_code &Error);
   void read();
   void onRead(std::size_t Bytes);
   void onEnd(const boost::system::error_code &Error);
@@ -67,6 +69,7 @@
   Duration keepTime() const;
   void feed(std::string_view Bytes);
   void finishCall(bool Keep);
+  void failLost(const boost::system::error_code &Error);
   void fail(HttpErrorCode Code, std::string Detail);
 
   boost::asio::ip::tcp::socket m_Socket;
@@ -92,6 +95,10 @@
   // request was written.
   std::size_t m_SkippedBytes = 0;
   std::size_t m_Written = 0;
+  std::optional<boost::system::error_code> m_WriteError;
+  // The server has ended an answer by ending its direction of the connection.
+  // The answer is whole if the rest of the request can be written.
+  bool m_IsEndRead = false;
   bool m_Reading = false;
   bool m_Paused = false;
   bool m_Closed = false;
--- /dev/null
+++ b/Tests/Gateways/BrokenFleet.cpp
@@ -0,0 +1,93 @@
+// Announcements and answers of the replicas.
+#include "Gateways/BrokenFleet.h"
+
+#include "Gateways/GatewayDeployment.h"
+
+#include <fmt/format.h>
+
+namespace mangocart::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint16_t ReplicaPort = 9001;
+constexpr unsigned FirstHost = 100;
+constexpr unsigned Cycle = 5;
+constexpr unsigned BrokenOfCycle = 2;
+
+} // namespace
+
+std::string answerFields(const std::string &RequestId) {
+  return fmt::format(
+      "X-Mangocart-Request-Id: {}\r\nX-Mangocart-Server-Stamp: s\r\n",
+      RequestId);
+}
+
+BrokenFleet::BrokenFleet(const GatewayDeployment &Deployment, unsigned Replicas)
+    : m_Voter(Deployment.voter()) {
+  for (unsigned I = 0; I < Replicas; ++I) {
+    m_Addresses.push_back(
+        fmt::format("{}.{}", Deployment.engineNetwork(), FirstHost + I));
+    m_Servers.push_back(std::make_unique<BrokenServer>(
+        m_Addresses[I], ReplicaPort,
+        [this, I](const std::string &Head) { return answer(I, Head); }));
+  }
+  m_Announcer = std::jthread([this](const std::stop_token &Stop) {
+    for (unsigned Sequence = 1; !Stop.stop_requested(); ++Sequence) {
+      announce(Sequence);
+      std::this_thread::sleep_for(500ms);
+    }
+  });
+}
+
+void BrokenFleet::setForm(Form Next) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Form = std::move(Next);
+}
+
+std::set<std::string> BrokenFleet::broken() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Broken;
+}
+
+unsigned BrokenFleet::repeated() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Repeated;
+}
+
+std::string BrokenFleet::name(unsigned Index) const {
+  return fmt::format("replica-{}", Index);
+}
+
+void BrokenFleet::announce(unsigned Sequence) const {
+  for (unsigned I = 0; I < m_Addresses.size(); ++I)
+    call(m_Voter,
+         {"PUT",
+          "/instances/" + name(I),
+          {{"Host", "voter"}, {"Content-Type", "application/json"}},
+          fmt::format(R"({{"service":"engines","address":"{}:{}",)"
+                      R"("zone":"z0","slots":8,"state":"ready",)"
+                      R"("cold_remaining_ms":0,"born":1,"sequence":{}}})",
+                      m_Addresses[I], ReplicaPort, Sequence),
+          {}});
+}
+
+BrokenAnswer BrokenFleet::answer(unsigned Index, const std::string &Head) {
+  const std::string Id = headerOf(Head, "X-Mangocart-Request-Id");
+  if (Id.empty())
+    return {fmt::format("HTTP/1.1 200 OK\r\nX-Mangocart-Instance-Id: {}\r\n"
+                        "Content-Length: 0\r\n\r\n",
+                        name(Index))};
+  const std::lock_guard Lock(m_Mutex);
+  m_Repeated += m_Arrived.insert(Id).second ? 0 : 1;
+  if (m_Form && m_Answers++ % Cycle < BrokenOfCycle) {
+    m_Broken.insert(Id);
+    return m_Form(Id);
+  }
+  return {fmt::format("HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{}",
+                      answerFields(Id), WholeBody.size(), WholeBody),
+          ConnectionEnd::Keep, 0us, std::string::npos};
+}
+
+} // namespace mangocart::test
--- /dev/null
+++ b/Tests/Gateways/testBrokenAnswers.cpp
@@ -0,0 +1,100 @@
+// Callers of a gateway whose replicas break some of their answers. Guards
+// against a caller that gets a part of an answer, or bytes of another one, as a
+// whole answer.
+#include "Gateways/BrokenFleet.h"
+#include "Gateways/GatewayDeployment.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <map>
+
+using namespace mangocart;
+using namespace mangocart::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+// More than the socket buffers of gateway and replica take.
+constexpr std::size_t UploadBytes = 3'800'000;
+
+class BrokenAnswers {
+public:
+  explicit BrokenAnswers(int Octet) : m_Deployment(Octet, 1) {
+    m_Deployment.start();
+    m_Fleet = std::make_unique<BrokenFleet>(m_Deployment, 5);
+    std::this_thread::sleep_for(2s);
+  }
+
+  // Sends requests one after the other on each route and checks what the
+  // callers get, byte by byte.
+  void check(const std::string &Name, const BrokenFleet::Form &Form,
+             std::size_t BodyBytes, unsigned Requests) {
+    INFO(Name);
+    m_Fleet->setForm(Form);
+    const std::size_t Before = m_Fleet->broken().size();
+    for (const std::string Path : {"/plain/x", "/unsafe/x", "/stream/x"}) {
+      std::map<unsigned, unsigned> ByStatus;
+      for (unsigned I = 0; I < Requests; ++I)
+        ++ByStatus[checkOne(Path, BodyBytes)];
+      INFO(Path);
+      CHECK(ByStatus[200] * 2 > Requests);
+      std::string Text;
+      for (const auto &[Status, Count] : ByStatus)
+        Text += fmt::format(" {}x{}", Count, Status);
+      WARN(Name << " " << Path << ":" << Text);
+    }
+    WARN(m_Fleet->broken().size() - Before << " broken answers");
+    CHECK(m_Fleet->broken().size() > Before);
+    m_Fleet->setForm({});
+  }
+
+private:
+  // The status that the caller got.
+  unsigned checkOne(const std::string &Path, std::size_t BodyBytes) {
+    const std::string Id = fmt::format("{:016x}", ++m_Sent);
+    const unsigned Repeated = m_Fleet->repeated();
+    const HttpResponse Got =
+        call(m_Deployment.gateway(0), {"POST",
+                                       Path,
+                                       {{"Host", "test.example"},
+                                        {"X-Mangocart-Request-Id", Id},
+                                        {"X-Mangocart-Deadline-Ms", "2000"}},
+                                       std::string(BodyBytes, 'u'),
+                                       {}});
+    const unsigned Status = Got.m_Head.m_Status;
+    CAPTURE(Path, Id, Status, Got.m_Body.substr(0, 200));
+    // Failures are the gateway's own, and are reported before the deadline.
+    if (Status == 200)
+      CHECK(Got.m_Body == WholeBody);
+    else
+      CHECK((Status == 0 || Status == 502 || Status == 503));
+    if (Path == "/unsafe/x") {
+      CHECK(m_Fleet->repeated() == Repeated);
+      if (m_Fleet->broken().contains(Id))
+        CHECK(Status == 502);
+    }
+    return Status;
+  }
+
+  GatewayDeployment m_Deployment;
+  std::unique_ptr<BrokenFleet> m_Fleet;
+  std::uint64_t m_Sent = 0;
+};
+
+} // namespace
+
+TEST_CASE("a part of an answer that a reset during the upload cuts off isn't "
+          "passed on as whole") {
+  BrokenAnswers Answers(112);
+  for (const ConnectionEnd End : {ConnectionEnd::Reset, ConnectionEnd::Close})
+    for (const std::size_t PartBytes : {0, 100, 16384})
+      Answers.check(
+          fmt::format("end {}, {} bytes", static_cast<int>(End), PartBytes),
+          [=](const std::string &Id) {
+            return BrokenAnswer{"HTTP/1.1 200 OK\r\n" + answerFields(Id) +
+                                    "\r\n" + std::string(PartBytes, 'p'),
+                                End};
+          },
+          UploadBytes, 60);
+}
