Http: an answer whose status is no status is refused

What callers saw: a replica in trouble answered with status 000. With a length or chunks, and a whole answer behind it on the connection, the caller got one 200 with both bodies; alone it held the request until its deadline. Status 999 was passed on as it came.

Cause: the client took each status below 200 for an interim answer, which another one follows. It skipped the head but handed over the body, as only 1xx, 204 and 304 have none to its parser. Above 599 there was no bound.

Change: a status outside 100 to 599 is a malformed answer (RFC 9110, 15: such values are invalid): the request may have run, the connection carries nothing else. The same holds for an interim answer that announces a body, since 1xx has none and its bytes would be read as the next answer; a Content-Length of 0 is taken. A connection that announces a body behind a 204 is not kept.

Already handled, with a test each: statuses of two and four digits, without digits and with a sign, 101, interim answers whose body is no answer, each status from 200 to 599, the answer behind an interim one.

--- a/Source/Http/HttpResponseParser.cpp
+++ b/Source/Http/HttpResponseParser.cpp
@@ -1,6 +1,9 @@
 // Answer parsing by Beast's basic_parser.
 #include "Http/HttpResponseParser.h"
 
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
 #include <charconv>
 
 namespace mangocart {
@@ -13,7 +16,19 @@
 // A field's colon and line end.
 constexpr std::size_t FieldOverheadBytes = 3;
 constexpr int SwitchingProtocols = 101;
+constexpr int FirstStatus = 100;
 constexpr int FirstFinalStatus = 200;
+constexpr int LastStatus = 599;
+constexpr unsigned NoContent = 204;
+
+bool announcesBody(const std::vector<HttpHeader> &Headers) {
+  using boost::beast::iequals;
+  return std::any_of(
+      Headers.begin(), Headers.end(), [](const HttpHeader &Each) {
+        return iequals(Each.m_Name, "Transfer-Encoding") ||
+               (iequals(Each.m_Name, "Content-Length") && Each.m_Value != "0");
+      });
+}
 
 // The parameter "timeout" of a Keep-Alive header.
 std::optional<unsigned> timeoutOf(std::string_view KeepAlive) {
@@ -79,7 +94,10 @@
                                           ErrorCode &Error) {
   m_Head.m_Status = static_cast<unsigned>(Code);
   m_Interim = Code < FirstFinalStatus;
-  if (Code == SwitchingProtocols) {
+  if (Code < FirstStatus || Code > LastStatus) {
+    m_Detail = "malformed answer: the status is not between 100 and 599";
+    Error = http::error::bad_status;
+  } else if (Code == SwitchingProtocols) {
     m_Detail = "malformed answer: a change of protocol was not asked for";
     Error = http::error::bad_status;
   }
@@ -103,8 +121,14 @@
 void HttpResponseParser::on_header_impl(ErrorCode &Error) {
   m_HeadDone = true;
   m_FieldBytes = 0;
+  const bool AnnouncesBody = announcesBody(m_Head.m_Headers);
+  if (m_Interim && AnnouncesBody) {
+    m_Detail = "malformed answer: an interim answer has no body";
+    Error = http::error::bad_content_length;
+  }
   if (m_Interim)
     return;
+  m_HasUnreadBody = m_Head.m_Status == NoContent && AnnouncesBody;
   if (need_eof() && !m_TakesEndByClosing) {
     m_Detail = "malformed answer: neither Content-Length nor chunked coding";
     Error = http::error::bad_content_length;
--- a/Source/Http/HttpResponseParser.h
+++ b/Source/Http/HttpResponseParser.h
@@ -40,7 +40,7 @@
   bool endOfConnection();
   // Seconds by the Keep-Alive header; nothing if there is none.
   std::optional<unsigned> keepAliveSeconds() const { return m_KeepSeconds; }
-  bool keepAlive() const { return keep_alive(); }
+  bool keepAlive() const { return keep_alive() && !m_HasUnreadBody; }
   const std::string &detail() const { return m_Detail; }
 
 private:
@@ -70,6 +70,9 @@
   bool m_HeadDone = false;
   std::optional<unsigned> m_KeepSeconds;
   bool m_Interim = false;
+  // The server may send a body where the status allows none: its bytes would be
+  // read as the next answer.
+  bool m_HasUnreadBody = false;
   bool m_Foreign = false;
   bool m_Stopped = false;
 };
--- a/Tests/Gateways/testBrokenAnswers.cpp
+++ b/Tests/Gateways/testBrokenAnswers.cpp
@@ -68,7 +68,7 @@
     if (Status == 200)
       CHECK(Got.m_Body == WholeBody);
     else
-      CHECK((Status == 0 || Status == 502 || Status == 503));
+      CHECK((Status == 502 || Status == 503));
     if (Path == "/unsafe/x") {
       CHECK(m_Fleet->repeated() == Repeated);
       if (m_Fleet->broken().contains(Id))
@@ -98,3 +98,42 @@
           },
           UploadBytes, 60);
 }
+
+TEST_CASE("an answer whose status is no status isn't passed on") {
+  BrokenAnswers Answers(113);
+  const std::string Bodies[] = {
+      "\r\n", "Content-Length: 4\r\n\r\npart",
+      "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n"};
+  for (const std::string Status : {"000", "099", "600", "999", "1000", "99"})
+    for (const std::string &Body : Bodies)
+      for (const bool HasAnswerBehind : {false, true})
+        Answers.check(
+            fmt::format("status {}, {} bytes, answer behind it {}", Status,
+                        Body.size(), HasAnswerBehind),
+            [=](const std::string &Id) {
+              const std::string Fields = answerFields(Id);
+              return BrokenAnswer{
+                  "HTTP/1.1 " + Status + " S\r\n" + Fields + Body +
+                  (HasAnswerBehind ? "HTTP/1.1 200 OK\r\n" + Fields +
+                                         "Content-Length: 4\r\n\r\nnext"
+                                   : "")};
+            },
+            100, 20);
+}
+
+TEST_CASE("an interim answer with a body isn't passed on") {
+  BrokenAnswers Answers(114);
+  for (const std::string Status : {"100", "103", "199"})
+    for (const std::string Body :
+         {"Content-Length: 4\r\n\r\npart",
+          "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n"})
+      Answers.check(
+          fmt::format("status {} and {}", Status, Body),
+          [=](const std::string &Id) {
+            const std::string Fields = answerFields(Id);
+            return BrokenAnswer{"HTTP/1.1 " + Status + " S\r\n" + Fields +
+                                Body + "HTTP/1.1 200 OK\r\n" + Fields +
+                                "Content-Length: 4\r\n\r\nnext"};
+          },
+          100, 20);
+}
