Http: an answer with a folded line is refused

What callers saw: an answer in whose head a field's name began with a blank was passed on. The line came as a part of the value before it; if it was the one that frames the body, the caller got the size of a chunk and the chunks as the body.

So a field that a server in trouble wrote with a blank in front was lost with its meaning.

Change: a value of more than one line is a malformed field, in the head, in an interim answer and in the trailer (RFC 9112, 5.2: a gateway discards such an answer or replaces the fold). The call fails as one that may have run, and the connection carries nothing else.

Already handled, with a test each, in head, interim answer and trailer, in front of and behind the framing field: blanks inside a name and before the colon, a blank in front of the first field, each control byte and 127 in names and values, empty names, other bytes that names may not have, an invalid name of the framing field itself, the next call on the connection.

--- a/Source/Http/HttpResponseParser.cpp
+++ b/Source/Http/HttpResponseParser.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
 
 namespace mangocart {
 
@@ -60,6 +61,7 @@
 HttpResponseParser::Progress HttpResponseParser::take(std::string_view &Bytes) {
   while (!Bytes.empty()) {
     ErrorCode Error;
+    m_Input = Bytes;
     const std::size_t Used =
         put(boost::asio::const_buffer(Bytes.data(), Bytes.size()), Error);
     Bytes.remove_prefix(Used);
@@ -103,6 +105,19 @@
   }
 }
 
+// Beast joins the lines of a folded value, in a buffer of its own unless the
+// first one is empty.
+bool HttpResponseParser::isFolded(std::string_view Name,
+                                  std::string_view Value) const {
+  const std::less<> IsBefore;
+  const char *const NameEnd = Name.data() + Name.size();
+  const char *const InputEnd = m_Input.data() + m_Input.size();
+  if (IsBefore(Value.data(), NameEnd) ||
+      IsBefore(InputEnd, Value.data() + Value.size()))
+    return true;
+  return std::find(NameEnd, Value.data(), '\n') != Value.data();
+}
+
 // The parser hands over each field once it is whole, so that its own limit
 // bounds a single field only.
 void HttpResponseParser::on_field_impl(http::field, StringView Name,
@@ -113,6 +128,13 @@
     Error = http::error::header_limit;
     return;
   }
+  if (isFolded({Name.data(), Name.size()}, {Value.data(), Value.size()})) {
+    m_Detail =
+        "malformed answer: a line of the head or the trailer begins with "
+        "a blank";
+    Error = http::error::bad_field;
+    return;
+  }
   if (!m_HeadDone)
     m_Head.m_Headers.push_back({std::string(Name.data(), Name.size()),
                                 std::string(Value.data(), Value.size())});
--- a/Source/Http/HttpResponseParser.h
+++ b/Source/Http/HttpResponseParser.h
@@ -61,8 +61,15 @@
                                  ErrorCode &Error) override;
   void on_finish_impl(ErrorCode &) override {}
 
+  // Whether the value takes more than one line. Refused, since a field whose
+  // name begins with a blank looks the same and would become a part of the
+  // value before it.
+  bool isFolded(std::string_view Name, std::string_view Value) const;
+
   HttpResponseSink &m_Sink;
   const bool m_TakesEndByClosing;
+  // What put() was given; names of fields point into it.
+  std::string_view m_Input;
   HttpHead m_Head;
   // Bytes of the fields of the head, then of the trailer.
   std::size_t m_FieldBytes = 0;
--- a/Tests/Gateways/testBrokenAnswers.cpp
+++ b/Tests/Gateways/testBrokenAnswers.cpp
@@ -137,3 +137,39 @@
           },
           100, 20);
 }
+
+TEST_CASE("an answer with an invalid field isn't passed on") {
+  BrokenAnswers Answers(115);
+  const std::string Length =
+      fmt::format("Content-Length: {}", WholeBody.size());
+  const std::string Chunked = "Transfer-Encoding: chunked";
+  const std::string Chunks =
+      fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", WholeBody.size(), WholeBody);
+  struct Row {
+    std::string m_Name;
+    std::string m_Lines;
+    std::string m_Body;
+  };
+  std::vector<Row> Rows = {
+      {"blank before a framing length", " " + Length, std::string(WholeBody)},
+      {"blank before a framing coding", " " + Chunked, Chunks},
+      {"tab before a framing coding", "\t" + Chunked, Chunks},
+      {"blank behind a framing name", "Transfer-Encoding : chunked", Chunks}};
+  for (const std::string Line :
+       {"X A: v", "X\tA: v", "X-A : v", " X-A: v", "\tX-A: v", "\x01X-A: v",
+        "X-A\x7F: v", ": v", " ", "X-A: v\x01"}) {
+    Rows.push_back({"in front of the length", Line + "\r\n" + Length,
+                    std::string(WholeBody)});
+    Rows.push_back({"behind the coding", Chunked + "\r\n" + Line, Chunks});
+    Rows.push_back({"without framing", Line, std::string(WholeBody)});
+  }
+  for (const Row &Each : Rows)
+    Answers.check(
+        Each.m_Name + ", " + Each.m_Lines,
+        [=](const std::string &Id) {
+          return BrokenAnswer{"HTTP/1.1 200 OK\r\n" + answerFields(Id) +
+                                  Each.m_Lines + "\r\n\r\n" + Each.m_Body,
+                              ConnectionEnd::Shutdown};
+        },
+        0, 20);
+}
