Entry: an answer of an agent that can't be sent to a caller is broken

What callers could see: an entry took status and headers from an agent's message as they were. With a status of 0 or 100 the entry wrote a head that is no answer, a header whose name or value had a line break was left out, and one with another control byte or a blank was passed on. A body in front of its head was lost on streamed routes, as the head began the answer. The same went for an answer that was stored for a repeated request; one that couldn't be parsed had status 0.

Cause: only the end of an answer was checked (byte count and checksum), not whether its head can be sent.

Change: isSendable() in Http/ says whether a head can be sent unchanged. A call whose head can't is broken and may have run, like one without its end message; so is a second head, and a body without a head. A stored answer that can't be sent counts as not kept: the caller is told that the request ran.

Already handled, with a test each: an answer without a head, without an end, with another byte count or checksum than its end message has, and with a message of an unknown kind.

--- a/Source/Entry/CallAttempt.cpp
+++ b/Source/Entry/CallAttempt.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Hash.h"
 #include "Core/PostTask.h"
+#include "Entry/CallRequests.h"
 
 #include <boost/asio/dispatch.hpp>
 
@@ -84,9 +85,14 @@
 void CallAttempt::handleReply(schema::CallReply Reply) {
   switch (Reply.kind_case()) {
   case schema::CallReply::kHead:
-    m_HeadSeen = true;
+    if (std::exchange(m_HeadSeen, true))
+      return fail("a second head", false);
+    if (!isSendable(toHttpHead(Reply.head(), {})))
+      return fail("an invalid status or header", false);
     return m_Handlers.m_OnHead(std::move(*Reply.mutable_head()));
   case schema::CallReply::kBody:
+    if (!m_HeadSeen)
+      return fail("a body without a head", false);
     m_ByteCount += Reply.body().size();
     if (m_ByteCount > m_Handlers.m_MaxBodyBytes)
       return fail("the answer is too large", false);
--- a/Source/Entry/CallAttempt.h
+++ b/Source/Entry/CallAttempt.h
@@ -16,8 +16,8 @@
 
 namespace mangocart {
 
-// The answer ended without an end message, or the end message does not match
-// the answer.
+// The answer ended without an end message, the end message does not match the
+// answer, or the head can't be sent to a caller.
 struct CallBroken {
   std::string m_Detail;
   // True if the agent cannot have received any part of the request.
--- a/Source/Entry/ClaimedRequest.cpp
+++ b/Source/Entry/ClaimedRequest.cpp
@@ -52,15 +52,19 @@
   return {};
 }
 
-HttpResponse fromStored(const std::string &Bytes,
-                        const std::string &RequestId) {
+// Nothing for an answer that can't be sent to a caller as it was stored.
+std::optional<HttpResponse> fromStored(const std::string &Bytes,
+                                       const std::string &RequestId) {
   schema::StoredAnswer Stored;
-  Stored.ParseFromString(Bytes);
+  if (Bytes.empty() || !Stored.ParseFromString(Bytes))
+    return std::nullopt;
   schema::CallHead Head;
   Head.set_status(Stored.status());
   *Head.mutable_headers() = Stored.headers();
   HttpResponse Response;
   Response.m_Head = toHttpHead(Head, RequestId);
+  if (!isSendable(Response.m_Head))
+    return std::nullopt;
   Response.m_Body = std::move(*Stored.mutable_body());
   return Response;
 }
@@ -69,9 +73,12 @@
 
 HttpResponse toResponse(const AnswerCaller &Answer,
                         const std::string &RequestId, const std::string &Key) {
+  std::optional<HttpResponse> Stored;
+  if (Answer.m_Reason == AnswerReason::Answered)
+    Stored = fromStored(Answer.m_Answer, RequestId);
   HttpResponse Response;
-  if (Answer.m_Reason == AnswerReason::Answered && !Answer.m_Answer.empty()) {
-    Response = fromStored(Answer.m_Answer, RequestId);
+  if (Stored) {
+    Response = std::move(*Stored);
   } else {
     LocalReply Reply = toLocalReply(Answer.m_Reason);
     Reply.m_Outcome = Answer.m_Outcome;
--- a/Source/Http/HttpMessage.h
+++ b/Source/Http/HttpMessage.h
@@ -39,6 +39,11 @@
   bool operator==(const HttpHead &) const = default;
 };
 
+// Whether a server can send the head unchanged in front of an answer: the
+// status is one from 200 to 599, names of headers are tokens, and values have
+// no control characters (RFC 9110, 5.5 and 15).
+bool isSendable(const HttpHead &Head);
+
 struct HttpResponse {
   HttpHead m_Head;
   std::string m_Body;
