Gateway: an invalid response to a probe doesn't show that a server runs

What callers could see: an answer without a length or chunks is whole only if its server still runs. A server in trouble whose responses to probes were invalid counted as running, and its answer as whole.

Cause: each probe that was neither refused nor timed out counted as answered.

Change: a probe with an invalid response is sent again, as one whose connection was reset, at most twice; then it is unknown whether the server runs. The answer is lost then and may have run; no crash is recorded. A response that is too large still shows that something answers.

--- a/Source/Gateway/CrashGuard.cpp
+++ b/Source/Gateway/CrashGuard.cpp
@@ -29,11 +29,23 @@
 constexpr Duration ProbeTimeout = milliseconds(300);
 // Reports of engines have a few hundred bytes.
 constexpr std::size_t MaxProbeBodyBytes = std::size_t{64} * 1024;
-// Probes that may end with a reset before the server counts as running.
-constexpr unsigned MaxProbeResets = 2;
+// Further probes after a reset or an invalid response.
+constexpr unsigned MaxProbeRetries = 2;
 // Retry-After of a request that another one on probation goes before.
 constexpr Duration RetryAfterTrial = std::chrono::seconds(1);
 
+ServerLiveness livenessByError(HttpErrorCode ProbeError) {
+  switch (ProbeError) {
+  case HttpErrorCode::ConnectFailed:
+  case HttpErrorCode::TimedOut:
+    return ServerLiveness::Ended;
+  case HttpErrorCode::Malformed:
+    return ServerLiveness::Unknown;
+  default:
+    return ServerLiveness::Answering;
+  }
+}
+
 std::string describe(const std::set<SuspectId> &Suspects) {
   std::vector<std::string> Names;
   Names.reserve(Suspects.size());
@@ -291,13 +303,13 @@
                                         : ServerLiveness::Ended;
 }
 
-// Any response shows that a server runs. A server that has ended refuses
+// Any valid response shows that a server runs. A server that has ended refuses
 // connections, or its machine gives no answer. A reset connection may have been
 // accepted by a server that was ending, or by one that has too many.
-void CrashGuard::sendProbe(const BackendTarget &Target, unsigned Resets,
+void CrashGuard::sendProbe(const BackendTarget &Target, unsigned Retries,
                            Calls &After) {
-  After.emplace_back([this, Self = shared_from_this(), Target, Resets] {
-    postTask(m_Executor, [this, Self, Target, Resets] {
+  After.emplace_back([this, Self = shared_from_this(), Target, Retries] {
+    postTask(m_Executor, [this, Self, Target, Retries] {
       HttpCallHandlers Handlers;
       const auto Body = std::make_shared<std::string>();
       Handlers.m_OnHead = [](const HttpHead &) {};
@@ -308,18 +320,15 @@
       Handlers.m_OnEnd = [Self, Target, Body] {
         Self->onProbed(runOf(Target), Self->livenessOf(Target, *Body));
       };
-      Handlers.m_OnError = [Self, Target, Resets](const HttpError &Error) {
-        if (Error.m_Code == HttpErrorCode::ConnectionLost &&
-            Resets < MaxProbeResets) {
+      Handlers.m_OnError = [Self, Target, Retries](const HttpError &Error) {
+        const bool IsRepeated = Error.m_Code == HttpErrorCode::ConnectionLost ||
+                                Error.m_Code == HttpErrorCode::Malformed;
+        if (IsRepeated && Retries < MaxProbeRetries) {
           Calls Again;
-          Self->sendProbe(Target, Resets + 1, Again);
+          Self->sendProbe(Target, Retries + 1, Again);
           return runAll(Again);
         }
-        Self->onProbed(runOf(Target),
-                       Error.m_Code == HttpErrorCode::ConnectFailed ||
-                               Error.m_Code == HttpErrorCode::TimedOut
-                           ? ServerLiveness::Ended
-                           : ServerLiveness::Answering);
+        Self->onProbed(runOf(Target), livenessByError(Error.m_Code));
       };
       m_Clients.on(m_Executor)
           .send({Target.m_Agent.m_Address, Target.m_Agent.m_Port},
--- a/Source/Gateway/CrashGuard.h
+++ b/Source/Gateway/CrashGuard.h
@@ -56,6 +56,8 @@
 enum class ServerLiveness {
   // Nothing answers at its address, or another incarnation does.
   Ended,
+  // What answers at its address gives no valid response.
+  Unknown,
   // Something answers at its address, perhaps another incarnation.
   Answering,
   // This very incarnation answers.
@@ -154,7 +156,7 @@
   LostConnections &probe(const BackendTarget &Target, TimePoint Now,
                          std::function<void(ServerLiveness)> Done,
                          Calls &After);
-  void sendProbe(const BackendTarget &Target, unsigned Resets, Calls &After);
+  void sendProbe(const BackendTarget &Target, unsigned Retries, Calls &After);
   ServerLiveness livenessOf(const BackendTarget &Target,
                             std::string_view ProbeBody) const;
   void onProbed(const ServerRun &Run, ServerLiveness Liveness);
--- a/Source/Gateway/ProxiedRequest.cpp
+++ b/Source/Gateway/ProxiedRequest.cpp
@@ -511,6 +511,10 @@
 void ProxiedRequest::onServerVerified(ServerLiveness Liveness) {
   if (Liveness == ServerLiveness::Ended)
     return endAttempt(lostResult(), "the backend server ended with its answer");
+  if (Liveness == ServerLiveness::Unknown)
+    return endAttempt(lostResult(),
+                      "the backend server sent an invalid response "
+                      "to a probe after its answer");
   // A server doesn't start again between the end of its answer and the probe,
   // unless this process was suspended and has read that end late.
   if (Liveness == ServerLiveness::Running ||
--- a/Tests/Gateway/testCrashGuard.cpp
+++ b/Tests/Gateway/testCrashGuard.cpp
@@ -9,6 +9,7 @@
 #include "Gateway.pb.h"
 #include "Gateway/CallerProtocol.h"
 #include "Gateway/GatewayMetrics.h"
+#include "Http/BrokenServer.h"
 #include "Http/HttpClients.h"
 #include "Http/HttpServer.h"
 
@@ -22,6 +23,7 @@
 #include <future>
 
 using namespace mangocart;
+using namespace mangocart::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -373,3 +375,37 @@
   F.m_ProbeBody = std::string(100'000, '1');
   CHECK(F.livenessOf(F.running()) == ServerLiveness::Answering);
 }
+
+// Guards against an answer that only its connection ended and that counts as
+// whole by the response of a server in trouble.
+TEST_CASE("a probe's invalid response shows neither that its server runs nor "
+          "that it has ended") {
+  const std::string Invalid = GENERATE(
+      std::string("HTTP/1.1 000 Trouble\r\nContent-Length: 1\r\n\r\n1"),
+      std::string("HTTP/1.1 999 Trouble\r\nContent-Length: 1\r\n\r\n1"),
+      std::string("HTTP/1.1 200 OK\r\nX A: v\r\nContent-Length: 1\r\n\r\n1"),
+      std::string("HTTP/1.1 200 OK\r\nX-A: v\r\n Content-Length: 1\r\n\r\n1"));
+  INFO(Invalid);
+  Fixture F;
+  const BrokenServer Server(EngineAddress, 0, [&](const std::string &) {
+    return BrokenAnswer{Invalid};
+  });
+  const BackendTarget Target{
+      "troubled", Service, "a", {EngineAddress, Server.port()}, 1};
+  CHECK(F.livenessOf(Target) == ServerLiveness::Unknown);
+  F.m_First.lose(F.m_First.send({"all", "bad"}, Target));
+  CHECK(F.m_First.allows(F.m_First.begin({"all", "bad"})));
+}
+
+TEST_CASE("a probe is sent again after an invalid response") {
+  Fixture F;
+  std::atomic<unsigned> Probes{0};
+  const BrokenServer Server(EngineAddress, 0, [&](const std::string &) {
+    return BrokenAnswer{++Probes < 3
+                            ? "HTTP/1.1 000 Trouble\r\n\r\n"
+                            : "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"};
+  });
+  CHECK(F.livenessOf(
+            {"troubled", Service, "a", {EngineAddress, Server.port()}, 1}) ==
+        ServerLiveness::Running);
+}
--- a/Tests/Gateways/BrokenFleet.cpp
+++ b/Tests/Gateways/BrokenFleet.cpp
@@ -46,6 +46,11 @@
   m_Form = std::move(Next);
 }
 
+void BrokenFleet::setProbeAnswer(std::string Text) {
+  const std::lock_guard Lock(m_Mutex);
+  m_ProbeAnswer = std::move(Text);
+}
+
 std::set<std::string> BrokenFleet::broken() const {
   const std::lock_guard Lock(m_Mutex);
   return m_Broken;
@@ -75,11 +80,13 @@
 
 BrokenAnswer BrokenFleet::answer(unsigned Index, const std::string &Head) {
   const std::string Id = headerOf(Head, "X-Mangocart-Request-Id");
+  const std::lock_guard Lock(m_Mutex);
+  if (Id.empty() && !m_ProbeAnswer.empty())
+    return {m_ProbeAnswer};
   if (Id.empty())
     return {fmt::format("HTTP/1.1 200 OK\r\nX-Mangocart-Instance-Id: {}\r\n"
                         "Content-Length: 0\r\n\r\n",
                         name(Index))};
-  const std::lock_guard Lock(m_Mutex);
   m_Repeated += m_Arrived.insert(Id).second ? 0 : 1;
   if (m_Form && m_Answers++ % Cycle < BrokenOfCycle) {
     m_Broken.insert(Id);
--- a/Tests/Gateways/BrokenFleet.h
+++ b/Tests/Gateways/BrokenFleet.h
@@ -30,6 +30,8 @@
   BrokenFleet &operator=(const BrokenFleet &) = delete;
 
   void setForm(Form Next);
+  // The answer to requests without an ID; empty for a valid one.
+  void setProbeAnswer(std::string Text);
   // IDs of the requests that got a broken answer so far, and how many arrived
   // more than once at these replicas.
   std::set<std::string> broken() const;
@@ -45,6 +47,7 @@
   mutable std::mutex m_Mutex;
   // Guarded by m_Mutex.
   Form m_Form;
+  std::string m_ProbeAnswer;
   unsigned m_Answers = 0;
   unsigned m_Repeated = 0;
   std::set<std::string> m_Arrived;
--- a/Tests/Gateways/testBrokenAnswers.cpp
+++ b/Tests/Gateways/testBrokenAnswers.cpp
@@ -29,11 +29,13 @@
   // Sends requests one after the other on each route and checks what the
   // callers get, byte by byte.
   void check(const std::string &Name, const BrokenFleet::Form &Form,
-             std::size_t BodyBytes, unsigned Requests) {
+             std::size_t BodyBytes, unsigned Requests,
+             const std::vector<std::string> &Paths = {"/plain/x", "/unsafe/x",
+                                                      "/stream/x"}) {
     INFO(Name);
     m_Fleet->setForm(Form);
     const std::size_t Before = m_Fleet->broken().size();
-    for (const std::string Path : {"/plain/x", "/unsafe/x", "/stream/x"}) {
+    for (const std::string &Path : Paths) {
       std::map<unsigned, unsigned> ByStatus;
       for (unsigned I = 0; I < Requests; ++I)
         ++ByStatus[checkOne(Path, BodyBytes)];
@@ -49,6 +51,8 @@
     m_Fleet->setForm({});
   }
 
+  BrokenFleet &fleet() { return *m_Fleet; }
+
 private:
   // The status that the caller got.
   unsigned checkOne(const std::string &Path, std::size_t BodyBytes) {
@@ -173,3 +177,23 @@
         },
         0, 20);
 }
+
+TEST_CASE("an answer that only its connection ends isn't whole if its server "
+          "gives invalid responses to probes") {
+  BrokenAnswers Answers(116);
+  for (const std::string Probe :
+       {"HTTP/1.1 000 S\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 999 S\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX A: v\r\nContent-Length: 0\r\n\r\n"}) {
+    Answers.fleet().setProbeAnswer(Probe);
+    Answers.check(
+        Probe,
+        [](const std::string &Id) {
+          return BrokenAnswer{"HTTP/1.1 200 OK\r\n" + answerFields(Id) +
+                                  "\r\n" + std::string(WholeBody),
+                              ConnectionEnd::Shutdown};
+        },
+        // A stream's events are passed on before its server is probed.
+        0, 20, {"/plain/x", "/unsafe/x"});
+  }
+}
