Http: a head that can't be sent unchanged gives status 500

What callers could see: the writer of answers left out a header whose name or value had a line break, and wrote other invalid names and each status as they were, so that the client got the head of another answer, or none that it could read.

Cause: only what would have added lines was kept from the connection.

Change: an exchange whose head isn't sendable is answered with status 500 and "Mangocart-Outcome: unknown", as one that is dropped. No handler is known to give such a head since the answers of agents and of backend servers are checked where they are read; this is the place that all of them pass.

Evidence: testHttpServer "an answer that can't be sent unchanged gives status 500" failed at its first form before (status 0 was sent, and the connection kept); now all 16 forms pass, whole and as a stream.

--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -42,7 +42,9 @@
 
 // One request and the answer to it. All functions are called on the exchange's
 // own worker, see executor(). Exactly one of respond(), or startStream() with
-// finishStream() or abort(), completes it.
+// finishStream() or abort(), completes it. A head that isn't sendable is
+// answered with status 500, as without some of its parts it would be the head
+// of another answer.
 class HttpExchange {
 public:
   virtual ~HttpExchange() = default;
--- a/Source/Http/HttpServerExchange.cpp
+++ b/Source/Http/HttpServerExchange.cpp
@@ -6,6 +6,16 @@
 
 namespace mangocart {
 
+namespace {
+
+// In place of an answer that can't be sent unchanged.
+HttpResponse unsendableResponse() {
+  return {{500, {{"Mangocart-Outcome", "unknown"}, {"Connection", "close"}}},
+          ""};
+}
+
+} // namespace
+
 HttpServerExchange::HttpServerExchange(
     std::shared_ptr<HttpConnection> Connection,
     std::shared_ptr<HttpServerShared> Shared, HttpRequest Request)
@@ -29,6 +39,8 @@
 }
 
 void HttpServerExchange::respond(HttpResponse Response) {
+  if (!isSendable(Response.m_Head))
+    Response = unsendableResponse();
   if (m_Phase == Phase::Waiting)
     m_Connection->respond(*this, Response);
 }
@@ -36,6 +48,8 @@
 void HttpServerExchange::startStream(HttpHead Head) {
   if (m_Phase != Phase::Waiting)
     return;
+  if (!isSendable(Head))
+    return respond(unsendableResponse());
   m_Phase = Phase::Streaming;
   m_Connection->startStream(Head);
 }
--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -418,6 +418,44 @@
                  Catch::Contains("Mangocart-Outcome: unknown"));
 }
 
+// Guards against an answer that is sent without the part that can't be written.
+TEST_CASE("an answer that can't be sent unchanged gives status 500") {
+  const bool IsStream = GENERATE(false, true);
+  CAPTURE(IsStream);
+  const HttpHead Heads[] = {{0, {}},
+                            {100, {}},
+                            {199, {}},
+                            {600, {}},
+                            {1000, {}},
+                            {200, {{"", "v"}}},
+                            {200, {{"X A", "v"}}},
+                            {200, {{" X-A", "v"}}},
+                            {200, {{"X-A ", "v"}}},
+                            {200, {{"X-A:", "v"}}},
+                            {200, {{"X-A\r\nX-B", "v"}}},
+                            {200, {{"X-A\x01", "v"}}},
+                            {200, {{"X-A", "v\r\nX-B: w"}}},
+                            {200, {{"X-A", "v\n"}}},
+                            {200, {{"X-A", std::string("v\0w", 3)}}},
+                            {200, {{"X-B", "w"}, {"X-A", "v\x7F"}}}};
+  for (const HttpHead &Head : Heads) {
+    INFO(&Head - Heads);
+    ServerFixture Fixture([&](const std::shared_ptr<HttpExchange> &Exchange) {
+      if (!IsStream)
+        return Exchange->respond({Head, "body"});
+      Exchange->startStream(Head);
+      Exchange->writeChunk("body");
+      Exchange->finishStream();
+    });
+    RawSocket Socket(Fixture.port());
+    Socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(Socket.readToEnd() ==
+          "HTTP/1.1 500 Internal Server Error\r\nMangocart-Outcome: unknown\r\n"
+          "Content-Length: 0\r\nConnection: close\r\n\r\n");
+    CHECK(Socket.ended());
+  }
+}
+
 TEST_CASE("bytes that the client hasn't taken are visible until it has") {
   constexpr std::size_t AnswerBytes = 32UL * 1024 * 1024;
   HeldExchanges Held;
