Tests: broken answers to agents, balancers and the command line

The other places that read answers use the same client: calls and probes of an agent, a balancer's calls to its replica, calls of the command line. Each is played against a stand-in with invalid statuses, interim answers with a body, invalid and folded fields, and answers without a length that are cut or end with their connection.

--- a/Tests/Agent/testBackendProbe.cpp
+++ b/Tests/Agent/testBackendProbe.cpp
@@ -1,6 +1,7 @@
 // An agent's probes of its backend server. Guards against an agent that keeps
-// all bytes of a load page without end, and against a connection for each probe
-// of a server whose answers name their requests.
+// all bytes of a load page without end, against a connection for each probe of
+// a server whose answers name their requests, and against a server that counts
+// as available by an invalid answer.
 #include "Agent/BackendProbe.h"
 
 #include "Agent/AgentContext.h"
@@ -8,6 +9,7 @@
 #include "Agent/CallGuard.h"
 #include "Core/WorkerPool.h"
 #include "Events/EventLog.h"
+#include "Http/BrokenServer.h"
 #include "Http/EndlessServer.h"
 #include "Metrics/MetricRegistry.h"
 
@@ -29,10 +31,12 @@
 class ProbeFixture {
 public:
   explicit ProbeFixture(const EndlessServer &Server)
+      : ProbeFixture(Server.port()) {}
+  explicit ProbeFixture(std::uint16_t BackendPort)
       : m_Events({"agent", "a", "z"}, "/dev/null"), m_Guard(1, {}),
         m_Counters(m_Registry), m_Clients(m_Workers, agentClientOptions()) {
     m_Settings.set_backend_address("127.0.0.1");
-    m_Settings.set_backend_port(Server.port());
+    m_Settings.set_backend_port(BackendPort);
   }
   ~ProbeFixture() { m_Workers.stop(); }
   ProbeFixture(const ProbeFixture &) = delete;
@@ -121,3 +125,28 @@
   CHECK(Answered >= 6);
   CHECK(Report.m_Available);
 }
+
+TEST_CASE("a load page in an invalid answer doesn't make a backend server "
+          "available") {
+  constexpr unsigned Probes = 3;
+  const std::string Page = "Content-Length: 17\r\n\r\n{\"outstanding\":7}";
+  for (const std::string &Text :
+       {"HTTP/1.1 000 S\r\n" + Page, "HTTP/1.1 099 S\r\n" + Page,
+        "HTTP/1.1 999 S\r\n" + Page, "HTTP/1.1 103 S\r\n" + Page,
+        "HTTP/1.1 200 S\r\nX A: v\r\n" + Page,
+        "HTTP/1.1 200 S\r\nX-A\x01: v\r\n" + Page,
+        "HTTP/1.1 200 S\r\nX-B: w\r\n X-A: v\r\n" + Page,
+        "HTTP/1.1 200 S\r\nX-B: w\r\n " + Page}) {
+    INFO(Text);
+    const BrokenServer Server("127.0.0.1", 0, [&](const std::string &) {
+      return BrokenAnswer{Text};
+    });
+    const BackendReport Report = ProbeFixture(Server.port()).probeUntil([&] {
+      return Server.requests() >= Probes;
+    });
+    CHECK(Server.requests() >= Probes);
+    CHECK(Server.connections() == Server.requests());
+    CHECK_FALSE(Report.m_Available);
+    CHECK(Report.m_Load == 0);
+  }
+}
--- a/Tests/Agent/testCallForwarder.cpp
+++ b/Tests/Agent/testCallForwarder.cpp
@@ -1,6 +1,7 @@
 // Calls through an agent to a backend server that writes its answers twice, the
-// second time where the answer to the next request is expected. Guards against
-// callers that get the answer to another request.
+// second time where the answer to the next request is expected, and to one
+// whose answers break. Guards against callers that get the answer to another
+// request or a part of an answer.
 #include "Agent/CallForwarder.h"
 
 #include "Agent/AgentContext.h"
@@ -9,6 +10,7 @@
 #include "Core/WorkerPool.h"
 #include "Entry/CallAttempt.h"
 #include "Events/EventLog.h"
+#include "Http/BrokenServer.h"
 #include "Metrics/MetricRegistry.h"
 #include "Net/PeerStream.h"
 
@@ -19,9 +21,11 @@
 #include <fmt/format.h>
 
 #include <future>
+#include <optional>
 #include <thread>
 
 using namespace mangocart;
+using namespace mangocart::test;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 
@@ -126,22 +130,33 @@
 
   // The body of the answer; empty if the call failed.
   std::string call(const std::string &Id) {
+    return callWith(Id, {}).m_HasEnded ? m_Body : std::string();
+  }
+
+  struct Result {
+    bool m_HasEnded = false;
+    // How the call failed, as the entry sees it.
+    std::optional<schema::CallRefusal> m_Refusal;
+  };
+
+  Result callWith(const std::string &Id, std::string RequestBody) {
     schema::CallRequest Request;
     Request.set_request_id(Id);
     Request.set_service("s");
     Request.set_method("GET");
     Request.set_target("/" + Id);
     Request.set_deadline_ms(5000);
-    std::promise<std::string> Done;
-    std::string Body;
+    Request.set_body(std::move(RequestBody));
+    std::promise<Result> Done;
+    m_Body.clear();
     CallHandlers Handlers;
     Handlers.m_OnHead = [](const schema::CallHead &) {};
-    Handlers.m_OnBody = [&](const std::string &Data) { Body += Data; };
-    Handlers.m_OnEnd = [&] { Done.set_value(Body); };
-    Handlers.m_OnRefusal = [&](const schema::CallRefusal &) {
-      Done.set_value("");
+    Handlers.m_OnBody = [&](const std::string &Data) { m_Body += Data; };
+    Handlers.m_OnEnd = [&] { Done.set_value({true, {}}); };
+    Handlers.m_OnRefusal = [&](const schema::CallRefusal &Refusal) {
+      Done.set_value({false, Refusal});
     };
-    Handlers.m_OnBroken = [&](const CallBroken &) { Done.set_value(""); };
+    Handlers.m_OnBroken = [&](const CallBroken &) { Done.set_value({}); };
     const auto Call = CallAttempt::start(m_Peers, {Address, AgentPort}, Request,
                                          m_Workers.worker(0).get_executor(),
                                          std::move(Handlers));
@@ -149,6 +164,7 @@
   }
 
 private:
+  std::string m_Body;
   schema::AgentSettings m_Settings;
   WorkerPool m_Workers;
   EventLog m_Events;
@@ -177,3 +193,44 @@
   // without the names no connection is used twice.
   CHECK(Server.connections() == (Echoes ? 5 : 10));
 }
+
+TEST_CASE("a call whose backend server breaks its answer may have run") {
+  const std::string Fields = "Mangocart-Request: r1\r\n";
+  const std::string Body = "Content-Length: 5\r\n\r\nwhole";
+  const std::string Whole = "HTTP/1.1 200 OK\r\n" + Fields + Body;
+  const std::size_t UploadBytes = 3'800'000;
+  struct Row {
+    BrokenAnswer m_Answer;
+    std::size_t m_RequestBytes = 0;
+  };
+  const Row Rows[] = {
+      {{"HTTP/1.1 000 S\r\n" + Fields + Body}},
+      {{"HTTP/1.1 000 S\r\n" + Fields + Body + Whole}},
+      {{"HTTP/1.1 099 S\r\n\r\n" + Whole}},
+      {{"HTTP/1.1 999 S\r\n" + Fields + Body}},
+      {{"HTTP/1.1 103 S\r\n" + Body + Whole}},
+      {{"HTTP/1.1 200 OK\r\nX A: v\r\n" + Fields + Body}},
+      {{"HTTP/1.1 200 OK\r\n" + Fields + "X-A\x01: v\r\n" + Body}},
+      {{"HTTP/1.1 200 OK\r\n" + Fields + " X-A: v\r\n" + Body}},
+      {{"HTTP/1.1 200 OK\r\n" + Fields + " " + Body, ConnectionEnd::Shutdown}},
+      {{"HTTP/1.1 200 OK\r\n" + Fields + "\r\npart", ConnectionEnd::Shutdown}},
+      {{"HTTP/1.1 200 OK\r\n" + Fields + "\r\npart", ConnectionEnd::Reset},
+       UploadBytes},
+      {{"HTTP/1.1 200 OK\r\n" + Fields + "\r\npart", ConnectionEnd::Close},
+       UploadBytes}};
+  for (const Row &Each : Rows) {
+    INFO(Each.m_Answer.m_Text);
+    const BrokenServer Server(
+        Address, 0, [&](const std::string &) { return Each.m_Answer; });
+    AgentFixture Agent(Server.port());
+    for (unsigned I = 0; I < 5; ++I) {
+      const auto Result =
+          Agent.callWith("r1", std::string(Each.m_RequestBytes, 'u'));
+      CHECK_FALSE(Result.m_HasEnded);
+      CHECK((Result.m_Refusal &&
+             Result.m_Refusal->reason() == schema::CallRefusal::BACKEND_BROKE &&
+             Result.m_Refusal->outcome() == schema::UNKNOWN));
+    }
+    CHECK(Server.connections() == Server.requests());
+  }
+}
--- a/Tests/Balancer/testRankService.cpp
+++ b/Tests/Balancer/testRankService.cpp
@@ -1,7 +1,9 @@
-// A balancer's calls to a replica whose answers have no end. Guards against a
-// balancer that keeps all of their bytes.
+// A balancer's calls to a replica whose answers have no end or break. Guards
+// against a balancer that keeps all of their bytes, or reports a state that it
+// read from a part of an answer.
 #include "Balancer/RankService.h"
 #include "Events/EventLog.h"
+#include "Http/BrokenServer.h"
 #include "Http/EndlessServer.h"
 
 #include <boost/asio/io_context.hpp>
@@ -75,3 +77,36 @@
   CHECK(Reply->has_report() == (Target != "/state"));
   CHECK(Server.sentBytes() < MaxTakenBytes);
 }
+
+TEST_CASE("a replica's broken answer gives no state") {
+  const std::string Body = "Content-Length: 5\r\n\r\nstate";
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  for (const BrokenAnswer &Answer : std::initializer_list<BrokenAnswer>{
+           {"HTTP/1.1 000 S\r\n" + Body},
+           {"HTTP/1.1 000 S\r\n" + Body + Ok + Body},
+           {"HTTP/1.1 999 S\r\n" + Body},
+           {"HTTP/1.1 103 S\r\n" + Body + Ok + Body},
+           {Ok + "X A: v\r\n" + Body},
+           {Ok + "X-A\x7F: v\r\n" + Body},
+           {Ok + "X-B: w\r\n X-A: v\r\n" + Body},
+           {Ok + "\r\nstate", ConnectionEnd::Shutdown},
+           {Ok + "\r\nstate", ConnectionEnd::Reset}}) {
+    INFO(Answer.m_Text);
+    const BrokenServer Server("127.0.0.1", 0,
+                              [&](const std::string &) { return Answer; });
+    boost::asio::io_context Context;
+    HttpClient Client(Context);
+    const FakeProtocol Protocol;
+    EventLog Events({"balancer", "b", "z"}, "/dev/null");
+    RankService Service(Client, {"127.0.0.1", Server.port()}, Protocol, Events);
+    std::optional<schema::RankReply> Reply;
+    Service.query({}, [&](schema::RankReply Answered) {
+      Reply = std::move(Answered);
+      Context.stop();
+    });
+    Context.run_for(10s);
+    REQUIRE(Reply);
+    CHECK_FALSE(Reply->has_report());
+    CHECK(Server.requests() > 0);
+  }
+}
--- a/Tests/Command/testCommandRegistry.cpp
+++ b/Tests/Command/testCommandRegistry.cpp
@@ -4,6 +4,7 @@
 
 #include "Command/AdminClient.h"
 #include "Core/WorkerPool.h"
+#include "Http/BrokenServer.h"
 #include "Http/HttpServer.h"
 #include "Log.pb.h"
 #include "Planning/AdminMessages.h"
@@ -369,3 +370,32 @@
   REQUIRE_FALSE(Refused);
   CHECK(Refused.error().m_NothingSent);
 }
+
+TEST_CASE("a broken response is an error after which the request may have been "
+          "carried out") {
+  const std::string Body = "Content-Length: 2\r\n\r\n{}";
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  for (const test::BrokenAnswer &Answer :
+       std::initializer_list<test::BrokenAnswer>{
+           {"HTTP/1.1 000 S\r\n" + Body},
+           {"HTTP/1.1 000 S\r\n" + Body + Ok + Body},
+           {"HTTP/1.1 999 S\r\n" + Body},
+           {"HTTP/1.1 103 S\r\n" + Body + Ok + Body},
+           {Ok + "X A: v\r\n" + Body},
+           {Ok + "X-A\x01: v\r\n" + Body},
+           {Ok + "X-B: w\r\n " + Body, test::ConnectionEnd::Shutdown},
+           {Ok + "\r\n{}", test::ConnectionEnd::Shutdown},
+           {Ok + "\r\n{}", test::ConnectionEnd::Reset}}) {
+    INFO(Answer.m_Text);
+    const test::BrokenServer Server(
+        "127.24.0.1", 0, [&](const std::string &) { return Answer; });
+    AdminRequest Request;
+    Request.m_Target = {"127.24.0.1", Server.port()};
+    Request.m_Method = "POST";
+    Request.m_Path = "/v1/drain";
+    Request.m_Body = std::string(1000, ' ') + "{}";
+    const auto Response = callAdmin(Request);
+    REQUIRE_FALSE(Response);
+    CHECK_FALSE(Response.error().m_NothingSent);
+  }
+}
