--- a/Tests/Gateways/testEndlessReplicas.cpp
+++ b/Tests/Gateways/testEndlessReplicas.cpp
@@ -4,6 +4,7 @@
 #include "Gateways/CallerLoad.h"
 #include "Gateways/EngineFleet.h"
 #include "Gateways/GatewayDeployment.h"
+#include "Http/BrokenServer.h"
 #include "Http/EndlessServer.h"
 
 #include <boost/asio/connect.hpp>
@@ -24,15 +25,6 @@
 constexpr unsigned FaultyReplicas = 20;
 constexpr std::uint16_t ReplicaPort = 9001;
 
-// The value of a header of a request.
-std::string headerOf(const std::string &Head, const std::string &Name) {
-  const std::size_t At = Head.find("\r\n" + Name + ": ");
-  if (At == std::string::npos)
-    return {};
-  const std::size_t Begin = At + Name.size() + 4;
-  return Head.substr(Begin, Head.find("\r\n", Begin) - Begin);
-}
-
 struct Form {
   std::string m_Name;
   unsigned m_Status = 200;
