Tests: an exchange that a test keeps is released before its server's workers

The process then hung in its signal handler.

Cause: the case before that one, "exchanges in progress are completed when the server ends them", kept its exchange past the end of the server and its workers. An exchange keeps its connection, whose timer was destroyed after the service that holds it.

Change: the case hands its exchange to its worker before the server ends. Its checks are the same. testHttp under the address and undefined behaviour sanitizers: an error before, none now (53 cases; the [fields] cases apart).

--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -562,6 +562,9 @@
   CHECK(Unanswered.readToEnd().ends_with("stopping"));
   CHECK(Answered.readToEnd().ends_with("GET:"));
   CHECK(waitUntil([&] { return Server.server().exchangeCount() == 0; }));
+  // The exchange keeps its connection, which must not outlive the workers.
+  const auto Executor = Waiting->executor();
+  boost::asio::post(Executor, [Released = std::move(Waiting)] {});
 }
 
 // Guards against a connection that is closed although the first bytes of its
