Http: an announced body is looked for only where the status allows none

Each answer's headers were searched for framing fields, although only interim answers and 204 need that; gateways read every answer there. The 500 in place of a missing answer and the one in place of an answer that can't be sent were written twice; they are one function now.

--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -35,6 +35,11 @@
 
 } // namespace
 
+HttpResponse missingResponse() {
+  return {{500, {{"Mangocart-Outcome", "unknown"}, {"Connection", "close"}}},
+          ""};
+}
+
 HttpConnection::HttpConnection(asio::io_context &Context,
                                asio::ip::tcp::socket Socket,
                                std::shared_ptr<HttpServerShared> Shared,
@@ -248,9 +253,8 @@
     return;
   if (!Unanswered)
     return close();
-  HttpResponse Response{{500, {{"Mangocart-Outcome", "unknown"}}}, ""};
-  appendResponseHead(m_Queued, Response.m_Head, HttpFraming::ContentLength, 0,
-                     false);
+  appendResponseHead(m_Queued, missingResponse().m_Head,
+                     HttpFraming::ContentLength, 0, false);
   m_CloseAfterWrite = true;
   flush();
 }
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -144,6 +144,10 @@
   std::optional<TimePoint> m_WriteDeadline;
 };
 
+// In place of an answer that a handler doesn't give, or gives in a form that
+// can't be sent unchanged: the request may have run.
+HttpResponse missingResponse();
+
 // The handler's side of one request. Outlives neither the worker pool nor
 // blocks the connection: dropped without an answer, it answers 500.
 class HttpServerExchange : public HttpExchange {
--- a/Source/Http/HttpResponseParser.cpp
+++ b/Source/Http/HttpResponseParser.cpp
@@ -143,14 +143,15 @@
 void HttpResponseParser::on_header_impl(ErrorCode &Error) {
   m_HeadDone = true;
   m_FieldBytes = 0;
-  const bool AnnouncesBody = announcesBody(m_Head.m_Headers);
-  if (m_Interim && AnnouncesBody) {
-    m_Detail = "malformed answer: an interim answer has no body";
-    Error = http::error::bad_content_length;
-  }
-  if (m_Interim)
+  if (m_Interim) {
+    if (announcesBody(m_Head.m_Headers)) {
+      m_Detail = "malformed answer: an interim answer has no body";
+      Error = http::error::bad_content_length;
+    }
     return;
-  m_HasUnreadBody = m_Head.m_Status == NoContent && AnnouncesBody;
+  }
+  m_HasUnreadBody =
+      m_Head.m_Status == NoContent && announcesBody(m_Head.m_Headers);
   if (need_eof() && !m_TakesEndByClosing) {
     m_Detail = "malformed answer: neither Content-Length nor chunked coding";
     Error = http::error::bad_content_length;
--- a/Source/Http/HttpServerExchange.cpp
+++ b/Source/Http/HttpServerExchange.cpp
@@ -6,16 +6,6 @@
 
 namespace mangocart {
 
-namespace {
-
-// In place of an answer that can't be sent unchanged.
-HttpResponse unsendableResponse() {
-  return {{500, {{"Mangocart-Outcome", "unknown"}, {"Connection", "close"}}},
-          ""};
-}
-
-} // namespace
-
 HttpServerExchange::HttpServerExchange(
     std::shared_ptr<HttpConnection> Connection,
     std::shared_ptr<HttpServerShared> Shared, HttpRequest Request)
@@ -40,7 +30,7 @@
 
 void HttpServerExchange::respond(HttpResponse Response) {
   if (!isSendable(Response.m_Head))
-    Response = unsendableResponse();
+    Response = missingResponse();
   if (m_Phase == Phase::Waiting)
     m_Connection->respond(*this, Response);
 }
@@ -49,7 +39,7 @@
   if (m_Phase != Phase::Waiting)
     return;
   if (!isSendable(Head))
-    return respond(unsendableResponse());
+    return respond(missingResponse());
   m_Phase = Phase::Streaming;
   m_Connection->startStream(Head);
 }
