Tests: one listener, one announcer and one check of a left connection

BrokenServer repeated the acceptor and thread of EndlessServer, BrokenFleet the announcements of testEndlessReplicas, and the tests of invalid statuses and fields the same rounds on one connection. LoopbackListener, ReplicaAnnouncer and checkLeavesConnection() serve both now. All assertions are kept; the fields' case also has the statuses' check of the number of requests.

--- a/Tests/Gateways/BrokenFleet.cpp
+++ b/Tests/Gateways/BrokenFleet.cpp
@@ -16,6 +16,8 @@
 constexpr unsigned Cycle = 5;
 constexpr unsigned BrokenOfCycle = 2;
 
+std::string name(unsigned Index) { return fmt::format("replica-{}", Index); }
+
 } // namespace
 
 std::string answerFields(const std::string &RequestId) {
@@ -24,21 +26,20 @@
       RequestId);
 }
 
-BrokenFleet::BrokenFleet(const GatewayDeployment &Deployment, unsigned Replicas)
-    : m_Voter(Deployment.voter()) {
+BrokenFleet::BrokenFleet(const GatewayDeployment &Deployment,
+                         unsigned Replicas) {
+  std::map<std::string, HttpTarget> Announced;
   for (unsigned I = 0; I < Replicas; ++I) {
-    m_Addresses.push_back(
-        fmt::format("{}.{}", Deployment.engineNetwork(), FirstHost + I));
+    const HttpTarget At = {
+        fmt::format("{}.{}", Deployment.engineNetwork(), FirstHost + I),
+        ReplicaPort};
+    Announced[name(I)] = At;
     m_Servers.push_back(std::make_unique<BrokenServer>(
-        m_Addresses[I], ReplicaPort,
+        At.m_Address, At.m_Port,
         [this, I](const std::string &Head) { return answer(I, Head); }));
   }
-  m_Announcer = std::jthread([this](const std::stop_token &Stop) {
-    for (unsigned Sequence = 1; !Stop.stop_requested(); ++Sequence) {
-      announce(Sequence);
-      std::this_thread::sleep_for(500ms);
-    }
-  });
+  m_Announcer = std::make_unique<ReplicaAnnouncer>(Deployment.voter(),
+                                                   std::move(Announced));
 }
 
 void BrokenFleet::setForm(Form Next) {
@@ -61,23 +62,6 @@
   return m_Repeated;
 }
 
-std::string BrokenFleet::name(unsigned Index) const {
-  return fmt::format("replica-{}", Index);
-}
-
-void BrokenFleet::announce(unsigned Sequence) const {
-  for (unsigned I = 0; I < m_Addresses.size(); ++I)
-    call(m_Voter,
-         {"PUT",
-          "/instances/" + name(I),
-          {{"Host", "voter"}, {"Content-Type", "application/json"}},
-          fmt::format(R"({{"service":"engines","address":"{}:{}",)"
-                      R"("zone":"z0","slots":8,"state":"ready",)"
-                      R"("cold_remaining_ms":0,"born":1,"sequence":{}}})",
-                      m_Addresses[I], ReplicaPort, Sequence),
-          {}});
-}
-
 BrokenAnswer BrokenFleet::answer(unsigned Index, const std::string &Head) {
   const std::string Id = headerOf(Head, "X-Mangocart-Request-Id");
   const std::lock_guard Lock(m_Mutex);
--- a/Tests/Gateways/BrokenFleet.h
+++ b/Tests/Gateways/BrokenFleet.h
@@ -3,15 +3,14 @@
 #ifndef MANGOCART_TESTS_BROKENFLEET_H
 #define MANGOCART_TESTS_BROKENFLEET_H
 
+#include "Gateways/ReplicaAnnouncer.h"
 #include "Http/BrokenServer.h"
-#include "Http/HttpClient.h"
 
 #include <memory>
 #include <mutex>
 #include <set>
 #include <string>
 #include <string_view>
-#include <thread>
 #include <vector>
 
 namespace mangocart::test {
@@ -38,12 +37,8 @@
   unsigned repeated() const;
 
 private:
-  std::string name(unsigned Index) const;
-  void announce(unsigned Sequence) const;
   BrokenAnswer answer(unsigned Index, const std::string &Head);
 
-  const HttpTarget m_Voter;
-  std::vector<std::string> m_Addresses;
   mutable std::mutex m_Mutex;
   // Guarded by m_Mutex.
   Form m_Form;
@@ -53,7 +48,7 @@
   std::set<std::string> m_Arrived;
   std::set<std::string> m_Broken;
   std::vector<std::unique_ptr<BrokenServer>> m_Servers;
-  std::jthread m_Announcer;
+  std::unique_ptr<ReplicaAnnouncer> m_Announcer;
 };
 
 // The body of whole answers: one event.
--- a/Tests/Gateways/testEndlessReplicas.cpp
+++ b/Tests/Gateways/testEndlessReplicas.cpp
@@ -4,6 +4,7 @@
 #include "Gateways/CallerLoad.h"
 #include "Gateways/EngineFleet.h"
 #include "Gateways/GatewayDeployment.h"
+#include "Gateways/ReplicaAnnouncer.h"
 #include "Http/BrokenServer.h"
 #include "Http/EndlessServer.h"
 
@@ -36,19 +37,18 @@
 // Replicas of the service whose answers to requests have no end.
 class FaultyFleet {
 public:
-  explicit FaultyFleet(const GatewayDeployment &D) : m_Voter(D.voter()) {
+  explicit FaultyFleet(const GatewayDeployment &D) {
+    std::map<std::string, HttpTarget> Replicas;
     for (unsigned I = 0; I < FaultyReplicas; ++I) {
-      m_Addresses.push_back(fmt::format("{}.{}", D.engineNetwork(), 100 + I));
+      const HttpTarget At = {fmt::format("{}.{}", D.engineNetwork(), 100 + I),
+                             ReplicaPort};
+      Replicas[name(I)] = At;
       m_Servers.push_back(std::make_unique<EndlessServer>(
-          m_Addresses[I], ReplicaPort,
+          At.m_Address, At.m_Port,
           [this, I](const std::string &Head) { return answer(I, Head); }));
     }
-    m_Beats = std::jthread([this](const std::stop_token &Stop) {
-      for (unsigned Beat = 1; !Stop.stop_requested(); ++Beat) {
-        announce(Beat);
-        std::this_thread::sleep_for(500ms);
-      }
-    });
+    m_Announcer =
+        std::make_unique<ReplicaAnnouncer>(D.voter(), std::move(Replicas));
   }
 
   void setForm(const Form &Next) {
@@ -64,20 +64,7 @@
   }
 
 private:
-  std::string name(unsigned I) const { return fmt::format("faulty-{}", I); }
-
-  void announce(unsigned Beat) const {
-    for (unsigned I = 0; I < FaultyReplicas; ++I)
-      call(m_Voter,
-           {"PUT",
-            "/instances/" + name(I),
-            {{"Host", "voter"}, {"Content-Type", "application/json"}},
-            fmt::format(R"({{"service":"engines","address":"{}:{}",)"
-                        R"("zone":"z0","slots":8,"state":"ready",)"
-                        R"("cold_remaining_ms":0,"born":1,"sequence":{}}})",
-                        m_Addresses[I], ReplicaPort, Beat),
-            {}});
-  }
+  static std::string name(unsigned I) { return fmt::format("faulty-{}", I); }
 
   EndlessAnswer answer(unsigned I, const std::string &Head) {
     const std::string Id = headerOf(Head, "X-Mangocart-Request-Id");
@@ -93,12 +80,10 @@
             m_Form.m_Again};
   }
 
-  const HttpTarget m_Voter;
-  std::vector<std::string> m_Addresses;
   std::mutex m_Mutex;
   Form m_Form;
   std::vector<std::unique_ptr<EndlessServer>> m_Servers;
-  std::jthread m_Beats;
+  std::unique_ptr<ReplicaAnnouncer> m_Announcer;
 };
 
 // A caller that sends a request and reads nothing.
--- a/Tests/Http/BrokenServer.cpp
+++ b/Tests/Http/BrokenServer.cpp
@@ -106,31 +106,10 @@
 
 BrokenServer::BrokenServer(const std::string &Address, std::uint16_t Port,
                            Answers Answer)
-    : m_Acceptor(m_Context,
-                 tcp::endpoint(asio::ip::make_address(Address), Port)),
-      m_Answer(std::move(Answer)) {
-  accept();
-  m_Thread = std::thread([this] { m_Context.run(); });
-}
-
-BrokenServer::~BrokenServer() {
-  m_Context.stop();
-  m_Thread.join();
-}
-
-std::uint16_t BrokenServer::port() const {
-  return m_Acceptor.local_endpoint().port();
-}
-
-void BrokenServer::accept() {
-  m_Acceptor.async_accept([this](error_code Error, tcp::socket Socket) {
-    if (Error)
-      return;
-    ++m_Connections;
-    std::make_shared<Connection>(*this, std::move(Socket))->readHead();
-    accept();
-  });
-}
+    : m_Answer(std::move(Answer)),
+      m_Listener(Address, Port, [this](tcp::socket Socket) {
+        std::make_shared<Connection>(*this, std::move(Socket))->readHead();
+      }) {}
 
 std::string joined(std::initializer_list<std::string_view> Parts) {
   std::string Text;
--- a/Tests/Http/BrokenServer.h
+++ b/Tests/Http/BrokenServer.h
@@ -3,8 +3,7 @@
 #ifndef MANGOCART_TESTS_BROKENSERVER_H
 #define MANGOCART_TESTS_BROKENSERVER_H
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include "Http/LoopbackListener.h"
 
 #include <atomic>
 #include <chrono>
@@ -13,7 +12,6 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
-#include <thread>
 
 namespace mangocart::test {
 
@@ -47,24 +45,20 @@
   using Answers = std::function<BrokenAnswer(const std::string &Head)>;
 
   BrokenServer(const std::string &Address, std::uint16_t Port, Answers Answer);
-  ~BrokenServer();
   BrokenServer(const BrokenServer &) = delete;
   BrokenServer &operator=(const BrokenServer &) = delete;
 
-  std::uint16_t port() const;
-  unsigned connections() const { return m_Connections; }
+  std::uint16_t port() const { return m_Listener.port(); }
+  unsigned connections() const { return m_Listener.connections(); }
   unsigned requests() const { return m_Requests; }
 
 private:
   struct Connection;
-  void accept();
 
-  boost::asio::io_context m_Context;
-  boost::asio::ip::tcp::acceptor m_Acceptor;
   const Answers m_Answer;
-  std::atomic<unsigned> m_Connections{0};
   std::atomic<unsigned> m_Requests{0};
-  std::thread m_Thread;
+  // Ends first: its thread uses the other members.
+  LoopbackListener m_Listener;
 };
 
 std::string joined(std::initializer_list<std::string_view> Parts);
--- a/Tests/Http/EndlessServer.cpp
+++ b/Tests/Http/EndlessServer.cpp
@@ -80,30 +80,9 @@
 
 EndlessServer::EndlessServer(const std::string &Address, std::uint16_t Port,
                              Answers Answer)
-    : m_Acceptor(m_Context,
-                 tcp::endpoint(asio::ip::make_address(Address), Port)),
-      m_Answer(std::move(Answer)) {
-  accept();
-  m_Thread = std::thread([this] { m_Context.run(); });
-}
-
-EndlessServer::~EndlessServer() {
-  m_Context.stop();
-  m_Thread.join();
-}
-
-std::uint16_t EndlessServer::port() const {
-  return m_Acceptor.local_endpoint().port();
-}
-
-void EndlessServer::accept() {
-  m_Acceptor.async_accept([this](error_code Error, tcp::socket Socket) {
-    if (Error)
-      return;
-    ++m_Connections;
-    std::make_shared<Connection>(*this, std::move(Socket))->readHead();
-    accept();
-  });
-}
+    : m_Answer(std::move(Answer)),
+      m_Listener(Address, Port, [this](tcp::socket Socket) {
+        std::make_shared<Connection>(*this, std::move(Socket))->readHead();
+      }) {}
 
 } // namespace mangocart::test
--- a/Tests/Http/EndlessServer.h
+++ b/Tests/Http/EndlessServer.h
@@ -3,15 +3,13 @@
 #ifndef MANGOCART_TESTS_ENDLESSSERVER_H
 #define MANGOCART_TESTS_ENDLESSSERVER_H
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include "Http/LoopbackListener.h"
 
 #include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
-#include <thread>
 
 namespace mangocart::test {
 
@@ -29,12 +27,11 @@
   using Answers = std::function<EndlessAnswer(const std::string &Head)>;
 
   EndlessServer(const std::string &Address, std::uint16_t Port, Answers Answer);
-  ~EndlessServer();
   EndlessServer(const EndlessServer &) = delete;
   EndlessServer &operator=(const EndlessServer &) = delete;
 
-  std::uint16_t port() const;
-  unsigned connections() const { return m_Connections; }
+  std::uint16_t port() const { return m_Listener.port(); }
+  unsigned connections() const { return m_Listener.connections(); }
   // Bytes that the clients' machines have taken so far, and the connections on
   // which an answer without end was begun or has been ended by the client.
   std::uint64_t sentBytes() const { return m_SentBytes; }
@@ -43,16 +40,13 @@
 
 private:
   struct Connection;
-  void accept();
 
-  boost::asio::io_context m_Context;
-  boost::asio::ip::tcp::acceptor m_Acceptor;
   const Answers m_Answer;
-  std::atomic<unsigned> m_Connections{0};
   std::atomic<std::uint64_t> m_SentBytes{0};
   std::atomic<unsigned> m_Begun{0};
   std::atomic<unsigned> m_Ended{0};
-  std::thread m_Thread;
+  // Ends first: its thread uses the other members.
+  LoopbackListener m_Listener;
 };
 
 } // namespace mangocart::test
--- a/Tests/Http/TestCaller.cpp
+++ b/Tests/Http/TestCaller.cpp
@@ -87,6 +87,21 @@
   CHECK(Outcome.m_Body == "whole");
 }
 
+void checkLeavesConnection(const std::string &BrokenText, unsigned Rounds) {
+  const BrokenServer Server(
+      "127.0.0.1", 0, [&, Count = 0](const std::string &) mutable {
+        return BrokenAnswer{++Count % 3 == 2 ? BrokenText : WholeAnswer};
+      });
+  TestCaller Client(Server);
+  for (unsigned Round = 0; Round < Rounds; ++Round) {
+    checkWhole(Client.get());
+    checkRefused(Client.get());
+    checkWhole(Client.get());
+  }
+  CHECK(Server.requests() == 3 * Rounds);
+  CHECK(Server.connections() == Rounds + 1);
+}
+
 BrokenServer::Answers always(const BrokenAnswer &Answer) {
   return [=](const std::string &) { return Answer; };
 }
--- a/Tests/Http/TestCaller.h
+++ b/Tests/Http/TestCaller.h
@@ -50,6 +50,10 @@
 // The answer is WholeAnswer.
 void checkWhole(const CallOutcome &Outcome);
 
+// In each round, a connection gives a whole answer, then the broken one, and
+// carries no other call.
+void checkLeavesConnection(const std::string &BrokenText, unsigned Rounds);
+
 BrokenServer::Answers always(const BrokenAnswer &Answer);
 
 inline const std::string StatusLine = "HTTP/1.1 200 OK\r\n";
--- a/Tests/Http/testInvalidFields.cpp
+++ b/Tests/Http/testInvalidFields.cpp
@@ -194,18 +194,6 @@
 
 TEST_CASE("a connection that sent an invalid field carries no other call",
           "[fields]") {
-  const BrokenServer Server(
-      "127.0.0.1", 0, [Count = 0](const std::string &) mutable {
-        return BrokenAnswer{++Count % 3 == 2
-                                ? StatusLine + "X A: v\r\n" +
-                                      "Content-Length: 4\r\n\r\npart"
-                                : WholeAnswer};
-      });
-  TestCaller Client(Server);
-  for (unsigned Round = 0; Round < Calls; ++Round) {
-    checkWhole(Client.get());
-    checkRefused(Client.get());
-    checkWhole(Client.get());
-  }
-  CHECK(Server.connections() == Calls + 1);
+  checkLeavesConnection(StatusLine + "X A: v\r\nContent-Length: 4\r\n\r\npart",
+                        Calls);
 }
--- a/Tests/Http/testInvalidStatus.cpp
+++ b/Tests/Http/testInvalidStatus.cpp
@@ -97,22 +97,8 @@
 
 TEST_CASE("a connection that sent an invalid status carries no other call",
           "[status]") {
-  const BrokenServer Server(
-      "127.0.0.1", 0, [Count = 0](const std::string &) mutable {
-        return BrokenAnswer{
-            ++Count % 3 == 2
-                ? "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\n"
-                  "part"
-                : WholeAnswer};
-      });
-  TestCaller Client(Server);
-  for (unsigned Round = 0; Round < Calls; ++Round) {
-    checkWhole(Client.get());
-    checkRefused(Client.get());
-    checkWhole(Client.get());
-  }
-  CHECK(Server.requests() == 3 * Calls);
-  CHECK(Server.connections() == Calls + 1);
+  checkLeavesConnection("HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\npart",
+                        Calls);
 }
 
 TEST_CASE("a connection that announces a body behind a 204 carries no other "
