Review: cases in order of gravity, and lost bookings in the case of late heartbeats

The case of late heartbeats showed late requests only.

Change: 14 is 11 now, 11 is 12, 12 is 13 and 13 is 14. Scripts keep their files when they couldn't run.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# A core machine is replaced in good order; then another one loses its disk right
-# after it has acknowledged a configuration.
+# Two machines of the core are replaced in good order, one after the other; their
+# successors have run for long by then.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 Case=$PWD/review/11
@@ -18,41 +18,37 @@
 for Number in 1 2 3; do startVoter "$Number" true; done
 putConfiguration "$(configuration 1)" 20 1 2 3 || giveUp "no first acknowledgement"
 
-# The successor has had catch_up_s (4 s) and more before its predecessor goes.
-startVoter 4 false
-sleep 6
-# Not the leader: the leader goes on leading.
+# The successors have had catch_up_s (4 s) twice before the first one goes.
+for Number in 4 5; do startVoter "$Number" false; done
+sleep 8
+putConfiguration "$(configuration 2)" 20 1 2 3 || giveUp "no second acknowledgement"
+Followers=()
 for Number in 1 2 3; do
   if "$Standin" call GET "$Range.$Number:$MetricsPort" /metrics |
     grep -q '^mangocart_log_leads 0'; then
-    Old=$Number
+    Followers+=("$Number")
   else
     Leader=$Number
   fi
 done
-note "core-$Leader leads; core-$Old is replaced by core-4"
-signal "voter-$Old" TERM
-waitForEnd "voter-$Old"
-Rest=()
-for Number in 1 2 3; do [ "$Number" = "$Old" ] || Rest+=("$Number"); done
-sleep 2
-
-putConfiguration "$(configuration 2)" 20 "$Leader" "${Rest[@]}" 4 ||
-  giveUp "no acknowledgement after the replacement"
+[ "${#Followers[@]}" = 2 ] || giveUp "expected one leader"
+Left=(1 2 3 4 5)
 if [ "$Trouble" = 1 ]; then
-  signal "voter-$AcknowledgedBy" KILL
-  waitForEnd "voter-$AcknowledgedBy"
-  rm -rf "$Folder/data/voter-$AcknowledgedBy"
-  note "core-$AcknowledgedBy has lost its disk"
-  sleep 1
-  startVoter "$AcknowledgedBy" false
+  note "core-$Leader leads; core-${Followers[0]} and core-${Followers[1]} are replaced by core-4 and core-5"
+  signal "voter-${Followers[0]}" TERM
+  waitForEnd "voter-${Followers[0]}"
+  sleep 2
+  signal "voter-${Followers[1]}" TERM
+  waitForEnd "voter-${Followers[1]}"
+  Left=("$Leader" 4 5)
 fi
 
 # recover_s is 12 s; the operator goes on reading for much longer.
-Back=$(nowMs)
+Since=$(nowMs)
+sleep 4
 Held=0
-while [ $(($(nowMs) - Back)) -lt 45000 ]; do
-  for Number in "${Rest[@]}" 4; do
+while [ $(($(nowMs) - Since)) -lt 45000 ]; do
+  for Number in "${Left[@]}"; do
     if [ "$(readConfiguration "$Number")" = '"version":2' ]; then
       Held=1
       break 2
@@ -60,5 +56,5 @@
   done
   sleep 0.5
 done
-note "the acknowledged configuration is $([ "$Held" = 1 ] && echo read back || echo gone) $(($(nowMs) - Back)) ms after the machines are back"
+note "the acknowledged configuration $([ "$Held" = 1 ] && echo is read back || echo "doesn't come") $(($(nowMs) - Since)) ms after the last machine has gone"
 [ "$Held" = 1 ]
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,59 +1,64 @@
 #!/usr/bin/env bash
-# A replica leaves and has its acknowledgement; all processes are killed and start
-# again; a heartbeat that the replica sent before it left arrives late.
+# A core machine is replaced in good order; then another one loses its disk right
+# after it has acknowledged a configuration.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 Case=$PWD/review/12
 source review/kit-3/deployment.sh
 
-beginCase
-cat >"$Folder/config.json" <<JSON
-{"version":1,"routes":[{"name":"r-app","host":"app.example","path_prefix":"/app/","route_type":"idempotent","timeout_ms":1500,"service":"app","max_attempts":2}],"services":[{"name":"app","health_path":"/health","max_connections":96}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}
+# configuration VERSION
+configuration() {
+  cat >"$Folder/config-$1.json" <<JSON
+{"version":$1,"routes":[{"name":"r-app","host":"app.example","path_prefix":"/app/","route_type":"idempotent","timeout_ms":1500,"service":"app","max_attempts":2}],"services":[{"name":"app","health_path":"/health","max_connections":96}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}
 JSON
-
-startSystem() {
-  local Number
-  for Number in 1 2 3; do startVoter "$Number" "$1"; done
-  for Number in 1 2; do startGateway "$Number"; done
+  echo "$Folder/config-$1.json"
 }
 
-startSystem true
-startReplica 4 i-stays app
-startReplica 5 i-leaves app
-putConfiguration "$Folder/config.json" 20 1 2 3 || giveUp "no acknowledgement"
-waitUntilReady 1 2
-sleep 3
+beginCase
+for Number in 1 2 3; do startVoter "$Number" true; done
+putConfiguration "$(configuration 1)" 20 1 2 3 || giveUp "no first acknowledgement"
 
-startLoad 1 /app/x 20 20
-startLoad 2 /app/x 20 20
+# The successor has had catch_up_s (4 s) and more before its predecessor goes.
+startVoter 4 false
+sleep 6
+# Not the leader: the leader goes on leading.
+for Number in 1 2 3; do
+  if "$Standin" call GET "$Range.$Number:$MetricsPort" /metrics |
+    grep -q '^mangocart_log_leads 0'; then
+    Old=$Number
+  else
+    Leader=$Number
+  fi
+done
+note "core-$Leader leads; core-$Old is replaced by core-4"
+signal "voter-$Old" TERM
+waitForEnd "voter-$Old"
+Rest=()
+for Number in 1 2 3; do [ "$Number" = "$Old" ] || Rest+=("$Number"); done
 sleep 2
-# The next heartbeat leaves the replica, but arrives only seconds later.
-steer 5 hold-beat
-steer 5 leave
-Left=$(nowMs)
-note "i-leaves has its acknowledgement and serves on"
-sleep 0.3
+
+putConfiguration "$(configuration 2)" 20 "$Leader" "${Rest[@]}" 4 ||
+  giveUp "no acknowledgement after the replacement"
 if [ "$Trouble" = 1 ]; then
-  for Number in 1 2 3; do signal "voter-$Number" KILL; done
-  for Number in 1 2; do signal "gateway-$Number" KILL; done
-  for Number in 1 2 3; do waitForEnd "voter-$Number"; done
-  for Number in 1 2; do waitForEnd "gateway-$Number"; done
-  sleep 0.7
-  startSystem false
+  signal "voter-$AcknowledgedBy" KILL
+  waitForEnd "voter-$AcknowledgedBy"
+  rm -rf "$Folder/data/voter-$AcknowledgedBy"
+  note "core-$AcknowledgedBy has lost its disk"
+  sleep 1
+  startVoter "$AcknowledgedBy" false
 fi
-Started=$(nowMs)
-sleep 3
-steer 5 late-beat "$Range.1:$ControlPort"
 
-# Gateways are in touch stable_window_ms (3 s) after the start of the processes;
-# twice that is left out here.
-for Number in 1 2; do
-  while kill -0 "${Pids[load-$Number]}" 2>/dev/null; do sleep 0.2; done
+# recover_s is 12 s; the operator goes on reading for much longer.
+Back=$(nowMs)
+Held=0
+while [ $(($(nowMs) - Back)) -lt 45000 ]; do
+  for Number in "${Rest[@]}" 4; do
+    if [ "$(readConfiguration "$Number")" = '"version":2' ]; then
+      Held=1
+      break 2
+    fi
+  done
+  sleep 0.5
 done
-From=$((Left + 2000))
-[ $((Started + 6000)) -gt "$From" ] && From=$((Started + 6000))
-Late=$(awk -v From="$From" '$2 == "i-leaves" && $3 == "runs" && $1 > From' "$Record" | wc -l)
-Served=$(awk -v From="$From" '$2 == "i-stays" && $3 == "runs" && $1 > From' "$Record" | wc -l)
-note "after $From, $Late requests reached the replica that has left, $Served the other one"
-[ "$Served" -gt 0 ] || giveUp "nothing was served"
-[ "$Late" -eq 0 ]
+note "the acknowledged configuration is $([ "$Held" = 1 ] && echo read back || echo gone) $(($(nowMs) - Back)) ms after the machines are back"
+[ "$Held" = 1 ]
--- a/review/kit-3/Replica.h
+++ b/review/kit-3/Replica.h
@@ -24,7 +24,7 @@
   // Nodes that serve control.
   std::vector<Endpoint> m_Controls;
   std::chrono::milliseconds m_BeatInterval{1200};
-  std::chrono::milliseconds m_WorkTime{5};
+  std::chrono::milliseconds m_WorkTime{0};
 };
 
 class Replica {
--- a/review/kit-3/deployment.sh
+++ b/review/kit-3/deployment.sh
@@ -27,13 +27,18 @@
   trap endCase EXIT
 }
 
-# Ends every process that the case started and keeps the record.
+# Ends every process that the case started and keeps the record, and all files of a
+# case that couldn't run.
 endCase() {
-  local Name
+  local Status=$? Name
   for Name in "${!Pids[@]}"; do kill -9 "${Pids[$Name]}" 2>/dev/null || true; done
   wait 2>/dev/null || true
   sort -s -n -k 1,1 "$Record" >"$Case/record.txt"
-  rm -rf "$Folder"
+  if [ "$Status" = 2 ]; then
+    echo "its files are in $Folder" >&2
+  else
+    rm -rf "$Folder"
+  fi
 }
 
 giveUp() {
@@ -127,10 +132,10 @@
     --settings "$Folder/settings/gateway-$Number.toml"
 }
 
-# startReplica NUMBER NAME SERVICE
+# startReplica NUMBER NAME SERVICE WORK-MS
 startReplica() {
   launch "replica-$1" "$Standin" replica "$Range.$1:$ReplicaPort" \
-    "$Range.$1:$SteeringPort" "$2" "$3" "$(zoneOf "$1")" "$Record" \
+    "$Range.$1:$SteeringPort" "$2" "$3" "$(zoneOf "$1")" "$4" "$Record" \
     "${Seeds[@]}"
 }
 
--- a/review/kit-3/main.cpp
+++ b/review/kit-3/main.cpp
@@ -1,8 +1,8 @@
 // The stand-ins of the review in one program:
 //
 //   review-standin call METHOD ADDRESS:PORT TARGET [BODY-FILE]
-//   review-standin replica ADDRESS:PORT STEERING NAME SERVICE ZONE RECORD
-//                          CONTROL...
+//   review-standin replica ADDRESS:PORT STEERING NAME SERVICE ZONE WORK-MS
+//                          RECORD CONTROL...
 //   review-standin load ADDRESS:PORT HOST TARGET PER-SECOND SECONDS RECORD
 //                       PREFIX
 #include "Http.h"
@@ -49,8 +49,9 @@
   Options.m_Name = Given.at(2);
   Options.m_Service = Given.at(3);
   Options.m_Zone = Given.at(4);
-  Options.m_RecordFile = Given.at(5);
-  for (std::size_t I = 6; I < Given.size(); ++I)
+  Options.m_WorkTime = milliseconds(std::stoul(Given.at(5)));
+  Options.m_RecordFile = Given.at(6);
+  for (std::size_t I = 7; I < Given.size(); ++I)
     Options.m_Controls.push_back(parseEndpoint(Given[I]));
   Replica(std::move(Options)).run();
   return 0;
@@ -73,7 +74,7 @@
     Threads.emplace_back([&, I] {
       const std::string Id = Prefix + "-" + std::to_string(I);
       const std::int64_t SentAt = nowMs();
-      const auto Answer = call(To, "GET", Target,
+      const auto Answer = call(To, "POST", Target,
                                {{"Host", Host},
                                 {"X-Mangocart-Request-Id", Id},
                                 {"X-Mangocart-Deadline-Ms", "1500"}},
