Review: a replica that started by a clock set back since drains in vain

Cause: records of one replica are ordered by their time of start. A second start by a clock that was set back bears a lower one, so its reports are stale, and a stale report that it drains is acknowledged like any heartbeat.

Heartbeats of the kit bear their usual name.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -28,7 +28,7 @@
 startLoad 2 /app/x 20 20
 sleep 2
 # The next heartbeat leaves the replica, but arrives only seconds later.
-steer 5 hold-beat
+steer 5 hold-heartbeat
 steer 5 leave
 Left=$(nowMs)
 note "i-leaves has its acknowledgement and serves on"
@@ -43,7 +43,7 @@
 fi
 Started=$(nowMs)
 sleep 3
-steer 5 late-beat "$Range.1:$ControlPort"
+steer 5 late-heartbeat "$Range.1:$ControlPort"
 
 # The replica ends; whoever waits for it then has lost the request.
 sleep 7
--- a/review/kit-3/Replica.cpp
+++ b/review/kit-3/Replica.cpp
@@ -20,7 +20,8 @@
 } // namespace
 
 Replica::Replica(ReplicaOptions Options)
-    : m_Options(std::move(Options)), m_Born(nowMs()),
+    : m_Options(std::move(Options)),
+      m_Born(nowMs() + m_Options.m_ClockError.count()),
       m_Record(m_Options.m_RecordFile, std::ios::app) {}
 
 void Replica::run() {
@@ -94,12 +95,13 @@
   return std::max<std::int64_t>(0, m_ColdUntil - nowMs());
 }
 
-std::string Replica::makeBeat() {
+std::string Replica::makeHeartbeat() {
   return "{\"service\":\"" + m_Options.m_Service + "\",\"address\":\"" +
          m_Options.m_Address.m_Address + ":" +
          std::to_string(m_Options.m_Address.m_Port) + "\",\"zone\":\"" +
-         m_Options.m_Zone +
-         "\",\"version\":\"v1\",\"slots\":12,\"state\":\"ready\","
+         m_Options.m_Zone + "\",\"version\":\"v1\",\"slots\":12,\"state\":\"" +
+         (m_IsDraining ? "draining" : "ready") +
+         "\","
          "\"cold_remaining_ms\":" +
          std::to_string(coldRemaining()) +
          ",\"sequence\":" + std::to_string(++m_Sequence) +
@@ -124,31 +126,37 @@
 
 void Replica::announce() {
   while (!m_HasLeft) {
-    deliver("PUT", makeBeat());
-    std::this_thread::sleep_for(m_Options.m_BeatInterval);
+    deliver("PUT", makeHeartbeat());
+    std::this_thread::sleep_for(m_Options.m_HeartbeatInterval);
   }
 }
 
-// POST /hold-beat: makes a beat that doesn't arrive yet. POST /leave: leaves by
-// DELETE and serves on. POST /late-beat: the body names the node at which the
-// beat arrives. POST /cold: the body is the time in milliseconds.
+// POST /hold-heartbeat: makes a heartbeat that doesn't arrive yet.
+// POST /late-heartbeat: it arrives at the node that the body names.
+// POST /drain: reports that it drains, and serves on.
+// POST /leave: leaves by DELETE, and serves on.
+// POST /cold: becomes cold for as many milliseconds as the body says.
 void Replica::handleSteering(Connection &Peer) {
   while (const auto Request = Peer.read()) {
     bool IsDone = true;
     const std::string Order = Request->target();
-    if (Order == "/hold-beat") {
-      m_LateBeat = makeBeat();
+    if (Order == "/hold-heartbeat") {
+      m_LateHeartbeat = makeHeartbeat();
+    } else if (Order == "/drain") {
+      m_IsDraining = true;
+      IsDone = deliver("PUT", makeHeartbeat());
     } else if (Order == "/leave") {
       m_HasLeft = true;
       IsDone = deliver("DELETE", "");
-    } else if (Order == "/late-beat") {
+    } else if (Order == "/late-heartbeat") {
       const auto Answer = call(parseEndpoint(Request->m_Body), "PUT",
                                "/instances/" + m_Options.m_Name,
                                {{"Content-Type", "application/json"}},
-                               m_LateBeat, std::chrono::seconds(1));
+                               m_LateHeartbeat, std::chrono::seconds(1));
       IsDone = Answer.has_value();
       record("late PUT at " + Request->m_Body + ": " +
-             std::to_string(Answer ? Answer->status() : 0) + " " + m_LateBeat);
+             std::to_string(Answer ? Answer->status() : 0) + " " +
+             m_LateHeartbeat);
     } else if (Order == "/cold") {
       m_ColdUntil = nowMs() + std::stoll(Request->m_Body);
       record("becomes cold for " + Request->m_Body + " ms");
--- a/review/kit-3/deployment.sh
+++ b/review/kit-3/deployment.sh
@@ -132,11 +132,11 @@
     --settings "$Folder/settings/gateway-$Number.toml"
 }
 
-# startReplica NUMBER NAME SERVICE WORK-MS
+# startReplica NUMBER NAME SERVICE WORK-MS [CLOCK-ERROR-MS]
 startReplica() {
   launch "replica-$1" "$Standin" replica "$Range.$1:$ReplicaPort" \
-    "$Range.$1:$SteeringPort" "$2" "$3" "$(zoneOf "$1")" "$4" "$Record" \
-    "${Seeds[@]}"
+    "$Range.$1:$SteeringPort" "$2" "$3" "$(zoneOf "$1")" "$4" "${5:-0}" \
+    "$Record" "${Seeds[@]}"
 }
 
 # steer NUMBER ORDER [BODY]
--- a/review/kit-3/main.cpp
+++ b/review/kit-3/main.cpp
@@ -2,7 +2,7 @@
 //
 //   review-standin call METHOD ADDRESS:PORT TARGET [BODY-FILE]
 //   review-standin replica ADDRESS:PORT STEERING NAME SERVICE ZONE WORK-MS
-//                          RECORD CONTROL...
+//                          CLOCK-ERROR-MS RECORD CONTROL...
 //   review-standin load ADDRESS:PORT HOST TARGET PER-SECOND SECONDS RECORD
 //                       PREFIX
 #include "Http.h"
@@ -50,8 +50,9 @@
   Options.m_Service = Given.at(3);
   Options.m_Zone = Given.at(4);
   Options.m_WorkTime = milliseconds(std::stoul(Given.at(5)));
-  Options.m_RecordFile = Given.at(6);
-  for (std::size_t I = 7; I < Given.size(); ++I)
+  Options.m_ClockError = milliseconds(std::stol(Given.at(6)));
+  Options.m_RecordFile = Given.at(7);
+  for (std::size_t I = 8; I < Given.size(); ++I)
     Options.m_Controls.push_back(parseEndpoint(Given[I]));
   Replica(std::move(Options)).run();
   return 0;
