--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -18,6 +18,9 @@
 for Number in 1 2 3; do startVoter "$Number" true; done
 putConfiguration "$(configuration 1)" 20 1 2 3 || giveUp "no first acknowledgement"
 
+# Until the third machine has joined, a successor could be taken in its place.
+sleep 6
+
 # The successors have had catch_up_s (4 s) twice before the first one goes.
 for Number in 4 5; do startVoter "$Number" false; done
 sleep 8
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -18,6 +18,9 @@
 for Number in 1 2 3; do startVoter "$Number" true; done
 putConfiguration "$(configuration 1)" 20 1 2 3 || giveUp "no first acknowledgement"
 
+# Until the third machine has joined, a successor could be taken in its place.
+sleep 6
+
 # The successor has had catch_up_s (4 s) and more before its predecessor goes.
 startVoter 4 false
 sleep 6
