--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,6 +4,8 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 Case=$PWD/review/13
+# TROUBLE=0 plays the case without the disruption.
+Trouble=${TROUBLE:-1}
 source review/kit-3/deployment.sh
 
 beginCase
--- a/review/kit-3/deployment.sh
+++ b/review/kit-3/deployment.sh
@@ -1,6 +1,6 @@
 # Functions for a small deployment of the deploy file's programs: each machine is
 # an address of its own on loopback, in a range that no other process uses. A
-# script sets Case (its folder), sources this file and calls beginCase. Exit
+# script sets Case (its folder) and Trouble, sources this file and calls beginCase. Exit
 # codes: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 
 Bin=$PWD/target/bin
@@ -12,7 +12,6 @@
 MetricsPort=7240
 ReplicaPort=7250
 SteeringPort=7251
-Trouble=${TROUBLE:-1}
 
 beginCase() {
   [ -x "$Bin/mangocart-voter" ] && [ -x "$Bin/mangocart-gateway" ] &&
