Voter: a voter that stops as planned hands its vote to a learner

Cause: a voter ended at once on SIGTERM and kept its vote; the leader gave the vote to a learner only after 3 s of silence, counted anew for each leader. When the second voter went, one of the three that the list counted ran, and no change of the list could be committed any more.

Change: a voter that was asked to stop says so in each message to the leader. The leader promotes a learner that has all committed entries and has replied since, then makes the stopping voter a learner; the voter exits when that is committed, when no learner can take its vote (at once if none is listed), or after 3 s. Processes that are all asked to stop at about the same time keep their list. Event VoterReleased, metric mangocart_log_has_vote.

Why it works: at each moment the majority of the list runs: with the fourth voter three of four, then three of three, none of which is going to stop.

--- a/Source/Raft/RaftCodec.cpp
+++ b/Source/Raft/RaftCodec.cpp
@@ -56,6 +56,7 @@
       mangocart::toSchema(*Entry, *To.add_entries());
     To.set_commit_index(B.m_CommitIndex);
     To.set_lease_round(encodeTime(B.m_LeaseRound));
+    To.set_keeps_vote(B.m_KeepsVote);
   }
   void operator()(const AppendReply &B) const {
     auto &To = *m_Out.mutable_append_reply();
@@ -95,6 +96,7 @@
     B.m_Entries.push_back(mangocart::fromSchema(std::move(Entry)));
   B.m_CommitIndex = From.commit_index();
   B.m_LeaseRound = decodeTime(From.lease_round());
+  B.m_KeepsVote = From.keeps_vote();
   return B;
 }
 
@@ -194,6 +196,7 @@
   Out.set_to(Message.m_To.m_Name);
   Out.set_to_storage_id(Message.m_To.m_StorageId);
   Out.set_term(Message.m_Term);
+  Out.set_stopping(Message.m_Stopping);
   std::visit(BodyWriter{Out}, Message.m_Body);
   return Out.SerializeAsString();
 }
@@ -206,6 +209,7 @@
   Message.m_From = {From.from(), From.from_storage_id()};
   Message.m_To = {From.to(), From.to_storage_id()};
   Message.m_Term = From.term();
+  Message.m_Stopping = From.stopping();
   if (!readBody(From, Message))
     return std::nullopt;
   return Message;
--- a/Source/Raft/RaftControl.cpp
+++ b/Source/Raft/RaftControl.cpp
@@ -62,6 +62,10 @@
     m_Inbox.add(std::move(Message));
 }
 
+void RaftControl::prepareStop(std::function<void()> OnMayStop) {
+  m_Inbox.addStop(std::move(OnMayStop));
+}
+
 void RaftControl::stop() {
   m_Inbox.close();
   if (m_Thread.joinable())
@@ -185,13 +189,14 @@
     complete(std::move(P), inDoubt("appended, but not known to be committed"));
   takeSnapshotIfDue();
   publish();
+  reportMayStop();
 }
 
 std::vector<RaftEvent> RaftControl::collectEvents() {
   RaftInbox::Batch In = m_Inbox.take();
   std::vector<RaftEvent> Events;
-  // One more event for the proposals and one for the tick.
-  Events.reserve(In.m_Messages.size() + 2);
+  // One more event each for the proposals, for a stop and for the tick.
+  Events.reserve(In.m_Messages.size() + 3);
   for (RaftMessage &M : In.m_Messages)
     Events.emplace_back(Receive{std::move(M)});
   const TimePoint Now = RuntimeClock::now();
@@ -203,6 +208,11 @@
     ++m_BatchCount;
     Events.emplace_back(std::move(Batch));
   }
+  if (In.m_OnMayStop) {
+    m_OnMayStop = std::move(In.m_OnMayStop);
+    if (m_State)
+      Events.emplace_back(PrepareStop{});
+  }
   if (m_State && Now >= nextTickTime(*m_State))
     Events.emplace_back(Tick{});
   return Events;
@@ -432,6 +442,12 @@
   m_MayRead = mayRead(*m_State, Now);
 }
 
+void RaftControl::reportMayStop() {
+  if (!m_OnMayStop || (m_State && !mayStop(*m_State, RuntimeClock::now())))
+    return;
+  std::exchange(m_OnMayStop, {})();
+}
+
 void RaftControl::fail(const StorageError &Error) {
   m_Failed = true;
   {
--- a/Source/Raft/RaftControl.h
+++ b/Source/Raft/RaftControl.h
@@ -34,6 +34,8 @@
   // Called from any thread.
   void submit(PendingProposal Proposal) override;
   void receive(RaftMessage Message);
+  // See RaftRunner::prepareStop().
+  void prepareStop(std::function<void()> OnMayStop);
   // Returns after the control thread has ended.
   void stop();
   std::string leader() const override;
@@ -59,6 +61,7 @@
   void startSnapshot();
   void saveTakenSnapshot(const TakenSnapshot &Taken);
   void publish();
+  void reportMayStop();
   void complete(PendingProposal Proposal, ProposalForwarder::Reply Outcome);
   void retryLater(PendingProposal Proposal);
   void fail(const StorageError &Error);
@@ -90,6 +93,8 @@
   // example.
   TimePoint m_LastLeaderContact;
   bool m_Failed = false;
+  // Set by the first event of a stop; reset once it was called.
+  std::function<void()> m_OnMayStop;
 
   RaftInbox m_Inbox;
   DiskFullReporter m_DiskFull;
--- a/Source/Raft/RaftElection.cpp
+++ b/Source/Raft/RaftElection.cpp
@@ -80,18 +80,6 @@
   });
 }
 
-// A voter whose removal is not committed yet still starts elections: it may be
-// the only one whose log is up to date enough to win. Its own vote is not
-// counted then.
-bool mayCampaign(const RaftState &S) {
-  const MemberId &Self = S.m_Config.m_Self;
-  if (isVoter(currentMembers(S), Self))
-    return true;
-  const std::size_t Count = S.m_Members.size();
-  return Count >= 2 && S.m_Members.back().m_Index > S.m_Commit &&
-         isVoter(S.m_Members[Count - 2].m_Members, Self);
-}
-
 // Creates the log with this member as the only voter; the others join later.
 void bootstrap(StepContext &C) {
   const RaftMembers Members = {{C.m_State.m_Config.m_Self, true}};
@@ -119,6 +107,18 @@
 
 } // namespace
 
+// A voter whose removal is not committed yet still starts elections: it may be
+// the only one whose log is up to date enough to win. Its own vote is not
+// counted then.
+bool mayCampaign(const RaftState &S) {
+  const MemberId &Self = S.m_Config.m_Self;
+  if (isVoter(currentMembers(S), Self))
+    return true;
+  const std::size_t Count = S.m_Members.size();
+  return Count >= 2 && S.m_Members.back().m_Index > S.m_Commit &&
+         isVoter(S.m_Members[Count - 2].m_Members, Self);
+}
+
 void onElectionTimeout(StepContext &C) {
   RaftState &S = C.m_State;
   resetElectionDeadline(C);
--- a/Source/Raft/RaftFollower.cpp
+++ b/Source/Raft/RaftFollower.cpp
@@ -113,6 +113,7 @@
   if (S.m_Role == RaftRole::Leader)
     return;
   recordLeaderContact(C, M);
+  S.m_KeepsVote = S.m_StoppingSince && B.m_KeepsVote;
   AppendReply Reply;
   Reply.m_LeaseRound = B.m_LeaseRound;
   if (const std::optional<LogIndex> Hint = mismatchHint(S, B)) {
--- a/Source/Raft/RaftInbox.cpp
+++ b/Source/Raft/RaftInbox.cpp
@@ -24,6 +24,13 @@
   m_Condition.notify_one();
 }
 
+void RaftInbox::addStop(std::function<void()> OnMayStop) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Batch.m_OnMayStop = std::move(OnMayStop);
+  m_Woken = true;
+  m_Condition.notify_one();
+}
+
 void RaftInbox::wake() {
   const std::lock_guard Lock(m_Mutex);
   m_Woken = true;
--- a/Source/Raft/RaftInbox.h
+++ b/Source/Raft/RaftInbox.h
@@ -6,6 +6,7 @@
 #include "Raft/ProposalQueue.h"
 
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <vector>
 
@@ -18,11 +19,14 @@
   struct Batch {
     std::vector<RaftMessage> m_Messages;
     std::vector<PendingProposal> m_Proposals;
+    // Set if the process was asked to stop.
+    std::function<void()> m_OnMayStop;
   };
 
   // Returns false, with the proposal unchanged, once the inbox is closed.
   bool add(PendingProposal &Proposal);
   void add(RaftMessage Message);
+  void addStop(std::function<void()> OnMayStop);
   // Makes wait() return even if nothing was added.
   void wake();
   void close();
--- a/Source/Raft/RaftLeader.cpp
+++ b/Source/Raft/RaftLeader.cpp
@@ -57,6 +57,7 @@
                                     S.m_Config.m_Limits.m_MaxAppendBytes);
   Request.m_CommitIndex = S.m_Commit;
   Request.m_LeaseRound = C.m_Now;
+  Request.m_KeepsVote = P.m_StoppingSince && !hasSuccessor(S, C.m_Now);
   if (P.m_Mode == ReplicationMode::Replicate)
     P.m_Next += Request.m_Entries.size();
   else
@@ -87,6 +88,11 @@
     else if (C.m_Now - P.m_ChunkSendTime >= Interval)
       sendChunk(C, Id, P);
   }
+  if (!S.m_StoppingSince || hasSuccessor(S, C.m_Now))
+    S.m_NoSuccessorSince.reset();
+  else if (!S.m_NoSuccessorSince)
+    S.m_NoSuccessorSince = C.m_Now;
+  S.m_HeartbeatCommit = S.m_Commit;
 }
 
 // Sends the commit index without a delay if no further entry will carry it.
@@ -196,48 +202,103 @@
   return C.m_Now - LastReply > Timeout;
 }
 
-const RaftMember *findUnresponsive(const StepContext &C, bool Voter,
-                                   Duration Timeout) {
-  const RaftMembers &Members = currentMembers(C.m_State);
-  const auto Found =
-      std::find_if(Members.begin(), Members.end(), [&](const RaftMember &M) {
-        return M.m_Voter == Voter && isUnresponsive(C, M, Timeout);
-      });
+// When this leader learned that the member stops; nothing if it doesn't.
+std::optional<TimePoint> stoppingSince(const RaftState &S, const MemberId &Id) {
+  if (Id == S.m_Config.m_Self)
+    return S.m_StoppingSince;
+  const auto Found = S.m_Progress.find(Id);
+  return Found == S.m_Progress.end() ? std::nullopt
+                                     : Found->second.m_StoppingSince;
+}
+
+template <class Predicate>
+const RaftMember *findMember(const RaftState &S, Predicate Matches) {
+  const RaftMembers &Members = currentMembers(S);
+  const auto Found = std::find_if(Members.begin(), Members.end(), Matches);
   return Found == Members.end() ? nullptr : &*Found;
 }
 
-// A learner that responds and has all committed entries.
+const RaftMember *findUnresponsiveVoter(const StepContext &C,
+                                        const OpenMembership &Open) {
+  return findMember(C.m_State, [&](const RaftMember &M) {
+    return M.m_Voter && isUnresponsive(C, M, Open.m_ReplaceVoterAfter);
+  });
+}
+
+const RaftMember *findLostLearner(const StepContext &C,
+                                  const OpenMembership &Open) {
+  return findMember(C.m_State, [&](const RaftMember &M) {
+    const bool HasStopped = stoppingSince(C.m_State, M.m_Id).has_value();
+    return !M.m_Voter && isUnresponsive(C, M,
+                                        HasStopped ? Open.m_ReplaceVoterAfter
+                                                   : Open.m_RemoveLearnerAfter);
+  });
+}
+
+// The leader itself comes last, because its replacement needs an election.
+const RaftMember *findStoppingVoter(const RaftState &S) {
+  const RaftMember *Other = findMember(S, [&](const RaftMember &M) {
+    return M.m_Voter && M.m_Id != S.m_Config.m_Self && stoppingSince(S, M.m_Id);
+  });
+  if (Other)
+    return Other;
+  return findMember(S, [&](const RaftMember &M) {
+    return M.m_Voter && stoppingSince(S, M.m_Id);
+  });
+}
+
+// Whether the member is a learner that responds, has all committed entries and
+// isn't stopping.
+bool isReadyLearner(const StepContext &C, const RaftMember &M) {
+  const RaftState &S = C.m_State;
+  return !M.m_Voter && hasCaughtUp(S, M.m_Id) && !stoppingSince(S, M.m_Id) &&
+         isRecent(S, ackedRound(S, M.m_Id, C.m_Now), C.m_Now);
+}
+
 const RaftMember *findReadyLearner(const StepContext &C) {
+  return findMember(C.m_State,
+                    [&](const RaftMember &M) { return isReadyLearner(C, M); });
+}
+
+// A ready learner that has replied to a message sent a heartbeat interval after
+// the voter's stop became known: all processes may have been asked to stop at
+// about the same time, and the learner's reply tells whether it was.
+const RaftMember *findSuccessor(const StepContext &C,
+                                const RaftMember &Stopping) {
   const RaftState &S = C.m_State;
-  const RaftMembers &Members = currentMembers(S);
-  const auto Found =
-      std::find_if(Members.begin(), Members.end(), [&](const RaftMember &M) {
-        return !M.m_Voter && hasCaughtUp(S, M.m_Id) &&
-               isRecent(S, ackedRound(S, M.m_Id, C.m_Now), C.m_Now);
-      });
-  return Found == Members.end() ? nullptr : &*Found;
+  const TimePoint Earliest = *stoppingSince(S, Stopping.m_Id) +
+                             S.m_Config.m_Timing.m_HeartbeatInterval;
+  return findMember(S, [&](const RaftMember &M) {
+    return isReadyLearner(C, M) && ackedRound(S, M.m_Id, C.m_Now) >= Earliest;
+  });
 }
 
-// Brings the number of voters to the target and replaces an unresponsive voter
-// by a learner, one change at a time: the learner is promoted before the
-// unresponsive voter is removed, so that the number of voters never drops below
-// the target in between.
+// Brings the number of voters to the target and replaces a voter that stops or
+// is unresponsive by a learner, one change at a time: the learner is promoted
+// first, so that the number of voters never drops below the target in between.
 void adjustOpenMembership(StepContext &C, const OpenMembership &Open) {
   const RaftState &S = C.m_State;
   const RaftMembers &Members = currentMembers(S);
   const std::size_t Voters = voterCount(Members);
-  const RaftMember *Unresponsive =
-      findUnresponsive(C, true, Open.m_ReplaceVoterAfter);
   const RaftMember *ReadyLearner = findReadyLearner(C);
+  const RaftMember *Unresponsive = findUnresponsiveVoter(C, Open);
+  const RaftMember *Stopping = findStoppingVoter(S);
+  const RaftMember *Successor = Stopping && Voters == Open.m_TargetVoters
+                                    ? findSuccessor(C, *Stopping)
+                                    : nullptr;
   if (Voters > Open.m_TargetVoters && Unresponsive) {
     changeMembers(C, withoutMember(Members, Unresponsive->m_Id));
   } else if (ReadyLearner &&
              (Voters < Open.m_TargetVoters ||
               (Voters == Open.m_TargetVoters && Unresponsive))) {
     changeMembers(C, withVoter(Members, ReadyLearner->m_Id));
-  } else if (const RaftMember *LostLearner =
-                 findUnresponsive(C, false, Open.m_RemoveLearnerAfter)) {
-    changeMembers(C, withoutMember(Members, LostLearner->m_Id));
+  } else if (Voters > Open.m_TargetVoters && Stopping) {
+    // It remains a learner, so that it receives the commit of this change.
+    changeMembers(C, withLearner(Members, Stopping->m_Id));
+  } else if (Successor) {
+    changeMembers(C, withVoter(Members, Successor->m_Id));
+  } else if (const RaftMember *Lost = findLostLearner(C, Open)) {
+    changeMembers(C, withoutMember(Members, Lost->m_Id));
   }
 }
 
@@ -302,7 +363,13 @@
     return nullptr;
   Progress &P = Found->second;
   const TimePoint Sent = std::min(Round, C.m_Now);
-  P.m_AckedRound = std::max(P.m_AckedRound.value_or(Sent), Sent);
+  if (P.m_AckedRound && Sent < *P.m_AckedRound)
+    return &P;
+  P.m_AckedRound = Sent;
+  if (!M.m_Stopping)
+    P.m_StoppingSince.reset();
+  else if (!P.m_StoppingSince)
+    P.m_StoppingSince = C.m_Now;
   return &P;
 }
 
@@ -452,6 +519,26 @@
   updateCommit(C);
 }
 
+bool hasSuccessor(const RaftState &S, TimePoint Now) {
+  if (!S.m_Config.m_OpenMembership)
+    return false;
+  const Duration Limit = S.m_Config.m_Timing.m_ElectionTimeoutMin;
+  // Only a leader that has just been elected doesn't know how far learners are.
+  const auto MaySucceed = [&](const Progress &P) {
+    const bool IsNew = Now - P.m_TrackedSince <= Limit;
+    const bool HasCaughtUp = P.m_AckedRound && Now - *P.m_AckedRound <= Limit &&
+                             P.m_Match >= S.m_HeartbeatCommit;
+    return !P.m_StoppingSince && (IsNew || HasCaughtUp);
+  };
+  const RaftMembers &Members = currentMembers(S);
+  return voterCount(Members) > S.m_Config.m_OpenMembership->m_TargetVoters ||
+         std::any_of(Members.begin(), Members.end(), [&](const RaftMember &M) {
+           const auto Found = S.m_Progress.find(M.m_Id);
+           return !M.m_Voter && Found != S.m_Progress.end() &&
+                  MaySucceed(Found->second);
+         });
+}
+
 std::optional<TimePoint>
 quorumRound(const RaftState &S, const RaftMembers &Members, TimePoint Now) {
   std::vector<TimePoint> Rounds;
--- a/Source/Raft/RaftNode.cpp
+++ b/Source/Raft/RaftNode.cpp
@@ -104,6 +104,7 @@
 void sendMessage(StepContext &C, const MemberId &To, RaftMessage &&Message) {
   Message.m_From = C.m_State.m_Config.m_Self;
   Message.m_To = To;
+  Message.m_Stopping = C.m_State.m_StoppingSince.has_value();
   // A message that depends on an unsynced term or vote, or that carries a
   // commit index counting this member's own unsynced entries, must not be sent
   // before the sync.
@@ -141,6 +142,7 @@
   if (S.m_Role == RaftRole::Leader)
     resetElectionDeadline(C);
   S.m_Leader = Leader;
+  S.m_NoSuccessorSince.reset();
   S.m_Progress.clear();
   S.m_Granted.clear();
   setRole(C, RaftRole::Follower);
@@ -214,11 +216,30 @@
     handleProposeMembers(C, Change->m_Members);
   else if (const auto *Taken = std::get_if<SnapshotTaken>(&E))
     handleSnapshotTaken(C, *Taken);
+  else if (std::holds_alternative<PrepareStop>(E))
+    S.m_StoppingSince = S.m_StoppingSince.value_or(Now);
   else
     handleTick(C);
   return finishStep(C);
 }
 
+bool mayStop(const RaftState &S, TimePoint Now) {
+  const RaftMembers &Members = currentMembers(S);
+  if (!S.m_Config.m_OpenMembership || !mayCampaign(S))
+    return true;
+  // The replacement of a voter is under way.
+  if (voterCount(Members) > S.m_Config.m_OpenMembership->m_TargetVoters ||
+      !isVoter(Members, S.m_Config.m_Self))
+    return false;
+  if (voterCount(Members) == Members.size())
+    return true;
+  if (S.m_Role != RaftRole::Leader)
+    return S.m_KeepsVote;
+  // Other voters that stop are told by a heartbeat before this leader ends.
+  return S.m_NoSuccessorSince &&
+         Now - *S.m_NoSuccessorSince >= S.m_Config.m_Timing.m_HeartbeatInterval;
+}
+
 TimePoint nextTickTime(const RaftState &S) {
   return S.m_Role == RaftRole::Leader ? S.m_HeartbeatDue : S.m_ElectionDeadline;
 }
--- a/Source/Raft/RaftNode.h
+++ b/Source/Raft/RaftNode.h
@@ -33,6 +33,8 @@
   TimePoint m_TrackedSince;
   // Send time of the latest message that the member acknowledged.
   std::optional<TimePoint> m_AckedRound;
+  // When this leader learned that the member stops; empty if it doesn't.
+  std::optional<TimePoint> m_StoppingSince;
   // Used only in Snapshot mode: the snapshot being sent, the number of bytes
   // acknowledged, and the send time of the chunk that starts there.
   SnapshotPtr m_SendingSnapshot;
@@ -72,6 +74,12 @@
   TimePoint m_LeaderContact;
   TimePoint m_ElectionDeadline;
 
+  // Time of PrepareStop; empty before it.
+  std::optional<TimePoint> m_StoppingSince;
+  // Valid while stopping: the leader has replied that no learner can take this
+  // voter's place.
+  bool m_KeepsVote = false;
+
   // Used by candidates: the members that granted their vote in
   // m_HardState.m_Term or, during the pre-vote, in the term after it.
   std::set<MemberId> m_Granted;
@@ -82,6 +90,11 @@
   TimePoint m_HeartbeatDue;
   // The first entry of the leader's own term.
   LogIndex m_TermStartIndex = 0;
+  // m_Commit when the last heartbeats were sent.
+  LogIndex m_HeartbeatCommit = 0;
+  // Since when this leader, which stops, has known of no learner that could
+  // take its place.
+  std::optional<TimePoint> m_NoSuccessorSince;
 
   // The snapshot being received from the leader.
   std::optional<RaftSnapshot> m_IncomingSnapshot;
@@ -97,6 +110,11 @@
 std::vector<RaftEffect> step(RaftState &S, const RaftEvent &E, TimePoint Now,
                              Random &Generator);
 
+// Whether a process that was asked to stop may exit: this member has no vote,
+// or no learner can take its place. Stays false without a majority, so the
+// caller bounds the wait.
+bool mayStop(const RaftState &S, TimePoint Now);
+
 // Time at which the next Tick is due.
 TimePoint nextTickTime(const RaftState &S);
 
--- a/Source/Raft/RaftRunner.cpp
+++ b/Source/Raft/RaftRunner.cpp
@@ -36,6 +36,10 @@
                      {}});
 }
 
+void RaftRunner::prepareStop(std::function<void()> OnMayStop) {
+  m_Control->prepareStop(std::move(OnMayStop));
+}
+
 std::string RaftRunner::leader() const { return m_Control->leader(); }
 
 bool RaftRunner::leaseHeld() const { return m_Control->leaseHeld(); }
--- a/Source/Raft/RaftRunner.h
+++ b/Source/Raft/RaftRunner.h
@@ -101,6 +101,13 @@
                ProposeHandler Done) override;
   std::string leader() const override;
 
+  // To be called when the process was asked to stop, at most once. With open
+  // membership a learner that has caught up then replaces this voter, and the
+  // process should exit when OnMayStop is called, on the control thread. The
+  // caller bounds the wait: without a majority or a working disk, OnMayStop is
+  // not called.
+  void prepareStop(std::function<void()> OnMayStop);
+
   bool isLeader() const { return status().m_Role == RaftRole::Leader; }
   // Whether the applied state of this process may be read as the latest one.
   // Must be checked for every response.
--- a/Source/Raft/RaftSteps.h
+++ b/Source/Raft/RaftSteps.h
@@ -51,6 +51,8 @@
                        const VoteRequest &B);
 void handleVoteReply(StepContext &C, const RaftMessage &M, const VoteReply &B);
 void handleJoinReply(StepContext &C, const RaftMessage &M, const JoinReply &B);
+// Whether the member is a voter, or its removal is not committed yet.
+bool mayCampaign(const RaftState &S);
 
 // ---- RaftLeader.cpp
 void becomeLeader(StepContext &C);
@@ -62,6 +64,8 @@
 void handleJoinRequest(StepContext &C, const RaftMessage &M);
 void handlePropose(StepContext &C, const Propose &E);
 void handleProposeMembers(StepContext &C, const RaftMembers &Members);
+// Whether a learner takes the place of a voter that stops, or may do so soon.
+bool hasSuccessor(const RaftState &S, TimePoint Now);
 // The latest send time that a majority of the list's voters has acknowledged;
 // nothing if there is none yet.
 std::optional<TimePoint> quorumRound(const RaftState &S,
--- a/Source/Raft/RaftTypes.h
+++ b/Source/Raft/RaftTypes.h
@@ -97,6 +97,8 @@
   LogIndex m_CommitIndex = 0;
   // Send time by the leader's clock.
   TimePoint m_LeaseRound;
+  // The receiver is a voter that stops, and no learner can take its place.
+  bool m_KeepsVote = false;
 
   bool operator==(const AppendRequest &) const = default;
 };
@@ -154,6 +156,8 @@
   std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply,
                SnapshotChunk, SnapshotReply, JoinRequest, JoinReply>
       m_Body;
+  // The sender's process was asked to stop, see PrepareStop.
+  bool m_Stopping = false;
 
   bool operator==(const RaftMessage &) const = default;
 };
@@ -190,8 +194,12 @@
   SnapshotPtr m_Snapshot;
 };
 
-using RaftEvent =
-    std::variant<Tick, Receive, Propose, ProposeMembers, SnapshotTaken>;
+// The process was asked to stop. With open membership a learner that has caught
+// up replaces this voter; mayStop() tells when to exit.
+struct PrepareStop {};
+
+using RaftEvent = std::variant<Tick, Receive, Propose, ProposeMembers,
+                               SnapshotTaken, PrepareStop>;
 
 // ---- Effects, executed in the order of the list. A Send that depends on a
 // PersistLog or SaveSnapshot comes after it.
@@ -274,7 +282,8 @@
 };
 
 // A log whose members are not known in advance: any machine may join as a
-// learner, and a learner replaces a voter that has become unresponsive.
+// learner, and a learner replaces a voter that stops or has become
+// unresponsive.
 struct OpenMembership {
   // Number of voters that the leader aims for.
   std::size_t m_TargetVoters = 3;
@@ -283,9 +292,10 @@
   std::size_t m_MaxMembers = 12;
   // A voter that is unresponsive for longer is replaced by a learner that has
   // caught up. Longer than a process restart, so that a restart changes
-  // nothing.
+  // nothing. Also the time after which a learner that announced its stop is
+  // removed.
   Duration m_ReplaceVoterAfter = std::chrono::seconds(3);
-  // A learner that is unresponsive for longer is removed from the list.
+  // Any other learner that is unresponsive for longer is removed from the list.
   Duration m_RemoveLearnerAfter = std::chrono::seconds(20);
 
   bool operator==(const OpenMembership &) const = default;
--- a/Source/Voter/VoterDaemon.cpp
+++ b/Source/Voter/VoterDaemon.cpp
@@ -1,10 +1,12 @@
 // Startup and operation of a voter.
 #include "Voter/VoterDaemon.h"
 
+#include "Core/PostTask.h"
 #include "Daemon/DaemonParts.h"
 #include "Daemon/StartFailure.h"
 #include "Daemon/StopSignals.h"
 #include "Membership/AnnounceLimits.h"
+#include "Raft/RaftMembership.h"
 #include "Raft/RaftPeers.h"
 #include "Settings/SettingsReader.h"
 
@@ -17,6 +19,8 @@
 using std::chrono::milliseconds;
 
 constexpr Duration MaintenanceInterval = std::chrono::seconds(1);
+// Covers one election and the two changes that replace a voter.
+constexpr Duration StopTimeout = std::chrono::seconds(3);
 // Operators and backend servers open few connections.
 constexpr std::size_t MaxConnections = 1024;
 constexpr Duration ReadTimeout = std::chrono::seconds(10);
@@ -89,7 +93,8 @@
       m_SettingsWatch(
           m_Workers.worker(0), m_SettingsFile,
           [this](const std::string &Text) { settingsChanged(Text); }),
-      m_MaintenanceTimer(m_Workers.worker(0)) {
+      m_MaintenanceTimer(m_Workers.worker(0)),
+      m_StopTimer(m_Workers.worker(0)) {
   m_Events.limitRequestLines(m_Settings.log_lines_per_second());
   const MembershipLimits Limits =
       announceLimits(milliseconds(m_Settings.announce_interval_ms()));
@@ -156,7 +161,7 @@
   if (!listen())
     return ExitCode::Failed;
   StopSignals Signals(
-      m_Workers.worker(0), [this] { m_Exit.open(ExitCode::Ok); },
+      m_Workers.worker(0), [this] { stop(); },
       [this] { m_Exit.open(ExitCode::Failed); });
   m_SettingsWatch.start();
   m_CatchUp->start();
@@ -169,6 +174,33 @@
   return serveUntilExit(m_Exit, m_Events, m_Workers);
 }
 
+void VoterDaemon::stop() {
+  m_StopBegin = RuntimeClock::now();
+  m_Events.write(Event::ProcessStopping, {});
+  m_StopTimer.expires_after(StopTimeout);
+  m_StopTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      exitAfterStop(true);
+  });
+  m_Log->prepareStop([this] {
+    // The timer may be gone already if the stop has timed out.
+    postTask(m_Workers.worker(0).get_executor(),
+             [this] { exitAfterStop(false); });
+  });
+}
+
+void VoterDaemon::exitAfterStop(bool IsTimeout) {
+  const RaftStatus Status = m_Log->status();
+  const auto WaitedFor = std::chrono::duration_cast<milliseconds>(
+      RuntimeClock::now() - m_StopBegin);
+  m_Events.write(Event::VoterReleased,
+                 {{"has_vote", isVoter(Status.m_Members, Status.m_Self)},
+                  {"leader", Status.m_Leader},
+                  {"waited_ms", WaitedFor.count()},
+                  {"timed_out", IsTimeout}});
+  m_Exit.open(ExitCode::Ok);
+}
+
 bool VoterDaemon::listen() {
   const PeerEndpoint Own = ownEndpoint();
   const PeerEndpoint Control =
@@ -260,6 +292,12 @@
       [this] { return static_cast<double>(m_Machine.evacuations().m_Change); });
   m_Registry.gaugeFrom("mangocart_log_leads", "1 while this voter leads.",
                        [this] { return m_Log->isLeader() ? 1.0 : 0.0; });
+  m_Registry.gaugeFrom(
+      "mangocart_log_has_vote",
+      "1 while majorities of the log count this voter.", [this] {
+        const RaftStatus Status = m_Log->status();
+        return isVoter(Status.m_Members, Status.m_Self) ? 1.0 : 0.0;
+      });
   m_Registry.counterFrom("mangocart_log_syncs_total", "Syncs of the disk.",
                          [this] { return m_Log->counters().m_Syncs; });
   m_Registry.counterFrom("mangocart_log_proposals_total",
--- a/Source/Voter/VoterDaemon.h
+++ b/Source/Voter/VoterDaemon.h
@@ -35,6 +35,10 @@
 private:
   std::unique_ptr<RaftRunner> openLog();
   bool listen();
+  // Begins a graceful stop: the process exits once a learner has replaced this
+  // voter or none can.
+  void stop();
+  void exitAfterStop(bool IsTimeout);
   void runMaintenance();
   // Calls Done when the announcement may be acknowledged: at once, but for a
   // backend server that departs.
@@ -75,6 +79,9 @@
   HttpServer m_MetricsServer;
   SettingsWatch m_SettingsWatch;
   Timer m_MaintenanceTimer;
+  Timer m_StopTimer;
+  // Valid once a stop has begun.
+  TimePoint m_StopBegin;
   ExitGate m_Exit;
 };
 
--- a/Tests/Gateways/VoterDeployment.cpp
+++ b/Tests/Gateways/VoterDeployment.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::uint16_t ControlPort = 8229;
 constexpr std::uint16_t PeerPort = 7340;
+constexpr std::uint16_t MetricsPort = 9464;
 constexpr std::chrono::seconds StartTimeout{30};
 constexpr std::chrono::seconds EndTimeout{5};
 
@@ -58,6 +59,18 @@
   return {address(Index), ControlPort};
 }
 
+std::optional<double> VoterDeployment::metric(unsigned Index,
+                                              const std::string &Name) const {
+  const HttpResponse Response =
+      call({address(Index), MetricsPort},
+           {"GET", "/metrics", {{"Host", "voter"}}, "", {}});
+  std::istringstream Lines(Response.m_Body);
+  for (std::string Line; std::getline(Lines, Line);)
+    if (Line.rfind(Name + " ", 0) == 0)
+      return std::stod(Line.substr(Name.size() + 1));
+  return std::nullopt;
+}
+
 PeerEndpoint VoterDeployment::peer(unsigned Index) const {
   return {address(Index), PeerPort};
 }
@@ -77,11 +90,11 @@
   const std::string File = (m_Folder.path() / (Name + ".toml")).string();
   std::ofstream(File) << fmt::format(
       "name = \"{0}\"\navailability_zone = \"z{1}\"\n"
-      "control_endpoint = \"{2}:{3}\"\npeer_port = {4}\nmetrics_port = 9464\n"
+      "control_endpoint = \"{2}:{3}\"\npeer_port = {4}\nmetrics_port = {9}\n"
       "seeds = [{5}]\nfirst_start = {8}\ndata_folder = \"{6}\"\n"
       "tolerated_losses = {7}\nannounce_interval_ms = 1200\n",
       Name, Index, address(Index), ControlPort, PeerPort, seeds(),
-      Data.string(), m_Voters.size() > 1 ? 1 : 0, m_IsFirstStart);
+      Data.string(), m_Voters.size() > 1 ? 1 : 0, m_IsFirstStart, MetricsPort);
   m_Voters[Index] = std::make_unique<ChildProcess>(
       programPath("mangocart-voter"),
       std::vector<std::string>{"--settings", File},
--- a/Tests/Gateways/VoterDeployment.h
+++ b/Tests/Gateways/VoterDeployment.h
@@ -9,6 +9,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
   bool isRunning(unsigned Index) const { return m_Voters[Index]->isRunning(); }
 
   HttpTarget control(unsigned Index) const;
+  // Value of a metric without labels; no value if the voter doesn't answer.
+  std::optional<double> metric(unsigned Index, const std::string &Name) const;
   // The control endpoints of all voters, as a list of TOML strings.
   std::string seeds() const;
   PeerEndpoint peer(unsigned Index) const;
--- a/Tests/Raft/RaftHarness.cpp
+++ b/Tests/Raft/RaftHarness.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t MaxUndelivered = 150;
 constexpr std::size_t AllRecords = SIZE_MAX;
 constexpr Duration FaultFreeStep = 20ms;
+// As in VoterDaemon.
+constexpr Duration StopTimeout = 3s;
 
 void require(bool Holds, const std::string &What) {
   if (!Holds)
@@ -121,6 +123,21 @@
   N.m_Pending.clear();
   N.m_UnfinishedSnapshot.reset();
   N.m_Paused = false;
+  N.m_StopDeadline.reset();
+}
+
+void RaftHarness::stop(HarnessNode &N) {
+  if (!N.m_State || N.m_Paused || N.m_StopDeadline)
+    return;
+  N.m_StopDeadline = m_Time + StopTimeout;
+  handle(N, {PrepareStop{}});
+}
+
+void RaftHarness::endStoppedNodes() {
+  for (HarnessNode &N : m_Nodes)
+    if (N.m_StopDeadline && !N.m_Paused &&
+        (m_Time >= *N.m_StopDeadline || mayStop(*N.m_State, now(N))))
+      kill(N);
 }
 
 void RaftHarness::loseDisk(HarnessNode &N) {
@@ -348,7 +365,8 @@
 void RaftHarness::randomFault() {
   HarnessNode *L = leader();
   HarnessNode &N = L && chance(40) ? *L : randomNode();
-  switch (uniform(m_Random, 1, 13)) {
+  // Without open membership the seeds named in docs/RAFT.md keep their meaning.
+  switch (uniform(m_Random, 1, m_OpenMembership ? 14 : 13)) {
   case 1:
     kill(N);
     break;
@@ -384,6 +402,9 @@
   case 9:
     takeSnapshot(N);
     break;
+  case 14:
+    stop(N);
+    break;
   default:
     changeMembers(L ? *L : N);
   }
@@ -430,6 +451,7 @@
   for (HarnessNode &N : m_Nodes)
     if (N.m_State && now(N) >= nextTickTime(*N.m_State))
       handle(N, {Tick{}});
+  endStoppedNodes();
 }
 
 void RaftHarness::propose(HarnessNode &N, int Count) {
@@ -523,6 +545,16 @@
   }
 }
 
+void RaftHarness::runOneStep() {
+  if (!m_Undelivered.empty()) {
+    deliverOne(false);
+    endStoppedNodes();
+    return;
+  }
+  m_Time += FaultFreeStep;
+  tickAll();
+}
+
 bool RaftHarness::allVote() {
   const HarnessNode *L = leader();
   if (!L || !mayRead(*L->m_State, now(*L)))
@@ -538,6 +570,8 @@
   m_BlockedLinks.clear();
   for (HarnessNode &N : m_Nodes) {
     resume(N);
+    if (N.m_StopDeadline)
+      kill(N);
     if (!N.m_State)
       restart(N);
   }
--- a/Tests/Raft/RaftHarness.h
+++ b/Tests/Raft/RaftHarness.h
@@ -33,6 +33,8 @@
   // A snapshot in progress; nothing of it is on the disk.
   SnapshotPtr m_UnfinishedSnapshot;
   bool m_Paused = false;
+  // Set once the process was asked to stop: when it exits at the latest.
+  std::optional<Duration> m_StopDeadline;
   double m_ClockRate = 1.0;
   Duration m_ClockOffset{0};
   LogIndex m_Applied = 0;
@@ -66,6 +68,9 @@
   bool recover();
   // Delivers pending messages and advances the clock, without faults.
   void runWithoutFaults(Duration Time);
+  // Delivers a single message, or advances the clock by a short time if there
+  // is none.
+  void runOneStep();
 
   // One line per member, for the report of a failed run.
   std::string describe() const;
@@ -74,6 +79,8 @@
   // Handles the events with one sync for all of them.
   void handle(HarnessNode &N, const std::vector<RaftEvent> &Events);
   void kill(HarnessNode &N);
+  // Asks the process to stop; it ends once it may, or after the timeout.
+  void stop(HarnessNode &N);
   void restart(HarnessNode &N);
   void loseDisk(HarnessNode &N);
   TimePoint now(const HarnessNode &N) const;
@@ -99,6 +106,7 @@
   void resume(HarnessNode &N);
   void deliverOne(bool Faulty);
   void tickAll();
+  void endStoppedNodes();
   void takeSnapshot(HarnessNode &N);
   void changeMembers(HarnessNode &N);
   void blockLinks();
