Raft: a silent voter leaves the list before its successor is promoted

A voter is killed, and the learner that takes its vote is lost at that moment or up to a second before: the list had four voters of which two ran, and the log was at a standstill for good, though two of the three voters before had run all the while. And after the kill of the leader its silence counted only from the election, so that a second voter could not be lost for more than 4 s.

Change: an unresponsive voter is removed first, then the learner promoted; the loss of the learner no longer matters at any step.

--- a/Source/Raft/RaftFollower.cpp
+++ b/Source/Raft/RaftFollower.cpp
@@ -15,6 +15,7 @@
   if (S.m_Role != RaftRole::Follower || S.m_Leader != M.m_From.m_Name)
     becomeFollower(C, M.m_Term, M.m_From.m_Name);
   S.m_LeaderContact = C.m_Now;
+  S.m_LastLeader = M.m_From;
   resetElectionDeadline(C);
 }
 
--- a/Source/Raft/RaftLeader.cpp
+++ b/Source/Raft/RaftLeader.cpp
@@ -119,6 +119,21 @@
       S.m_Progress.try_emplace(M.m_Id, NewProgress);
 }
 
+// The silence of the former leader, whose loss caused this election, counts
+// from its last message. It still has time to reply to this leader.
+void backdateFormerLeader(StepContext &C) {
+  RaftState &S = C.m_State;
+  const auto Former = S.m_Progress.find(std::exchange(S.m_LastLeader, {}));
+  if (Former == S.m_Progress.end() || !S.m_Config.m_OpenMembership)
+    return;
+  const Duration ReplyTime = 2 * S.m_Config.m_Timing.m_ElectionTimeoutMax;
+  const Duration MaxSilence =
+      std::max(Duration(0),
+               S.m_Config.m_OpenMembership->m_ReplaceVoterAfter - ReplyTime);
+  Former->second.m_TrackedSince =
+      std::max(S.m_LeaderContact, C.m_Now - MaxSilence);
+}
+
 void appendLeaderEntry(StepContext &C, EntryKind Kind, std::string Payload) {
   const RaftState &S = C.m_State;
   RaftEntry Entry{S.m_HardState.m_Term, S.m_Log.lastIndex() + 1, Kind,
@@ -273,9 +288,11 @@
   });
 }
 
-// Brings the number of voters to the target and replaces a voter that stops or
-// is unresponsive by a learner, one change at a time: the learner is promoted
-// first, so that the number of voters never drops below the target in between.
+// Brings the number of voters to the target and replaces voters, one change at
+// a time. A voter that stops still takes part in decisions: its successor is
+// promoted first, so that the number of voters never drops below the target. An
+// unresponsive voter is removed first: with it among one voter more than the
+// target, the loss of the promoted learner could leave no majority.
 void adjustOpenMembership(StepContext &C, const OpenMembership &Open) {
   const RaftState &S = C.m_State;
   const RaftMembers &Members = currentMembers(S);
@@ -286,12 +303,12 @@
   const RaftMember *Successor = Stopping && Voters == Open.m_TargetVoters
                                     ? findSuccessor(C, *Stopping)
                                     : nullptr;
-  if (Voters > Open.m_TargetVoters && Unresponsive) {
-    changeMembers(C, withoutMember(Members, Unresponsive->m_Id));
-  } else if (ReadyLearner &&
-             (Voters < Open.m_TargetVoters ||
-              (Voters == Open.m_TargetVoters && Unresponsive))) {
+  if (Voters < Open.m_TargetVoters && ReadyLearner) {
     changeMembers(C, withVoter(Members, ReadyLearner->m_Id));
+  } else if (Unresponsive &&
+             (Voters > Open.m_TargetVoters ||
+              (Voters == Open.m_TargetVoters && ReadyLearner))) {
+    changeMembers(C, withoutMember(Members, Unresponsive->m_Id));
   } else if (Voters > Open.m_TargetVoters && Stopping) {
     // It remains a learner, so that it receives the commit of this change.
     changeMembers(C, withLearner(Members, Stopping->m_Id));
@@ -412,6 +429,7 @@
   S.m_LeaderSince = C.m_Now;
   S.m_Progress.clear();
   trackMembers(C);
+  backdateFormerLeader(C);
   appendLeaderEntry(C, EntryKind::NoOp, {});
   S.m_TermStartIndex = S.m_Log.lastIndex();
   sendHeartbeats(C);
--- a/Source/Raft/RaftNode.h
+++ b/Source/Raft/RaftNode.h
@@ -72,6 +72,8 @@
   // Time of the last message from a leader, or of the start: after a restart
   // the replies sent before it are unknown, so the start counts as contact.
   TimePoint m_LeaderContact;
+  // The leader that m_LeaderContact refers to; empty if it refers to the start.
+  MemberId m_LastLeader;
   TimePoint m_ElectionDeadline;
 
   // Time of PrepareStop; empty before it.
--- a/Tests/Raft/testVoterReplacement.cpp
+++ b/Tests/Raft/testVoterReplacement.cpp
@@ -1,4 +1,5 @@
-// Planned stops of voters, beside machines that stand by as learners.
+// Planned and unplanned replacements of voters: two disruptions of five
+// machines, the second one after each step that follows the first one.
 #include "Raft/RaftHarness.h"
 #include "Raft/RaftMembership.h"
 
@@ -18,10 +19,41 @@
 constexpr std::size_t Machines = 5;
 constexpr std::size_t KnownAtStart = 3;
 constexpr Duration JoinTime = 20s;
+// Down time of a restart, shorter than the silence after which a voter is
+// replaced.
+constexpr Duration RestartTime = 500ms;
+// docs/RAFT.md, "A voter that is killed": after that time the next voter may be
+// lost.
+constexpr Duration ReplacementWindow = 3500ms;
 constexpr Duration SettlingTime = 10s;
+// Messages and clock steps during which the second disruption is tried: more
+// than one replacement takes.
+constexpr int TriedSteps = 120;
+
+enum class Disruption { Stop, StopAndRestart, Kill, Restart, LoseDisk };
+constexpr Disruption AllDisruptions[] = {
+    Disruption::Stop, Disruption::StopAndRestart, Disruption::Kill,
+    Disruption::Restart, Disruption::LoseDisk};
+
+// Whether a vote on the machine is lost, at least for a while.
+bool losesVote(Disruption D) {
+  return D == Disruption::Kill || D == Disruption::LoseDisk;
+}
+
 // Machines by their role before the first disruption.
 enum class Place { Leader, Follower, OtherFollower, Learner, OtherLearner };
 
+struct Pair {
+  Place m_First;
+  Place m_Second;
+};
+
+constexpr Pair Pairs[] = {
+    {Place::Leader, Place::Follower},  {Place::Leader, Place::Learner},
+    {Place::Follower, Place::Leader},  {Place::Follower, Place::OtherFollower},
+    {Place::Follower, Place::Learner}, {Place::Learner, Place::Leader},
+    {Place::Learner, Place::Follower}, {Place::Learner, Place::OtherLearner}};
+
 HarnessNode &nodeAt(RaftHarness &H, Place Wanted) {
   HarnessNode *Leader = H.leader();
   REQUIRE(Leader);
@@ -51,6 +83,21 @@
   return *Leader;
 }
 
+void disrupt(RaftHarness &H, HarnessNode &N, Disruption D) {
+  if (D == Disruption::Stop || D == Disruption::StopAndRestart)
+    H.stop(N);
+  else
+    H.kill(N);
+  if (D == Disruption::LoseDisk) {
+    H.loseDisk(N);
+    H.restart(N);
+  }
+}
+
+bool restarts(Disruption D) {
+  return D == Disruption::Restart || D == Disruption::StopAndRestart;
+}
+
 std::size_t runningCount(RaftHarness &H) {
   return static_cast<std::size_t>(
       std::count_if(H.nodes().begin(), H.nodes().end(),
@@ -103,8 +150,57 @@
   return H.counts().m_Committed > Before;
 }
 
+struct Case {
+  Pair m_Places;
+  Disruption m_First = Disruption::Stop;
+  Disruption m_Second = Disruption::Stop;
+  // Messages and clock steps between the two.
+  int m_Steps = 0;
+};
+
+bool isSettledAfter(RaftHarness &H, const Case &Each) {
+  startFive(H);
+  HarnessNode &First = nodeAt(H, Each.m_Places.m_First);
+  HarnessNode &Second = nodeAt(H, Each.m_Places.m_Second);
+  disrupt(H, First, Each.m_First);
+  if (losesVote(Each.m_First) && losesVote(Each.m_Second))
+    H.runWithoutFaults(ReplacementWindow);
+  for (int I = 0; I < Each.m_Steps; ++I)
+    H.runOneStep();
+  disrupt(H, Second, Each.m_Second);
+  H.runWithoutFaults(RestartTime);
+  for (auto [N, D] :
+       {std::pair(&First, Each.m_First), std::pair(&Second, Each.m_Second)}) {
+    if (!restarts(D))
+      continue;
+    // A graceful stop may not have ended yet.
+    for (int I = 0; N->m_State && N->m_StopDeadline && I < 500; ++I)
+      H.runOneStep();
+    if (!N->m_State)
+      H.restart(*N);
+  }
+  return settles(H);
+}
+
 } // namespace
 
+TEST_CASE("the log survives two disruptions of five machines in each order") {
+  for (const Pair &Places : Pairs)
+    for (const Disruption First : AllDisruptions)
+      for (const Disruption Second : AllDisruptions)
+        for (int Steps = 0; Steps < TriedSteps; Steps += 3) {
+          INFO("places " << static_cast<int>(Places.m_First) << ' '
+                         << static_cast<int>(Places.m_Second) << " disruptions "
+                         << static_cast<int>(First) << ' '
+                         << static_cast<int>(Second) << " steps " << Steps);
+          RaftHarness H(1, Machines, Limits);
+          const bool IsSettled =
+              isSettledAfter(H, {Places, First, Second, Steps});
+          INFO(H.describe());
+          CHECK(IsSettled);
+        }
+}
+
 // Guards against an acknowledged configuration that can't be read any more
 // because the log still counts on a voter that was stopped as planned.
 TEST_CASE("two planned stops of voters two seconds apart leave a majority") {
@@ -167,3 +263,36 @@
     CHECK(currentMembers(*H.leader()->m_State) == Before);
   }
 }
+
+TEST_CASE("a voter that is killed may be followed by another one after the "
+          "replacement window") {
+  for (const Place First : {Place::Leader, Place::Follower}) {
+    RaftHarness H(1, Machines, Limits);
+    startFive(H);
+    HarnessNode &Other = nodeAt(H, Place::OtherFollower);
+    H.kill(nodeAt(H, First));
+    H.runWithoutFaults(ReplacementWindow);
+    H.kill(Other);
+    INFO(H.describe());
+    CHECK(settles(H));
+  }
+}
+
+// Guards against four listed voters of which two run: the killed one and the
+// learner that was promoted in its place are gone.
+TEST_CASE("a learner lost while it replaces a killed voter leaves a majority") {
+  constexpr Duration BeforeReplacement = 2800ms;
+  for (int Steps = 0; Steps < TriedSteps; ++Steps) {
+    INFO("steps " << Steps);
+    RaftHarness H(1, Machines, Limits);
+    startFive(H);
+    HarnessNode &Learner = nodeAt(H, Place::Learner);
+    H.kill(nodeAt(H, Place::Follower));
+    H.runWithoutFaults(BeforeReplacement);
+    for (int I = 0; I < Steps; ++I)
+      H.runOneStep();
+    H.kill(Learner);
+    INFO(H.describe());
+    CHECK(settles(H));
+  }
+}
