Tests: a disk lost after a planned stop loses no configuration

The configuration can't be read any more, though it is on the disks of two machines that run.

The list counted the stopped voter and the lost disk, so one of three was left.

Why it works: the successor has its vote before the stopped voter exits, so the lost disk is the only one of three.

With the behaviour of before, testGateways "a disk lost after a planned stop loses no configuration" read nothing in 12 s, and testRaft "a disk lost after a planned stop of a voter loses no command" ended without a leader, for the disk of the leader and for that of a follower.

--- a/Tests/Gateways/testVoterReplacement.cpp
+++ b/Tests/Gateways/testVoterReplacement.cpp
@@ -130,6 +130,29 @@
   acknowledgedBy(D, Left, 4);
 }
 
+// Guards against the loss of an acknowledged configuration with one disk, after
+// a voter was stopped as planned and kept its vote.
+TEST_CASE("a disk lost after a planned stop loses no configuration") {
+  VoterDeployment D(115, Machines);
+  const Places At = startFive(D);
+  D.stopVoter(At.m_Followers[0]);
+  D.killVoter(At.m_Learners[1]);
+  std::this_thread::sleep_for(2s);
+  const std::vector<unsigned> Running = {At.m_Leader, At.m_Followers[1],
+                                         At.m_Learners[0]};
+  const unsigned Lost = acknowledgedBy(D, Running, 2);
+  D.loseDisk(Lost);
+  std::this_thread::sleep_for(1s);
+  D.startVoter(Lost);
+  CHECK(isReadBack(D, Running, 2));
+  acknowledgedBy(D, Running, 3);
+  // The machine with the new disk counts again: the next one may be lost.
+  std::this_thread::sleep_for(CatchUpTime);
+  const unsigned Next = Running[Lost == Running[0] ? 1 : 0];
+  D.killVoter(Next);
+  CHECK(isReadBack(D, Running, 3));
+}
+
 // Times of planned stops, for docs/MEASUREMENTS.md.
 TEST_CASE("how long planned stops of voters take", "[.measure]") {
   const auto Measure = [](const std::string &What, VoterDeployment &D,
--- a/Tests/Raft/testVoterReplacement.cpp
+++ b/Tests/Raft/testVoterReplacement.cpp
@@ -218,6 +218,29 @@
   CHECK(settles(H));
 }
 
+// Guards against the loss of an acknowledged configuration with the disk of the
+// voter that has just acknowledged it, after a planned stop of another one.
+TEST_CASE("a disk lost after a planned stop of a voter loses no command") {
+  for (const Place Lost : {Place::Leader, Place::OtherFollower}) {
+    RaftHarness H(1, Machines, Limits);
+    startFive(H);
+    HarnessNode &Stopped = nodeAt(H, Place::Follower);
+    HarnessNode &LosesDisk = nodeAt(H, Lost);
+    // Only one successor.
+    H.kill(nodeAt(H, Place::OtherLearner));
+    H.stop(Stopped);
+    H.runWithoutFaults(2s);
+    CHECK_FALSE(Stopped.m_State);
+    H.propose(*H.leader(), 1);
+    H.runWithoutFaults(100ms);
+    H.loseDisk(LosesDisk);
+    H.runWithoutFaults(1s);
+    H.restart(LosesDisk);
+    INFO(H.describe());
+    CHECK(settles(H));
+  }
+}
+
 TEST_CASE("a voter stops at once where no learner can replace it") {
   constexpr Duration HeartbeatInterval = RaftTiming().m_HeartbeatInterval;
   SECTION("no learner is listed") {
