Raft: errors of files in the data folder are a header of their own

Change: StorageError, its code and its messages move from RaftStorage to StorageError.h; no change of behaviour.

--- a/Source/Raft/RaftStorage.cpp
+++ b/Source/Raft/RaftStorage.cpp
@@ -27,45 +27,6 @@
 // A snapshot that is written while the current one stays in place.
 constexpr std::string_view PreparedName = "snapshot-prepared.tmp";
 
-constexpr std::string_view Remedy =
-    "move the data folder away and start again: the machine then rejoins as a "
-    "learner and gets its vote back once it has caught up; do so for one "
-    "machine at a time";
-
-StorageError fromFileError(const FileError &Error) {
-  const bool Locked = Error.m_Operation == "lock";
-  StorageError Out;
-  Out.m_Code = Locked ? StorageErrorCode::Locked : StorageErrorCode::Failed;
-  Out.m_File = Error.m_Path;
-  Out.m_Message = fmt::format(
-      "{}: {} failed: {}; {}", Error.m_Path, Error.m_Operation, Error.m_Detail,
-      Locked ? "stop the other process that uses the folder"
-             : "the process ends; free or repair the disk, then "
-               "start it again");
-  return Out;
-}
-
-StorageError corruptionError(std::string File, std::uint64_t Offset,
-                             std::string_view Reason) {
-  StorageError Out;
-  Out.m_Code = StorageErrorCode::Corrupt;
-  Out.m_Message =
-      fmt::format("{} at offset {}: {}; {}", File, Offset, Reason, Remedy);
-  Out.m_File = std::move(File);
-  Out.m_Offset = Offset;
-  return Out;
-}
-
-template <class T>
-Result<T, StorageError> translate(Result<T, FileError> From) {
-  if (From.has_error())
-    return fromFileError(From.error());
-  if constexpr (std::is_void_v<T>)
-    return success();
-  else
-    return std::move(From).value();
-}
-
 std::string logName(std::uint64_t Number) {
   return std::string(LogPrefix) + std::to_string(Number);
 }
--- a/Source/Raft/RaftStorage.h
+++ b/Source/Raft/RaftStorage.h
@@ -6,6 +6,7 @@
 #include "Core/Random.h"
 #include "Core/Result.h"
 #include "Raft/RaftTypes.h"
+#include "Raft/StorageError.h"
 
 #include <cstdint>
 #include <functional>
@@ -21,27 +22,6 @@
 class LogBatch;
 } // namespace schema
 
-enum class StorageErrorCode {
-  // A file operation failed. The content of the disk is unknown: the process
-  // must exit, and no operation is retried.
-  Failed,
-  // A file is missing, or is corrupted in a way that a torn write cannot cause.
-  Corrupt,
-  // Another process has locked the folder.
-  Locked
-};
-
-struct StorageError {
-  StorageErrorCode m_Code = StorageErrorCode::Failed;
-  std::string m_File;
-  // Offset of the corruption; 0 for other errors.
-  std::uint64_t m_Offset = 0;
-  // Message for the operator, with file, offset and remedy.
-  std::string m_Message;
-
-  bool operator==(const StorageError &) const = default;
-};
-
 class RaftStorage {
 public:
   // Reads the folder; creates it, with a new random storage id, if it does not
