Voter: acknowledged departures outlast the end of all processes

A heartbeat from before the DELETE arrives late, both gateways send the replica half of all requests, and bookings are lost (502) when it ends.

Cause: departures, and reports of draining, were in memory only. After the restart nobody knew the replica, and its late heartbeat counted as that of a new server.

Change: each voter writes the departures that it hears to a file and syncs it on a thread of its own; it acknowledges them, and confirms those of other voters, only after that. At the start it reads them back before it listens. Tombstones are passed on until they end. A server that has left doesn't end another one that was given its address.

Why it works: before the acknowledgement the record is synced on this voter and on as many others as may be lost at once, so after a restart of all at least one voter has it, and tells the others and the gateways when they connect.

--- a/Source/Gateway/VoterWatch.cpp
+++ b/Source/Gateway/VoterWatch.cpp
@@ -205,7 +205,12 @@
     m_Targets.m_OnRecord(Record.announcement().backend_server());
   }
   if (Update.confirm_change() != 0)
-    confirm(Peer, Update.confirm_change());
+    m_Targets.m_BeforeConfirmation([Weak = weak_from_this(), From,
+                                    Number = Peer.m_Number,
+                                    Change = Update.confirm_change()] {
+      if (const auto Self = Weak.lock())
+        Self->confirm(From, Number, Change);
+    });
   applyConfiguration(From, Update);
   Peer.m_Gateways.clear();
   for (const std::string &Gateway : Update.gateways())
@@ -224,13 +229,16 @@
       m_Members.insert(*Endpoint);
 }
 
-void VoterWatch::confirm(Link &Peer, std::uint64_t Change) {
-  // The stream may have been lost while the update was queued.
-  if (!Peer.m_Stream)
+void VoterWatch::confirm(const PeerEndpoint &To, std::uint64_t Number,
+                         std::uint64_t Change) {
+  // The stream may have been lost meanwhile.
+  const auto Found = m_Links.find(To);
+  if (Found == m_Links.end() || Found->second.m_Number != Number ||
+      !Found->second.m_Stream)
     return;
   schema::WatchConfirmation Confirmation;
   Confirmation.set_change(Change);
-  Peer.m_Stream->send(Confirmation.SerializeAsString());
+  Found->second.m_Stream->send(Confirmation.SerializeAsString());
 }
 
 void VoterWatch::applyConfiguration(const PeerEndpoint &From,
--- a/Source/Gateway/VoterWatch.h
+++ b/Source/Gateway/VoterWatch.h
@@ -57,6 +57,10 @@
   // merged, before the update with the record is confirmed.
   std::function<void(const std::string &)> m_OnRecord =
       [](const std::string &) {};
+  // Called before an update is confirmed. The confirmation is sent when Confirm
+  // is called, on the worker.
+  std::function<void(std::function<void()> Confirm)> m_BeforeConfirmation =
+      [](const std::function<void()> &Confirm) { Confirm(); };
 };
 
 // All functions except start() and setSeeds() must be called on the worker
@@ -99,7 +103,8 @@
                    const schema::WatchUpdate &Update);
   void applyConfiguration(const PeerEndpoint &From,
                           const schema::WatchUpdate &Update);
-  void confirm(Link &Peer, std::uint64_t Change);
+  void confirm(const PeerEndpoint &To, std::uint64_t Number,
+               std::uint64_t Change);
   void removeUnknownVoters();
   bool isKnown(const PeerEndpoint &Voter) const;
 
--- a/Source/Membership/MembershipTable.cpp
+++ b/Source/Membership/MembershipTable.cpp
@@ -230,8 +230,12 @@
   const TimePoint HeartbeatAt = Now - std::max(Duration::zero(), HeartbeatAge);
   const auto Found = Table.m_Entries.find(Record.m_BackendServer);
   if (Found == Table.m_Entries.end()) {
-    // A new server whose heartbeat is that old is not added.
-    if (HeartbeatAge >= Table.m_Limits.m_LostAfter)
+    // A new server whose heartbeat is that old is not added. A departure is, as
+    // even later heartbeats may still arrive.
+    if (HeartbeatAge >=
+        Table.m_Limits.m_LostAfter + (hasDeparted(Record.m_State)
+                                          ? Table.m_Limits.m_TombstoneRetention
+                                          : Duration::zero()))
       return MergeResult::Stale;
     return insertNew(Table, Record, HeartbeatAt, Now);
   }
@@ -274,7 +278,11 @@
 void markReplacedAsLeft(MembershipTable &Table, const std::string &Joined,
                         TimePoint Now) {
   const auto Found = Table.m_Entries.find(Joined);
-  if (Found == Table.m_Entries.end())
+  // A server that has left, or was lost while it departed, no longer holds its
+  // address.
+  if (Found == Table.m_Entries.end() ||
+      Found->second.m_Member.m_State == MemberState::Left ||
+      heartbeatAge(Found->second, Now) >= Table.m_Limits.m_LostAfter)
     return;
   const auto MarkLeft = [&](TableEntry &Entry) {
     Entry.m_Member.m_State = MemberState::Left;
@@ -428,7 +436,8 @@
     }
     Batch.m_Next = Entry->m_ChangeNumber;
     const Duration Age = heartbeatAge(*Entry, Now);
-    if (Age < Table.m_Limits.m_LostAfter)
+    if (Age < Table.m_Limits.m_LostAfter ||
+        hasDeparted(Entry->m_Member.m_State))
       Batch.m_Deltas.push_back({Entry->m_Member, Age});
   }
   Batch.m_Next = std::max(Batch.m_Next, Table.m_LastChangeNumber);
--- a/Source/Membership/MembershipTable.h
+++ b/Source/Membership/MembershipTable.h
@@ -265,7 +265,8 @@
 };
 
 // Returns the records that changed after the change number Since, oldest change
-// first, at most MaxRecords. Since 0 returns all. Lost servers are left out.
+// first, at most MaxRecords. Since 0 returns all. Lost servers are left out
+// unless they have departed.
 DeltaBatch deltasSince(const MembershipTable &Table, std::uint64_t Since,
                        std::size_t MaxRecords, TimePoint Now);
 
--- a/Source/Voter/VoterDaemon.cpp
+++ b/Source/Voter/VoterDaemon.cpp
@@ -59,7 +59,10 @@
               m_Events, m_Machine, m_LocalAnnouncements, m_AllAnnouncements,
               [this] { return memberNames(); }, m_Settings.availability_zone(),
               [this] { return m_CatchUp->isCaughtUp(); },
-              [this] { return requiredVoters(); }})),
+              [this] { return requiredVoters(); },
+              [this](ConfirmationHandler Done) {
+                whenDeparturesStored(std::move(Done));
+              }})),
       m_OtherVoters(std::make_shared<VoterWatch>(
           m_Workers.worker(0), m_Peers,
           WatchTargets{WatcherKind::Voter,
@@ -72,9 +75,17 @@
                        [](const Evacuations &) {},
                        [this](const std::string &BackendServer) {
                          adoptDeparture(BackendServer);
+                       },
+                       [this](std::function<void()> Confirm) {
+                         whenDeparturesStored(
+                             [Confirm = std::move(Confirm)](
+                                 const Result<void, std::string> &Stored) {
+                               if (Stored)
+                                 Confirm();
+                             });
                        }},
           m_Settings.name())),
-      m_Log(openLog()),
+      m_Log(openLog()), m_Departures(openDepartures()),
       m_CatchUp(std::make_shared<CatchUpCheck>(
           m_Machine, *m_Log, [this] { m_WatchService->sendChanges(); })),
       m_Front({Protocol, m_Events, m_Machine, *m_Log,
@@ -102,6 +113,7 @@
   m_AllAnnouncements.setLimits(Limits);
   m_LocalAnnouncements.onMemberChange(
       [this] { m_WatchService->sendChanges(); });
+  recoverDepartures();
   setNamedZones(m_Settings);
   addMetrics();
 }
@@ -156,6 +168,38 @@
   return std::move(Runner).value();
 }
 
+std::unique_ptr<DepartureStore> VoterDaemon::openDepartures() {
+  const MembershipLimits Limits =
+      announceLimits(milliseconds(m_Settings.announce_interval_ms()));
+  DepartureFileOptions Options;
+  Options.m_Folder = m_Settings.data_folder();
+  Options.m_Retention = Limits.m_LostAfter + Limits.m_TombstoneRetention;
+  auto Store =
+      DepartureStore::open(makePosixFileSystem(), std::move(Options),
+                           [this](const FileError &Error) {
+                             m_Events.write(Event::DepartureFileFailed,
+                                            {{"file", Error.m_Path},
+                                             {"operation", Error.m_Operation},
+                                             {"reason", Error.m_Detail}});
+                             m_Exit.open(ExitCode::Failed);
+                           });
+  if (!Store)
+    throw StartFailure(Store.error().m_Message);
+  return std::move(Store).value();
+}
+
+void VoterDaemon::recoverDepartures() {
+  const std::uint64_t NowMs = RuntimeClock::wallMilliseconds();
+  for (const StoredDeparture &Each : m_Departures->recovered()) {
+    const MemberDelta Departure{
+        Each.m_Member, milliseconds(NowMs - std::min(NowMs, Each.m_HeardAtMs))};
+    m_AllAnnouncements.heard(Departure);
+    m_LocalAnnouncements.heard(Departure);
+  }
+  m_Events.write(Event::DeparturesRecovered,
+                 {{"departures", m_Departures->recovered().size()}});
+}
+
 ExitCode VoterDaemon::run() {
   m_WatchService->serve(m_Server);
   if (!listen())
@@ -240,9 +284,25 @@
 
 bool VoterDaemon::adoptDeparture(const std::string &BackendServer) {
   const auto Departure = m_AllAnnouncements.departure(BackendServer);
-  if (Departure)
-    m_LocalAnnouncements.heard(*Departure);
-  return Departure.has_value();
+  if (!Departure)
+    return false;
+  const auto Known = m_LocalAnnouncements.departure(BackendServer);
+  m_LocalAnnouncements.heard(*Departure);
+  const Member &Record = Departure->m_Member;
+  if (!Known || Known->m_Member.m_State != Record.m_State ||
+      Known->m_Member.m_Incarnation != Record.m_Incarnation)
+    m_Departures->store(*Departure);
+  return true;
+}
+
+void VoterDaemon::whenDeparturesStored(ConfirmationHandler Done) {
+  m_Departures->whenStored([this, Done = std::move(Done)](
+                               const Result<void, std::string> &Stored) {
+    if (!Stored)
+      m_Events.write(Event::DepartureNotStored, {{"reason", Stored.error()}});
+    postTask(m_Workers.worker(0).get_executor(),
+             [Done, Stored] { Done(Stored); });
+  });
 }
 
 // So many that, with this voter, one more knows a departure than may be lost at
--- a/Source/Voter/VoterDaemon.h
+++ b/Source/Voter/VoterDaemon.h
@@ -14,6 +14,7 @@
 #include "Settings.pb.h"
 #include "Voter/CatchUpCheck.h"
 #include "Voter/ControlFront.h"
+#include "Voter/DepartureStore.h"
 #include "Voter/DocumentMachine.h"
 #include "Voter/WatchService.h"
 
@@ -34,6 +35,9 @@
 
 private:
   std::unique_ptr<RaftRunner> openLog();
+  std::unique_ptr<DepartureStore> openDepartures();
+  // Merges the departures that were on the disk at the start.
+  void recoverDepartures();
   bool listen();
   // Begins a graceful stop: the process exits once a learner has replaced this
   // voter or none can.
@@ -44,9 +48,12 @@
   // backend server that departs.
   void announced(const Member &Record, ConfirmationHandler Done);
   // Copies the record of a backend server that departs to the announcements
-  // that gateways get, so that it isn't lost with the voter that has heard it.
-  // Returns false if the server doesn't depart.
+  // that gateways get and to the disk, so that it isn't lost with the voter
+  // that has heard it. Returns false if the server doesn't depart.
   bool adoptDeparture(const std::string &BackendServer);
+  // Calls Done on the worker once the departures known so far are on the disk,
+  // or can't be written.
+  void whenDeparturesStored(ConfirmationHandler Done);
   std::size_t requiredVoters() const;
   bool isKnownZone(const std::string &Zone) const;
   std::vector<std::string> memberNames() const;
@@ -73,6 +80,8 @@
   std::shared_ptr<WatchService> m_WatchService;
   std::shared_ptr<VoterWatch> m_OtherVoters;
   std::unique_ptr<RaftRunner> m_Log;
+  // Opened after the log, which locks the data folder.
+  std::unique_ptr<DepartureStore> m_Departures;
   std::shared_ptr<CatchUpCheck> m_CatchUp;
   ControlFront m_Front;
   HttpServer m_ControlServer;
--- a/Source/Voter/WatchService.cpp
+++ b/Source/Voter/WatchService.cpp
@@ -221,12 +221,26 @@
 void WatchService::confirmChange(std::uint64_t Change,
                                  ConfirmationHandler Done) {
   const TimePoint Now = RuntimeClock::now();
-  m_PendingChanges.push_back({Change, Now + ConfirmationByAllTimeout,
+  const std::uint64_t Number = ++m_LastPendingNumber;
+  m_PendingChanges.push_back({Number, Change, Now + ConfirmationByAllTimeout,
                               Now + ConfirmationTimeout, std::move(Done)});
+  m_Dependencies.m_WhenStored(
+      [Weak = weak_from_this(), Number](const Result<void, std::string> &R) {
+        if (const auto Self = Weak.lock())
+          Self->onStored(Number, R);
+      });
   sendChanges();
   settlePendingChanges();
 }
 
+void WatchService::onStored(std::uint64_t Number,
+                            const Result<void, std::string> &Stored) {
+  for (PendingChange &Each : m_PendingChanges)
+    if (Each.m_Number == Number)
+      Each.m_Stored = Stored;
+  settlePendingChanges();
+}
+
 void WatchService::requestConfirmation(Watcher &To,
                                        schema::WatchUpdate &Update) {
   if (To.m_Kind == WatcherKind::Balancer ||
@@ -256,10 +270,15 @@
 WatchService::resultOf(const PendingChange &Pending,
                        const std::vector<WatcherProgress> &Watchers,
                        std::size_t RequiredVoters, TimePoint Now) {
-  switch (confirmationState(Watchers, Pending.m_Change, RequiredVoters,
-                            Now < Pending.m_AllDeadline)) {
+  if (Pending.m_Stored && !*Pending.m_Stored)
+    return Pending.m_Stored;
+  const ConfirmationState State = confirmationState(
+      Watchers, Pending.m_Change, RequiredVoters, Now < Pending.m_AllDeadline);
+  switch (State) {
   case ConfirmationState::Confirmed:
-    return success();
+    if (Pending.m_Stored)
+      return success();
+    break;
   case ConfirmationState::OutOfReach:
     return std::string("too few other voters are connected");
   case ConfirmationState::Pending:
@@ -267,7 +286,10 @@
   }
   if (Now < Pending.m_Deadline)
     return std::nullopt;
-  return std::string("too few other voters have confirmed the change in time");
+  return std::string(
+      State == ConfirmationState::Confirmed
+          ? "this voter's disk has not stored the change in time"
+          : "too few other voters have confirmed the change in time");
 }
 
 void WatchService::settlePendingChanges() {
--- a/Source/Voter/WatchService.h
+++ b/Source/Voter/WatchService.h
@@ -44,6 +44,10 @@
   std::function<bool()> m_IsCaughtUp;
   // Number of other voters that must know a change before it is acknowledged.
   std::function<std::size_t()> m_RequiredVoters;
+  // Calls the handler on the worker once the changes known so far are on this
+  // voter's disk, or can't be written.
+  std::function<void(ConfirmationHandler)> m_WhenStored =
+      [](const ConfirmationHandler &Done) { Done(success()); };
 };
 
 // All functions but accept() and sendChanges() run on the worker.
@@ -62,8 +66,8 @@
   void sendChanges();
   // Sends the change of m_LocalAnnouncements with this number, and those before
   // it, to all watchers. Calls Done once the watchers that confirmationState()
-  // asks for have confirmed it, or as soon as it is known that they won't in
-  // time.
+  // asks for have confirmed it and it is on this voter's disk, or as soon as it
+  // is known that this won't be in time.
   void confirmChange(std::uint64_t Change, ConfirmationHandler Done);
 
 private:
@@ -85,11 +89,16 @@
 
   // A change that waits for confirmations.
   struct PendingChange {
+    // Unique.
+    std::uint64_t m_Number = 0;
     std::uint64_t m_Change = 0;
     // Until then, the confirmations of all watchers are awaited.
     TimePoint m_AllDeadline;
     TimePoint m_Deadline;
     ConfirmationHandler m_Done;
+    // Whether the change is on this voter's disk; no value while that is
+    // unknown.
+    std::optional<Result<void, std::string>> m_Stored = std::nullopt;
   };
 
   void onMessage(const std::shared_ptr<PeerStream> &Stream,
@@ -111,6 +120,7 @@
   // The highest number of a pending change; 0 if there is none.
   std::uint64_t lastPendingChange() const;
   std::vector<WatcherProgress> progress() const;
+  void onStored(std::uint64_t Number, const Result<void, std::string> &Stored);
   // Ends the pending changes that are confirmed or can't be any more.
   void settlePendingChanges();
   // Result of a pending change; no value while it stays pending.
@@ -128,6 +138,7 @@
   std::uint64_t m_CompressedVersion = 0;
   std::atomic<bool> m_UpdatePosted{false};
   std::list<PendingChange> m_PendingChanges;
+  std::uint64_t m_LastPendingNumber = 0;
   Timer m_PendingTimer;
 };
 
--- a/Tests/Gateways/VoterDeployment.cpp
+++ b/Tests/Gateways/VoterDeployment.cpp
@@ -112,6 +112,10 @@
 
 void VoterDeployment::loseDisk(unsigned Index) {
   killVoter(Index);
+  removeData(Index);
+}
+
+void VoterDeployment::removeData(unsigned Index) {
   std::filesystem::remove_all(dataFolder(Index));
 }
 
--- a/Tests/Gateways/VoterDeployment.h
+++ b/Tests/Gateways/VoterDeployment.h
@@ -33,6 +33,8 @@
   void killVoter(unsigned Index);
   // Kills the voter and removes its data.
   void loseDisk(unsigned Index);
+  // Removes the data of a voter that doesn't run.
+  void removeData(unsigned Index);
   // Stops the voter as planned and waits for its end.
   void stopVoter(unsigned Index);
   bool isRunning(unsigned Index) const { return m_Voters[Index]->isRunning(); }
--- a/Tests/Gateways/testDepartures.cpp
+++ b/Tests/Gateways/testDepartures.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <optional>
 #include <thread>
 
 using namespace mangocart;
@@ -40,6 +41,20 @@
       .m_Head.m_Status;
 }
 
+// Sends the heartbeat to a voter that may still be starting.
+unsigned heartbeatUntilAcknowledged(const HttpTarget &Voter,
+                                    const std::string &Server,
+                                    unsigned Sequence,
+                                    std::uint64_t Started = FirstStart) {
+  const auto Deadline = std::chrono::steady_clock::now() + 10s;
+  unsigned Status = heartbeat(Voter, Server, Sequence, Started);
+  while (Status != 200 && std::chrono::steady_clock::now() < Deadline) {
+    std::this_thread::sleep_for(5ms);
+    Status = heartbeat(Voter, Server, Sequence, Started);
+  }
+  return Status;
+}
+
 // The call without a body names no run of the backend server.
 unsigned leave(const HttpTarget &Voter, const std::string &Server) {
   return call(Voter,
@@ -132,6 +147,55 @@
   }
 }
 
+// Guards against departures that are kept in memory only: after a restart of
+// all voters a heartbeat from before the departure made gateways send requests
+// to the backend server again.
+TEST_CASE("an acknowledged departure outlasts the kill of all voters") {
+  constexpr unsigned Voters = 3;
+  VoterDeployment D(118, Voters);
+  D.start();
+  waitUntilOthersWatch(D.control(0));
+  REQUIRE(heartbeat(D.control(2), "i-left", 1) == 200);
+  REQUIRE(heartbeat(D.control(0), "i-drains", 1) == 200);
+  REQUIRE(leave(D.control(0), "i-left") == 200);
+  REQUIRE(heartbeat(D.control(1), "i-drains", 3, FirstStart, "draining") ==
+          200);
+  // The machine whose disk is lost in the same moment, if any.
+  for (const std::optional<unsigned> LosesDisk :
+       {std::optional<unsigned>(), std::optional<unsigned>(0),
+        std::optional<unsigned>(2)}) {
+    INFO("disk lost: " << LosesDisk.value_or(Voters));
+    for (unsigned I = 0; I < Voters; ++I)
+      D.killVoter(I);
+    if (LosesDisk)
+      D.removeData(*LosesDisk);
+    for (unsigned I = 0; I < Voters; ++I)
+      D.startVoter(I);
+    for (unsigned I = 0; I < Voters; ++I) {
+      INFO("voter " << I);
+      // Heartbeats from before the departure arrive late.
+      CHECK(heartbeatUntilAcknowledged(D.control(I), "i-left", 2) == 200);
+      CHECK(heartbeatUntilAcknowledged(D.control(I), "i-drains", 2) == 200);
+      CHECK(isKnownAs(D.peer(I), "i-left", MemberState::Left));
+      CHECK(isKnownAs(D.peer(I), "i-drains", MemberState::Leaving));
+    }
+    waitUntilOthersWatch(D.control(0));
+  }
+  // It starts again under its name, leaves again, and all are killed again.
+  CHECK(heartbeat(D.control(1), "i-left", 1, FirstStart + 1) == 200);
+  CHECK(isKnownAs(D.peer(1), "i-left", MemberState::Serving));
+  REQUIRE(leave(D.control(1), "i-left") == 200);
+  for (unsigned I = 0; I < Voters; ++I)
+    D.killVoter(I);
+  for (unsigned I = 0; I < Voters; ++I)
+    D.startVoter(I);
+  CHECK(heartbeatUntilAcknowledged(D.control(2), "i-left", 2, FirstStart + 1) ==
+        200);
+  CHECK(isKnownAs(D.peer(2), "i-left", MemberState::Left));
+  CHECK(heartbeat(D.control(2), "i-left", 1, FirstStart + 2) == 200);
+  CHECK(isKnownAs(D.peer(2), "i-left", MemberState::Serving));
+}
+
 TEST_CASE("a departure that no other voter knows isn't acknowledged") {
   VoterDeployment D(107, 3);
   D.start();
@@ -186,6 +250,7 @@
   };
   Measure("one-by-one", 300, 1);
   Measure("64-at-once", 640, 64);
+  Measure("200-at-once", 1000, 200);
   D.suspendVoter(1);
   Measure("one-voter-suspended", 20, 1);
   D.signalVoter(1, SIGCONT);
--- a/Tests/Membership/testMembershipTable.cpp
+++ b/Tests/Membership/testMembershipTable.cpp
@@ -211,6 +211,35 @@
   CHECK(Table.m_Entries.empty());
 }
 
+// Guards against a departure that a process that starts later doesn't learn of:
+// it would take a late heartbeat for that of a new server.
+TEST_CASE("a departure is passed on and added at any age of its tombstone") {
+  MembershipTable Table;
+  const Duration LostAfter = Table.m_Limits.m_LostAfter;
+  const Duration End = LostAfter + Table.m_Limits.m_TombstoneRetention;
+  merge(Table, member("a", 1, 1, MemberState::Left), 0s, Begin);
+  merge(Table, member("b"), 0s, Begin);
+  const TimePoint Later = Begin + LostAfter + 1min;
+  const DeltaBatch Batch = deltasSince(Table, 0, 10, Later);
+  REQUIRE(Batch.m_Deltas.size() == 1);
+  CHECK(Batch.m_Deltas[0].m_Member.m_BackendServer == "a");
+  MembershipTable Started;
+  const MemberDelta &Delta = Batch.m_Deltas[0];
+  CHECK(merge(Started, Delta.m_Member, Delta.m_HeartbeatAge, Later) ==
+        MergeResult::Joined);
+  // A late heartbeat changes nothing, a new start of the server does.
+  CHECK(merge(Started, member("a", 1, 9), 0s, Later) == MergeResult::Stale);
+  CHECK(candidates(Started, Later).empty());
+  CHECK(merge(Started, member("a", 2, 1), 0s, Later) == MergeResult::Joined);
+  CHECK(candidates(Started, Later) == "a");
+  // Its time ends with that of the tombstone.
+  MembershipTable Last;
+  CHECK(merge(Last, Delta.m_Member, End - 1ms, Later) == MergeResult::Joined);
+  Last.m_Entries.clear();
+  CHECK(merge(Last, Delta.m_Member, End, Later) == MergeResult::Stale);
+  CHECK(merge(Last, member("b"), LostAfter, Later) == MergeResult::Stale);
+}
+
 TEST_CASE("the sweep reports each change of health once") {
   using Health = MemberHealth;
   MembershipTable Table;
@@ -410,6 +439,24 @@
   CHECK(candidates(Table, Begin) == "a2");
 }
 
+// Guards against a tombstone that ends the server that was given the address:
+// by another machine's clock its incarnation may be the lower one.
+TEST_CASE("a server that has left doesn't end another one at its address") {
+  const auto At = [](Member Record) {
+    Record.m_Address = "10.0.0.1";
+    Record.m_PeerPort = 80;
+    return Record;
+  };
+  for (const MemberState State : {MemberState::Left, MemberState::Leaving}) {
+    MembershipTable Table;
+    merge(Table, At(member("new", 1)), 0s, Begin);
+    REQUIRE(merge(Table, At(member("old", 2, 1, State)),
+                  Table.m_Limits.m_LostAfter, Begin) == MergeResult::Joined);
+    markReplacedAsLeft(Table, "old", Begin);
+    CHECK(candidates(Table, Begin) == "new");
+  }
+}
+
 TEST_CASE("a server leaves even if the sender doesn't know its incarnation") {
   MembershipTable Table;
   merge(Table, member("a", 7, 4), 0s, Begin);
--- a/Tests/Voter/testWatchService.cpp
+++ b/Tests/Voter/testWatchService.cpp
@@ -12,6 +12,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <utility>
 
 using namespace mangocart;
 using namespace std::chrono_literals;
@@ -116,9 +117,18 @@
     m_Context.restart();
     m_Context.run_for(20ms);
   }
+  // The voter's disk finishes the write, or refuses it.
+  void store(const Result<void, std::string> &Outcome = success()) {
+    for (const ConfirmationHandler &Each : std::exchange(m_Writes, {}))
+      Each(Outcome);
+  }
   bool isConfirmed() const { return m_Result && m_Result->has_value(); }
 
   std::size_t m_RequiredVoters;
+  // Writes that the voter's disk has not finished; it finishes them at once
+  // unless it is slow.
+  bool m_IsDiskSlow = false;
+  std::vector<ConfirmationHandler> m_Writes;
   boost::asio::io_context m_Context;
   EventLog m_Events{{"voter", "v1", "a"}, "/dev/null"};
   DocumentMachine m_Machine;
@@ -128,7 +138,12 @@
       m_Context, WatchServiceDependencies{
                      m_Events, m_Machine, m_Directory, m_AllAnnouncements,
                      [] { return std::vector<std::string>(); }, "a",
-                     [] { return true; }, [this] { return m_RequiredVoters; }});
+                     [] { return true; }, [this] { return m_RequiredVoters; },
+                     [this](ConfirmationHandler Done) {
+                       m_Writes.push_back(std::move(Done));
+                       if (!m_IsDiskSlow)
+                         store();
+                     }});
   std::uint64_t m_Change = 0;
   std::optional<Result<void, std::string>> m_Result;
 };
@@ -183,6 +198,51 @@
   CHECK(F.isConfirmed());
 }
 
+// Guards against acknowledged departures that all voters forget at a restart.
+TEST_CASE("a departure is acknowledged only once it is on this voter's disk") {
+  Fixture F;
+  F.m_IsDiskSlow = true;
+  const auto Voter = F.add("v2", WatcherKind::Voter);
+  F.leave();
+  SECTION("the disk is slower than the watchers") {
+    Voter->confirm(F.m_Change);
+    F.run();
+    CHECK_FALSE(F.m_Result);
+    F.store();
+    CHECK(F.isConfirmed());
+  }
+  SECTION("the watchers are slower than the disk") {
+    F.store();
+    CHECK_FALSE(F.m_Result);
+    Voter->confirm(F.m_Change);
+    F.run();
+    CHECK(F.isConfirmed());
+  }
+  SECTION("the disk is full") {
+    F.store("no space");
+    REQUIRE(F.m_Result);
+    CHECK(F.m_Result->error() == "no space");
+    F.m_Result.reset();
+    // The call comes again once there is space.
+    F.leave();
+    Voter->confirm(F.m_Change);
+    F.run();
+    F.store();
+    CHECK(F.isConfirmed());
+  }
+  SECTION("the disk stalls") {
+    Voter->confirm(F.m_Change);
+    F.advance(899ms);
+    CHECK_FALSE(F.m_Result);
+    F.advance(2ms);
+    REQUIRE(F.m_Result);
+    CHECK_FALSE(F.isConfirmed());
+    // Nothing waits for the write any more.
+    F.store();
+    CHECK_FALSE(F.isConfirmed());
+  }
+}
+
 TEST_CASE("a departure that no other voter confirms is refused in time") {
   Fixture F;
   F.add("v2", WatcherKind::Voter);
