--- a/Source/Voter/DepartureFile.cpp
+++ b/Source/Voter/DepartureFile.cpp
@@ -136,6 +136,7 @@
   for (const StoredDeparture &Each : Batch)
     Kept[Each.m_Member.m_BackendServer] = Each;
   std::vector<StoredDeparture> All;
+  All.reserve(Kept.size());
   for (const auto &[Name, Each] : Kept)
     All.push_back(Each);
   const std::string Record = encode(All);
