--- a/Source/Voter/DepartureFile.h
+++ b/Source/Voter/DepartureFile.h
@@ -68,6 +68,7 @@
   std::map<std::string, StoredDeparture> m_Departures;
   // Size of the complete records.
   std::uint64_t m_Size = 0;
+  // The same at the start, or when a rewrite was last tried.
   std::uint64_t m_RewrittenSize = 0;
   bool m_IsNameDurable = false;
   // An incomplete record may follow the complete ones.
