Voter: an incomplete record doesn't prevent a start with a full disk

What callers would have seen: nothing yet; found by reading. A voter is killed while it writes a departure to a disk that has just become full, and starts again before there is space.

Cause: the start truncated the incomplete record of the file of departures, and a write that a full disk refuses ended the start.

Change: the start writes nothing; the next write truncates first, as after a failed one.

Evidence: testDepartureFile "an incomplete record doesn't prevent a start with a full disk" failed before (the file could not be opened) and passes; so does all of testVoter.

--- a/Source/Voter/DepartureFile.cpp
+++ b/Source/Voter/DepartureFile.cpp
@@ -65,10 +65,8 @@
           memberFromSchema(Each.announcement(), Duration::zero(), TimePoint()),
           Each.heard_at_ms()};
   }
-  if (Scan.m_Torn) {
-    BOOST_OUTCOME_TRYV(translate(m_Files.truncate(m_Path, Scan.m_End)));
-    BOOST_OUTCOME_TRYV(translate(m_Files.syncFile(m_Path)));
-  }
+  // Removed by the next write: a full disk must not prevent the start.
+  m_IsTorn = Scan.m_Torn;
   m_Size = m_RewrittenSize = Scan.m_End;
   return success();
 }
--- a/Source/Voter/DepartureFile.h
+++ b/Source/Voter/DepartureFile.h
@@ -37,8 +37,8 @@
 
 class DepartureFile {
 public:
-  // Reads the file, if there is one, and truncates an incomplete last record.
-  // The folder must exist and be locked.
+  // Reads the file, if there is one, and writes nothing. The folder must exist
+  // and be locked.
   static Result<std::unique_ptr<DepartureFile>, StorageError>
   open(FileSystem &Files, DepartureFileOptions Options, std::uint64_t NowMs);
 
--- a/Tests/Voter/testDepartureFile.cpp
+++ b/Tests/Voter/testDepartureFile.cpp
@@ -167,6 +167,25 @@
   CHECK(incarnationOf(*File, "i-2") == 1);
 }
 
+// Guards against a voter that doesn't start while its disk is full.
+TEST_CASE("an incomplete record doesn't prevent a start with a full disk") {
+  MemoryFileSystem Files;
+  auto File = open(Files);
+  REQUIRE(File->append({departure("i-1", 1)}, Start));
+  Files.m_Names.at(Path)->m_Bytes += "torn";
+  Files.m_Operations = 0;
+  Files.m_FailAt = 1;
+  File = open(Files);
+  CHECK(incarnationOf(*File, "i-1") == 1);
+  CHECK_FALSE(File->append({departure("i-2", 1)}, Start));
+  CHECK(File->isUsable());
+  Files.m_FailAt = 0;
+  REQUIRE(File->append({departure("i-2", 1)}, Start));
+  File = open(Files);
+  CHECK(incarnationOf(*File, "i-1") == 1);
+  CHECK(incarnationOf(*File, "i-2") == 1);
+}
+
 TEST_CASE("a failed sync makes the file unusable") {
   MemoryFileSystem Files;
   auto File = open(Files);
