Tests: calls to an agent are started on their executor

Cause: the test called CallAttempt::start() on its own thread and named the worker as executor. The stand-in answers as soon as the stream is open, so the worker could reset the stream before start() had stored it. The product's two callers start on the executor that they name (by reading).

Change: the tests start the call on the executor, their checks unchanged; CallAttempt.h says that start() needs that.

Evidence: as a trial, with 20 ms between opening and storing the stream, the test of before ends by SIGSEGV at its first call, and the four cases of now pass.

--- a/Source/Entry/CallAttempt.h
+++ b/Source/Entry/CallAttempt.h
@@ -44,6 +44,7 @@
 
 class CallAttempt : public std::enable_shared_from_this<CallAttempt> {
 public:
+  // Called on the executor, so that no handler runs before it returns.
   static std::shared_ptr<CallAttempt>
   start(PeerClient &Peers, const PeerEndpoint &Agent,
         const schema::CallRequest &Request,
--- a/Tests/Entry/testCallAttempt.cpp
+++ b/Tests/Entry/testCallAttempt.cpp
@@ -4,6 +4,7 @@
 #include "Entry/CallAttempt.h"
 
 #include "Core/Hash.h"
+#include "Core/PostTask.h"
 #include "Core/WorkerPool.h"
 
 #include <catch2/catch.hpp>
@@ -108,9 +109,13 @@
       Result.m_Broken = Broken;
       Done.set_value();
     };
-    const auto Call = CallAttempt::start(
-        m_Peers, {Address, AgentPort}, schema::CallRequest(),
-        m_Workers.worker(0).get_executor(), std::move(Handlers));
+    const auto Executor = m_Workers.worker(0).get_executor();
+    std::shared_ptr<CallAttempt> Call;
+    postTask(Executor, [&] {
+      Call = CallAttempt::start(m_Peers, {Address, AgentPort},
+                                schema::CallRequest(), Executor,
+                                std::move(Handlers));
+    });
     Done.get_future().get();
     return Result;
   }
@@ -142,9 +147,13 @@
   };
   Handlers.m_OnBroken = [&](const CallBroken &) { IsBroken.set_value(true); };
   Handlers.m_MaxBodyBytes = Limit;
-  const auto Call =
-      CallAttempt::start(Peers, {Address, AgentPort}, schema::CallRequest(),
-                         Workers.worker(0).get_executor(), std::move(Handlers));
+  const auto Executor = Workers.worker(0).get_executor();
+  std::shared_ptr<CallAttempt> Call;
+  postTask(Executor, [&] {
+    Call =
+        CallAttempt::start(Peers, {Address, AgentPort}, schema::CallRequest(),
+                           Executor, std::move(Handlers));
+  });
   auto Result = IsBroken.get_future();
   const bool HasEnded = Result.wait_for(10s) == std::future_status::ready;
   Workers.stop();
