Voter: the file of departures is rewritten by the writer of record files

Cause: rewriting repeated RaftStorage's way to write a file with one record, and merged the departures into a second map though the last record of a backend server counts when the file is read; opening dropped outdated departures that departures() passes over anyway.

Change: writeRecordFile() in RecordFile serves both; rewrite() drops what is outdated and writes the rest with the batch; open() needs no time. No change of what is read back; the tests lose an argument and keep their assertions.

--- a/Source/Raft/RaftStorage.cpp
+++ b/Source/Raft/RaftStorage.cpp
@@ -67,18 +67,6 @@
   return Bytes;
 }
 
-// Creates the file with one record; replaces a file left by an earlier attempt.
-Result<void, StorageError>
-writeFile(FileSystem &Files, const std::string &File,
-          const std::vector<std::string_view> &Parts) {
-  (void)Files.remove(File);
-  BOOST_OUTCOME_TRYV(translate(Files.append(File, encodeRecordHeader(Parts))));
-  for (const std::string_view Part : Parts) {
-    BOOST_OUTCOME_TRYV(translate(Files.append(File, Part)));
-  }
-  return translate(Files.syncFile(File));
-}
-
 bool parse(google::protobuf::MessageLite &Out, std::string_view Bytes) {
   return Out.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size()));
 }
@@ -323,8 +311,9 @@
 Result<void, StorageError>
 RaftStorage::prepareSnapshot(FileSystem &Files, const std::string &Folder,
                              const RaftSnapshot &Snapshot) {
-  return writeFile(Files, Folder + "/" + std::string(PreparedName),
-                   {encodeSnapshotPrefix(Snapshot), Snapshot.m_Data});
+  return translate(
+      writeRecordFile(Files, Folder + "/" + std::string(PreparedName),
+                      {encodeSnapshotPrefix(Snapshot), Snapshot.m_Data}));
 }
 
 // Writes the file atomically: after a crash it is complete or absent.
@@ -332,7 +321,7 @@
 RaftStorage::writeAtomically(const std::string &Name,
                              const std::vector<std::string_view> &Parts) {
   const std::string Temporary = path(Name) + std::string(TemporarySuffix);
-  BOOST_OUTCOME_TRYV(writeFile(m_Files, Temporary, Parts));
+  BOOST_OUTCOME_TRYV(translate(writeRecordFile(m_Files, Temporary, Parts)));
   return renameIntoPlace(Temporary, Name);
 }
 
--- a/Source/Raft/RecordFile.cpp
+++ b/Source/Raft/RecordFile.cpp
@@ -70,6 +70,17 @@
   return Out;
 }
 
+Result<void, FileError>
+writeRecordFile(FileSystem &Files, const std::string &Path,
+                const std::vector<std::string_view> &Parts) {
+  (void)Files.remove(Path);
+  BOOST_OUTCOME_TRYV(Files.append(Path, encodeRecordHeader(Parts)));
+  for (const std::string_view Part : Parts) {
+    BOOST_OUTCOME_TRYV(Files.append(Path, Part));
+  }
+  return Files.syncFile(Path);
+}
+
 RecordScan scanRecords(std::string_view Bytes) {
   RecordScan Scan;
   while (const auto Payload = recordAt(Bytes, Scan.m_End)) {
--- a/Source/Raft/RecordFile.h
+++ b/Source/Raft/RecordFile.h
@@ -3,6 +3,8 @@
 #ifndef MANGOCART_RAFT_RECORDFILE_H
 #define MANGOCART_RAFT_RECORDFILE_H
 
+#include "Raft/FileSystem.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,6 +17,12 @@
 // The header that precedes the payload, which may be given in several parts.
 std::string encodeRecordHeader(const std::vector<std::string_view> &Parts);
 
+// Creates the file with one record, whose payload is given in several parts,
+// and syncs it; replaces a file left by an earlier attempt.
+Result<void, FileError>
+writeRecordFile(FileSystem &Files, const std::string &Path,
+                const std::vector<std::string_view> &Parts);
+
 struct RecordScan {
   std::vector<std::string_view> m_Payloads;
   // End offset of the last complete record.
--- a/Source/Voter/DepartureFile.cpp
+++ b/Source/Voter/DepartureFile.cpp
@@ -25,7 +25,7 @@
     To.mutable_announcement()->clear_cold_remaining_ms();
     To.set_heard_at_ms(Each.m_HeardAtMs);
   }
-  return encodeRecord(Batch.SerializeAsString());
+  return Batch.SerializeAsString();
 }
 
 } // namespace
@@ -35,14 +35,10 @@
       m_Path(m_Options.m_Folder + "/" + FileName) {}
 
 Result<std::unique_ptr<DepartureFile>, StorageError>
-DepartureFile::open(FileSystem &Files, DepartureFileOptions Options,
-                    std::uint64_t NowMs) {
+DepartureFile::open(FileSystem &Files, DepartureFileOptions Options) {
   std::unique_ptr<DepartureFile> File(
       new DepartureFile(Files, std::move(Options)));
   BOOST_OUTCOME_TRYV(File->load());
-  std::erase_if(File->m_Departures, [&](const auto &Each) {
-    return File->isOutdated(Each.second, NowMs);
-  });
   return File;
 }
 
@@ -91,7 +87,7 @@
 Result<void, FileError>
 DepartureFile::append(const std::vector<StoredDeparture> &Batch,
                       std::uint64_t NowMs) {
-  const std::string Record = encode(Batch);
+  const std::string Record = encodeRecord(encode(Batch));
   const bool IsLarge = m_Size + Record.size() >= m_Options.m_MinRewriteBytes &&
                        m_Size >= 2 * m_RewrittenSize;
   // A rewrite needs space for both files; without it the file only grows.
@@ -128,23 +124,16 @@
 Result<void, FileError>
 DepartureFile::rewrite(const std::vector<StoredDeparture> &Batch,
                        std::uint64_t NowMs) {
-  std::map<std::string, StoredDeparture> Kept;
-  for (const StoredDeparture &Each : departures(NowMs))
-    Kept[Each.m_Member.m_BackendServer] = Each;
-  for (const StoredDeparture &Each : Batch)
-    Kept[Each.m_Member.m_BackendServer] = Each;
-  std::vector<StoredDeparture> All;
-  All.reserve(Kept.size());
-  for (const auto &[Name, Each] : Kept)
-    All.push_back(Each);
-  const std::string Record = encode(All);
+  std::erase_if(m_Departures, [&](const auto &Each) {
+    return isOutdated(Each.second, NowMs);
+  });
+  std::vector<StoredDeparture> All = departures(NowMs);
+  All.insert(All.end(), Batch.begin(), Batch.end());
+  const std::string Payload = encode(All);
   // Another attempt only after the file has grown further.
   m_RewrittenSize = m_Size;
   const std::string Temporary = m_Options.m_Folder + "/" + TemporaryName;
-  // Left by an earlier attempt.
-  (void)m_Files.remove(Temporary);
-  BOOST_OUTCOME_TRYV(m_Files.append(Temporary, Record));
-  BOOST_OUTCOME_TRYV(m_Files.syncFile(Temporary));
+  BOOST_OUTCOME_TRYV(writeRecordFile(m_Files, Temporary, {Payload}));
   BOOST_OUTCOME_TRYV(m_Files.rename(Temporary, m_Path));
   auto Done = m_Files.syncFolder(m_Options.m_Folder);
   // Either file may be the one that is found after a loss of power.
@@ -152,8 +141,8 @@
   if (Done) {
     m_IsNameDurable = true;
     m_IsTorn = false;
-    m_Departures = std::move(Kept);
-    m_Size = m_RewrittenSize = Record.size();
+    m_Size = m_RewrittenSize =
+        encodeRecordHeader({Payload}).size() + Payload.size();
   }
   return Done;
 }
--- a/Source/Voter/DepartureFile.h
+++ b/Source/Voter/DepartureFile.h
@@ -40,7 +40,7 @@
   // Reads the file, if there is one, and writes nothing. The folder must exist
   // and be locked.
   static Result<std::unique_ptr<DepartureFile>, StorageError>
-  open(FileSystem &Files, DepartureFileOptions Options, std::uint64_t NowMs);
+  open(FileSystem &Files, DepartureFileOptions Options);
 
   // Departures in the file that are not outdated, the last one of each backend
   // server.
--- a/Source/Voter/DepartureStore.cpp
+++ b/Source/Voter/DepartureStore.cpp
@@ -15,11 +15,10 @@
                      DepartureFileOptions Options, FatalHandler OnFatal) {
   std::unique_ptr<DepartureStore> Store(
       new DepartureStore(std::move(Files), std::move(OnFatal)));
-  const std::uint64_t NowMs = RuntimeClock::wallMilliseconds();
-  BOOST_OUTCOME_TRY(
-      Store->m_File,
-      DepartureFile::open(*Store->m_Files, std::move(Options), NowMs));
-  Store->m_Recovered = Store->m_File->departures(NowMs);
+  BOOST_OUTCOME_TRY(Store->m_File,
+                    DepartureFile::open(*Store->m_Files, std::move(Options)));
+  Store->m_Recovered =
+      Store->m_File->departures(RuntimeClock::wallMilliseconds());
   Store->m_Thread = std::thread([Raw = Store.get()] { Raw->run(); });
   return Store;
 }
--- a/Tests/Voter/testDepartureFile.cpp
+++ b/Tests/Voter/testDepartureFile.cpp
@@ -37,9 +37,8 @@
   return {.m_Folder = Folder, .m_Retention = 10min, .m_MinRewriteBytes = 300};
 }
 
-std::unique_ptr<DepartureFile> open(MemoryFileSystem &Files,
-                                    std::uint64_t NowMs = Start) {
-  auto File = DepartureFile::open(Files, smallFile(), NowMs);
+std::unique_ptr<DepartureFile> open(MemoryFileSystem &Files) {
+  auto File = DepartureFile::open(Files, smallFile());
   REQUIRE(File);
   return std::move(File).value();
 }
@@ -143,7 +142,7 @@
   REQUIRE(File->append({departure("i-1", 1)}, Start));
   REQUIRE(File->append({departure("i-2", 1)}, Start));
   Files.m_Names.at(Path)->m_Bytes[10] ^= 1;
-  const auto Refused = DepartureFile::open(Files, smallFile(), Start);
+  const auto Refused = DepartureFile::open(Files, smallFile());
   REQUIRE_FALSE(Refused);
   CHECK(Refused.error().m_Code == StorageErrorCode::Corrupt);
   CHECK(Refused.error().m_File == Path);
@@ -208,8 +207,8 @@
     Largest = std::max(Largest, Files.m_Names.at(Path)->m_Bytes.size());
   }
   CHECK(Largest < MaxBytes);
-  File = open(Files, NowMs);
+  File = open(Files);
   CHECK(File->departures(NowMs).size() == 10);
   // A clock that was set back keeps them.
-  CHECK(open(Files, Start)->departures(Start).size() >= 10);
+  CHECK(open(Files)->departures(Start).size() >= 10);
 }
