Raft: the voter that stops next is found in one pass

Cause: two searches with nearly the same condition, on each reply to the leader. Change: one loop; the first other voter that stops comes first as before, the leader itself last.

--- a/Source/Raft/RaftLeader.cpp
+++ b/Source/Raft/RaftLeader.cpp
@@ -252,14 +252,12 @@
 
 // The leader itself comes last, because its replacement needs an election.
 const RaftMember *findStoppingVoter(const RaftState &S) {
-  const RaftMember *Other = findMember(S, [&](const RaftMember &M) {
-    return M.m_Voter && M.m_Id != S.m_Config.m_Self && stoppingSince(S, M.m_Id);
-  });
-  if (Other)
-    return Other;
-  return findMember(S, [&](const RaftMember &M) {
-    return M.m_Voter && stoppingSince(S, M.m_Id);
-  });
+  const RaftMember *Found = nullptr;
+  for (const RaftMember &M : currentMembers(S))
+    if (M.m_Voter && stoppingSince(S, M.m_Id) &&
+        (!Found || Found->m_Id == S.m_Config.m_Self))
+      Found = &M;
+  return Found;
 }
 
 // Whether the member is a learner that responds, has all committed entries and
